--- /dev/null
+++ b/control/daemon.cpp
@@ -0,0 +1,142 @@
+#include "control/daemon.h"
+
+#include <fmt/format.h>
+
+namespace stackquay {
+
+namespace {
+
+constexpr Millis DrainPoll{ 20 };
+constexpr Millis EndTimeout{ 2'000 };
+
+Result<std::vector<Address>> parseAddresses(const std::vector<std::string> &texts)
+{
+    std::vector<Address> addresses;
+    for (const std::string &text : texts) {
+        const auto address = parseAddress(text);
+        if (!address)
+            return tl::unexpected(address.error());
+        addresses.push_back(*address);
+    }
+    return addresses;
+}
+
+NodeSettings nodeSettings(const DaemonSettings &settings)
+{
+    NodeSettings node;
+    node.m_vm = VmId(settings.m_vm.empty() ? "vm-" + randomToken().substr(0, 8) : settings.m_vm);
+    node.m_incarnation = randomToken();
+    node.m_dataCentre = DataCentreId(settings.m_dataCentre);
+    node.m_policy = settings.m_policy;
+    node.m_streamIdleTimeout = settings.m_streamIdleTimeout;
+    return node;
+}
+
+} // namespace
+
+Daemon::Daemon(const DaemonSettings &settings)
+    : m_settings(settings)
+{ }
+
+Result<std::unique_ptr<Daemon>> Daemon::start(const DaemonSettings &settings)
+{
+    std::unique_ptr<Daemon> daemon(new Daemon(settings));
+    return daemon->init().and_then([&] { return daemon->listen(); }).map([&] {
+        return std::move(daemon);
+    });
+}
+
+Daemon::~Daemon()
+{
+    for (const auto &worker : m_workers)
+        worker->thread().stop();
+    m_control.stop();
+    for (const auto &worker : m_workers)
+        worker->thread().join();
+    m_control.join();
+}
+
+Status Daemon::init()
+{
+    auto chart = loadRequestChart(m_settings.m_charts);
+    if (!chart)
+        return tl::unexpected(chart.error());
+    auto platform = parseAddresses(m_settings.m_platform);
+    if (!platform)
+        return tl::unexpected(platform.error());
+    m_node = std::make_unique<Node>(nodeSettings(m_settings), std::move(*chart));
+    m_state = std::make_unique<ControlState>(*m_node, m_control, m_settings, std::move(*platform));
+    for (uint32_t i = 0; i < m_settings.m_threads; ++i)
+        m_workers.push_back(std::make_unique<TrafficWorker>(*m_node, fmt::format("traffic-{}", i)));
+    return {};
+}
+
+Status Daemon::listen()
+{
+    HttpServerLimits limits;
+    limits.m_bodyBytes = m_settings.m_maxBodyBytes;
+    m_http = m_settings.m_http;
+    for (const auto &worker : m_workers) {
+        m_servers.push_back(
+            std::make_unique<HttpServer>(worker->thread(), makeRoutes(*worker), limits));
+        const auto bound = m_servers.back()->listen(m_http);
+        if (!bound)
+            return tl::unexpected(bound.error());
+        m_http = *bound;
+    }
+    m_control.start();
+    m_control.post([this] {
+        m_state->start();
+        m_state->setPeers({ { m_node->m_settings.m_vm, m_settings.m_peer } });
+    });
+    for (const auto &worker : m_workers)
+        worker->thread().start();
+    log(LogPart::Main)
+        .info("Started. vm={} data_centre={} http={}", m_node->m_settings.m_vm.str(),
+              m_settings.m_dataCentre, toString(m_http));
+    return {};
+}
+
+void Daemon::drain()
+{
+    const int drains = ++m_drains;
+    if (drains == 1)
+        m_control.post([this] { drainFiber(); });
+    if (drains == 2) {
+        log(LogPart::Main).warn("Ending at once.");
+        for (const auto &worker : m_workers)
+            worker->failRequests();
+    }
+}
+
+bool Daemon::requestsInProgress() const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(),
+                       [](const auto &server) { return server->activeRequests() > 0; });
+}
+
+void Daemon::drainFiber()
+{
+    log(LogPart::Main).info("Draining.");
+    m_node->m_draining = true;
+    const TimePoint acceptUntil = Clock::now() + m_settings.m_drainLag;
+    while (Clock::now() < acceptUntil && m_drains < 2 && sleepFor(m_control.context(), DrainPoll)) {
+    }
+    for (const auto &server : m_servers)
+        server->drain();
+    TimePoint until = Clock::now() + m_settings.m_drainTimeout;
+    while (requestsInProgress() && Clock::now() < until
+           && sleepFor(m_control.context(), DrainPoll)) {
+        if (m_drains >= 2)
+            until = std::min(until, Clock::now() + EndTimeout);
+    }
+    log(LogPart::Main).info("Drained. in_progress={}", requestsInProgress());
+    m_drained.set_value();
+}
+
+void Daemon::wait()
+{
+    m_drained.get_future().wait();
+}
+
+} // namespace stackquay
--- /dev/null
+++ b/control/daemon.h
@@ -0,0 +1,46 @@
+/// The whole daemon: threads, servers and control state, from start to drained.
+#pragma once
+
+#include <future>
+#include <memory>
+
+#include "control/control_state.h"
+
+namespace stackquay {
+
+class Daemon
+{
+public:
+    /// Binds every address, and starts all threads.
+    static Result<std::unique_ptr<Daemon>> start(const DaemonSettings &settings);
+    ~Daemon();
+
+    /// Begins to drain: not ready, accepts for the drain lag, finishes what is in progress.
+    /// A second call ends at once, with truthful failures. Any thread.
+    void drain();
+    /// Returns once drained.
+    void wait();
+
+    Address httpAddress() const { return m_http; }
+    Node &node() { return *m_node; }
+
+private:
+    explicit Daemon(const DaemonSettings &settings);
+
+    Status init();
+    Status listen();
+    void drainFiber();
+    bool requestsInProgress() const;
+
+    DaemonSettings m_settings;
+    std::unique_ptr<Node> m_node;
+    std::vector<std::unique_ptr<TrafficWorker>> m_workers;
+    std::vector<std::unique_ptr<HttpServer>> m_servers;
+    FiberThread m_control{ "control" };
+    std::unique_ptr<ControlState> m_state;
+    Address m_http;
+    std::atomic<int> m_drains{ 0 };
+    std::promise<void> m_drained;
+};
+
+} // namespace stackquay
--- /dev/null
+++ b/entry/completion_run.cpp
@@ -0,0 +1,401 @@
+#include "entry/completion_run.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace stackquay {
+
+namespace {
+
+constexpr Millis CancelTimeout{ 2'000 };
+constexpr Millis CancelRetryDelay{ 200 };
+constexpr int CancelTries = 3;
+
+/// Frees the engine's memory of an attempt that nobody waits for. Runs in a fiber of its own.
+void cancelAtEngine(TrafficWorker &worker, const Address &address, const AttemptId &attempt)
+{
+    for (int i = 0; i < CancelTries; ++i) {
+        if (stackquay::cancelAttempt(worker.pool(), address, attempt, CancelTimeout))
+            return;
+        if (!sleepFor(worker.thread().context(), CancelRetryDelay))
+            return;
+    }
+    log(LogPart::Entry)
+        .warn("Attempt could not be cancelled. attempt={} engine={}", attempt.str(),
+              toString(address));
+}
+
+} // namespace
+
+CompletionRun::CompletionRun(TrafficWorker &worker, HttpExchange &exchange,
+                             AdmittedCompletion admitted)
+    : m_worker(worker)
+    , m_exchange(exchange)
+    , m_admitted(std::move(admitted))
+    , m_route(m_admitted.m_context.m_view->findModel(m_admitted.m_request.m_model))
+    , m_answer(exchange, m_admitted.m_request, m_admitted.m_context.m_id, m_admitted.m_promptTokens)
+{
+    m_need.m_promptTokens = m_admitted.m_promptTokens;
+    m_need.m_outputTokens = m_admitted.m_request.m_maxTokens;
+    m_need.m_prefix = prefixBlocks(m_admitted.m_request.m_prompt);
+}
+
+Outcome CompletionRun::execute()
+{
+    const RequestChart &chart = m_worker.node().m_requestChart;
+    RequestChartInstance instance(chart);
+    m_exchange.onHangup([this] { onHangup(); });
+    instance.start(chart, *this);
+    while (!instance.finished(chart)) {
+        const RequestEvent event = step(instance.state());
+        instance.dispatch(chart, event, *this);
+    }
+    if (instance.state() == RequestState::Abandoned)
+        m_exchange.abort();
+    if (instance.state() == RequestState::Complete)
+        return Outcome::Complete;
+    return requestOutcome(m_attempts);
+}
+
+RequestEvent CompletionRun::step(RequestState state)
+{
+    if (m_hungUp)
+        return RequestEvent::HungUp;
+    if (late())
+        return expired();
+    switch (state) {
+    case RequestState::Placing:
+        return place();
+    case RequestState::Prefilling:
+        return prefill();
+    case RequestState::Sending:
+        return send();
+    case RequestState::Streaming:
+        return stream();
+    case RequestState::Resuming:
+        return resume();
+    case RequestState::BackingOff:
+        return backOff();
+    case RequestState::Complete:
+    case RequestState::Failed:
+    case RequestState::Refused:
+    case RequestState::Abandoned:
+        break;
+    }
+    std::abort();
+}
+
+RequestEvent CompletionRun::expired()
+{
+    m_placementEnd = PlacementEnd::Abandoned;
+    if (m_expiry == RequestError::ShuttingDown)
+        fail(m_expiry, "this VM is shutting down");
+    else
+        fail(m_expiry, "the deadline has passed");
+    return RequestEvent::DeadlinePassed;
+}
+
+void CompletionRun::shutDown()
+{
+    m_expiry = RequestError::ShuttingDown;
+    m_admitted.m_deadline = Clock::now();
+    if (m_stream)
+        m_stream->cancel();
+}
+
+RequestEvent CompletionRun::place()
+{
+    newAttempt();
+    const RequestContext &context = m_admitted.m_context;
+    PlacementRequest request;
+    request.m_request = context.m_id;
+    request.m_attempt = m_attempt;
+    request.m_customer = context.m_customer->m_id;
+    request.m_model = m_admitted.m_request.m_model;
+    request.m_priority = context.m_priority;
+    request.m_weight = context.m_customer->m_share;
+    request.m_need = m_need;
+    request.m_deadline = m_admitted.m_deadline;
+    request.m_excluded = m_excluded;
+    auto placement = stackquay::place(m_worker, *m_route, request);
+    if (!placement) {
+        m_refusal = placement.error();
+        return RequestEvent::NoEndpoint;
+    }
+    m_placement = std::move(*placement);
+    m_placementEnd = PlacementEnd::Failed;
+    return RequestEvent::Granted;
+}
+
+RequestEvent CompletionRun::prefill()
+{
+    EngineAttempt attempt = makeAttempt();
+    attempt.m_prefillOnly = true;
+    attempt.m_prefillLimit = m_prefilled + m_placement->m_chunkTokens;
+    attempt.m_attempt = AttemptId(randomToken());
+    EngineStream chunk(m_worker.pool(), m_placement->m_address);
+    m_running = true;
+    const auto started = chunk.start(attempt, timeout());
+    if (!started)
+        return startFailed(started.error());
+    const auto frame = chunk.next(timeout());
+    const auto *prefilled = frame ? std::get_if<PrefillFrame>(&*frame) : nullptr;
+    if (!prefilled)
+        return streamFailed(frame ? Error{ ErrorCode::ProtocolError, "no prefill frame" }
+                                  : frame.error());
+    chunk.release();
+    m_running = false;
+    if (prefilled->m_prefilled <= m_prefilled)
+        return RequestEvent::Prefilled; // The cache cannot hold more: the rest goes at once.
+    m_prefilled = prefilled->m_prefilled;
+    return needsChunks() ? RequestEvent::ChunkDone : RequestEvent::Prefilled;
+}
+
+RequestEvent CompletionRun::send()
+{
+    m_worker.node().m_entryMetrics.countAttempt();
+    m_stream = std::make_unique<EngineStream>(m_worker.pool(), m_placement->m_address);
+    m_running = true;
+    const auto started = m_stream->start(makeAttempt(), timeout());
+    if (!started)
+        return startFailed(started.error());
+    m_attempts.push_back({ 1, EndpointReply::Nothing, true });
+    return RequestEvent::Started;
+}
+
+RequestEvent CompletionRun::startFailed(const StartFailure &failure)
+{
+    m_running = !failure.m_notRun;
+    if (m_hungUp)
+        return RequestEvent::HungUp;
+    AttemptFacts facts;
+    facts.m_bytesSent = failure.m_notRun && failure.m_reason.empty() ? 0 : 1;
+    facts.m_reply = failure.m_notRun ? EndpointReply::NotRun : EndpointReply::Nothing;
+    facts.m_replyIsOurs = true;
+    m_attempts.push_back(facts);
+    m_placementEnd = failure.m_reason.empty() ? PlacementEnd::Failed : PlacementEnd::NotRun;
+    if (failure.m_error.m_code == ErrorCode::InvalidArgument) {
+        fail(RequestError::PromptTooLong, failure.m_error.m_message);
+        return RequestEvent::Rejected;
+    }
+    fail(failure.m_reason.empty() ? RequestError::EndpointFailed : RequestError::NoCapacity,
+         failure.m_error.m_message);
+    m_excluded.push_back(m_placement->m_endpoint);
+    return failure.m_notRun ? RequestEvent::NotRun : RequestEvent::Lost;
+}
+
+RequestEvent CompletionRun::stream()
+{
+    const Duration idle = m_worker.node().m_settings.m_streamIdleTimeout;
+    for (;;) {
+        // Before the first token the engine may be busy with the prompt until the deadline.
+        const auto frame = m_stream->next(m_firstToken ? timeout(idle) : timeout());
+        if (!frame)
+            return streamFailed(frame.error());
+        if (const auto *final = std::get_if<FinalFrame>(&*frame))
+            return finish(*final);
+        const auto *tokens = std::get_if<TokenFrame>(&*frame);
+        if (!tokens)
+            return streamFailed({ ErrorCode::ProtocolError, "unexpected prefill frame" });
+        if (!passOn(*tokens) || m_hungUp)
+            return RequestEvent::HungUp;
+        if (late())
+            return streamFailed({ ErrorCode::DeadlineExceeded, "the deadline has passed" });
+    }
+}
+
+RequestEvent CompletionRun::streamFailed(const Error &error)
+{
+    if (m_hungUp)
+        return RequestEvent::HungUp;
+    if (late())
+        return expired();
+    log(LogPart::Entry)
+        .info("Stream was cut. request={} engine={} at={} error={}",
+              m_admitted.m_context.m_id.str(), m_placement->m_endpoint.str(), m_position,
+              toString(error));
+    fail(RequestError::AnswerCut, error.m_message);
+    if (!m_stream) {
+        m_attempts.push_back({ 1, EndpointReply::Nothing, true });
+        m_excluded.push_back(m_placement->m_endpoint);
+        return RequestEvent::Lost;
+    }
+    return RequestEvent::Cut;
+}
+
+bool CompletionRun::passOn(const TokenFrame &frame)
+{
+    noteFirstToken();
+    m_resumes = 0;
+    m_answer.append(frame);
+    m_position = frame.m_index + frame.m_count;
+    m_attempts.back().m_reply = EndpointReply::Partial;
+    m_worker.node().m_entryMetrics.countTokens(frame.m_count);
+    // Frames that are here already go out with the same write.
+    return m_stream->ready() || m_answer.flush().has_value();
+}
+
+RequestEvent CompletionRun::finish(const FinalFrame &frame)
+{
+    noteFirstToken();
+    m_running = false;
+    m_placementEnd = PlacementEnd::Complete;
+    m_attempts.back().m_reply = EndpointReply::Whole;
+    if (!m_answer.finish(frame))
+        return RequestEvent::HungUp;
+    m_stream->release();
+    return RequestEvent::Finished;
+}
+
+RequestEvent CompletionRun::resume()
+{
+    Node &node = m_worker.node();
+    const auto excludeEngine = [&] {
+        m_excluded.push_back(m_placement->m_endpoint);
+        return RequestEvent::Gone;
+    };
+    while (m_resumes < node.m_settings.m_resumeTries && !m_hungUp && !late()) {
+        ++m_resumes;
+        node.m_entryMetrics.countResume();
+        const Status resumed = m_stream->resume(timeout(node.m_settings.m_connectTimeout));
+        if (resumed)
+            return RequestEvent::Resumed;
+        if (resumed.error().m_code == ErrorCode::NotFound) {
+            m_running = false;
+            return excludeEngine();
+        }
+    }
+    return excludeEngine();
+}
+
+RequestEvent CompletionRun::backOff()
+{
+    Node &node = m_worker.node();
+    RetryQuestion question;
+    question.m_customer = m_admitted.m_context.m_customer->m_id;
+    question.m_outcome = requestOutcome(m_attempts);
+    question.m_repeatable = m_admitted.m_context.m_repeatable;
+    question.m_anyByteSent = !nothingRan();
+    question.m_lastByteSent = attemptOutcome(m_attempts.back()) != Outcome::RefusedNotRun;
+    question.m_attemptsMade = static_cast<uint32_t>(m_attempts.size());
+    question.m_deadline = m_admitted.m_deadline;
+    question.m_backoff = node.m_admission.backoff(question.m_attemptsMade, m_worker.random());
+    const RetryDecision decision = node.m_admission.mayRetry(question, Clock::now());
+    if (decision != RetryDecision::Retry) {
+        log(LogPart::Entry)
+            .info("No further attempt. request={} decision={}", m_admitted.m_context.m_id.str(),
+                  retryDecisionName(decision));
+        return RequestEvent::GiveUp;
+    }
+    node.m_entryMetrics.countRetry();
+    if (!sleepFor(m_worker.thread().context(), question.m_backoff)) {
+        fail(RequestError::ShuttingDown, "this VM is shutting down");
+        return RequestEvent::GiveUp;
+    }
+    return RequestEvent::Retry;
+}
+
+bool CompletionRun::needsChunks() const
+{
+    const uint64_t chunk = m_placement->m_chunkTokens;
+    return chunk > 0 && m_need.m_promptTokens > m_prefilled + chunk;
+}
+
+bool CompletionRun::nothingRan() const
+{
+    return requestOutcome(m_attempts) == Outcome::RefusedNotRun;
+}
+
+void CompletionRun::cancelAttempt()
+{
+    if (m_stream)
+        m_stream->cancel();
+    if (!m_running || !m_placement)
+        return;
+    m_running = false;
+    spawnFiber([&worker = m_worker, address = m_placement->m_address, attempt = m_attempt] {
+        cancelAtEngine(worker, address, attempt);
+    });
+}
+
+void CompletionRun::releaseGrant()
+{
+    if (!m_placement)
+        return;
+    if (m_hungUp)
+        m_placementEnd = PlacementEnd::Abandoned;
+    endPlacement(m_worker, *m_placement, m_placementEnd);
+    m_placement.reset();
+}
+
+void CompletionRun::answerFailure()
+{
+    m_refusal.m_outcome = requestOutcome(m_attempts);
+    log(LogPart::Entry)
+        .info("Request failed. request={} outcome={} error={} message={}",
+              m_admitted.m_context.m_id.str(), outcomeName(m_refusal.m_outcome),
+              requestErrorInfo(m_refusal.m_error).m_code, m_refusal.m_message);
+    m_answer.fail(m_refusal);
+}
+
+EngineAttempt CompletionRun::makeAttempt() const
+{
+    const CompletionRequest &request = m_admitted.m_request;
+    EngineAttempt attempt;
+    attempt.m_attempt = m_attempt;
+    attempt.m_model = request.m_model;
+    attempt.m_version = m_route->m_model.m_version;
+    attempt.m_adapter = request.m_adapter;
+    attempt.m_prompt = request.m_prompt;
+    attempt.m_maxTokens = request.m_maxTokens;
+    attempt.m_priority = m_admitted.m_context.m_priority;
+    attempt.m_owner = m_worker.node().owner();
+    attempt.m_skip = m_position;
+    return attempt;
+}
+
+void CompletionRun::newAttempt()
+{
+    m_attempt = AttemptId(randomToken());
+    m_stream.reset();
+    m_prefilled = 0;
+    m_resumes = 0;
+}
+
+void CompletionRun::noteFirstToken()
+{
+    if (m_firstToken)
+        return;
+    m_firstToken = true;
+    const RequestContext &context = m_admitted.m_context;
+    m_worker.node().m_entryMetrics.recordTtft(context.m_customer->m_id,
+                                              m_admitted.m_request.m_model, m_admitted.m_length,
+                                              Clock::now() - context.m_arrived);
+}
+
+void CompletionRun::fail(RequestError error, std::string message)
+{
+    m_refusal.m_error = error;
+    m_refusal.m_message = std::move(message);
+}
+
+void CompletionRun::onHangup()
+{
+    m_hungUp = true;
+    if (m_stream)
+        m_stream->cancel();
+}
+
+Duration CompletionRun::timeout(Duration limit) const
+{
+    const Duration left = m_admitted.m_deadline - Clock::now();
+    return std::clamp<Duration>(left, Millis(1), limit);
+}
+
+Duration CompletionRun::timeout() const
+{
+    return std::max<Duration>(m_admitted.m_deadline - Clock::now(), Millis(1));
+}
+
+} // namespace stackquay
--- /dev/null
+++ b/entry/entry_metrics.h
@@ -0,0 +1,35 @@
+/// Metrics of requests.
+#pragma once
+
+#include <array>
+
+#include "core/core.h"
+#include "policy/policy.h"
+
+namespace stackquay {
+
+class EntryMetrics
+{
+public:
+    explicit EntryMetrics(MetricsRegistry &registry);
+
+    void countOutcome(Outcome outcome);
+    void countAttempt() { m_attempts.add(); }
+    void countRetry() { m_retries.add(); }
+    void countResume() { m_resumes.add(); }
+    void countTokens(uint64_t tokens) { m_tokens.add(tokens); }
+    void recordTtft(const CustomerId &customer, const ModelId &model, LengthClass length,
+                    Duration ttft);
+
+private:
+    static constexpr size_t outcomeCount = 3;
+
+    MetricsRegistry &m_registry;
+    std::array<Counter *, outcomeCount> m_outcomes{};
+    Counter &m_attempts;
+    Counter &m_retries;
+    Counter &m_resumes;
+    Counter &m_tokens;
+};
+
+} // namespace stackquay
--- /dev/null
+++ b/entry/node.h
@@ -0,0 +1,43 @@
+/// What all threads of one daemon share.
+#pragma once
+
+#include "entry/admission_gate.h"
+#include "entry/endpoint_table.h"
+#include "entry/entry_metrics.h"
+#include "entry/request_chart.h"
+#include "entry/routing_view.h"
+
+namespace stackquay {
+
+struct NodeSettings {
+    VmId m_vm;
+    std::string m_incarnation; ///< Unguessable; new at each start.
+    DataCentreId m_dataCentre;
+    RoutingPolicy m_policy = RoutingPolicy::LeastReported;
+    DeadlineSettings m_deadlines;
+    /// An engine that sends nothing for this long after its first token is taken for dead.
+    Millis m_streamIdleTimeout{ 10'000 };
+    Millis m_connectTimeout{ 2'000 };
+    uint32_t m_resumeTries = 2; ///< Before another attempt is made elsewhere.
+};
+
+struct Node {
+    Node(NodeSettings settings, RequestChart chart)
+        : m_settings(std::move(settings))
+        , m_requestChart(std::move(chart))
+    { }
+
+    /// Who holds an engine's memory: "vm:incarnation".
+    std::string owner() const { return m_settings.m_vm.str() + ":" + m_settings.m_incarnation; }
+
+    NodeSettings m_settings;
+    RequestChart m_requestChart;
+    MetricsRegistry m_metrics;
+    EntryMetrics m_entryMetrics{ m_metrics };
+    RoutingViewHolder m_view;
+    EndpointTable m_endpoints;
+    AdmissionGate m_admission;
+    std::atomic<bool> m_draining{ false };
+};
+
+} // namespace stackquay
--- /dev/null
+++ b/entry/service_handler.cpp
@@ -0,0 +1,192 @@
+#include "entry/service_handler.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "endpoint/endpoint.h"
+#include "entry/completion_answer.h"
+#include "entry/placement.h"
+#include "entry/request_context.h"
+
+namespace stackquay {
+
+namespace {
+
+constexpr std::string_view ServicePrefix = "/service/";
+
+/// "/service/NAME/rest?query" in its parts.
+struct ServiceTarget {
+    ServiceId m_service;
+    std::string m_rest; ///< With the leading slash and the query.
+};
+
+std::optional<ServiceTarget> parseTarget(std::string_view target)
+{
+    target.remove_prefix(ServicePrefix.size());
+    const size_t end = target.find_first_of("/?");
+    const std::string name(target.substr(0, end));
+    if (name.empty())
+        return std::nullopt;
+    std::string rest(end == std::string_view::npos ? "" : target.substr(end));
+    if (rest.empty() || rest.front() != '/')
+        rest.insert(0, "/");
+    return ServiceTarget{ ServiceId(name), std::move(rest) };
+}
+
+bool isHopByHop(std::string_view name)
+{
+    static constexpr std::string_view Names[] = {
+        "Connection", "Keep-Alive", "Host",   "Transfer-Encoding", "Upgrade",
+        "TE",         "Trailer",    "Expect", "Content-Length",    "Authorization"
+    };
+    const HttpHeaders probe{ { std::string(name), "x" } };
+    return std::any_of(std::begin(Names), std::end(Names),
+                       [&](std::string_view hop) { return !findHeader(probe, hop).empty(); });
+}
+
+HttpHeaders endToEndHeaders(const HttpHeaders &headers)
+{
+    HttpHeaders kept;
+    for (const HttpHeader &header : headers) {
+        if (!isHopByHop(header.m_name))
+            kept.push_back(header);
+    }
+    return kept;
+}
+
+/// One call with its attempts.
+struct ServiceRun {
+    TrafficWorker &m_worker;
+    const RequestContext &m_context;
+    const ServiceRoute &m_route;
+    HttpRequest m_request;
+    bool m_repeatable = true;
+    TimePoint m_deadline;
+    std::vector<AttemptFacts> m_attempts;
+    std::vector<EndpointId> m_excluded;
+};
+
+std::optional<size_t> chooseEndpoint(ServiceRun &run)
+{
+    const auto views = run.m_worker.node().m_endpoints.views(run.m_route.m_endpoints);
+    return chooseRoundRobin(run.m_worker.roundRobin(), views, run.m_excluded, Clock::now());
+}
+
+tl::expected<HttpResponse, ServiceFailure> attempt(ServiceRun &run, const EndpointRoute &endpoint)
+{
+    EndpointTable &endpoints = run.m_worker.node().m_endpoints;
+    ServiceCall call;
+    call.m_request = run.m_request;
+    call.m_attempt = AttemptId(randomToken());
+    call.m_repeatable = run.m_repeatable;
+    call.m_timeout = timeLeft(run.m_deadline, Clock::now());
+    run.m_worker.node().m_entryMetrics.countAttempt();
+    endpoints.noteStarted(endpoint.m_id);
+    auto response = callService(run.m_worker.pool(), endpoint.m_address, std::move(call));
+    endpoints.noteEnded(endpoint.m_id);
+    if (response)
+        endpoints.noteSuccess(endpoint.m_id);
+    else
+        endpoints.noteFailure(endpoint.m_id, Clock::now());
+    return response;
+}
+
+Refusal failureOf(const ServiceRun &run, const Error &error)
+{
+    Refusal refusal;
+    refusal.m_outcome = requestOutcome(run.m_attempts);
+    refusal.m_error = timeLeft(run.m_deadline, Clock::now()) == Duration::zero()
+                          ? RequestError::DeadlineExceeded
+                          : RequestError::EndpointFailed;
+    refusal.m_message = error.m_message;
+    return refusal;
+}
+
+bool mayRetry(ServiceRun &run, bool notRun)
+{
+    Node &node = run.m_worker.node();
+    RetryQuestion question;
+    question.m_customer = run.m_context.m_customer->m_id;
+    question.m_outcome = requestOutcome(run.m_attempts);
+    question.m_repeatable = run.m_repeatable;
+    question.m_anyByteSent = question.m_outcome != Outcome::RefusedNotRun;
+    question.m_lastByteSent = !notRun;
+    question.m_attemptsMade = static_cast<uint32_t>(run.m_attempts.size());
+    question.m_deadline = run.m_deadline;
+    question.m_backoff = node.m_admission.backoff(question.m_attemptsMade, run.m_worker.random());
+    if (node.m_admission.mayRetry(question, Clock::now()) != RetryDecision::Retry)
+        return false;
+    node.m_entryMetrics.countRetry();
+    return sleepFor(run.m_worker.thread().context(), question.m_backoff);
+}
+
+tl::expected<HttpResponse, Refusal> execute(ServiceRun &run)
+{
+    for (;;) {
+        const auto index = chooseEndpoint(run);
+        if (!index) {
+            Refusal refusal =
+                failureOf(run, { ErrorCode::Unavailable, "no endpoint of the service" });
+            refusal.m_error = RequestError::NoCapacity;
+            return tl::unexpected(std::move(refusal));
+        }
+        const EndpointRoute &endpoint = run.m_route.m_endpoints[*index];
+        auto response = attempt(run, endpoint);
+        if (response)
+            return std::move(*response);
+        const ServiceFailure &failure = response.error();
+        run.m_excluded.push_back(endpoint.m_id);
+        const size_t sent = failure.m_notRun ? 0 : 1;
+        run.m_attempts.push_back({ sent, EndpointReply::Nothing, false });
+        if (!mayRetry(run, failure.m_notRun))
+            return tl::unexpected(failureOf(run, failure.m_error));
+    }
+}
+
+tl::expected<HttpResponse, Refusal> serve(TrafficWorker &worker, HttpRequest &http,
+                                          const RequestId &id)
+{
+    const TimePoint arrived = Clock::now();
+    const auto context = makeRequestContext(http, id, worker.node().m_view.get(), arrived);
+    if (!context)
+        return tl::unexpected(context.error());
+    const auto target = parseTarget(http.m_target);
+    const ServiceRoute *route = target ? context->m_view->findService(target->m_service) : nullptr;
+    if (!route)
+        return tl::unexpected(refuseNotRun(RequestError::ServiceNotFound, "no such service"));
+    const bool repeatable = route->m_service.m_repeatable && context->m_repeatable;
+    if (!repeatable && !context->m_idempotencyKey.empty())
+        return tl::unexpected(
+            refuseNotRun(RequestError::StoreUnavailable,
+                         "idempotency keys need the store, which is not connected"));
+    ServiceRun run{ worker, *context, *route, {}, repeatable, {}, {}, {} };
+    run.m_request.m_method = http.m_method;
+    run.m_request.m_target = target->m_rest;
+    run.m_request.m_headers = endToEndHeaders(http.m_headers);
+    run.m_request.m_body = std::move(http.m_body);
+    run.m_deadline = requestDeadline(worker.node().m_settings.m_deadlines,
+                                     context->m_wishedDeadline, LengthClass::Short, arrived);
+    return execute(run);
+}
+
+} // namespace
+
+void handleService(TrafficWorker &worker, HttpExchange &exchange)
+{
+    const RequestId id(randomToken());
+    auto response = serve(worker, exchange.request(), id);
+    if (!response) {
+        worker.node().m_entryMetrics.countOutcome(response.error().m_outcome);
+        respondRefusal(exchange, id, response.error());
+        return;
+    }
+    worker.node().m_entryMetrics.countOutcome(Outcome::Complete);
+    response->m_headers = endToEndHeaders(response->m_headers);
+    response->m_headers.push_back({ "Stackquay-Request-Id", id.str() });
+    const Status sent = exchange.respond(*response);
+    if (!sent)
+        log(LogPart::Entry).info("Caller left before its answer. request={}", id.str());
+}
+
+} // namespace stackquay
--- /dev/null
+++ b/entry/traffic_worker.cpp
@@ -0,0 +1,22 @@
+#include "entry/traffic_worker.h"
+
+#include "entry/completion_run.h"
+
+namespace stackquay {
+
+TrafficWorker::TrafficWorker(Node &node, const std::string &name)
+    : m_node(node)
+    , m_thread(name)
+    , m_pool(m_thread.context())
+    , m_random(std::random_device{}())
+{ }
+
+void TrafficWorker::failRequests()
+{
+    m_thread.post([this] {
+        for (CompletionRun *run : m_runs)
+            run->shutDown();
+    });
+}
+
+} // namespace stackquay
--- /dev/null
+++ b/entry/traffic_worker.h
@@ -0,0 +1,35 @@
+/// One traffic thread with what belongs to it alone.
+#pragma once
+
+#include <unordered_set>
+
+#include "entry/node.h"
+#include "platform/platform.h"
+
+namespace stackquay {
+
+class TrafficWorker
+{
+public:
+    TrafficWorker(Node &node, const std::string &name);
+
+    Node &node() { return m_node; }
+    FiberThread &thread() { return m_thread; }
+    HttpPool &pool() { return m_pool; }
+    RandomEngine &random() { return m_random; }
+    RoundRobinState &roundRobin() { return m_roundRobin; }
+    /// The runs in progress. On the thread.
+    std::unordered_set<CompletionRun *> &runs() { return m_runs; }
+    /// Fails all requests in progress at once and truthfully. Any thread.
+    void failRequests();
+
+private:
+    Node &m_node;
+    FiberThread m_thread;
+    HttpPool m_pool;
+    RandomEngine m_random;
+    RoundRobinState m_roundRobin;
+    std::unordered_set<CompletionRun *> m_runs;
+};
+
+} // namespace stackquay
