--- /dev/null
+++ b/policy/choose_endpoint.cpp
@@ -0,0 +1,264 @@
+#include "policy/choose_endpoint.h"
+
+#include <algorithm>
+#include <random>
+#include <tuple>
+
+#include <fmt/format.h>
+
+namespace stackquay {
+
+namespace {
+
+constexpr uint32_t MaxEjectionDoublings = 8;
+
+/// Smaller is better.
+auto reportedRank(const EndpointView &view)
+{
+    const auto &load = view.m_reported;
+    return std::tuple(load.m_prefillBacklogTokens,
+                      load.m_running + load.m_waiting + view.m_ownInFlight);
+}
+
+size_t pick(size_t count, RandomEngine &random)
+{
+    return std::uniform_int_distribution<size_t>(0, count - 1)(random);
+}
+
+bool contains(std::span<const EndpointId> ids, const EndpointId &id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+struct Scored {
+    StewardChoice m_choice;
+    Duration m_cost{};
+    uint64_t m_affinity = 0; ///< 0 without a prefix.
+    bool m_overBound = false;
+    uint32_t m_grants = 0;
+};
+
+StewardChoice predictChoice(const StewardCandidate &candidate, const RequestNeed &need,
+                            TimePoint now)
+{
+    StewardChoice choice;
+    choice.m_cachedTokens =
+        std::min(cachedTokens(*candidate.m_prefixes, need.m_prefix), need.m_promptTokens);
+    choice.m_uncachedTokens = need.m_promptTokens - choice.m_cachedTokens;
+    const uint32_t batch = candidate.m_ledger->m_totals.m_decoding;
+    choice.m_predictedPrefill = predictPrefill(
+        *candidate.m_cost, { choice.m_uncachedTokens, choice.m_cachedTokens, batch });
+    choice.m_predictedTtft = prefillAhead(*candidate.m_ledger, now) + choice.m_predictedPrefill
+                             + predictDecodeStep(*candidate.m_cost, batch + 1);
+    return choice;
+}
+
+/// What the choice costs the others on the endpoint: each short one waits for a long prefill.
+Duration interferenceCost(const StewardCandidate &candidate, const StewardChoice &choice,
+                          const StewardWeights &weights)
+{
+    if (!isLongPrefill(lengthClass(choice.m_uncachedTokens)))
+        return Duration::zero();
+    const auto &totals = candidate.m_ledger->m_totals;
+    const uint32_t waiting = totals.m_grants - totals.m_decoding - totals.m_longPrefills;
+    const double factor = weights.m_interference * waiting;
+    return std::chrono::duration_cast<Duration>(choice.m_predictedPrefill * factor);
+}
+
+double meanGrants(std::span<const StewardCandidate> candidates)
+{
+    double grants = 0;
+    double usable = 0;
+    for (const auto &candidate : candidates) {
+        if (!candidate.m_usable)
+            continue;
+        grants += candidate.m_ledger->m_totals.m_grants;
+        ++usable;
+    }
+    return usable == 0 ? 0 : grants / usable;
+}
+
+LedgerRefusal leastRefusal(std::optional<LedgerRefusal> known, LedgerRefusal other)
+{
+    // TooLong is final, so it is the answer only if every candidate gives it.
+    if (!known || *known == LedgerRefusal::TooLong)
+        return other;
+    return *known;
+}
+
+/// Whether @p left is to be preferred to @p right.
+bool isBetter(const Scored &left, const Scored &right, Duration tolerated)
+{
+    const bool leftGood = left.m_cost <= tolerated && !left.m_overBound;
+    const bool rightGood = right.m_cost <= tolerated && !right.m_overBound;
+    if (leftGood != rightGood)
+        return leftGood;
+    if (leftGood)
+        return std::tuple(right.m_affinity, left.m_grants)
+               < std::tuple(left.m_affinity, right.m_grants);
+    return std::tuple(left.m_cost, left.m_grants) < std::tuple(right.m_cost, right.m_grants);
+}
+
+Duration toleratedCost(const std::vector<Scored> &scored, const StewardWeights &weights)
+{
+    const auto best =
+        std::min_element(scored.begin(), scored.end(), [](const auto &left, const auto &right) {
+            return left.m_cost < right.m_cost;
+        });
+    const auto share =
+        std::chrono::duration_cast<Duration>(best->m_cost * weights.m_affinityTolerance);
+    return best->m_cost + share + weights.m_affinitySlack;
+}
+
+} // namespace
+
+Result<RoutingPolicy> parseRoutingPolicy(std::string_view name)
+{
+    for (const auto policy :
+         { RoutingPolicy::RoundRobin, RoutingPolicy::LeastReported, RoutingPolicy::Steward }) {
+        if (name == routingPolicyName(policy))
+            return policy;
+    }
+    return makeError(ErrorCode::InvalidArgument, fmt::format("unknown routing policy '{}'", name));
+}
+
+std::string_view routingPolicyName(RoutingPolicy policy)
+{
+    switch (policy) {
+    case RoutingPolicy::RoundRobin:
+        return "round-robin";
+    case RoutingPolicy::LeastReported:
+        return "least-reported";
+    case RoutingPolicy::Steward:
+        return "steward";
+    }
+    return "unknown";
+}
+
+void noteSuccess(EndpointHealth &health)
+{
+    health = {};
+}
+
+bool noteFailure(EndpointHealth &health, TimePoint now, const EjectionSettings &settings)
+{
+    ++health.m_failures;
+    const bool onTrial = health.m_ejections > 0 && !isEjected(health, now);
+    if (health.m_failures < settings.m_failures && !onTrial)
+        return false;
+    const auto doublings = std::min(health.m_ejections, MaxEjectionDoublings);
+    const auto pause = std::min(settings.m_max, settings.m_base * (1 << doublings));
+    health.m_failures = 0;
+    ++health.m_ejections;
+    health.m_ejectedUntil = now + pause;
+    return true;
+}
+
+bool isEjected(const EndpointHealth &health, TimePoint now)
+{
+    return now < health.m_ejectedUntil;
+}
+
+std::vector<size_t> usableEndpoints(std::span<const EndpointView> views,
+                                    std::span<const EndpointId> excluded, TimePoint now)
+{
+    std::vector<size_t> usable;
+    std::vector<size_t> ejected;
+    for (size_t i = 0; i < views.size(); ++i) {
+        const auto &view = views[i];
+        if (view.m_draining || contains(excluded, view.m_id))
+            continue;
+        (isEjected(view.m_health, now) ? ejected : usable).push_back(i);
+    }
+    return usable.empty() ? ejected : usable;
+}
+
+std::optional<size_t> chooseRoundRobin(RoundRobinState &state, std::span<const EndpointView> views,
+                                       std::span<const EndpointId> excluded, TimePoint now)
+{
+    const auto usable = usableEndpoints(views, excluded, now);
+    if (usable.empty())
+        return std::nullopt;
+    return usable[state.m_next++ % usable.size()];
+}
+
+std::optional<size_t> chooseLeastReported(std::span<const EndpointView> views,
+                                          std::span<const EndpointId> excluded, TimePoint now,
+                                          RandomEngine &random)
+{
+    const auto usable = usableEndpoints(views, excluded, now);
+    std::optional<size_t> best;
+    size_t ties = 0;
+    for (const size_t i : usable) {
+        if (!best || reportedRank(views[i]) < reportedRank(views[*best])) {
+            best = i;
+            ties = 1;
+        } else if (reportedRank(views[i]) == reportedRank(views[*best])
+                   && pick(++ties, random) == 0) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+std::optional<size_t> chooseBetterOfTwo(std::span<const EndpointView> views,
+                                        std::span<const EndpointId> excluded, TimePoint now,
+                                        RandomEngine &random)
+{
+    const auto usable = usableEndpoints(views, excluded, now);
+    if (usable.empty())
+        return std::nullopt;
+    const size_t first = usable[pick(usable.size(), random)];
+    const size_t second = usable[pick(usable.size(), random)];
+    return reportedRank(views[second]) < reportedRank(views[first]) ? second : first;
+}
+
+StewardWeights stewardWeights(RoutingObjective objective)
+{
+    StewardWeights weights;
+    if (objective == RoutingObjective::TtftByLength)
+        weights.m_interference = 0.25;
+    return weights;
+}
+
+tl::expected<StewardChoice, LedgerRefusal>
+chooseBySteward(std::span<const StewardCandidate> candidates, const RequestNeed &need,
+                TimePoint now, const StewardWeights &weights)
+{
+    const uint64_t key = affinityKey(need.m_prefix);
+    const double bound = meanGrants(candidates) * weights.m_loadBound + 1;
+    std::optional<LedgerRefusal> refusal;
+    std::vector<Scored> scored;
+    scored.reserve(candidates.size());
+    for (size_t i = 0; i < candidates.size(); ++i) {
+        const auto &candidate = candidates[i];
+        if (!candidate.m_usable)
+            continue;
+        Scored entry{ predictChoice(candidate, need, now) };
+        entry.m_choice.m_index = i;
+        const auto misfit =
+            checkFits(*candidate.m_ledger, { entry.m_choice.m_uncachedTokens,
+                                             need.m_promptTokens + need.m_outputTokens });
+        const bool isLong = isLongPrefill(lengthClass(entry.m_choice.m_uncachedTokens));
+        if (misfit || (isLong && !candidate.m_acceptsLong)) {
+            refusal = leastRefusal(refusal, misfit.value_or(LedgerRefusal::LongPrefill));
+            continue;
+        }
+        entry.m_cost =
+            entry.m_choice.m_predictedTtft + interferenceCost(candidate, entry.m_choice, weights);
+        entry.m_affinity = key == 0 ? 0 : affinityScore(key, candidate.m_ledger->m_endpoint);
+        entry.m_grants = candidate.m_ledger->m_totals.m_grants;
+        entry.m_overBound = entry.m_grants > bound;
+        scored.push_back(entry);
+    }
+    if (scored.empty())
+        return tl::unexpected(refusal.value_or(LedgerRefusal::Slots));
+    const auto tolerated = toleratedCost(scored, weights);
+    const auto best =
+        std::min_element(scored.begin(), scored.end(), [&](const auto &left, const auto &right) {
+            return isBetter(left, right, tolerated);
+        });
+    return best->m_choice;
+}
+
+} // namespace stackquay
--- /dev/null
+++ b/policy/endpoint_ledger.cpp
@@ -0,0 +1,213 @@
+#include "policy/endpoint_ledger.h"
+
+#include <algorithm>
+
+namespace stackquay {
+
+namespace {
+
+bool inPrefill(const Grant &grant)
+{
+    return grant.m_phase != GrantPhase::Decode;
+}
+
+void addToTotals(LedgerTotals &totals, const Grant &grant)
+{
+    ++totals.m_grants;
+    totals.m_memoryTokens += grant.m_memoryTokens;
+    if (!inPrefill(grant)) {
+        ++totals.m_decoding;
+        return;
+    }
+    totals.m_prefillTokens += grant.m_uncachedTokens;
+    if (isLongPrefill(grant.m_class)) {
+        ++totals.m_longPrefills;
+        totals.m_longTokens += grant.m_uncachedTokens;
+    }
+}
+
+void takeFromTotals(LedgerTotals &totals, const Grant &grant)
+{
+    --totals.m_grants;
+    totals.m_memoryTokens -= grant.m_memoryTokens;
+    if (!inPrefill(grant)) {
+        --totals.m_decoding;
+        return;
+    }
+    totals.m_prefillTokens -= grant.m_uncachedTokens;
+    if (isLongPrefill(grant.m_class)) {
+        --totals.m_longPrefills;
+        totals.m_longTokens -= grant.m_uncachedTokens;
+    }
+}
+
+void endPrefill(EndpointLedger &ledger, const Grant &grant, TimePoint now)
+{
+    ledger.m_prefillAhead -= grant.m_predictedPrefill;
+    ledger.m_prefillSince = now;
+}
+
+bool fitsLongBudget(const EndpointLedger &ledger, uint64_t tokens)
+{
+    const auto &capacity = ledger.m_capacity;
+    const auto &totals = ledger.m_totals;
+    if (totals.m_longPrefills == 0)
+        return true;
+    if (capacity.m_longPrefills != 0 && totals.m_longPrefills >= capacity.m_longPrefills)
+        return false;
+    return capacity.m_longTokens == 0 || totals.m_longTokens + tokens <= capacity.m_longTokens;
+}
+
+} // namespace
+
+std::string_view ledgerRefusalName(LedgerRefusal refusal)
+{
+    switch (refusal) {
+    case LedgerRefusal::Memory:
+        return "no_memory";
+    case LedgerRefusal::Slots:
+        return "no_slots";
+    case LedgerRefusal::LongPrefill:
+        return "long_prefill_budget";
+    case LedgerRefusal::TooLong:
+        return "prompt_too_long";
+    }
+    return "unknown";
+}
+
+std::optional<LedgerRefusal> checkFits(const EndpointLedger &ledger, const LedgerNeed &need)
+{
+    const auto &capacity = ledger.m_capacity;
+    const auto &totals = ledger.m_totals;
+    if (capacity.m_memoryTokens != 0) {
+        if (need.m_memoryTokens > capacity.m_memoryTokens)
+            return LedgerRefusal::TooLong;
+        if (totals.m_memoryTokens + need.m_memoryTokens > capacity.m_memoryTokens)
+            return LedgerRefusal::Memory;
+    }
+    if (capacity.m_slots != 0 && totals.m_grants >= capacity.m_slots)
+        return LedgerRefusal::Slots;
+    const bool isLong = isLongPrefill(lengthClass(need.m_uncachedTokens));
+    if (isLong && !fitsLongBudget(ledger, need.m_uncachedTokens))
+        return LedgerRefusal::LongPrefill;
+    return std::nullopt;
+}
+
+bool addGrant(EndpointLedger &ledger, Grant grant, TimePoint now)
+{
+    if (ledger.m_grants.contains(grant.m_id))
+        return false;
+    if (inPrefill(grant)) {
+        if (ledger.m_totals.m_prefillTokens == 0)
+            ledger.m_prefillSince = now;
+        ledger.m_prefillAhead += grant.m_predictedPrefill;
+    }
+    addToTotals(ledger.m_totals, grant);
+    auto id = grant.m_id;
+    ledger.m_grants.emplace(std::move(id), std::move(grant));
+    return true;
+}
+
+bool startGrant(EndpointLedger &ledger, const GrantId &id, TimePoint now, TimePoint expiry)
+{
+    const auto found = ledger.m_grants.find(id);
+    if (found == ledger.m_grants.end())
+        return false;
+    auto &grant = found->second;
+    grant.m_expiry = std::max(grant.m_expiry, expiry);
+    if (grant.m_phase != GrantPhase::Granted)
+        return true;
+    grant.m_phase = GrantPhase::Prefill;
+    grant.m_since = now;
+    return true;
+}
+
+bool noteFirstToken(EndpointLedger &ledger, const GrantId &id, TimePoint now)
+{
+    const auto found = ledger.m_grants.find(id);
+    if (found == ledger.m_grants.end() || !inPrefill(found->second))
+        return false;
+    auto &grant = found->second;
+    endPrefill(ledger, grant, now);
+    takeFromTotals(ledger.m_totals, grant);
+    grant.m_phase = GrantPhase::Decode;
+    grant.m_since = now;
+    addToTotals(ledger.m_totals, grant);
+    return true;
+}
+
+bool extendGrant(EndpointLedger &ledger, const GrantId &id, TimePoint expiry)
+{
+    const auto found = ledger.m_grants.find(id);
+    if (found == ledger.m_grants.end())
+        return false;
+    found->second.m_expiry = std::max(found->second.m_expiry, expiry);
+    return true;
+}
+
+std::optional<Grant> releaseGrant(EndpointLedger &ledger, const GrantId &id, TimePoint now)
+{
+    const auto found = ledger.m_grants.find(id);
+    if (found == ledger.m_grants.end())
+        return std::nullopt;
+    auto grant = std::move(found->second);
+    ledger.m_grants.erase(found);
+    takeFromTotals(ledger.m_totals, grant);
+    if (inPrefill(grant))
+        endPrefill(ledger, grant, now);
+    return grant;
+}
+
+std::vector<Grant> sweepExpired(EndpointLedger &ledger, TimePoint now)
+{
+    std::vector<GrantId> expired;
+    for (const auto &[id, grant] : ledger.m_grants) {
+        if (grant.m_expiry <= now)
+            expired.push_back(id);
+    }
+    std::vector<Grant> released;
+    for (const auto &id : expired)
+        released.push_back(*releaseGrant(ledger, id, now));
+    return released;
+}
+
+std::vector<Grant> revokeAll(EndpointLedger &ledger)
+{
+    std::vector<Grant> released;
+    for (auto &[id, grant] : ledger.m_grants)
+        released.push_back(std::move(grant));
+    ledger.m_grants.clear();
+    ledger.m_totals = {};
+    ledger.m_prefillAhead = Duration::zero();
+    return released;
+}
+
+Duration prefillAhead(const EndpointLedger &ledger, TimePoint now)
+{
+    if (ledger.m_totals.m_prefillTokens == 0)
+        return Duration::zero();
+    const auto passed = std::max(Duration::zero(), now - ledger.m_prefillSince);
+    return std::max(Duration::zero(), ledger.m_prefillAhead - passed);
+}
+
+LedgerTotals countTotals(const EndpointLedger &ledger)
+{
+    LedgerTotals totals;
+    for (const auto &[id, grant] : ledger.m_grants)
+        addToTotals(totals, grant);
+    return totals;
+}
+
+void noteQueueFull(EndpointLedger &ledger)
+{
+    ledger.m_capacity.m_slots = std::max(1u, ledger.m_totals.m_grants);
+}
+
+void noteAccepted(EndpointLedger &ledger, uint32_t maxSlots)
+{
+    auto &slots = ledger.m_capacity.m_slots;
+    if (slots != 0 && slots < maxSlots && ledger.m_totals.m_grants >= slots)
+        ++slots;
+}
+
+} // namespace stackquay
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -1,4 +1,10 @@
 /// Public header of the policy library: pure decisions, no I/O, clock or thread.
 #pragma once
 
+#include "policy/choose_endpoint.h"
+#include "policy/cost_model.h"
+#include "policy/endpoint_ledger.h"
 #include "policy/intent.h"
+#include "policy/least_squares.h"
+#include "policy/length_class.h"
+#include "policy/prefix.h"
--- /dev/null
+++ b/tests/policy/endpoint_ledger_test.cpp
@@ -0,0 +1,158 @@
+#include <gtest/gtest.h>
+
+#include "policy/policy.h"
+
+namespace stackquay {
+namespace {
+
+const TimePoint Start = TimePoint{} + Seconds(1'000);
+
+Grant grantOf(int id, uint64_t uncached = 1'000, uint64_t memory = 2'000)
+{
+    Grant grant;
+    grant.m_id = GrantId(std::to_string(id));
+    grant.m_class = lengthClass(uncached);
+    grant.m_uncachedTokens = uncached;
+    grant.m_memoryTokens = memory;
+    grant.m_predictedPrefill = Micros(uncached * 10);
+    grant.m_expiry = Start + Seconds(1);
+    return grant;
+}
+
+TEST(EndpointLedgerTest, EveryLimitRefusesWithItsReason)
+{
+    EndpointLedger ledger;
+    ledger.m_capacity = { 10'000, 3, 2, 50'000 };
+    EXPECT_EQ(checkFits(ledger, { 100, 10'001 }), LedgerRefusal::TooLong);
+    EXPECT_FALSE(checkFits(ledger, { 400'000, 10'000 }));
+    addGrant(ledger, grantOf(1, 5'000, 8'000), Start);
+    EXPECT_EQ(checkFits(ledger, { 100, 2'001 }), LedgerRefusal::Memory);
+    EXPECT_EQ(checkFits(ledger, { 45'001, 1 }), LedgerRefusal::LongPrefill);
+    EXPECT_FALSE(checkFits(ledger, { 45'000, 2'000 }));
+    addGrant(ledger, grantOf(2, 5'000, 1), Start);
+    EXPECT_EQ(checkFits(ledger, { 5'000, 1 }), LedgerRefusal::LongPrefill);
+    EXPECT_FALSE(checkFits(ledger, { 4'000, 1 }));
+    addGrant(ledger, grantOf(3, 10, 1), Start);
+    EXPECT_EQ(checkFits(ledger, { 4'000, 1 }), LedgerRefusal::Slots);
+    noteFirstToken(ledger, GrantId("1"), Start);
+    releaseGrant(ledger, GrantId("3"), Start);
+    EXPECT_FALSE(checkFits(ledger, { 5'000, 1 }));
+}
+
+TEST(EndpointLedgerTest, ConvertsOnceAndReleasesOnce)
+{
+    EndpointLedger ledger;
+    EXPECT_TRUE(addGrant(ledger, grantOf(1), Start));
+    EXPECT_FALSE(addGrant(ledger, grantOf(1), Start));
+    EXPECT_TRUE(startGrant(ledger, GrantId("1"), Start, Start + Seconds(30)));
+    EXPECT_TRUE(startGrant(ledger, GrantId("1"), Start, Start + Seconds(30)));
+    EXPECT_TRUE(sweepExpired(ledger, Start + Seconds(29)).empty());
+    EXPECT_TRUE(noteFirstToken(ledger, GrantId("1"), Start));
+    EXPECT_FALSE(noteFirstToken(ledger, GrantId("1"), Start));
+    EXPECT_TRUE(releaseGrant(ledger, GrantId("1"), Start));
+    EXPECT_FALSE(releaseGrant(ledger, GrantId("1"), Start));
+    EXPECT_FALSE(startGrant(ledger, GrantId("1"), Start, Start + Seconds(30)));
+    EXPECT_EQ(ledger.m_totals, LedgerTotals{});
+    EXPECT_EQ(ledger.m_prefillAhead, Duration::zero());
+}
+
+TEST(EndpointLedgerTest, UnstartedGrantExpires)
+{
+    EndpointLedger ledger;
+    addGrant(ledger, grantOf(1), Start);
+    EXPECT_TRUE(sweepExpired(ledger, Start + Millis(999)).empty());
+    EXPECT_EQ(sweepExpired(ledger, Start + Seconds(1)).size(), 1u);
+    EXPECT_EQ(ledger.m_totals, LedgerTotals{});
+}
+
+TEST(EndpointLedgerTest, PrefillAheadRunsDownButNotBelowZero)
+{
+    EndpointLedger ledger;
+    addGrant(ledger, grantOf(1), Start);
+    addGrant(ledger, grantOf(2), Start + Millis(4));
+    EXPECT_EQ(prefillAhead(ledger, Start + Millis(4)), Millis(16));
+    noteFirstToken(ledger, GrantId("1"), Start + Millis(12));
+    EXPECT_EQ(prefillAhead(ledger, Start + Millis(12)), Millis(10));
+    EXPECT_EQ(prefillAhead(ledger, Start + Seconds(9)), Duration::zero());
+}
+
+TEST(EndpointLedgerTest, SlotsFollowTheEngine)
+{
+    EndpointLedger ledger;
+    addGrant(ledger, grantOf(1), Start);
+    addGrant(ledger, grantOf(2), Start);
+    noteQueueFull(ledger);
+    EXPECT_EQ(ledger.m_capacity.m_slots, 2u);
+    noteAccepted(ledger, 3);
+    noteAccepted(ledger, 3);
+    EXPECT_EQ(ledger.m_capacity.m_slots, 3u);
+}
+
+/// One random step; grants fit, ids are used again, answers come late, twice or never.
+void randomStep(EndpointLedger &ledger, RandomEngine &random, TimePoint now, int &next)
+{
+    const GrantId any(std::to_string(random() % (next + 1)));
+    switch (random() % 8) {
+    case 0:
+    case 1:
+    case 2: {
+        auto grant = grantOf(next, random() % 200'000, random() % 400'000);
+        grant.m_expiry = now + Millis(random() % 2'000);
+        if (!checkFits(ledger, { grant.m_uncachedTokens, grant.m_memoryTokens }))
+            addGrant(ledger, grant, now);
+        ++next;
+        return;
+    }
+    case 3:
+        startGrant(ledger, any, now, now + Millis(random() % 5'000));
+        return;
+    case 4:
+        noteFirstToken(ledger, any, now);
+        return;
+    case 5:
+        releaseGrant(ledger, any, now);
+        return;
+    case 6:
+        sweepExpired(ledger, now);
+        return;
+    default:
+        if (random() % 100 == 0)
+            revokeAll(ledger);
+        else
+            extendGrant(ledger, any, now + Millis(random() % 3'000));
+    }
+}
+
+Duration countAhead(const EndpointLedger &ledger)
+{
+    Duration ahead{};
+    for (const auto &[id, grant] : ledger.m_grants)
+        ahead += grant.m_phase == GrantPhase::Decode ? Duration::zero() : grant.m_predictedPrefill;
+    return ahead;
+}
+
+TEST(EndpointLedgerTest, NoInterleavingLeaksOrGoesBelowZero)
+{
+    for (uint64_t seed = 1; seed <= 50; ++seed) {
+        RandomEngine random(seed);
+        EndpointLedger ledger;
+        ledger.m_capacity = { 1'000'000, 20, 3, 300'000 };
+        TimePoint now = Start;
+        int next = 0;
+        for (int step = 0; step < 2'000; ++step) {
+            now += Millis(random() % 50);
+            randomStep(ledger, random, now, next);
+            ASSERT_EQ(ledger.m_totals, countTotals(ledger)) << seed << " " << step;
+            ASSERT_EQ(ledger.m_prefillAhead, countAhead(ledger)) << seed << " " << step;
+            ASSERT_LE(ledger.m_totals.m_memoryTokens, 1'000'000u);
+            ASSERT_LE(ledger.m_totals.m_grants, 20u);
+            ASSERT_LE(ledger.m_totals.m_longPrefills, 3u);
+        }
+        sweepExpired(ledger, now + Seconds(10));
+        EXPECT_EQ(ledger.m_totals, LedgerTotals{}) << seed;
+        EXPECT_EQ(ledger.m_prefillAhead, Duration::zero());
+    }
+}
+
+} // namespace
+} // namespace stackquay
