--- a/policy/intent.h
+++ b/policy/intent.h
@@ -18,6 +18,8 @@
 
 struct Region {
     RegionId m_id;
+
+    bool operator==(const Region &) const = default;
 };
 
 struct DataCentre {
@@ -25,23 +27,30 @@
     RegionId m_region;
     /// "host:port" of relays that other data centres reach; may be empty.
     std::vector<std::string> m_relays;
+
+    bool operator==(const DataCentre &) const = default;
 };
 
 /// How many replicas of a model a data centre has to serve.
 struct ReplicaCount {
     DataCentreId m_dataCentre;
     uint32_t m_count = 0;
+
+    bool operator==(const ReplicaCount &) const = default;
 };
 
 struct Model {
     ModelId m_id;
-    std::string m_version;
+    std::string m_version; ///< The one that is to serve.
+    std::vector<std::string> m_versions; ///< Those in the weight store; empty: any.
     std::vector<std::string> m_adapters;
     uint64_t m_bytesPerToken = 0; ///< KV cache bytes a token; 0 when not known.
     uint64_t m_maxTokens = 1'000'000; ///< Longest prompt and answer together.
     uint32_t m_maxSpan = 1; ///< Most engines that one prompt may be placed on.
     RoutingObjective m_objective = RoutingObjective::ShortSlowdown;
     std::vector<ReplicaCount> m_replicas;
+
+    bool operator==(const Model &) const = default;
 };
 
 /// A plain service behind the entry VMs.
@@ -50,6 +59,8 @@
     bool m_repeatable = true;
     /// How long outcomes of non-repeatable calls are kept.
     std::chrono::hours m_retention{ 24 * 8 };
+
+    bool operator==(const Service &) const = default;
 };
 
 enum class EndpointKind {
@@ -66,6 +77,17 @@
     std::optional<ServiceId> m_service; ///< Services: which one.
     bool m_checksFencing = false; ///< Refuses orders with an old fencing number.
     bool m_draining = false; ///< Gets no new work.
+
+    bool operator==(const Endpoint &) const = default;
+};
+
+/// The part of a customer's limits that one data centre never lends away.
+struct Guarantee {
+    DataCentreId m_dataCentre;
+    double m_tokensPerSecond = 0;
+    uint32_t m_concurrency = 0;
+
+    bool operator==(const Guarantee &) const = default;
 };
 
 struct Customer {
@@ -75,6 +97,9 @@
     uint32_t m_concurrency = 0; ///< 0: no limit.
     double m_share = 1; ///< Weight of the fair share.
     int m_priority = 0; ///< Highest priority that its requests may ask for.
+    std::vector<Guarantee> m_guarantees; ///< Their sums stay within the limits above.
+
+    bool operator==(const Customer &) const = default;
 };
 
 /// A service-level objective for the burn report.
@@ -82,8 +107,11 @@
     std::string m_name;
     std::optional<CustomerId> m_customer; ///< None: all customers.
     std::optional<ModelId> m_model; ///< None: all models.
+    std::optional<std::string> m_lengthClass; ///< One of lengthClassNames(); none: all.
     Millis m_ttft{ 1600 };
     double m_target = 0.95; ///< Fraction of requests that meet m_ttft.
+
+    bool operator==(const Objective &) const = default;
 };
 
 enum class OperatorRole {
@@ -96,6 +124,8 @@
     std::string m_name;
     std::string m_keyHash; ///< As Customer::m_keyHashes.
     OperatorRole m_role = OperatorRole::Read;
+
+    bool operator==(const Operator &) const = default;
 };
 
 struct Intent {
@@ -108,9 +138,14 @@
     std::vector<Customer> m_customers;
     std::vector<Objective> m_objectives;
     std::vector<Operator> m_operators;
-    uint32_t m_weightLoadsAtOnce = 2; ///< Loads from the weight store in flight.
+    uint32_t m_weightLoadsAtOnce = 2; ///< Loads from the weight store in flight, per data centre.
+
+    bool operator==(const Intent &) const = default;
 };
 
+/// Names of the length classes by uncached prompt tokens, shortest first.
+const std::vector<std::string> &lengthClassNames();
+
 /// SHA-256, in hex, of a bearer key, as kept in the intent.
 std::string hashKey(std::string_view key);
 
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -2,3 +2,5 @@
 #pragma once
 
 #include "policy/intent.h"
+#include "policy/intent_check.h"
+#include "policy/intent_json.h"
