--- a/policy/policy.h
+++ b/policy/policy.h
@@ -5,6 +5,8 @@
 #include "policy/cost_model.h"
 #include "policy/endpoint_ledger.h"
 #include "policy/intent.h"
+#include "policy/intent_check.h"
+#include "policy/intent_json.h"
 #include "policy/least_squares.h"
 #include "policy/length_class.h"
 #include "policy/prefix.h"
