Peers: membership of a data centre by probes, and roles by rendezvous hashing

Cause: every role of a data centre is taken over its live VMs, so each VM has to know them at a cost that does not grow with their number.

--- a/peers/peers.h
+++ b/peers/peers.h
@@ -2,5 +2,9 @@
 #pragma once
 
 #include "peers/codec.h"
+#include "peers/member.h"
+#include "peers/membership.h"
+#include "peers/membership_state.h"
+#include "peers/rendezvous.h"
 #include "peers/rpc.h"
 #include "peers/traffic.h"
