Store client and intent head over conditional updates

The platform's store is rate-limited and goes down for long, and the answer to a write can be lost. The client keeps to a budget of calls, retries only what was surely not written, fails at once during an outage and says OutcomeUnknown for a lost answer.

--- /dev/null
+++ b/store/store.h
@@ -0,0 +1,10 @@
+/// Public header of the store library: the platform's object service and what builds on it.
+#pragma once
+
+#include "store/backoff.h"
+#include "store/circuit.h"
+#include "store/intent_head.h"
+#include "store/intent_store.h"
+#include "store/objects.h"
+#include "store/store_client.h"
+#include "store/token_bucket.h"
--- /dev/null
+++ b/store/store_channel.cpp
@@ -0,0 +1,241 @@
+#include "store/store_channel.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+namespace stackquay {
+
+namespace {
+
+constexpr size_t IdleConnections = 8;
+constexpr unsigned StatusRateUsedUp = 429;
+constexpr unsigned StatusServerError = 500;
+constexpr unsigned StatusDown = 503;
+/// An object that need not exist: any answer shows that the service is alive.
+constexpr const char *ProbeTarget = "/objects/stackquay-probe";
+
+bool isWrite(StoreCount kind)
+{
+    return kind == StoreCount::Puts || kind == StoreCount::Removes;
+}
+
+/// Whether nothing was written and another try may help.
+bool mayRetry(const Error &error)
+{
+    return error.m_code == ErrorCode::Unavailable || error.m_code == ErrorCode::ResourceExhausted;
+}
+
+/// The error of an answer that is no answer to the call, if it is one.
+std::optional<Error> answerError(const HttpResponse &response, StoreCount kind)
+{
+    if (response.m_status == StatusRateUsedUp)
+        return Error{ ErrorCode::ResourceExhausted, "the store's rate is used up" };
+    if (response.m_status == StatusDown)
+        return Error{ ErrorCode::Unavailable, "the store says that it is down" };
+    if (response.m_status < StatusServerError)
+        return std::nullopt;
+    const auto code = isWrite(kind) ? ErrorCode::OutcomeUnknown : ErrorCode::Unavailable;
+    return Error{ code, fmt::format("the store answered {}", response.m_status) };
+}
+
+/// An error after the first byte of a call went out.
+Error lostAnswer(const Error &error, StoreCount kind)
+{
+    if (isWrite(kind))
+        return { ErrorCode::OutcomeUnknown, "answer lost: " + error.m_message };
+    if (error.m_code == ErrorCode::Cancelled)
+        return error;
+    return { ErrorCode::Unavailable, error.m_message };
+}
+
+} // namespace
+
+StoreChannel::StoreChannel(boost::asio::io_context &context, StoreSettings settings,
+                           RandomEngine random)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_random(random)
+    , m_pool(context, IdleConnections)
+    , m_reads(makeTokenBucket(m_settings.m_readsPerSecond, m_settings.m_burst, Clock::now()))
+    , m_writes(makeTokenBucket(m_settings.m_writesPerSecond, m_settings.m_burst, Clock::now()))
+{
+    m_circuit.m_opensAfter = m_settings.m_outageAfter;
+}
+
+Result<HttpResponse> StoreChannel::call(const StoreCall &call)
+{
+    const TimePoint deadline = Clock::now() + call.m_callTimeout;
+    for (unsigned failures = 0;; ++failures) {
+        const Status budget = waitForBudget(call, deadline);
+        if (!budget)
+            return tl::unexpected(budget.error());
+        const Duration left = deadline - Clock::now();
+        auto response = tryOnce(call, std::clamp<Duration>(left, Millis(1), call.m_tryTimeout));
+        if (response || !mayRetry(response.error()))
+            return response;
+        const Duration delay = backoffDelay(m_settings.m_backoff, failures, m_random);
+        if (Clock::now() + delay >= deadline)
+            return response;
+        if (!sleepFor(m_context, delay))
+            return makeError(ErrorCode::Cancelled, "the thread stops");
+    }
+}
+
+Status StoreChannel::waitForBudget(const StoreCall &call, TimePoint deadline)
+{
+    if (m_circuit.m_open) {
+        count(StoreCount::FailedFast);
+        return makeError(ErrorCode::Unavailable, "the store is in outage");
+    }
+    TokenBucket &bucket = isWrite(call.m_kind) ? m_writes : m_reads;
+    const TimePoint now = Clock::now();
+    const auto wait = takeToken(bucket, now, deadline - now);
+    if (!wait) {
+        count(StoreCount::OverBudget);
+        return makeError(ErrorCode::ResourceExhausted, "the own budget of calls is used up");
+    }
+    if (*wait > Duration::zero() && !sleepFor(m_context, *wait))
+        return makeError(ErrorCode::Cancelled, "the thread stops");
+    return {};
+}
+
+Result<HttpResponse> StoreChannel::tryOnce(const StoreCall &call, Duration timeout)
+{
+    count(call.m_kind);
+    auto response = isWrite(call.m_kind) ? exchangeWrite(call, timeout) : exchange(call, timeout);
+    std::optional<Error> error;
+    if (!response)
+        error = response.error();
+    else
+        error = answerError(*response, call.m_kind);
+    if (!error) {
+        noteAlive();
+        return response;
+    }
+    if (error->m_code == ErrorCode::OutcomeUnknown)
+        count(StoreCount::UnknownWrites);
+    if (error->m_code == ErrorCode::ResourceExhausted) {
+        count(StoreCount::Throttled);
+        noteAlive();
+    } else if (error->m_code != ErrorCode::Cancelled) {
+        noteFailure(*error);
+    }
+    return tl::unexpected(*error);
+}
+
+Result<HttpResponse> StoreChannel::exchange(const StoreCall &call, Duration timeout)
+{
+    if (m_settings.m_addresses.empty())
+        return makeError(ErrorCode::Unavailable, "no address of the store is set");
+    HttpCallOptions options;
+    options.m_timeout = timeout;
+    auto response = m_pool.call(m_settings.m_addresses[m_address], call.m_request, options);
+    if (!response)
+        return tl::unexpected(lostAnswer(response.error(), call.m_kind));
+    return response;
+}
+
+// On a fresh connection, so that a connection which the service had closed while it was idle is
+// not taken for a lost answer.
+Result<HttpResponse> StoreChannel::exchangeWrite(const StoreCall &call, Duration timeout)
+{
+    if (m_settings.m_addresses.empty())
+        return makeError(ErrorCode::Unavailable, "no address of the store is set");
+    const TimePoint deadline = Clock::now() + timeout;
+    const auto left = [&] { return std::max<Duration>(deadline - Clock::now(), Millis(1)); };
+    const Address address = m_settings.m_addresses[m_address];
+    auto connection = m_pool.acquire(address, timeout, true);
+    if (!connection) {
+        const Error &error = connection.error();
+        const bool cancelled = error.m_code == ErrorCode::Cancelled;
+        return makeError(cancelled ? error.m_code : ErrorCode::Unavailable, error.m_message);
+    }
+    const Status sent = (*connection)->send(call.m_request, left());
+    if (!sent)
+        return tl::unexpected(lostAnswer(sent.error(), call.m_kind));
+    auto response = (*connection)->readHeader(left());
+    if (!response)
+        return tl::unexpected(lostAnswer(response.error(), call.m_kind));
+    auto body = (*connection)->readWhole(left());
+    if (!body)
+        return tl::unexpected(lostAnswer(body.error(), call.m_kind));
+    response->m_body = std::move(*body);
+    m_pool.release(address, std::move(*connection));
+    return response;
+}
+
+void StoreChannel::noteAlive()
+{
+    if (recordSuccess(m_circuit))
+        log(LogPart::Store).info("Outage ended.");
+    m_outage.store(false, std::memory_order_relaxed);
+}
+
+void StoreChannel::noteFailure(const Error &error)
+{
+    count(StoreCount::Failures);
+    if (!m_settings.m_addresses.empty())
+        m_address = (m_address + 1) % m_settings.m_addresses.size();
+    if (!recordFailure(m_circuit))
+        return;
+    count(StoreCount::Outages);
+    m_outage.store(true, std::memory_order_relaxed);
+    log(LogPart::Store).warn("Outage began. error={}", toString(error));
+    if (m_probing)
+        return;
+    m_probing = true;
+    spawnFiber([self = shared_from_this()] {
+        self->probeUntilAlive();
+        self->m_probing = false;
+    });
+}
+
+void StoreChannel::probeUntilAlive()
+{
+    for (unsigned failures = 0; m_circuit.m_open; ++failures) {
+        if (!sleepFor(m_context, backoffDelay(m_settings.m_probe, failures, m_random)) || m_closed)
+            return;
+        if (probeOnce())
+            return;
+    }
+}
+
+bool StoreChannel::probeOnce()
+{
+    StoreCall probe;
+    probe.m_kind = StoreCount::Probes;
+    probe.m_request.m_target = ProbeTarget;
+    return tryOnce(probe, m_settings.m_tryTimeout).has_value() || !m_circuit.m_open;
+}
+
+void StoreChannel::count(StoreCount counter)
+{
+    m_counts[size_t(counter)].fetch_add(1, std::memory_order_relaxed);
+}
+
+StoreCounters StoreChannel::counters() const
+{
+    const auto value = [this](StoreCount counter) {
+        return m_counts[size_t(counter)].load(std::memory_order_relaxed);
+    };
+    StoreCounters counters;
+    counters.m_gets = value(StoreCount::Gets);
+    counters.m_puts = value(StoreCount::Puts);
+    counters.m_removes = value(StoreCount::Removes);
+    counters.m_lists = value(StoreCount::Lists);
+    counters.m_watches = value(StoreCount::Watches);
+    counters.m_vmLists = value(StoreCount::VmLists);
+    counters.m_probes = value(StoreCount::Probes);
+    counters.m_conflicts = value(StoreCount::Conflicts);
+    counters.m_throttled = value(StoreCount::Throttled);
+    counters.m_failures = value(StoreCount::Failures);
+    counters.m_unknownWrites = value(StoreCount::UnknownWrites);
+    counters.m_overBudget = value(StoreCount::OverBudget);
+    counters.m_failedFast = value(StoreCount::FailedFast);
+    counters.m_outages = value(StoreCount::Outages);
+    counters.m_outage = outage();
+    return counters;
+}
+
+} // namespace stackquay
--- /dev/null
+++ b/store/store_channel.h
@@ -0,0 +1,80 @@
+/// One client's way to the service: budget, retries, outage mode, counters. Internal.
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <memory>
+
+#include "platform/platform.h"
+#include "store/circuit.h"
+#include "store/store_client.h"
+#include "store/token_bucket.h"
+
+namespace stackquay {
+
+enum class StoreCount {
+    Gets,
+    Puts,
+    Removes,
+    Lists,
+    Watches,
+    VmLists,
+    Probes,
+    Conflicts,
+    Throttled,
+    Failures,
+    UnknownWrites,
+    OverBudget,
+    FailedFast,
+    Outages,
+    Last, ///< Number of counters; not a counter.
+};
+
+/// A call before its retries.
+struct StoreCall {
+    StoreCount m_kind = StoreCount::Gets;
+    HttpRequest m_request;
+    Duration m_tryTimeout{};
+    Duration m_callTimeout{};
+};
+
+class StoreChannel : public std::enable_shared_from_this<StoreChannel>
+{
+public:
+    StoreChannel(boost::asio::io_context &context, StoreSettings settings, RandomEngine random);
+
+    /// Sends the call, with retries of what was surely not written. An answer that says neither
+    /// "rate used up" nor "down" is returned whatever its status.
+    Result<HttpResponse> call(const StoreCall &call);
+    /// Ends the background probe.
+    void close() { m_closed = true; }
+    void count(StoreCount counter);
+    StoreCounters counters() const;
+    bool outage() const { return m_outage.load(std::memory_order_relaxed); }
+    const StoreSettings &settings() const { return m_settings; }
+
+private:
+    Status waitForBudget(const StoreCall &call, TimePoint deadline);
+    Result<HttpResponse> tryOnce(const StoreCall &call, Duration timeout);
+    Result<HttpResponse> exchange(const StoreCall &call, Duration timeout);
+    Result<HttpResponse> exchangeWrite(const StoreCall &call, Duration timeout);
+    void noteAlive();
+    void noteFailure(const Error &error);
+    void probeUntilAlive();
+    bool probeOnce();
+
+    boost::asio::io_context &m_context;
+    StoreSettings m_settings;
+    RandomEngine m_random;
+    HttpPool m_pool;
+    TokenBucket m_reads;
+    TokenBucket m_writes;
+    Circuit m_circuit;
+    size_t m_address = 0; ///< Index of the address in use.
+    bool m_closed = false;
+    bool m_probing = false;
+    std::atomic<bool> m_outage{ false };
+    std::array<std::atomic<uint64_t>, size_t(StoreCount::Last)> m_counts{};
+};
+
+} // namespace stackquay
--- /dev/null
+++ b/store/store_client.cpp
@@ -0,0 +1,207 @@
+#include "store/store_client.h"
+
+#include <charconv>
+
+#include <fmt/format.h>
+
+#include "store/json_fields.h"
+#include "store/store_channel.h"
+
+namespace stackquay {
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusConflict = 409;
+constexpr unsigned StatusGone = 410;
+constexpr unsigned StatusTooLarge = 413;
+
+std::optional<uint64_t> parseNumber(std::string_view text)
+{
+    uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+std::string objectTarget(const std::string &key)
+{
+    return "/objects/" + key;
+}
+
+HttpHeaders conditionHeader(std::optional<ObjectVersion> condition)
+{
+    if (!condition)
+        return {};
+    return { { "If-Version", std::to_string(*condition) } };
+}
+
+/// The error of an answer whose status is not 200.
+Error statusError(const HttpResponse &response, std::string_view what)
+{
+    switch (response.m_status) {
+    case StatusNotFound:
+        return { ErrorCode::NotFound, fmt::format("{}: no such object", what) };
+    case StatusConflict:
+        return { ErrorCode::Conflict, fmt::format("{}: another version", what) };
+    case StatusGone:
+        return { ErrorCode::NotFound, fmt::format("{}: sequence too old", what) };
+    case StatusTooLarge:
+        return { ErrorCode::InvalidArgument, fmt::format("{}: value too large", what) };
+    default:
+        return { ErrorCode::ProtocolError, fmt::format("{}: status {}", what, response.m_status) };
+    }
+}
+
+Result<Json> parseAnswer(const Result<HttpResponse> &response, std::string_view what)
+{
+    if (!response)
+        return tl::unexpected(response.error());
+    if (response->m_status != StatusOk)
+        return tl::unexpected(statusError(*response, what));
+    return parseJsonObject(response->m_body);
+}
+
+ObjectList toList(const Json &answer)
+{
+    ObjectList list;
+    list.m_sequence = uintField(answer, "sequence").value_or(0);
+    for (const Json &object : arrayField(answer, "objects"))
+        list.m_objects.push_back(
+            { stringField(object, "key").value_or(""), uintField(object, "version").value_or(0) });
+    return list;
+}
+
+ObjectEvents toEvents(const Json &answer, uint64_t from)
+{
+    ObjectEvents events;
+    events.m_sequence = uintField(answer, "sequence").value_or(from);
+    for (const Json &event : arrayField(answer, "events"))
+        events.m_events.push_back({ stringField(event, "key").value_or(""),
+                                    uintField(event, "version").value_or(0),
+                                    boolField(event, "deleted") });
+    return events;
+}
+
+VmList toVms(const Json &answer)
+{
+    VmList list;
+    list.m_age = Millis(uintField(answer, "age_ms").value_or(0));
+    for (const Json &item : arrayField(answer, "vms")) {
+        ListedVm vm;
+        vm.m_id = VmId(stringField(item, "id").value_or(""));
+        vm.m_dataCentre = DataCentreId(stringField(item, "data_centre").value_or(""));
+        vm.m_udp = stringField(item, "udp").value_or("");
+        vm.m_peer = stringField(item, "peer").value_or("");
+        vm.m_http = stringField(item, "http").value_or("");
+        const bool leaving = stringField(item, "state").value_or("") == "leaving";
+        vm.m_state = leaving ? VmState::Leaving : VmState::Live;
+        list.m_vms.push_back(std::move(vm));
+    }
+    return list;
+}
+
+Result<HttpResponse> sendCall(StoreChannel &channel, StoreCount kind, HttpRequest request)
+{
+    const StoreSettings &settings = channel.settings();
+    auto response =
+        channel.call({ kind, std::move(request), settings.m_tryTimeout, settings.m_callTimeout });
+    if (response && response->m_status == StatusConflict)
+        channel.count(StoreCount::Conflicts);
+    return response;
+}
+
+} // namespace
+
+StoreClient::StoreClient(boost::asio::io_context &context, StoreSettings settings,
+                         RandomEngine random)
+    : m_channel(std::make_shared<StoreChannel>(context, std::move(settings), random))
+{ }
+
+StoreClient::~StoreClient()
+{
+    m_channel->close();
+}
+
+Result<StoredObject> StoreClient::get(const std::string &key)
+{
+    auto response = sendCall(*m_channel, StoreCount::Gets, { "GET", objectTarget(key), {}, "" });
+    if (!response)
+        return tl::unexpected(response.error());
+    if (response->m_status != StatusOk)
+        return tl::unexpected(statusError(*response, "get " + key));
+    const auto version = parseNumber(findHeader(response->m_headers, "Object-Version"));
+    if (!version || *version == NoObject)
+        return makeError(ErrorCode::ProtocolError, "get " + key + ": no version");
+    return StoredObject{ key, std::move(response->m_body), *version };
+}
+
+Result<ObjectVersion> StoreClient::put(const std::string &key, const std::string &value,
+                                       std::optional<ObjectVersion> condition)
+{
+    if (value.size() > ObjectValueLimit)
+        return makeError(ErrorCode::InvalidArgument, "put " + key + ": value too large");
+    const auto response = sendCall(*m_channel, StoreCount::Puts,
+                                   { "PUT", objectTarget(key), conditionHeader(condition), value });
+    const auto answer = parseAnswer(response, "put " + key);
+    if (answer) {
+        const auto version = uintField(*answer, "version");
+        if (version && *version != NoObject)
+            return *version;
+    } else if (!response || response->m_status != StatusOk) {
+        return tl::unexpected(answer.error());
+    }
+    return makeError(ErrorCode::OutcomeUnknown, "put " + key + ": malformed answer");
+}
+
+Status StoreClient::remove(const std::string &key, std::optional<ObjectVersion> condition)
+{
+    const auto response = sendCall(*m_channel, StoreCount::Removes,
+                                   { "DELETE", objectTarget(key), conditionHeader(condition), "" });
+    if (!response)
+        return tl::unexpected(response.error());
+    if (response->m_status != StatusOk)
+        return tl::unexpected(statusError(*response, "remove " + key));
+    return {};
+}
+
+Result<ObjectList> StoreClient::list(const std::string &prefix)
+{
+    const auto response =
+        sendCall(*m_channel, StoreCount::Lists, { "GET", "/list?prefix=" + prefix, {}, "" });
+    return parseAnswer(response, "list " + prefix).map(toList);
+}
+
+Result<ObjectEvents> StoreClient::watch(const std::string &prefix, uint64_t from, Duration timeout)
+{
+    const auto millis = std::chrono::ceil<Millis>(timeout).count();
+    HttpRequest request;
+    request.m_target = fmt::format("/watch?prefix={}&from={}&timeout_ms={}", prefix, from, millis);
+    const StoreSettings &settings = m_channel->settings();
+    const auto response =
+        m_channel->call({ StoreCount::Watches, std::move(request), settings.m_tryTimeout + timeout,
+                          settings.m_callTimeout + timeout });
+    return parseAnswer(response, "watch " + prefix).map([from](const Json &answer) {
+        return toEvents(answer, from);
+    });
+}
+
+Result<VmList> StoreClient::vms()
+{
+    const auto response = sendCall(*m_channel, StoreCount::VmLists, { "GET", "/vms", {}, "" });
+    return parseAnswer(response, "vms").map(toVms);
+}
+
+bool StoreClient::outage() const
+{
+    return m_channel->outage();
+}
+
+StoreCounters StoreClient::counters() const
+{
+    return m_channel->counters();
+}
+
+} // namespace stackquay
--- /dev/null
+++ b/tests/store/parts_test.cpp
@@ -0,0 +1,98 @@
+#include <gtest/gtest.h>
+
+#include "store/store.h"
+
+namespace stackquay {
+namespace {
+
+TEST(TokenBucketTest, TakersQueueAndTheLimitRefuses)
+{
+    const TimePoint start{};
+    TokenBucket bucket = makeTokenBucket(10, 2, start);
+    EXPECT_EQ(takeToken(bucket, start, Seconds(1)), Duration::zero());
+    EXPECT_EQ(takeToken(bucket, start, Seconds(1)), Duration::zero());
+    EXPECT_EQ(takeToken(bucket, start, Seconds(1)), Millis(100));
+    EXPECT_EQ(takeToken(bucket, start, Seconds(1)), Millis(200));
+    EXPECT_FALSE(takeToken(bucket, start, Millis(250)));
+    // The refused taker left no debt behind.
+    EXPECT_EQ(takeToken(bucket, start, Millis(300)), Millis(300));
+    EXPECT_EQ(takeToken(bucket, start + Seconds(60), Seconds(1)), Duration::zero());
+}
+
+TEST(BackoffTest, GrowsToItsBoundWithFullJitter)
+{
+    const BackoffSettings settings{ Millis(100), Millis(1000) };
+    RandomEngine random(7);
+    std::vector<Duration> longest(6);
+    for (unsigned failures = 0; failures < longest.size(); ++failures)
+        for (int i = 0; i < 2000; ++i)
+            longest[failures] =
+                std::max(longest[failures], backoffDelay(settings, failures, random));
+    const Millis bounds[] = { Millis(100), Millis(200),  Millis(400),
+                              Millis(800), Millis(1000), Millis(1000) };
+    for (size_t i = 0; i < longest.size(); ++i) {
+        EXPECT_LE(longest[i], bounds[i]);
+        EXPECT_GE(longest[i], bounds[i] * 9 / 10);
+    }
+}
+
+TEST(CircuitTest, OpensAfterFailuresInARowOnly)
+{
+    Circuit circuit;
+    circuit.m_opensAfter = 2;
+    EXPECT_FALSE(recordFailure(circuit));
+    EXPECT_FALSE(recordSuccess(circuit));
+    EXPECT_FALSE(recordFailure(circuit));
+    EXPECT_TRUE(recordFailure(circuit));
+    EXPECT_TRUE(circuit.m_open);
+    EXPECT_FALSE(recordFailure(circuit));
+    EXPECT_TRUE(recordSuccess(circuit));
+    EXPECT_FALSE(circuit.m_open);
+}
+
+IntentChange changeAt(int minute)
+{
+    IntentChange change;
+    change.m_id = ChangeId("c" + std::to_string(minute));
+    change.m_at = WallTime(std::chrono::minutes(minute));
+    return change;
+}
+
+TEST(IntentHeadTest, SurvivesItsTextForm)
+{
+    IntentHead head;
+    appendChange(head,
+                 { ChangeId("a"), 0, "ann", "set x", "intent/snapshot/1", WallTime(Millis(5)) });
+    const auto parsed = parseIntentHead({ IntentHeadKey, formatIntentHead(head), 9 });
+    ASSERT_TRUE(parsed);
+    EXPECT_EQ(parsed->m_revision, 1u);
+    EXPECT_EQ(parsed->m_version, 9u);
+    EXPECT_EQ(parsed->m_snapshot, "intent/snapshot/1");
+    ASSERT_TRUE(findChange(*parsed, ChangeId("a")));
+    EXPECT_EQ(findChange(*parsed, ChangeId("a"))->m_statement, "set x");
+    EXPECT_EQ(findChange(*parsed, ChangeId("a"))->m_at, WallTime(Millis(5)));
+    for (const char *text :
+         { "", "[]", "{}", R"({"revision":1})", R"({"revision":"1","snapshot":""})",
+           R"({"revision":1,"snapshot":"s","changes":[{}]})" })
+        EXPECT_FALSE(parseIntentHead({ IntentHeadKey, text, 1 })) << text;
+}
+
+TEST(IntentHeadTest, KeepsTenMinutesAndAFewOfAnyAge)
+{
+    IntentHead head;
+    size_t dropped = 0;
+    for (int i = 0; i < 200; ++i)
+        dropped += appendChange(head, changeAt(i < 100 ? 0 : 100)).size();
+    EXPECT_EQ(dropped, 100u);
+    EXPECT_FALSE(namesChangesAfter(head, 99));
+    EXPECT_TRUE(namesChangesAfter(head, 100));
+    // A clock far ahead leaves the last ones.
+    appendChange(head, changeAt(100'000));
+    EXPECT_EQ(head.m_changes.size(), 32u);
+    // A clock that is behind does not bring the order down.
+    appendChange(head, changeAt(0));
+    EXPECT_EQ(head.m_changes.back().m_at, WallTime(std::chrono::minutes(100'000)));
+}
+
+} // namespace
+} // namespace stackquay
