Stand-in of the platform's object service and VM list

Cause: the store client and the daemons need a platform to talk to. Change: the platform subcommand of stackquay-standin keeps versioned objects with conditional writes, long-poll watches with a bounded log (410 when too old), a lagging VM list, read and write rates, and faults by an admin call: down, cut, slow, lost answer and lost request.

--- /dev/null
+++ b/standin/program.h
@@ -0,0 +1,9 @@
+/// The command line of stackquay-standin.
+#pragma once
+
+namespace stackquay {
+
+/// Runs `stackquay-standin SUBCOMMAND [flags]` until SIGTERM or SIGINT; the exit status.
+int runStandinProgram(int argc, char **argv);
+
+} // namespace stackquay
