--- a/store/intent_head.cpp
+++ b/store/intent_head.cpp
@@ -55,7 +55,7 @@
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-Result<IntentHead> parseIntentHead(const StoredObject &object)
+Result<IntentHead> parseIntentHead(const VersionedObject &object)
 {
     const auto json = parseJsonObject(object.m_value);
     if (!json)
--- a/store/intent_head.h
+++ b/store/intent_head.h
@@ -33,7 +33,7 @@
 
 std::string formatIntentHead(const IntentHead &head);
 /// ProtocolError if @p object is not a head.
-Result<IntentHead> parseIntentHead(const StoredObject &object);
+Result<IntentHead> parseIntentHead(const VersionedObject &object);
 
 /// The change with this id, or null.
 const IntentChange *findChange(const IntentHead &head, const ChangeId &id);
--- a/store/intent_store.cpp
+++ b/store/intent_store.cpp
@@ -201,7 +201,7 @@
     // Keys sort by revision; what is older than every kept change can no longer be committed.
     const std::string oldest =
         fmt::format("{}{:020}", IntentSnapshotPrefix, head->m_changes.front().m_revision);
-    for (const ListedObject &object : listed->m_objects) {
+    for (const ObjectEntry &object : listed->m_objects) {
         if (object.m_key >= oldest)
             continue;
         const Status removed = m_objects.remove(object.m_key, std::nullopt);
--- a/store/objects.h
+++ b/store/objects.h
@@ -21,19 +21,19 @@
 /// Longest value that the service takes, in bytes.
 constexpr size_t ObjectValueLimit = 1024 * 1024;
 
-struct StoredObject {
+struct VersionedObject {
     std::string m_key;
     std::string m_value;
     ObjectVersion m_version = NoObject;
 };
 
-struct ListedObject {
+struct ObjectEntry {
     std::string m_key;
     ObjectVersion m_version = NoObject;
 };
 
 struct ObjectList {
-    std::vector<ListedObject> m_objects;
+    std::vector<ObjectEntry> m_objects;
     uint64_t m_sequence = 0; ///< Where a watch has to start so as to miss nothing.
 };
 
@@ -55,7 +55,7 @@
     virtual ~ObjectApi() = default;
 
     /// NotFound if there is no such object.
-    virtual Result<StoredObject> get(const std::string &key) = 0;
+    virtual Result<VersionedObject> get(const std::string &key) = 0;
     /// Writes if the object's version is @p condition, or always without one. Returns the new
     /// version, or Conflict.
     virtual Result<ObjectVersion> put(const std::string &key, const std::string &value,
--- a/store/store.h
+++ b/store/store.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "store/backoff.h"
+#include "store/call_budget.h"
 #include "store/circuit.h"
 #include "store/intent_head.h"
 #include "store/intent_store.h"
 #include "store/objects.h"
 #include "store/store_client.h"
-#include "store/token_bucket.h"
--- a/store/store_channel.cpp
+++ b/store/store_channel.cpp
@@ -57,8 +57,8 @@
     , m_settings(std::move(settings))
     , m_random(random)
     , m_pool(context, IdleConnections)
-    , m_reads(makeTokenBucket(m_settings.m_readsPerSecond, m_settings.m_burst, Clock::now()))
-    , m_writes(makeTokenBucket(m_settings.m_writesPerSecond, m_settings.m_burst, Clock::now()))
+    , m_reads(makeCallBudget(m_settings.m_readsPerSecond, m_settings.m_burst, Clock::now()))
+    , m_writes(makeCallBudget(m_settings.m_writesPerSecond, m_settings.m_burst, Clock::now()))
 {
     m_circuit.m_opensAfter = m_settings.m_outageAfter;
 }
@@ -88,9 +88,9 @@
         count(StoreCount::FailedFast);
         return makeError(ErrorCode::Unavailable, "the store is in outage");
     }
-    TokenBucket &bucket = isWrite(call.m_kind) ? m_writes : m_reads;
+    CallBudget &budget = isWrite(call.m_kind) ? m_writes : m_reads;
     const TimePoint now = Clock::now();
-    const auto wait = takeToken(bucket, now, deadline - now);
+    const auto wait = takeCall(budget, now, deadline - now);
     if (!wait) {
         count(StoreCount::OverBudget);
         return makeError(ErrorCode::ResourceExhausted, "the own budget of calls is used up");
--- a/store/store_channel.h
+++ b/store/store_channel.h
@@ -6,9 +6,9 @@
 #include <memory>
 
 #include "platform/platform.h"
+#include "store/call_budget.h"
 #include "store/circuit.h"
 #include "store/store_client.h"
-#include "store/token_bucket.h"
 
 namespace stackquay {
 
@@ -67,8 +67,8 @@
     StoreSettings m_settings;
     RandomEngine m_random;
     HttpPool m_pool;
-    TokenBucket m_reads;
-    TokenBucket m_writes;
+    CallBudget m_reads;
+    CallBudget m_writes;
     Circuit m_circuit;
     size_t m_address = 0; ///< Index of the address in use.
     bool m_closed = false;
--- a/store/store_client.cpp
+++ b/store/store_client.cpp
@@ -96,8 +96,7 @@
         vm.m_udp = stringField(item, "udp").value_or("");
         vm.m_peer = stringField(item, "peer").value_or("");
         vm.m_http = stringField(item, "http").value_or("");
-        const bool leaving = stringField(item, "state").value_or("") == "leaving";
-        vm.m_state = leaving ? VmState::Leaving : VmState::Live;
+        vm.m_leaving = stringField(item, "state").value_or("") == "leaving";
         list.m_vms.push_back(std::move(vm));
     }
     return list;
@@ -125,7 +124,7 @@
     m_channel->close();
 }
 
-Result<StoredObject> StoreClient::get(const std::string &key)
+Result<VersionedObject> StoreClient::get(const std::string &key)
 {
     auto response = sendCall(*m_channel, StoreCount::Gets, { "GET", objectTarget(key), {}, "" });
     if (!response)
@@ -135,7 +134,7 @@
     const auto version = parseNumber(findHeader(response->m_headers, "Object-Version"));
     if (!version || *version == NoObject)
         return makeError(ErrorCode::ProtocolError, "get " + key + ": no version");
-    return StoredObject{ key, std::move(response->m_body), *version };
+    return VersionedObject{ key, std::move(response->m_body), *version };
 }
 
 Result<ObjectVersion> StoreClient::put(const std::string &key, const std::string &value,
--- a/store/store_client.h
+++ b/store/store_client.h
@@ -44,11 +44,6 @@
     bool m_outage = false; ///< In outage mode now.
 };
 
-enum class VmState {
-    Live,
-    Leaving,
-};
-
 /// A VM as the platform lists it.
 struct ListedVm {
     VmId m_id;
@@ -56,7 +51,7 @@
     std::string m_udp; ///< "a.b.c.d:port" for probes.
     std::string m_peer; ///< For calls between VMs.
     std::string m_http; ///< For callers.
-    VmState m_state = VmState::Live;
+    bool m_leaving = false;
 };
 
 struct VmList {
@@ -75,7 +70,7 @@
     StoreClient(const StoreClient &) = delete;
     StoreClient &operator=(const StoreClient &) = delete;
 
-    Result<StoredObject> get(const std::string &key) override;
+    Result<VersionedObject> get(const std::string &key) override;
     Result<ObjectVersion> put(const std::string &key, const std::string &value,
                               std::optional<ObjectVersion> condition) override;
     Status remove(const std::string &key, std::optional<ObjectVersion> condition) override;
--- a/tests/store/fake_objects.h
+++ b/tests/store/fake_objects.h
@@ -32,7 +32,7 @@
     uint64_t m_writes = 0; ///< Writes applied or refused for their version.
     uint64_t m_reads = 0;
 
-    Result<StoredObject> get(const std::string &key) override
+    Result<VersionedObject> get(const std::string &key) override
     {
         const FakeFault fault = begin(false, key);
         if (fault != FakeFault::None)
@@ -165,7 +165,7 @@
         m_events.push_back({ key, version, deleted });
     }
 
-    std::map<std::string, StoredObject> m_objects;
+    std::map<std::string, VersionedObject> m_objects;
     std::vector<ObjectEvent> m_events;
     std::deque<Apply> m_delayed;
 };
--- a/tests/store/parts_test.cpp
+++ b/tests/store/parts_test.cpp
@@ -5,18 +5,18 @@
 namespace stackquay {
 namespace {
 
-TEST(TokenBucketTest, TakersQueueAndTheLimitRefuses)
+TEST(CallBudgetTest, TakersQueueAndTheLimitRefuses)
 {
     const TimePoint start{};
-    TokenBucket bucket = makeTokenBucket(10, 2, start);
-    EXPECT_EQ(takeToken(bucket, start, Seconds(1)), Duration::zero());
-    EXPECT_EQ(takeToken(bucket, start, Seconds(1)), Duration::zero());
-    EXPECT_EQ(takeToken(bucket, start, Seconds(1)), Millis(100));
-    EXPECT_EQ(takeToken(bucket, start, Seconds(1)), Millis(200));
-    EXPECT_FALSE(takeToken(bucket, start, Millis(250)));
+    CallBudget budget = makeCallBudget(10, 2, start);
+    EXPECT_EQ(takeCall(budget, start, Seconds(1)), Duration::zero());
+    EXPECT_EQ(takeCall(budget, start, Seconds(1)), Duration::zero());
+    EXPECT_EQ(takeCall(budget, start, Seconds(1)), Millis(100));
+    EXPECT_EQ(takeCall(budget, start, Seconds(1)), Millis(200));
+    EXPECT_FALSE(takeCall(budget, start, Millis(250)));
     // The refused taker left no debt behind.
-    EXPECT_EQ(takeToken(bucket, start, Millis(300)), Millis(300));
-    EXPECT_EQ(takeToken(bucket, start + Seconds(60), Seconds(1)), Duration::zero());
+    EXPECT_EQ(takeCall(budget, start, Millis(300)), Millis(300));
+    EXPECT_EQ(takeCall(budget, start + Seconds(60), Seconds(1)), Duration::zero());
 }
 
 TEST(BackoffTest, GrowsToItsBoundWithFullJitter)
