--- a/core/core.h
+++ b/core/core.h
@@ -1,9 +1,15 @@
 /// Public header of the core library.
 #pragma once
 
+#include "core/chart.h"
+#include "core/chart_table.h"
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/hash.h"
+#include "core/histogram.h"
 #include "core/ids.h"
 #include "core/log.h"
+#include "core/metrics.h"
 #include "core/random.h"
+#include "core/settings.h"
+#include "core/wire.h"
