Core: call a frame WireFrame

Frame alone stood against a type of the load library's stream check, as everything is in one namespace. The wire's type and the settings' range get longer names, which say more as well.

--- a/core/settings.h
+++ b/core/settings.h
@@ -22,7 +22,7 @@
 
 /// Inclusive bounds of a value.
 template<typename T>
-struct Range {
+struct ValueRange {
     T m_min = std::numeric_limits<T>::lowest();
     T m_max = std::numeric_limits<T>::max();
 };
@@ -56,7 +56,7 @@
 struct SettingEntry {
     std::string m_name; ///< Of the flag, without dashes.
     std::string m_type;
-    std::string m_accepted; ///< Range or allowed values, with the unit.
+    std::string m_accepted; ///< ValueRange or allowed values, with the unit.
     std::string m_default;
     std::string m_help;
     SettingPresence m_presence = SettingPresence::Optional;
@@ -138,8 +138,8 @@
     }
 
     template<typename T>
-    SettingsTable &integer(std::string name, T Config::*member, Range<T> range, std::string unit,
-                           std::string help)
+    SettingsTable &integer(std::string name, T Config::*member, ValueRange<T> range,
+                           std::string unit, std::string help)
     {
         SettingEntry entry = describe(
             std::move(name), "integer",
@@ -156,7 +156,7 @@
         return add(std::move(entry));
     }
 
-    SettingsTable &number(std::string name, double Config::*member, Range<double> range,
+    SettingsTable &number(std::string name, double Config::*member, ValueRange<double> range,
                           std::string unit, std::string help)
     {
         SettingEntry entry = describe(std::move(name), "number",
@@ -187,7 +187,7 @@
 
     template<typename Rep, typename Period>
     SettingsTable &duration(std::string name, std::chrono::duration<Rep, Period> Config::*member,
-                            Range<std::chrono::nanoseconds> range, std::string help)
+                            ValueRange<std::chrono::nanoseconds> range, std::string help)
     {
         using Member = std::chrono::duration<Rep, Period>;
         SettingEntry entry = describe(std::move(name), "duration",
--- a/core/wire.cpp
+++ b/core/wire.cpp
@@ -51,7 +51,7 @@
     m_buffer.append(bytes);
 }
 
-Result<std::optional<Frame>> FrameReader::next()
+Result<std::optional<WireFrame>> FrameReader::next()
 {
     if (m_error)
         return tl::unexpected(*m_error);
@@ -72,21 +72,21 @@
     }
     if (rest.size() < LengthBytes + length)
         return std::nullopt;
-    Frame frame;
+    WireFrame frame;
     frame.m_type = boost::endian::load_big_u16(asBytes(rest) + LengthBytes + 1);
     frame.m_payload = rest.substr(LengthBytes + HeaderBytes, length - HeaderBytes);
     m_taken += LengthBytes + length;
     return frame;
 }
 
-Result<Frame> decodeDatagram(std::string_view datagram)
+Result<WireFrame> decodeDatagram(std::string_view datagram)
 {
     if (datagram.size() < HeaderBytes)
         return makeError(ErrorCode::ProtocolError, "datagram is too short");
     if (asBytes(datagram)[0] != WireVersion)
         return tl::unexpected(versionError(asBytes(datagram)[0]));
-    return Frame{ boost::endian::load_big_u16(asBytes(datagram) + 1),
-                  std::string(datagram.substr(HeaderBytes)) };
+    return WireFrame{ boost::endian::load_big_u16(asBytes(datagram) + 1),
+                      std::string(datagram.substr(HeaderBytes)) };
 }
 
 namespace detail {
--- a/core/wire.h
+++ b/core/wire.h
@@ -21,7 +21,7 @@
 constexpr size_t DefaultFrameLimit = 16 * 1024 * 1024;
 
 /// One message as it came; decodePayload() gives it its type.
-struct Frame {
+struct WireFrame {
     uint16_t m_type = 0; ///< A value of the user's enumeration.
     std::string m_payload;
 
@@ -42,7 +42,7 @@
     void feed(std::string_view bytes);
     /// The next whole frame; none if more bytes are needed. After an error (a frame too long, too
     /// short or of another version) the stream is lost, and every further call gives the error.
-    Result<std::optional<Frame>> next();
+    Result<std::optional<WireFrame>> next();
     /// Whether the stream may end here.
     bool empty() const { return m_buffer.size() == m_taken; }
 
@@ -99,10 +99,10 @@
 }
 
 /// The frame in a datagram; ProtocolError if it is too short or of another version.
-Result<Frame> decodeDatagram(std::string_view datagram);
+Result<WireFrame> decodeDatagram(std::string_view datagram);
 
 template<typename T>
-Result<T> decodePayload(const Frame &frame)
+Result<T> decodePayload(const WireFrame &frame)
 {
     return unpackMessage<T>(frame.m_payload);
 }
--- a/tests/core/wire_test.cpp
+++ b/tests/core/wire_test.cpp
@@ -23,7 +23,7 @@
                               + encodeFrame(MessageType::Bye, Hello{ "two", {} });
     for (size_t piece = 1; piece <= bytes.size(); ++piece) {
         FrameReader reader;
-        std::vector<Frame> frames;
+        std::vector<WireFrame> frames;
         for (size_t start = 0; start < bytes.size(); start += piece) {
             reader.feed(std::string_view(bytes).substr(start, piece));
             for (auto frame = reader.next(); frame && *frame; frame = reader.next())
