--- a/core/histogram.cpp
+++ b/core/histogram.cpp
@@ -26,11 +26,15 @@
 struct Histogram::State {
     LogHistogram m_histogram;
     std::atomic<double> m_sum{ 0 };
+
+    explicit State(HistogramAxis axis)
+        : m_histogram(histogram::make_histogram_with(
+            AtomicStorage(), LogAxis(axis.m_buckets, axis.m_min, axis.m_max)))
+    { }
 };
 
 Histogram::Histogram(HistogramAxis axis)
-    : m_state(std::make_unique<State>(histogram::make_histogram_with(
-        AtomicStorage(), LogAxis(axis.m_buckets, axis.m_min, axis.m_max))))
+    : m_state(std::make_unique<State>(axis))
 { }
 
 Histogram::~Histogram() = default;
