--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -14,4 +14,7 @@
 echo "lint: clang-tidy"
 git ls-files -z '*.cpp' | xargs -0 -n 1 -P "$jobs" clang-tidy -p build --quiet 2>/dev/null
 
+echo "lint: pages"
+scripts/pages.sh --check
+
 echo "lint: clean"
