--- a/policy/choose_endpoint.cpp
+++ b/policy/choose_endpoint.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include "policy/chunking.h"
+
 namespace stackquay {
 
 namespace {
@@ -39,7 +41,7 @@
 };
 
 StewardChoice predictChoice(const StewardCandidate &candidate, const RequestNeed &need,
-                            TimePoint now)
+                            TimePoint now, const StewardWeights &weights)
 {
     StewardChoice choice;
     choice.m_cachedTokens =
@@ -62,7 +64,7 @@
     const auto &totals = candidate.m_ledger->m_totals;
     const uint32_t waiting = totals.m_grants - totals.m_decoding - totals.m_longPrefills;
     const double factor = weights.m_interference * waiting;
-    return std::chrono::duration_cast<Duration>(choice.m_predictedPrefill * factor);
+    return std::chrono::duration_cast<Duration>(choice.m_blocking * factor);
 }
 
 double meanGrants(std::span<const StewardCandidate> candidates)
@@ -234,11 +236,11 @@
         const auto &candidate = candidates[i];
         if (!candidate.m_usable)
             continue;
-        Scored entry{ predictChoice(candidate, need, now) };
+        Scored entry{ predictChoice(candidate, need, now, weights) };
         entry.m_choice.m_index = i;
-        const auto misfit =
-            checkFits(*candidate.m_ledger, { entry.m_choice.m_uncachedTokens,
-                                             need.m_promptTokens + need.m_outputTokens });
+        const auto misfit = checkFits(
+            *candidate.m_ledger,
+            { entry.m_choice.m_uncachedTokens, need.m_promptTokens + need.m_outputTokens }, now);
         const bool isLong = isLongPrefill(lengthClass(entry.m_choice.m_uncachedTokens));
         if (misfit || (isLong && !candidate.m_acceptsLong)) {
             refusal = leastRefusal(refusal, misfit.value_or(LedgerRefusal::LongPrefill));
--- a/policy/choose_endpoint.h
+++ b/policy/choose_endpoint.h
@@ -112,6 +112,8 @@
     /// What a long prefill's time counts beside short ones in flight on the endpoint, and the
     /// other way round: 0 looks at the own time to first token only.
     double m_interference = 1.0;
+    /// How long a chunk of a long prefill may hold up a short request; zero: no chunks.
+    Millis m_chunkBound{ 100 };
 };
 
 StewardWeights stewardWeights(RoutingObjective objective);
@@ -123,6 +125,8 @@
     uint64_t m_uncachedTokens = 0;
     Duration m_predictedPrefill{};
     Duration m_predictedTtft{};
+    Duration m_blocking{}; ///< As Grant::m_blocking.
+    uint64_t m_chunkTokens = 0; ///< Prefill at most this many at a time; 0: all at once.
 };
 
 tl::expected<StewardChoice, LedgerRefusal>
--- a/policy/endpoint_ledger.cpp
+++ b/policy/endpoint_ledger.cpp
@@ -44,9 +44,16 @@
 void endPrefill(EndpointLedger &ledger, const Grant &grant, TimePoint now)
 {
     ledger.m_prefillAhead -= grant.m_predictedPrefill;
+    ledger.m_blockingAhead -= grant.m_blocking;
     ledger.m_prefillSince = now;
 }
 
+Duration lessPassed(const EndpointLedger &ledger, Duration ahead, TimePoint now)
+{
+    const auto passed = std::max(Duration::zero(), now - ledger.m_prefillSince);
+    return std::max(Duration::zero(), ahead - passed);
+}
+
 bool fitsLongBudget(const EndpointLedger &ledger, uint64_t tokens)
 {
     const auto &capacity = ledger.m_capacity;
@@ -69,13 +76,16 @@
         return "no_slots";
     case LedgerRefusal::LongPrefill:
         return "long_prefill_budget";
+    case LedgerRefusal::Backlog:
+        return "backlog";
     case LedgerRefusal::TooLong:
         return "prompt_too_long";
     }
     return "unknown";
 }
 
-std::optional<LedgerRefusal> checkFits(const EndpointLedger &ledger, const LedgerNeed &need)
+std::optional<LedgerRefusal> checkFits(const EndpointLedger &ledger, const LedgerNeed &need,
+                                       TimePoint now)
 {
     const auto &capacity = ledger.m_capacity;
     const auto &totals = ledger.m_totals;
@@ -90,6 +100,9 @@
     const bool isLong = isLongPrefill(lengthClass(need.m_uncachedTokens));
     if (isLong && !fitsLongBudget(ledger, need.m_uncachedTokens))
         return LedgerRefusal::LongPrefill;
+    const bool bounded = capacity.m_backlog > Duration::zero();
+    if (bounded && blockingAhead(ledger, now) > capacity.m_backlog)
+        return LedgerRefusal::Backlog;
     return std::nullopt;
 }
 
@@ -98,9 +111,10 @@
     if (ledger.m_grants.contains(grant.m_id))
         return false;
     if (inPrefill(grant)) {
-        if (ledger.m_totals.m_prefillTokens == 0)
+        if (ledger.m_totals.m_grants == ledger.m_totals.m_decoding)
             ledger.m_prefillSince = now;
         ledger.m_prefillAhead += grant.m_predictedPrefill;
+        ledger.m_blockingAhead += grant.m_blocking;
     }
     addToTotals(ledger.m_totals, grant);
     auto id = grant.m_id;
@@ -136,6 +150,20 @@
     return true;
 }
 
+bool noteChunk(EndpointLedger &ledger, const GrantId &id, Duration prefillLeft, TimePoint now)
+{
+    const auto found = ledger.m_grants.find(id);
+    if (found == ledger.m_grants.end() || !inPrefill(found->second))
+        return false;
+    auto &grant = found->second;
+    endPrefill(ledger, grant, now);
+    grant.m_predictedPrefill = prefillLeft;
+    grant.m_blocking = std::min(grant.m_blocking, prefillLeft);
+    ledger.m_prefillAhead += grant.m_predictedPrefill;
+    ledger.m_blockingAhead += grant.m_blocking;
+    return true;
+}
+
 bool extendGrant(EndpointLedger &ledger, const GrantId &id, TimePoint expiry)
 {
     const auto found = ledger.m_grants.find(id);
@@ -179,15 +207,18 @@
     ledger.m_grants.clear();
     ledger.m_totals = {};
     ledger.m_prefillAhead = Duration::zero();
+    ledger.m_blockingAhead = Duration::zero();
     return released;
 }
 
 Duration prefillAhead(const EndpointLedger &ledger, TimePoint now)
 {
-    if (ledger.m_totals.m_prefillTokens == 0)
-        return Duration::zero();
-    const auto passed = std::max(Duration::zero(), now - ledger.m_prefillSince);
-    return std::max(Duration::zero(), ledger.m_prefillAhead - passed);
+    return lessPassed(ledger, ledger.m_prefillAhead, now);
+}
+
+Duration blockingAhead(const EndpointLedger &ledger, TimePoint now)
+{
+    return lessPassed(ledger, ledger.m_blockingAhead, now);
 }
 
 LedgerTotals countTotals(const EndpointLedger &ledger)
--- a/policy/endpoint_ledger.h
+++ b/policy/endpoint_ledger.h
@@ -31,7 +31,9 @@
     uint64_t m_uncachedTokens = 0;
     uint64_t m_cachedTokens = 0;
     uint64_t m_memoryTokens = 0; ///< KV cache that prompt and answer may take.
-    Duration m_predictedPrefill{};
+    Duration m_predictedPrefill{}; ///< Of the whole prefill.
+    /// How long a newcomer may wait for it: the whole prefill, or one chunk if it goes in chunks.
+    Duration m_blocking{};
     /// Until when it is valid; moved on by starting, and by each sign of life of the holder.
     TimePoint m_expiry;
     GrantPhase m_phase = GrantPhase::Granted;
@@ -44,6 +46,9 @@
     uint32_t m_slots = 64; ///< Requests in flight.
     uint32_t m_longPrefills = 1; ///< Prefills at once of a class above Short.
     uint64_t m_longTokens = 0; ///< Tokens of such prefills at once; one alone always fits.
+    /// Blocking time ahead up to which the endpoint takes more. What comes later waits at the
+    /// steward, where the order is ours.
+    Duration m_backlog{};
 };
 
 /// Sums over the live grants.
@@ -63,6 +68,7 @@
     EndpointCapacity m_capacity;
     LedgerTotals m_totals;
     Duration m_prefillAhead{}; ///< Predicted time of all prefills without a first token.
+    Duration m_blockingAhead{}; ///< Their blocking time.
     TimePoint m_prefillSince; ///< When the engine began the prefill that it is at.
     std::unordered_map<GrantId, Grant> m_grants;
 };
@@ -72,6 +78,7 @@
     Memory,
     Slots,
     LongPrefill,
+    Backlog,
     TooLong, ///< More than the endpoint's whole memory: it will never fit.
 };
 
@@ -84,7 +91,8 @@
 };
 
 /// Nothing if the request fits now, else the reason.
-std::optional<LedgerRefusal> checkFits(const EndpointLedger &ledger, const LedgerNeed &need);
+std::optional<LedgerRefusal> checkFits(const EndpointLedger &ledger, const LedgerNeed &need,
+                                       TimePoint now);
 
 /// Enters a grant, whether or not it fits: a new steward adopts what is in flight. False if the id
 /// is already there.
@@ -93,6 +101,8 @@
 bool startGrant(EndpointLedger &ledger, const GrantId &id, TimePoint now, TimePoint expiry);
 /// The first token came: the prefill is over. False if unknown or repeated.
 bool noteFirstToken(EndpointLedger &ledger, const GrantId &id, TimePoint now);
+/// A chunk of the prefill is done: the engine is at the next piece of work now.
+bool noteChunk(EndpointLedger &ledger, const GrantId &id, Duration prefillLeft, TimePoint now);
 /// Moves the expiry on. False if unknown.
 bool extendGrant(EndpointLedger &ledger, const GrantId &id, TimePoint expiry);
 /// Takes a grant out, in any phase. Idempotent: nothing the second time.
@@ -104,6 +114,8 @@
 
 /// Predicted time until the prefills granted so far are done.
 Duration prefillAhead(const EndpointLedger &ledger, TimePoint now);
+/// Predicted time until a short newcomer's prefill can begin.
+Duration blockingAhead(const EndpointLedger &ledger, TimePoint now);
 /// The sums, counted anew from the grants.
 LedgerTotals countTotals(const EndpointLedger &ledger);
 
--- a/tests/policy/endpoint_ledger_test.cpp
+++ b/tests/policy/endpoint_ledger_test.cpp
@@ -15,6 +15,7 @@
     grant.m_uncachedTokens = uncached;
     grant.m_memoryTokens = memory;
     grant.m_predictedPrefill = Micros(uncached * 10);
+    grant.m_blocking = std::min<Duration>(grant.m_predictedPrefill, Millis(50));
     grant.m_expiry = Start + Seconds(1);
     return grant;
 }
@@ -23,20 +24,20 @@
 {
     EndpointLedger ledger;
     ledger.m_capacity = { 10'000, 3, 2, 50'000 };
-    EXPECT_EQ(checkFits(ledger, { 100, 10'001 }), LedgerRefusal::TooLong);
-    EXPECT_FALSE(checkFits(ledger, { 400'000, 10'000 }));
+    EXPECT_EQ(checkFits(ledger, { 100, 10'001 }, Start), LedgerRefusal::TooLong);
+    EXPECT_FALSE(checkFits(ledger, { 400'000, 10'000 }, Start));
     addGrant(ledger, grantOf(1, 5'000, 8'000), Start);
-    EXPECT_EQ(checkFits(ledger, { 100, 2'001 }), LedgerRefusal::Memory);
-    EXPECT_EQ(checkFits(ledger, { 45'001, 1 }), LedgerRefusal::LongPrefill);
-    EXPECT_FALSE(checkFits(ledger, { 45'000, 2'000 }));
+    EXPECT_EQ(checkFits(ledger, { 100, 2'001 }, Start), LedgerRefusal::Memory);
+    EXPECT_EQ(checkFits(ledger, { 45'001, 1 }, Start), LedgerRefusal::LongPrefill);
+    EXPECT_FALSE(checkFits(ledger, { 45'000, 2'000 }, Start));
     addGrant(ledger, grantOf(2, 5'000, 1), Start);
-    EXPECT_EQ(checkFits(ledger, { 5'000, 1 }), LedgerRefusal::LongPrefill);
-    EXPECT_FALSE(checkFits(ledger, { 4'000, 1 }));
+    EXPECT_EQ(checkFits(ledger, { 5'000, 1 }, Start), LedgerRefusal::LongPrefill);
+    EXPECT_FALSE(checkFits(ledger, { 4'000, 1 }, Start));
     addGrant(ledger, grantOf(3, 10, 1), Start);
-    EXPECT_EQ(checkFits(ledger, { 4'000, 1 }), LedgerRefusal::Slots);
+    EXPECT_EQ(checkFits(ledger, { 4'000, 1 }, Start), LedgerRefusal::Slots);
     noteFirstToken(ledger, GrantId("1"), Start);
     releaseGrant(ledger, GrantId("3"), Start);
-    EXPECT_FALSE(checkFits(ledger, { 5'000, 1 }));
+    EXPECT_FALSE(checkFits(ledger, { 5'000, 1 }, Start));
 }
 
 TEST(EndpointLedgerTest, ConvertsOnceAndReleasesOnce)
@@ -54,6 +55,20 @@
     EXPECT_FALSE(startGrant(ledger, GrantId("1"), Start, Start + Seconds(30)));
     EXPECT_EQ(ledger.m_totals, LedgerTotals{});
     EXPECT_EQ(ledger.m_prefillAhead, Duration::zero());
+    EXPECT_EQ(ledger.m_blockingAhead, Duration::zero());
+}
+
+TEST(EndpointLedgerTest, BacklogBoundsTheBlockingTimeAhead)
+{
+    EndpointLedger ledger;
+    ledger.m_capacity.m_backlog = Millis(40);
+    addGrant(ledger, grantOf(1, 100'000), Start);
+    EXPECT_EQ(prefillAhead(ledger, Start), Seconds(1));
+    EXPECT_EQ(checkFits(ledger, { 10, 10 }, Start), LedgerRefusal::Backlog);
+    EXPECT_FALSE(checkFits(ledger, { 10, 10 }, Start + Millis(10)));
+    noteChunk(ledger, GrantId("1"), Millis(30), Start + Millis(10));
+    EXPECT_EQ(blockingAhead(ledger, Start + Millis(10)), Millis(30));
+    EXPECT_EQ(prefillAhead(ledger, Start + Millis(10)), Millis(30));
 }
 
 TEST(EndpointLedgerTest, UnstartedGrantExpires)
@@ -98,7 +113,7 @@
     case 2: {
         auto grant = grantOf(next, random() % 200'000, random() % 400'000);
         grant.m_expiry = now + Millis(random() % 2'000);
-        if (!checkFits(ledger, { grant.m_uncachedTokens, grant.m_memoryTokens }))
+        if (!checkFits(ledger, { grant.m_uncachedTokens, grant.m_memoryTokens }, now))
             addGrant(ledger, grant, now);
         ++next;
         return;
@@ -107,7 +122,10 @@
         startGrant(ledger, any, now, now + Millis(random() % 5'000));
         return;
     case 4:
-        noteFirstToken(ledger, any, now);
+        if (random() % 2 == 0)
+            noteFirstToken(ledger, any, now);
+        else
+            noteChunk(ledger, any, Millis(random() % 100), now);
         return;
     case 5:
         releaseGrant(ledger, any, now);
@@ -123,11 +141,11 @@
     }
 }
 
-Duration countAhead(const EndpointLedger &ledger)
+Duration countAhead(const EndpointLedger &ledger, Duration Grant::*part)
 {
     Duration ahead{};
     for (const auto &[id, grant] : ledger.m_grants)
-        ahead += grant.m_phase == GrantPhase::Decode ? Duration::zero() : grant.m_predictedPrefill;
+        ahead += grant.m_phase == GrantPhase::Decode ? Duration::zero() : grant.*part;
     return ahead;
 }
 
@@ -143,7 +161,9 @@
             now += Millis(random() % 50);
             randomStep(ledger, random, now, next);
             ASSERT_EQ(ledger.m_totals, countTotals(ledger)) << seed << " " << step;
-            ASSERT_EQ(ledger.m_prefillAhead, countAhead(ledger)) << seed << " " << step;
+            ASSERT_EQ(ledger.m_prefillAhead, countAhead(ledger, &Grant::m_predictedPrefill))
+                << seed;
+            ASSERT_EQ(ledger.m_blockingAhead, countAhead(ledger, &Grant::m_blocking)) << seed;
             ASSERT_LE(ledger.m_totals.m_memoryTokens, 1'000'000u);
             ASSERT_LE(ledger.m_totals.m_grants, 20u);
             ASSERT_LE(ledger.m_totals.m_longPrefills, 3u);
