--- a/policy/endpoint_ledger.h
+++ b/policy/endpoint_ledger.h
@@ -31,6 +31,8 @@
     uint64_t m_uncachedTokens = 0;
     uint64_t m_cachedTokens = 0;
     uint64_t m_memoryTokens = 0; ///< KV cache that prompt and answer may take.
+    uint64_t m_outputTokens = 0; ///< At most.
+    uint32_t m_batch = 0; ///< Requests that decoded on the endpoint when it was granted.
     Duration m_predictedPrefill{}; ///< Of the whole prefill.
     /// How long a newcomer may wait for it: the whole prefill, or one chunk if it goes in chunks.
     Duration m_blocking{};
