--- a/policy/choose_endpoint.cpp
+++ b/policy/choose_endpoint.cpp
@@ -50,8 +50,19 @@
     const uint32_t batch = candidate.m_ledger->m_totals.m_decoding;
     choice.m_predictedPrefill = predictPrefill(
         *candidate.m_cost, { choice.m_uncachedTokens, choice.m_cachedTokens, batch });
-    choice.m_predictedTtft = prefillAhead(*candidate.m_ledger, now) + choice.m_predictedPrefill
-                             + predictDecodeStep(*candidate.m_cost, batch + 1);
+    const bool isLong = isLongPrefill(lengthClass(choice.m_uncachedTokens));
+    if (isLong && weights.m_chunkBound > Duration::zero()) {
+        const PrefillWork atEnd{ 0, need.m_promptTokens, batch };
+        choice.m_chunkTokens = chunkTokens(*candidate.m_cost, atEnd, weights.m_chunkBound);
+    }
+    choice.m_blocking = choice.m_predictedPrefill;
+    if (choice.m_chunkTokens != 0)
+        choice.m_blocking = std::min<Duration>(choice.m_blocking, weights.m_chunkBound);
+    // Chunks take turns with what comes later; a whole prefill waits only for what came before.
+    const auto ahead = choice.m_chunkTokens == 0 ? blockingAhead(*candidate.m_ledger, now)
+                                                 : prefillAhead(*candidate.m_ledger, now);
+    choice.m_predictedTtft =
+        ahead + choice.m_predictedPrefill + predictDecodeStep(*candidate.m_cost, batch + 1);
     return choice;
 }
 
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -3,6 +3,7 @@
 
 #include "policy/admission.h"
 #include "policy/choose_endpoint.h"
+#include "policy/chunking.h"
 #include "policy/cost_model.h"
 #include "policy/deadline.h"
 #include "policy/endpoint_ledger.h"
@@ -12,6 +13,8 @@
 #include "policy/intent_json.h"
 #include "policy/least_squares.h"
 #include "policy/length_class.h"
+#include "policy/long_set.h"
 #include "policy/outcome.h"
 #include "policy/prefix.h"
 #include "policy/retry.h"
+#include "policy/steward.h"
