--- a/policy/policy.h
+++ b/policy/policy.h
@@ -17,4 +17,5 @@
 #include "policy/outcome.h"
 #include "policy/prefix.h"
 #include "policy/retry.h"
+#include "policy/shard.h"
 #include "policy/steward.h"
