Policy: chunks take turns, long prompts above 32 k keep to their engines

Change: the budget and the set are for prompts above 32 k; any prefill above two chunk bounds goes in chunks, three at once an engine; waiting long work counts as demand; the ledger keeps whole and chunked prefills apart.

--- a/bench/fake_engine.cpp
+++ b/bench/fake_engine.cpp
@@ -68,7 +68,8 @@
     m_prefilling = true;
     m_memoryUsed += needed;
     FakePrefill prefill;
-    prefill.m_cachedTokens = std::min(cachedTokens(m_cache, job.m_prefix), job.m_promptTokens);
+    const auto cached = std::max(cachedTokens(m_cache, job.m_prefix), job.m_prefilledTokens);
+    prefill.m_cachedTokens = std::min(cached, job.m_promptTokens);
     uint64_t uncached = job.m_promptTokens - prefill.m_cachedTokens;
     if (job.m_prefillLimit != 0)
         uncached = std::min(uncached, job.m_prefillLimit);
--- a/bench/fake_engine.h
+++ b/bench/fake_engine.h
@@ -33,6 +33,7 @@
     uint64_t m_outputTokens = 0;
     PrefixBlocks m_prefix;
     int m_priority = 0;
+    uint64_t m_prefilledTokens = 0; ///< By earlier chunks, and still in the cache.
     uint64_t m_prefillLimit = 0; ///< Uncached tokens to prefill at most; 0: all, then decode.
     std::function<void(const FakePrefill &)> m_onPrefill;
     std::function<void(Duration decode)> m_onDone;
--- a/policy/choose_endpoint.cpp
+++ b/policy/choose_endpoint.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr uint32_t MaxEjectionDoublings = 8;
+/// A prefill goes in chunks if it takes more than this many times the bound of a chunk.
+constexpr int ChunkAboveBounds = 2;
 
 /// Smaller is better.
 auto reportedRank(const EndpointView &view)
@@ -50,17 +52,15 @@
     const uint32_t batch = candidate.m_ledger->m_totals.m_decoding;
     choice.m_predictedPrefill = predictPrefill(
         *candidate.m_cost, { choice.m_uncachedTokens, choice.m_cachedTokens, batch });
-    const bool isLong = isLongPrefill(lengthClass(choice.m_uncachedTokens));
-    if (isLong && weights.m_chunkBound > Duration::zero()) {
+    const Duration bound = weights.m_chunkBound;
+    if (bound > Duration::zero() && choice.m_predictedPrefill > bound * ChunkAboveBounds) {
         const PrefillWork atEnd{ 0, need.m_promptTokens, batch };
-        choice.m_chunkTokens = chunkTokens(*candidate.m_cost, atEnd, weights.m_chunkBound);
+        choice.m_chunkTokens = chunkTokens(*candidate.m_cost, atEnd, bound);
+        choice.m_chunkTime = bound;
     }
-    choice.m_blocking = choice.m_predictedPrefill;
-    if (choice.m_chunkTokens != 0)
-        choice.m_blocking = std::min<Duration>(choice.m_blocking, weights.m_chunkBound);
-    // Chunks take turns with what comes later; a whole prefill waits only for what came before.
-    const auto ahead = choice.m_chunkTokens == 0 ? blockingAhead(*candidate.m_ledger, now)
-                                                 : prefillAhead(*candidate.m_ledger, now);
+    const auto ahead = choice.m_chunkTokens == 0
+                           ? blockingAhead(*candidate.m_ledger, now)
+                           : sharedAhead(*candidate.m_ledger, choice.m_predictedPrefill, now);
     choice.m_predictedTtft =
         ahead + choice.m_predictedPrefill + predictDecodeStep(*candidate.m_cost, batch + 1);
     return choice;
@@ -70,12 +70,13 @@
 Duration interferenceCost(const StewardCandidate &candidate, const StewardChoice &choice,
                           const StewardWeights &weights)
 {
-    if (!isLongPrefill(lengthClass(choice.m_uncachedTokens)))
+    if (choice.m_chunkTokens == 0)
         return Duration::zero();
-    const auto &totals = candidate.m_ledger->m_totals;
-    const uint32_t waiting = totals.m_grants - totals.m_decoding - totals.m_longPrefills;
-    const double factor = weights.m_interference * waiting;
-    return std::chrono::duration_cast<Duration>(choice.m_blocking * factor);
+    const auto &ledger = *candidate.m_ledger;
+    const auto waiting = ledger.m_totals.m_grants - ledger.m_totals.m_decoding;
+    const double factor =
+        weights.m_interference * static_cast<double>(waiting - ledger.m_chunked.size());
+    return std::chrono::duration_cast<Duration>(choice.m_chunkTime * factor);
 }
 
 double meanGrants(std::span<const StewardCandidate> candidates)
@@ -249,9 +250,11 @@
             continue;
         Scored entry{ predictChoice(candidate, need, now, weights) };
         entry.m_choice.m_index = i;
-        const auto misfit = checkFits(
-            *candidate.m_ledger,
-            { entry.m_choice.m_uncachedTokens, need.m_promptTokens + need.m_outputTokens }, now);
+        const auto misfit =
+            checkFits(*candidate.m_ledger,
+                      { entry.m_choice.m_uncachedTokens, need.m_promptTokens + need.m_outputTokens,
+                        entry.m_choice.m_chunkTokens != 0 },
+                      now);
         const bool isLong = isLongPrefill(lengthClass(entry.m_choice.m_uncachedTokens));
         if (misfit || (isLong && !candidate.m_acceptsLong)) {
             refusal = leastRefusal(refusal, misfit.value_or(LedgerRefusal::LongPrefill));
--- a/policy/choose_endpoint.h
+++ b/policy/choose_endpoint.h
@@ -125,7 +125,7 @@
     uint64_t m_uncachedTokens = 0;
     Duration m_predictedPrefill{};
     Duration m_predictedTtft{};
-    Duration m_blocking{}; ///< As Grant::m_blocking.
+    Duration m_chunkTime{}; ///< As Grant::m_chunkTime.
     uint64_t m_chunkTokens = 0; ///< Prefill at most this many at a time; 0: all at once.
 };
 
--- a/policy/endpoint_ledger.cpp
+++ b/policy/endpoint_ledger.cpp
@@ -41,11 +41,21 @@
     }
 }
 
+void beginPrefill(EndpointLedger &ledger, const Grant &grant)
+{
+    if (grant.m_chunkTime > Duration::zero())
+        ledger.m_chunked.push_back({ grant.m_id, grant.m_predictedPrefill, grant.m_chunkTime });
+    else
+        ledger.m_wholeAhead += grant.m_predictedPrefill;
+}
+
 void endPrefill(EndpointLedger &ledger, const Grant &grant, TimePoint now)
 {
-    ledger.m_prefillAhead -= grant.m_predictedPrefill;
-    ledger.m_blockingAhead -= grant.m_blocking;
     ledger.m_prefillSince = now;
+    if (grant.m_chunkTime > Duration::zero())
+        std::erase_if(ledger.m_chunked, [&](const auto &e) { return e.m_grant == grant.m_id; });
+    else
+        ledger.m_wholeAhead -= grant.m_predictedPrefill;
 }
 
 Duration lessPassed(const EndpointLedger &ledger, Duration ahead, TimePoint now)
@@ -76,6 +86,8 @@
         return "no_slots";
     case LedgerRefusal::LongPrefill:
         return "long_prefill_budget";
+    case LedgerRefusal::ChunkedPrefill:
+        return "chunked_prefills";
     case LedgerRefusal::Backlog:
         return "backlog";
     case LedgerRefusal::TooLong:
@@ -100,8 +112,13 @@
     const bool isLong = isLongPrefill(lengthClass(need.m_uncachedTokens));
     if (isLong && !fitsLongBudget(ledger, need.m_uncachedTokens))
         return LedgerRefusal::LongPrefill;
+    if (need.m_inChunks) {
+        const bool full = capacity.m_chunkedPrefills != 0
+                          && ledger.m_chunked.size() >= capacity.m_chunkedPrefills;
+        return full ? std::optional(LedgerRefusal::ChunkedPrefill) : std::nullopt;
+    }
     const bool bounded = capacity.m_backlog > Duration::zero();
-    if (bounded && blockingAhead(ledger, now) > capacity.m_backlog)
+    if (bounded && lessPassed(ledger, ledger.m_wholeAhead, now) > capacity.m_backlog)
         return LedgerRefusal::Backlog;
     return std::nullopt;
 }
@@ -113,8 +130,7 @@
     if (inPrefill(grant)) {
         if (ledger.m_totals.m_grants == ledger.m_totals.m_decoding)
             ledger.m_prefillSince = now;
-        ledger.m_prefillAhead += grant.m_predictedPrefill;
-        ledger.m_blockingAhead += grant.m_blocking;
+        beginPrefill(ledger, grant);
     }
     addToTotals(ledger.m_totals, grant);
     auto id = grant.m_id;
@@ -158,9 +174,7 @@
     auto &grant = found->second;
     endPrefill(ledger, grant, now);
     grant.m_predictedPrefill = prefillLeft;
-    grant.m_blocking = std::min(grant.m_blocking, prefillLeft);
-    ledger.m_prefillAhead += grant.m_predictedPrefill;
-    ledger.m_blockingAhead += grant.m_blocking;
+    beginPrefill(ledger, grant);
     return true;
 }
 
@@ -206,19 +220,33 @@
         released.push_back(std::move(grant));
     ledger.m_grants.clear();
     ledger.m_totals = {};
-    ledger.m_prefillAhead = Duration::zero();
-    ledger.m_blockingAhead = Duration::zero();
+    ledger.m_wholeAhead = Duration::zero();
+    ledger.m_chunked.clear();
     return released;
 }
 
 Duration prefillAhead(const EndpointLedger &ledger, TimePoint now)
 {
-    return lessPassed(ledger, ledger.m_prefillAhead, now);
+    auto ahead = ledger.m_wholeAhead;
+    for (const auto &chunked : ledger.m_chunked)
+        ahead += chunked.m_left;
+    return lessPassed(ledger, ahead, now);
 }
 
 Duration blockingAhead(const EndpointLedger &ledger, TimePoint now)
 {
-    return lessPassed(ledger, ledger.m_blockingAhead, now);
+    Duration chunk{};
+    for (const auto &chunked : ledger.m_chunked)
+        chunk = std::max(chunk, std::min(chunked.m_left, chunked.m_chunkTime));
+    return lessPassed(ledger, ledger.m_wholeAhead + chunk, now);
+}
+
+Duration sharedAhead(const EndpointLedger &ledger, Duration own, TimePoint now)
+{
+    auto ahead = lessPassed(ledger, ledger.m_wholeAhead, now);
+    for (const auto &chunked : ledger.m_chunked)
+        ahead += std::min(chunked.m_left, own);
+    return ahead;
 }
 
 LedgerTotals countTotals(const EndpointLedger &ledger)
--- a/policy/endpoint_ledger.h
+++ b/policy/endpoint_ledger.h
@@ -33,9 +33,8 @@
     uint64_t m_memoryTokens = 0; ///< KV cache that prompt and answer may take.
     uint64_t m_outputTokens = 0; ///< At most.
     uint32_t m_batch = 0; ///< Requests that decoded on the endpoint when it was granted.
-    Duration m_predictedPrefill{}; ///< Of the whole prefill.
-    /// How long a newcomer may wait for it: the whole prefill, or one chunk if it goes in chunks.
-    Duration m_blocking{};
+    Duration m_predictedPrefill{}; ///< Of what is left of the prefill.
+    Duration m_chunkTime{}; ///< Of one chunk, if it goes in chunks; zero: all at once.
     /// Until when it is valid; moved on by starting, and by each sign of life of the holder.
     TimePoint m_expiry;
     GrantPhase m_phase = GrantPhase::Granted;
@@ -46,10 +45,11 @@
 struct EndpointCapacity {
     uint64_t m_memoryTokens = 0;
     uint32_t m_slots = 64; ///< Requests in flight.
-    uint32_t m_longPrefills = 1; ///< Prefills at once of a class above Short.
+    uint32_t m_longPrefills = 1; ///< Prefills at once for which isLongPrefill() holds.
     uint64_t m_longTokens = 0; ///< Tokens of such prefills at once; one alone always fits.
-    /// Blocking time ahead up to which the endpoint takes more. What comes later waits at the
-    /// steward, where the order is ours.
+    uint32_t m_chunkedPrefills = 3; ///< Prefills in chunks at once, long ones included.
+    /// Time of whole prefills ahead up to which the endpoint takes another one. What comes later
+    /// waits at the steward, where the order is ours.
     Duration m_backlog{};
 };
 
@@ -65,12 +65,19 @@
     bool operator==(const LedgerTotals &) const = default;
 };
 
+/// A prefill that goes in chunks, so that others run between them.
+struct ChunkedPrefill {
+    GrantId m_grant;
+    Duration m_left{};
+    Duration m_chunkTime{};
+};
+
 struct EndpointLedger {
     EndpointId m_endpoint;
     EndpointCapacity m_capacity;
     LedgerTotals m_totals;
-    Duration m_prefillAhead{}; ///< Predicted time of all prefills without a first token.
-    Duration m_blockingAhead{}; ///< Their blocking time.
+    Duration m_wholeAhead{}; ///< Predicted time of the prefills that go all at once.
+    std::vector<ChunkedPrefill> m_chunked;
     TimePoint m_prefillSince; ///< When the engine began the prefill that it is at.
     std::unordered_map<GrantId, Grant> m_grants;
 };
@@ -80,6 +87,7 @@
     Memory,
     Slots,
     LongPrefill,
+    ChunkedPrefill,
     Backlog,
     TooLong, ///< More than the endpoint's whole memory: it will never fit.
 };
@@ -90,6 +98,7 @@
 struct LedgerNeed {
     uint64_t m_uncachedTokens = 0;
     uint64_t m_memoryTokens = 0;
+    bool m_inChunks = false;
 };
 
 /// Nothing if the request fits now, else the reason.
@@ -116,8 +125,11 @@
 
 /// Predicted time until the prefills granted so far are done.
 Duration prefillAhead(const EndpointLedger &ledger, TimePoint now);
-/// Predicted time until a short newcomer's prefill can begin.
+/// Predicted time until a newcomer that goes all at once begins: it overtakes waiting chunks.
 Duration blockingAhead(const EndpointLedger &ledger, TimePoint now);
+/// Predicted time that others take from a newcomer of @p own prefill time that goes in chunks: it
+/// takes turns with the other chunks, and lets whole prefills pass.
+Duration sharedAhead(const EndpointLedger &ledger, Duration own, TimePoint now);
 /// The sums, counted anew from the grants.
 LedgerTotals countTotals(const EndpointLedger &ledger);
 
--- a/policy/length_class.cpp
+++ b/policy/length_class.cpp
@@ -34,7 +34,7 @@
 
 bool isLongPrefill(LengthClass lengthClass)
 {
-    return lengthClass != LengthClass::Short;
+    return lengthClass >= LengthClass::Long;
 }
 
 } // namespace stackquay
--- a/policy/length_class.h
+++ b/policy/length_class.h
@@ -28,7 +28,7 @@
 /// Tokens of a prompt of @p bytes: one for each four bytes, rounded up.
 uint64_t estimateTokens(size_t bytes);
 
-/// Whether a prompt of this class can hold up short ones on its engine.
+/// Whether a prompt of this class keeps to the engines that accept long ones.
 bool isLongPrefill(LengthClass lengthClass);
 
 } // namespace stackquay
--- a/policy/long_set.cpp
+++ b/policy/long_set.cpp
@@ -32,7 +32,8 @@
 
 double longDemand(const LongSet &set, TimePoint now, const LongSetSettings &settings)
 {
-    return decayed(set, now, settings) / FloatSeconds(settings.m_window).count();
+    return decayed(set, now, settings) / FloatSeconds(settings.m_window).count()
+           + std::max(0.0, set.m_waiting) / FloatSeconds(settings.m_drain).count();
 }
 
 uint32_t resizeLongSet(LongSet &set, uint32_t engines, TimePoint now,
--- a/policy/long_set.h
+++ b/policy/long_set.h
@@ -14,6 +14,7 @@
     Millis m_window{ 60'000 }; ///< Over which the demand is averaged.
     /// Share of an engine's time that long prefills may take before another engine is added.
     double m_targetShare = 0.6;
+    Millis m_drain{ 5'000 }; ///< Within which the long prefills that wait should be begun.
     /// An engine is taken out only if the rest would stay below this part of the target...
     double m_shrinkBelow = 0.7;
     Millis m_shrinkAfter{ 30'000 }; ///< ... and this long after the last change.
@@ -24,6 +25,7 @@
 struct LongSet {
     double m_work = 0; ///< Seconds of long prefill, decaying over the window.
     TimePoint m_workAt;
+    double m_waiting = 0; ///< Seconds of long prefill that wait for an engine.
     uint32_t m_size = 0; ///< 0: not sized yet.
     TimePoint m_changed;
 };
@@ -31,7 +33,7 @@
 /// Notes that a long prefill of @p predicted time was asked for.
 void noteLongDemand(LongSet &set, Duration predicted, TimePoint now,
                     const LongSetSettings &settings = {});
-/// Mean number of engines that long prefills keep busy.
+/// Number of engines that long prefills need: those that come, and those that wait.
 double longDemand(const LongSet &set, TimePoint now, const LongSetSettings &settings = {});
 /// Sizes the set for @p engines usable engines: grows at once, shrinks one at a time and late.
 /// Returns the size.
--- a/policy/prefix.cpp
+++ b/policy/prefix.cpp
@@ -88,10 +88,11 @@
 
 uint64_t cachedTokens(const PrefixIndex &index, const PrefixBlocks &blocks)
 {
-    const auto cached = std::find_if(blocks.rbegin(), blocks.rend(), [&](const auto &block) {
+    // What is cached of a prompt is a prefix of it, so the border can be searched by halves.
+    const auto border = std::partition_point(blocks.begin(), blocks.end(), [&](const auto &block) {
         return index.m_entries.contains(block.m_hash);
     });
-    return cached == blocks.rend() ? 0 : cached->m_number * PrefixBlockTokens;
+    return border == blocks.begin() ? 0 : std::prev(border)->m_number * PrefixBlockTokens;
 }
 
 void insertBlock(PrefixIndex &index, uint64_t hash)
--- a/policy/steward.cpp
+++ b/policy/steward.cpp
@@ -17,12 +17,6 @@
     return std::find(range.begin(), range.end(), value) != range.end();
 }
 
-/// The endpoints of one model, as the choice wants them, and their keys in the same order.
-struct Candidates {
-    std::vector<StewardCandidate> m_list;
-    std::vector<EndpointId> m_ids;
-};
-
 bool isUsable(const StewardEndpoint &endpoint, TimePoint now)
 {
     return !endpoint.m_draining && !isEjected(endpoint.m_health, now)
@@ -36,21 +30,19 @@
     return reserved && reserved->m_endpoint == endpoint && reserved->m_request != request;
 }
 
-Candidates candidatesFor(const Steward &steward, const GrantRequest &request, TimePoint now)
+std::vector<StewardCandidate> candidatesFor(const Steward &steward, const GrantRequest &request,
+                                            TimePoint now)
 {
-    Candidates candidates;
-    candidates.m_list.reserve(steward.m_endpoints.size());
-    const auto model = steward.m_models.find(request.m_model);
+    std::vector<StewardCandidate> candidates;
+    candidates.reserve(steward.m_endpoints.size());
     for (const auto &[id, endpoint] : steward.m_endpoints) {
         if (!contains(endpoint.m_models, request.m_model))
             continue;
-        const bool acceptsLong =
-            model == steward.m_models.end() || contains(model->second.m_longMembers, id);
         const bool usable = isUsable(endpoint, now) && !contains(request.m_excluded, id)
                             && !isReservedForOther(steward, id, request.m_request);
-        candidates.m_list.push_back(
+        const bool acceptsLong = contains(endpoint.m_longModels, request.m_model);
+        candidates.push_back(
             { &endpoint.m_ledger, &endpoint.m_cost, &endpoint.m_prefixes, usable, acceptsLong });
-        candidates.m_ids.push_back(id);
     }
     return candidates;
 }
@@ -62,33 +54,39 @@
                                                           : known->second.m_objective);
 }
 
-/// What a request is expected to take, on the endpoint that would do it fastest.
+/// What a request is expected to take.
 struct Estimate {
     Duration m_prefill = Duration::max();
-    Duration m_run{};
-    uint64_t m_uncachedTokens = 0;
+    Duration m_run{}; ///< Prefill and answer.
+    bool m_long = false;
 };
 
-Estimate estimate(const Steward &steward, const GrantRequest &request)
+Duration predictDecode(const Steward &steward, const GrantRequest &request,
+                       const StewardEndpoint &endpoint)
 {
-    Estimate best;
     const auto model = steward.m_models.find(request.m_model);
     const double ratio = model == steward.m_models.end() ? 0.5 : model->second.m_outputRatio;
     const double output = static_cast<double>(request.m_need.m_outputTokens) * ratio;
+    const uint32_t batch = endpoint.m_ledger.m_totals.m_decoding + 1;
+    return std::chrono::duration_cast<Duration>(predictDecodeStep(endpoint.m_cost, batch) * output);
+}
+
+/// On the endpoint that would do it fastest.
+Estimate estimate(const Steward &steward, const GrantRequest &request)
+{
+    Estimate best;
     for (const auto &[id, endpoint] : steward.m_endpoints) {
         if (!contains(endpoint.m_models, request.m_model))
             continue;
         const auto &need = request.m_need;
         const auto cached =
             std::min(cachedTokens(endpoint.m_prefixes, need.m_prefix), need.m_promptTokens);
-        const uint32_t batch = endpoint.m_ledger.m_totals.m_decoding;
-        const PrefillWork work{ need.m_promptTokens - cached, cached, batch };
+        const PrefillWork work{ need.m_promptTokens - cached, cached,
+                                endpoint.m_ledger.m_totals.m_decoding };
         const auto prefill = predictPrefill(endpoint.m_cost, work);
-        if (prefill >= best.m_prefill)
-            continue;
-        const auto decode = predictDecodeStep(endpoint.m_cost, batch + 1) * output;
-        best = { prefill, prefill + std::chrono::duration_cast<Duration>(decode),
-                 work.m_uncachedTokens };
+        if (prefill < best.m_prefill)
+            best = { prefill, prefill + predictDecode(steward, request, endpoint),
+                     isLongPrefill(lengthClass(work.m_uncachedTokens)) };
     }
     return best;
 }
@@ -117,7 +115,7 @@
     grant.m_outputTokens = request.m_need.m_outputTokens;
     grant.m_batch = endpoint.m_ledger.m_totals.m_decoding;
     grant.m_predictedPrefill = choice.m_predictedPrefill;
-    grant.m_blocking = choice.m_blocking;
+    grant.m_chunkTime = choice.m_chunkTime;
     grant.m_expiry = now + steward.m_settings.m_grantTtl;
     grant.m_since = now;
     addGrant(endpoint.m_ledger, grant, now);
@@ -150,15 +148,21 @@
     return { error, Outcome::RefusedNotRun, std::move(message), retryAfter };
 }
 
-tl::expected<GrantDecision, LedgerRefusal> tryGrant(Steward &steward, const GrantRequest &request,
-                                                    TimePoint now)
+/// An endpoint and what is predicted for the request there.
+struct Placement {
+    EndpointId m_endpoint;
+    StewardChoice m_choice;
+};
+
+tl::expected<Placement, LedgerRefusal> tryPlace(const Steward &steward, const GrantRequest &request,
+                                                TimePoint now)
 {
     const auto candidates = candidatesFor(steward, request, now);
-    const auto choice = chooseBySteward(candidates.m_list, request.m_need, now,
-                                        weightsOf(steward, request.m_model));
+    const auto choice =
+        chooseBySteward(candidates, request.m_need, now, weightsOf(steward, request.m_model));
     if (!choice)
         return tl::unexpected(choice.error());
-    return grantChoice(steward, request, candidates.m_ids[choice->m_index], *choice, now);
+    return Placement{ candidates[choice->m_index].m_ledger->m_endpoint, *choice };
 }
 
 /// Keeps the endpoint with the most free memory for a request that has long waited for memory, as
@@ -171,22 +175,28 @@
     const bool isLong = isLongPrefill(lengthClass(request.m_need.m_promptTokens));
     const uint64_t needed = request.m_need.m_promptTokens + request.m_need.m_outputTokens;
     uint64_t most = 0;
-    for (size_t i = 0; i < candidates.m_list.size(); ++i) {
-        const auto &candidate = candidates.m_list[i];
+    for (size_t i = 0; i < candidates.size(); ++i) {
+        const auto &candidate = candidates[i];
         const auto memory = candidate.m_ledger->m_capacity.m_memoryTokens;
         const auto used = candidate.m_ledger->m_totals.m_memoryTokens;
         const bool mayTake = candidate.m_usable && (candidate.m_acceptsLong || !isLong);
         if (!mayTake || memory < needed || used > memory || memory - used < most)
             continue;
         most = memory - used;
-        steward.m_reservation = { candidates.m_ids[i], request.m_request };
+        steward.m_reservation = { candidate.m_ledger->m_endpoint, request.m_request };
     }
 }
 
-void endReservation(Steward &steward, const RequestId &request)
+/// Forgets a request that waited and has left the queue.
+GrantRequest takeWaiting(Steward &steward, const RequestId &id)
 {
-    if (steward.m_reservation && steward.m_reservation->m_request == request)
+    auto waiting = steward.m_waiting.extract(id).mapped();
+    if (steward.m_reservation && steward.m_reservation->m_request == id)
         steward.m_reservation.reset();
+    const auto model = steward.m_models.find(waiting.m_request.m_model);
+    if (model != steward.m_models.end())
+        model->second.m_longSet.m_waiting -= waiting.m_longSeconds;
+    return std::move(waiting.m_request);
 }
 
 /// Grants to waiting requests in order, until none of them fits. Without room for one long prefill
@@ -195,16 +205,16 @@
 {
     std::vector<ModelId> noLongRoom;
     while (!steward.m_queue.empty() && anyOpen(steward, now)) {
-        std::optional<GrantDecision> granted;
+        std::optional<Placement> placement;
         uint32_t visited = 0;
         const auto mayServe = [&](const WaitingRequest &waiting) {
             if (++visited > steward.m_settings.m_maxVisited)
                 return false;
-            const auto &request = steward.m_waiting.at(waiting.m_id);
+            const auto &request = steward.m_waiting.at(waiting.m_id).m_request;
             const bool isLong = isLongPrefill(lengthClass(request.m_need.m_promptTokens));
             if (isLong && contains(noLongRoom, request.m_model))
                 return false;
-            auto outcome = tryGrant(steward, request, now);
+            auto outcome = tryPlace(steward, request, now);
             if (!outcome) {
                 if (outcome.error() == LedgerRefusal::LongPrefill)
                     noLongRoom.push_back(request.m_model);
@@ -212,33 +222,52 @@
                     reserveMemory(steward, request, now);
                 return false;
             }
-            granted = std::move(*outcome);
+            placement = std::move(*outcome);
             return true;
         };
         const auto served = steward.m_queue.popIf(mayServe);
         if (!served)
             return;
-        steward.m_waiting.erase(served->m_id);
-        endReservation(steward, served->m_id);
-        decisions.push_back(std::move(*granted));
+        const auto request = takeWaiting(steward, served->m_id);
+        decisions.push_back(
+            grantChoice(steward, request, placement->m_endpoint, placement->m_choice, now));
     }
 }
 
-void updateLongMembers(Steward &steward, const ModelId &id, StewardModel &model, TimePoint now)
+/// Says anew which engines accept the model's long prompts.
+void updateLongMembers(Steward &steward, const ModelId &id, StewardModel &model, uint32_t size,
+                       TimePoint now)
 {
     std::vector<EndpointId> engines;
-    for (const auto &[endpointId, endpoint] : steward.m_endpoints) {
+    for (auto &[endpointId, endpoint] : steward.m_endpoints) {
+        std::erase(endpoint.m_longModels, id);
         if (contains(endpoint.m_models, id) && isUsable(endpoint, now))
             engines.push_back(endpointId);
     }
-    const auto size = resizeLongSet(model.m_longSet, static_cast<uint32_t>(engines.size()), now,
-                                    steward.m_settings.m_longSet);
     const auto members = longSetMembers(engines, size);
-    model.m_longMembers.clear();
     for (size_t i = 0; i < engines.size(); ++i) {
         if (members[i])
-            model.m_longMembers.push_back(engines[i]);
+            steward.m_endpoints.at(engines[i]).m_longModels.push_back(id);
     }
+    model.m_engines = static_cast<uint32_t>(engines.size());
+    model.m_longEngines = size;
+}
+
+uint32_t usableEngines(const Steward &steward, const ModelId &model, TimePoint now)
+{
+    uint32_t count = 0;
+    for (const auto &[id, endpoint] : steward.m_endpoints)
+        count += contains(endpoint.m_models, model) && isUsable(endpoint, now);
+    return count;
+}
+
+/// Sizes the long set; its members change only with its size or the engines.
+void resizeLongMembers(Steward &steward, const ModelId &id, StewardModel &model, TimePoint now)
+{
+    const auto engines = usableEngines(steward, id, now);
+    const auto size = resizeLongSet(model.m_longSet, engines, now, steward.m_settings.m_longSet);
+    if (size != model.m_longEngines || engines != model.m_engines)
+        updateLongMembers(steward, id, model, size, now);
 }
 
 /// Refusals that no waiting can mend.
@@ -296,53 +325,71 @@
         return;
     }
     decisions.push_back(notGranted(request, GrantAnswer::Waiting, wait));
-    steward.m_waiting.emplace(request.m_request, request);
+    const double longSeconds = estimated.m_long ? FloatSeconds(estimated.m_prefill).count() : 0;
+    steward.m_waiting.emplace(request.m_request, WaitingGrant{ request, longSeconds });
+    steward.m_models[request.m_model].m_longSet.m_waiting += longSeconds;
     if (!pushed.m_displaced)
         return;
-    endReservation(steward, pushed.m_displaced->m_id);
-    const auto displaced = steward.m_waiting.extract(pushed.m_displaced->m_id);
+    const auto displaced = takeWaiting(steward, pushed.m_displaced->m_id);
     decisions.push_back(
-        refuse(displaced.mapped(), makeRefusal(RequestError::DisplacedFromQueue,
-                                               "gave way to a request that goes first", wait)));
+        refuse(displaced, makeRefusal(RequestError::DisplacedFromQueue,
+                                      "gave way to a request that goes first", wait)));
 }
 
-/// Decides on a new request, once all that wait and fit have been granted.
-std::vector<GrantDecision> decide(Steward &steward, const GrantRequest &request,
-                                  const Estimate &estimated, TimePoint now, RandomEngine &random)
+/// Notes a long request and sizes the long set by it.
+void noteDemand(Steward &steward, const GrantRequest &request, const Estimate &estimated,
+                TimePoint now)
+{
+    auto &model = steward.m_models[request.m_model];
+    noteLongDemand(model.m_longSet, estimated.m_prefill, now, steward.m_settings.m_longSet);
+    resizeLongMembers(steward, request.m_model, model, now);
+}
+
+std::optional<Refusal> lateRefusal(const Steward &steward, const GrantRequest &request,
+                                   const TimePrediction &prediction, TimePoint now,
+                                   RandomEngine &random)
+{
+    return refuseIfLate(steward.m_settings.m_deadlines, request.m_deadline, prediction, now,
+                        random);
+}
+
+/// Queues a request that fits nowhere now, unless it may not wait or cannot make it.
+std::vector<GrantDecision> decideToWait(Steward &steward, const GrantRequest &request,
+                                        const Estimate &estimated, TimePoint now,
+                                        RandomEngine &random)
 {
     std::vector<GrantDecision> decisions;
-    const auto &deadlines = steward.m_settings.m_deadlines;
-    TimePrediction prediction{ Duration::zero(), estimated.m_run };
-    if (auto late = refuseIfLate(deadlines, request.m_deadline, prediction, now, random)) {
-        decisions.push_back(refuse(request, std::move(*late)));
-        return decisions;
-    }
-    if (auto granted = tryGrant(steward, request, now)) {
-        decisions.push_back(std::move(*granted));
-        return decisions;
-    }
-    prediction.m_wait =
+    const auto wait =
         predictedWait(steward, request.m_customer, request.m_priority, request.m_weight);
-    if (auto late = refuseIfLate(deadlines, request.m_deadline, prediction, now, random)) {
+    if (auto late = lateRefusal(steward, request, { wait, estimated.m_run }, now, random))
         decisions.push_back(refuse(request, std::move(*late)));
-        return decisions;
-    }
-    if (!request.m_mayWait) {
-        decisions.push_back(notGranted(request, GrantAnswer::Busy, prediction.m_wait));
-        return decisions;
-    }
-    enqueue(steward, request, estimated, prediction.m_wait, decisions);
+    else if (!request.m_mayWait)
+        decisions.push_back(notGranted(request, GrantAnswer::Busy, wait));
+    else
+        enqueue(steward, request, estimated, wait, decisions);
     return decisions;
 }
 
-/// Notes what a long request asks for, and sizes the long set by it.
-void noteDemand(Steward &steward, const GrantRequest &request, const Estimate &estimated,
-                TimePoint now)
+/// Decides on a new request, once all that wait and fit have been granted.
+std::vector<GrantDecision> decide(Steward &steward, const GrantRequest &request, TimePoint now,
+                                  RandomEngine &random)
 {
-    auto &model = steward.m_models[request.m_model];
-    if (isLongPrefill(lengthClass(estimated.m_uncachedTokens)))
-        noteLongDemand(model.m_longSet, estimated.m_prefill, now, steward.m_settings.m_longSet);
-    updateLongMembers(steward, request.m_model, model, now);
+    const bool maybeLong = isLongPrefill(lengthClass(request.m_need.m_promptTokens));
+    std::optional<Estimate> estimated;
+    if (maybeLong)
+        estimated = estimate(steward, request);
+    if (maybeLong && estimated->m_long)
+        noteDemand(steward, request, *estimated, now);
+    const auto placement = tryPlace(steward, request, now);
+    if (!placement)
+        return decideToWait(steward, request, estimated ? *estimated : estimate(steward, request),
+                            now, random);
+    const auto &endpoint = steward.m_endpoints.at(placement->m_endpoint);
+    const auto run =
+        placement->m_choice.m_predictedTtft + predictDecode(steward, request, endpoint);
+    if (auto late = lateRefusal(steward, request, { Duration::zero(), run }, now, random))
+        return { refuse(request, std::move(*late)) };
+    return { grantChoice(steward, request, placement->m_endpoint, placement->m_choice, now) };
 }
 
 } // namespace
@@ -384,10 +431,8 @@
         decisions.push_back(refuse(request, std::move(*refusal)));
         return decisions;
     }
-    const auto estimated = estimate(steward, request);
-    noteDemand(steward, request, estimated, now);
     grantWaiting(steward, now, decisions);
-    auto own = decide(steward, request, estimated, now, random);
+    auto own = decide(steward, request, now, random);
     decisions.insert(decisions.begin(), std::make_move_iterator(own.begin()),
                      std::make_move_iterator(own.end()));
     return decisions;
@@ -395,9 +440,11 @@
 
 bool cancelWaiting(Steward &steward, const RequestId &request)
 {
+    if (!steward.m_waiting.contains(request))
+        return false;
     steward.m_queue.remove(request);
-    endReservation(steward, request);
-    return steward.m_waiting.erase(request) != 0;
+    takeWaiting(steward, request);
+    return true;
 }
 
 std::vector<GrantDecision> grantWaiting(Steward &steward, TimePoint now)
@@ -415,15 +462,13 @@
             steward.m_grants.erase(grant.m_id);
     }
     for (const auto &late : steward.m_queue.expire(now)) {
-        endReservation(steward, late.m_id);
-        const auto request = steward.m_waiting.extract(late.m_id);
-        decisions.push_back(
-            refuse(request.mapped(),
-                   makeRefusal(RequestError::DeadlineUnmeetable,
-                               "could not begin in time to meet the deadline", Seconds(1))));
+        const auto request = takeWaiting(steward, late.m_id);
+        decisions.push_back(refuse(
+            request, makeRefusal(RequestError::DeadlineUnmeetable,
+                                 "could not begin in time to meet the deadline", Seconds(1))));
     }
     for (auto &[id, model] : steward.m_models)
-        updateLongMembers(steward, id, model, now);
+        resizeLongMembers(steward, id, model, now);
     grantWaiting(steward, now, decisions);
     return decisions;
 }
--- a/policy/steward.h
+++ b/policy/steward.h
@@ -22,7 +22,7 @@
 struct StewardSettings {
     Millis m_grantTtl{ 2'000 }; ///< A grant that is not started within this is void.
     Millis m_refusalPause{ 200 }; ///< No grants to an endpoint that just refused for want of room.
-    EndpointCapacity m_capacity{ 0, 64, 1, 0, Millis(50) }; ///< Until an endpoint's own is known.
+    EndpointCapacity m_capacity{ 0, 64, 1, 0, 3, Millis(50) }; ///< Until an endpoint's own is known.
     Millis m_reserveAfter{ 1'000 }; ///< Waiting for memory before an endpoint is kept for it.
     uint32_t m_maxVisited = 1'024; ///< Waiting requests looked at for each decision.
     FairQueueSettings m_queue;
@@ -93,6 +93,7 @@
     PrefixIndex m_prefixes;
     EndpointHealth m_health;
     std::vector<ModelId> m_models; ///< Those that it serves now.
+    std::vector<ModelId> m_longModels; ///< Those whose long prompts it accepts.
     bool m_draining = false;
     TimePoint m_pausedUntil;
 };
@@ -101,10 +102,17 @@
 struct StewardModel {
     RoutingObjective m_objective = RoutingObjective::ShortSlowdown;
     LongSet m_longSet;
-    std::vector<EndpointId> m_longMembers; ///< Sorted.
+    uint32_t m_engines = 0; ///< Usable ones that serve it, as of the last look.
+    uint32_t m_longEngines = 0; ///< Of those, the ones that accept long prompts.
     double m_outputRatio = 0.5; ///< Mean of real to largest answer.
 };
 
+/// A request that waits.
+struct WaitingGrant {
+    GrantRequest m_request;
+    double m_longSeconds = 0; ///< Of prefill, if it is long.
+};
+
 /// An endpoint that takes nobody else until a request fits there.
 struct MemoryReservation {
     EndpointId m_endpoint;
@@ -118,7 +126,7 @@
     std::map<EndpointId, StewardEndpoint> m_endpoints;
     std::map<ModelId, StewardModel> m_models;
     std::unordered_map<GrantId, EndpointId> m_grants;
-    std::unordered_map<RequestId, GrantRequest> m_waiting;
+    std::unordered_map<RequestId, WaitingGrant> m_waiting;
     FairQueue m_queue;
     std::optional<MemoryReservation> m_reservation;
 };
--- a/policy/steward_endpoints.cpp
+++ b/policy/steward_endpoints.cpp
@@ -154,7 +154,7 @@
     const uint64_t prompt = grant.m_cachedTokens + grant.m_uncachedTokens;
     const uint64_t done = std::min(prefilledTokens, prompt);
     const uint32_t batch = ledger.m_totals.m_decoding;
-    const auto bound = grant.m_blocking;
+    const auto bound = grant.m_chunkTime;
     noteChunk(ledger, id, predictPrefill(endpoint->m_cost, { prompt - done, done, batch }), now);
     return chunkTokens(endpoint->m_cost, { 0, done, batch }, bound);
 }
