--- a/control/control.h
+++ b/control/control.h
@@ -1,6 +1,18 @@
+<<<<<<< HEAD
 /// Public header of the control library: the daemon, its control state and the operators' side.
 #pragma once
 
 #include "control/control_state.h"
 #include "control/daemon.h"
 #include "control/daemon_settings.h"
+=======
+/// Public header of the control library: the operators' language and what it drives.
+#pragma once
+
+#include "control/apply.h"
+#include "control/intent_tables.h"
+#include "control/parser.h"
+#include "control/runtime_tables.h"
+#include "control/statement.h"
+#include "control/table.h"
+>>>>>>> routing
--- a/policy/choose_endpoint.cpp
+++ b/policy/choose_endpoint.cpp
@@ -6,11 +6,15 @@
 
 #include <fmt/format.h>
 
+#include "policy/chunking.h"
+
 namespace stackquay {
 
 namespace {
 
 constexpr uint32_t MaxEjectionDoublings = 8;
+/// A prefill goes in chunks if it takes more than this many times the bound of a chunk.
+constexpr int ChunkAboveBounds = 2;
 
 /// Smaller is better.
 auto reportedRank(const EndpointView &view)
@@ -39,7 +43,7 @@
 };
 
 StewardChoice predictChoice(const StewardCandidate &candidate, const RequestNeed &need,
-                            TimePoint now)
+                            TimePoint now, const StewardWeights &weights)
 {
     StewardChoice choice;
     choice.m_cachedTokens =
@@ -48,8 +52,17 @@
     const uint32_t batch = candidate.m_ledger->m_totals.m_decoding;
     choice.m_predictedPrefill = predictPrefill(
         *candidate.m_cost, { choice.m_uncachedTokens, choice.m_cachedTokens, batch });
-    choice.m_predictedTtft = prefillAhead(*candidate.m_ledger, now) + choice.m_predictedPrefill
-                             + predictDecodeStep(*candidate.m_cost, batch + 1);
+    const Duration bound = weights.m_chunkBound;
+    if (bound > Duration::zero() && choice.m_predictedPrefill > bound * ChunkAboveBounds) {
+        const PrefillWork atEnd{ 0, need.m_promptTokens, batch };
+        choice.m_chunkTokens = chunkTokens(*candidate.m_cost, atEnd, bound);
+        choice.m_chunkTime = bound;
+    }
+    const auto ahead = choice.m_chunkTokens == 0
+                           ? blockingAhead(*candidate.m_ledger, now)
+                           : sharedAhead(*candidate.m_ledger, choice.m_predictedPrefill, now);
+    choice.m_predictedTtft =
+        ahead + choice.m_predictedPrefill + predictDecodeStep(*candidate.m_cost, batch + 1);
     return choice;
 }
 
@@ -57,12 +70,13 @@
 Duration interferenceCost(const StewardCandidate &candidate, const StewardChoice &choice,
                           const StewardWeights &weights)
 {
-    if (!isLongPrefill(lengthClass(choice.m_uncachedTokens)))
+    if (choice.m_chunkTokens == 0)
         return Duration::zero();
-    const auto &totals = candidate.m_ledger->m_totals;
-    const uint32_t waiting = totals.m_grants - totals.m_decoding - totals.m_longPrefills;
-    const double factor = weights.m_interference * waiting;
-    return std::chrono::duration_cast<Duration>(choice.m_predictedPrefill * factor);
+    const auto &ledger = *candidate.m_ledger;
+    const auto waiting = ledger.m_totals.m_grants - ledger.m_totals.m_decoding;
+    const double factor =
+        weights.m_interference * static_cast<double>(waiting - ledger.m_chunked.size());
+    return std::chrono::duration_cast<Duration>(choice.m_chunkTime * factor);
 }
 
 double meanGrants(std::span<const StewardCandidate> candidates)
@@ -234,11 +248,13 @@
         const auto &candidate = candidates[i];
         if (!candidate.m_usable)
             continue;
-        Scored entry{ predictChoice(candidate, need, now) };
+        Scored entry{ predictChoice(candidate, need, now, weights) };
         entry.m_choice.m_index = i;
         const auto misfit =
-            checkFits(*candidate.m_ledger, { entry.m_choice.m_uncachedTokens,
-                                             need.m_promptTokens + need.m_outputTokens });
+            checkFits(*candidate.m_ledger,
+                      { entry.m_choice.m_uncachedTokens, need.m_promptTokens + need.m_outputTokens,
+                        entry.m_choice.m_chunkTokens != 0 },
+                      now);
         const bool isLong = isLongPrefill(lengthClass(entry.m_choice.m_uncachedTokens));
         if (misfit || (isLong && !candidate.m_acceptsLong)) {
             refusal = leastRefusal(refusal, misfit.value_or(LedgerRefusal::LongPrefill));
--- a/policy/endpoint_ledger.cpp
+++ b/policy/endpoint_ledger.cpp
@@ -41,10 +41,27 @@
     }
 }
 
+void beginPrefill(EndpointLedger &ledger, const Grant &grant)
+{
+    if (grant.m_chunkTime > Duration::zero())
+        ledger.m_chunked.push_back({ grant.m_id, grant.m_predictedPrefill, grant.m_chunkTime });
+    else
+        ledger.m_wholeAhead += grant.m_predictedPrefill;
+}
+
 void endPrefill(EndpointLedger &ledger, const Grant &grant, TimePoint now)
 {
-    ledger.m_prefillAhead -= grant.m_predictedPrefill;
     ledger.m_prefillSince = now;
+    if (grant.m_chunkTime > Duration::zero())
+        std::erase_if(ledger.m_chunked, [&](const auto &e) { return e.m_grant == grant.m_id; });
+    else
+        ledger.m_wholeAhead -= grant.m_predictedPrefill;
+}
+
+Duration lessPassed(const EndpointLedger &ledger, Duration ahead, TimePoint now)
+{
+    const auto passed = std::max(Duration::zero(), now - ledger.m_prefillSince);
+    return std::max(Duration::zero(), ahead - passed);
 }
 
 bool fitsLongBudget(const EndpointLedger &ledger, uint64_t tokens)
@@ -69,13 +86,18 @@
         return "no_slots";
     case LedgerRefusal::LongPrefill:
         return "long_prefill_budget";
+    case LedgerRefusal::ChunkedPrefill:
+        return "chunked_prefills";
+    case LedgerRefusal::Backlog:
+        return "backlog";
     case LedgerRefusal::TooLong:
         return "prompt_too_long";
     }
     return "unknown";
 }
 
-std::optional<LedgerRefusal> checkFits(const EndpointLedger &ledger, const LedgerNeed &need)
+std::optional<LedgerRefusal> checkFits(const EndpointLedger &ledger, const LedgerNeed &need,
+                                       TimePoint now)
 {
     const auto &capacity = ledger.m_capacity;
     const auto &totals = ledger.m_totals;
@@ -90,6 +112,14 @@
     const bool isLong = isLongPrefill(lengthClass(need.m_uncachedTokens));
     if (isLong && !fitsLongBudget(ledger, need.m_uncachedTokens))
         return LedgerRefusal::LongPrefill;
+    if (need.m_inChunks) {
+        const bool full = capacity.m_chunkedPrefills != 0
+                          && ledger.m_chunked.size() >= capacity.m_chunkedPrefills;
+        return full ? std::optional(LedgerRefusal::ChunkedPrefill) : std::nullopt;
+    }
+    const bool bounded = capacity.m_backlog > Duration::zero();
+    if (bounded && lessPassed(ledger, ledger.m_wholeAhead, now) > capacity.m_backlog)
+        return LedgerRefusal::Backlog;
     return std::nullopt;
 }
 
@@ -98,9 +128,9 @@
     if (ledger.m_grants.contains(grant.m_id))
         return false;
     if (inPrefill(grant)) {
-        if (ledger.m_totals.m_prefillTokens == 0)
+        if (ledger.m_totals.m_grants == ledger.m_totals.m_decoding)
             ledger.m_prefillSince = now;
-        ledger.m_prefillAhead += grant.m_predictedPrefill;
+        beginPrefill(ledger, grant);
     }
     addToTotals(ledger.m_totals, grant);
     auto id = grant.m_id;
@@ -136,6 +166,18 @@
     return true;
 }
 
+bool noteChunk(EndpointLedger &ledger, const GrantId &id, Duration prefillLeft, TimePoint now)
+{
+    const auto found = ledger.m_grants.find(id);
+    if (found == ledger.m_grants.end() || !inPrefill(found->second))
+        return false;
+    auto &grant = found->second;
+    endPrefill(ledger, grant, now);
+    grant.m_predictedPrefill = prefillLeft;
+    beginPrefill(ledger, grant);
+    return true;
+}
+
 bool extendGrant(EndpointLedger &ledger, const GrantId &id, TimePoint expiry)
 {
     const auto found = ledger.m_grants.find(id);
@@ -178,16 +220,33 @@
         released.push_back(std::move(grant));
     ledger.m_grants.clear();
     ledger.m_totals = {};
-    ledger.m_prefillAhead = Duration::zero();
+    ledger.m_wholeAhead = Duration::zero();
+    ledger.m_chunked.clear();
     return released;
 }
 
 Duration prefillAhead(const EndpointLedger &ledger, TimePoint now)
 {
-    if (ledger.m_totals.m_prefillTokens == 0)
-        return Duration::zero();
-    const auto passed = std::max(Duration::zero(), now - ledger.m_prefillSince);
-    return std::max(Duration::zero(), ledger.m_prefillAhead - passed);
+    auto ahead = ledger.m_wholeAhead;
+    for (const auto &chunked : ledger.m_chunked)
+        ahead += chunked.m_left;
+    return lessPassed(ledger, ahead, now);
+}
+
+Duration blockingAhead(const EndpointLedger &ledger, TimePoint now)
+{
+    Duration chunk{};
+    for (const auto &chunked : ledger.m_chunked)
+        chunk = std::max(chunk, std::min(chunked.m_left, chunked.m_chunkTime));
+    return lessPassed(ledger, ledger.m_wholeAhead + chunk, now);
+}
+
+Duration sharedAhead(const EndpointLedger &ledger, Duration own, TimePoint now)
+{
+    auto ahead = lessPassed(ledger, ledger.m_wholeAhead, now);
+    for (const auto &chunked : ledger.m_chunked)
+        ahead += std::min(chunked.m_left, own);
+    return ahead;
 }
 
 LedgerTotals countTotals(const EndpointLedger &ledger)
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -3,6 +3,7 @@
 
 #include "policy/admission.h"
 #include "policy/choose_endpoint.h"
+#include "policy/chunking.h"
 #include "policy/cost_model.h"
 #include "policy/deadline.h"
 #include "policy/endpoint_ledger.h"
@@ -15,7 +16,10 @@
 #include "policy/limit_amount.h"
 #include "policy/limit_shares.h"
 #include "policy/limit_slices.h"
+#include "policy/long_set.h"
 #include "policy/outcome.h"
 #include "policy/prefix.h"
 #include "policy/retry.h"
+#include "policy/shard.h"
+#include "policy/steward.h"
 #include "policy/tenure.h"
--- /dev/null
+++ b/policy/steward.cpp
@@ -0,0 +1,476 @@
+#include "policy/steward.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "policy/chunking.h"
+
+namespace stackquay {
+
+namespace {
+
+using FloatSeconds = std::chrono::duration<double>;
+
+bool contains(const auto &range, const auto &value)
+{
+    return std::find(range.begin(), range.end(), value) != range.end();
+}
+
+bool isUsable(const StewardEndpoint &endpoint, TimePoint now)
+{
+    return !endpoint.m_draining && !isEjected(endpoint.m_health, now)
+           && endpoint.m_pausedUntil <= now;
+}
+
+bool isReservedForOther(const Steward &steward, const EndpointId &endpoint,
+                        const RequestId &request)
+{
+    const auto &reserved = steward.m_reservation;
+    return reserved && reserved->m_endpoint == endpoint && reserved->m_request != request;
+}
+
+std::vector<StewardCandidate> candidatesFor(const Steward &steward, const GrantRequest &request,
+                                            TimePoint now)
+{
+    std::vector<StewardCandidate> candidates;
+    candidates.reserve(steward.m_endpoints.size());
+    for (const auto &[id, endpoint] : steward.m_endpoints) {
+        if (!contains(endpoint.m_models, request.m_model))
+            continue;
+        const bool usable = isUsable(endpoint, now) && !contains(request.m_excluded, id)
+                            && !isReservedForOther(steward, id, request.m_request);
+        const bool acceptsLong = contains(endpoint.m_longModels, request.m_model);
+        candidates.push_back(
+            { &endpoint.m_ledger, &endpoint.m_cost, &endpoint.m_prefixes, usable, acceptsLong });
+    }
+    return candidates;
+}
+
+StewardWeights weightsOf(const Steward &steward, const ModelId &model)
+{
+    const auto known = steward.m_models.find(model);
+    return stewardWeights(known == steward.m_models.end() ? RoutingObjective::ShortSlowdown
+                                                          : known->second.m_objective);
+}
+
+/// What a request is expected to take.
+struct Estimate {
+    Duration m_prefill = Duration::max();
+    Duration m_run{}; ///< Prefill and answer.
+    bool m_long = false;
+};
+
+Duration predictDecode(const Steward &steward, const GrantRequest &request,
+                       const StewardEndpoint &endpoint)
+{
+    const auto model = steward.m_models.find(request.m_model);
+    const double ratio = model == steward.m_models.end() ? 0.5 : model->second.m_outputRatio;
+    const double output = static_cast<double>(request.m_need.m_outputTokens) * ratio;
+    const uint32_t batch = endpoint.m_ledger.m_totals.m_decoding + 1;
+    return std::chrono::duration_cast<Duration>(predictDecodeStep(endpoint.m_cost, batch) * output);
+}
+
+/// On the endpoint that would do it fastest.
+Estimate estimate(const Steward &steward, const GrantRequest &request)
+{
+    Estimate best;
+    for (const auto &[id, endpoint] : steward.m_endpoints) {
+        if (!contains(endpoint.m_models, request.m_model))
+            continue;
+        const auto &need = request.m_need;
+        const auto cached =
+            std::min(cachedTokens(endpoint.m_prefixes, need.m_prefix), need.m_promptTokens);
+        const PrefillWork work{ need.m_promptTokens - cached, cached,
+                                endpoint.m_ledger.m_totals.m_decoding };
+        const auto prefill = predictPrefill(endpoint.m_cost, work);
+        if (prefill < best.m_prefill)
+            best = { prefill, prefill + predictDecode(steward, request, endpoint),
+                     isLongPrefill(lengthClass(work.m_uncachedTokens)) };
+    }
+    return best;
+}
+
+/// Whether any endpoint has room at all: false saves the look at every waiting request.
+bool anyOpen(const Steward &steward, TimePoint now)
+{
+    return std::any_of(steward.m_endpoints.begin(), steward.m_endpoints.end(), [&](const auto &e) {
+        return isUsable(e.second, now) && !checkFits(e.second.m_ledger, {}, now);
+    });
+}
+
+GrantDecision grantChoice(Steward &steward, const GrantRequest &request,
+                          const EndpointId &endpointId, const StewardChoice &choice, TimePoint now)
+{
+    auto &endpoint = steward.m_endpoints.at(endpointId);
+    Grant grant;
+    grant.m_id = GrantId(fmt::format("{}:{}", steward.m_idPrefix, ++steward.m_nextGrant));
+    grant.m_attempt = request.m_attempt;
+    grant.m_customer = request.m_customer;
+    grant.m_holder = request.m_holder;
+    grant.m_class = lengthClass(choice.m_uncachedTokens);
+    grant.m_uncachedTokens = choice.m_uncachedTokens;
+    grant.m_cachedTokens = choice.m_cachedTokens;
+    grant.m_memoryTokens = request.m_need.m_promptTokens + request.m_need.m_outputTokens;
+    grant.m_outputTokens = request.m_need.m_outputTokens;
+    grant.m_batch = endpoint.m_ledger.m_totals.m_decoding;
+    grant.m_predictedPrefill = choice.m_predictedPrefill;
+    grant.m_chunkTime = choice.m_chunkTime;
+    grant.m_expiry = now + steward.m_settings.m_grantTtl;
+    grant.m_since = now;
+    addGrant(endpoint.m_ledger, grant, now);
+    steward.m_grants.emplace(grant.m_id, endpointId);
+    notePrompt(endpoint.m_prefixes, request.m_need.m_prefix);
+
+    GrantDecision decision;
+    decision.m_request = request.m_request;
+    decision.m_holder = request.m_holder;
+    decision.m_answer = GrantAnswer::Granted;
+    decision.m_endpoint = endpointId;
+    decision.m_chunkTokens = choice.m_chunkTokens;
+    decision.m_predictedTtft = choice.m_predictedTtft;
+    decision.m_grant = std::move(grant);
+    return decision;
+}
+
+GrantDecision refuse(const GrantRequest &request, Refusal refusal)
+{
+    GrantDecision decision;
+    decision.m_request = request.m_request;
+    decision.m_holder = request.m_holder;
+    decision.m_answer = GrantAnswer::Refused;
+    decision.m_refusal = std::move(refusal);
+    return decision;
+}
+
+Refusal makeRefusal(RequestError error, std::string message, Duration retryAfter = {})
+{
+    return { error, Outcome::RefusedNotRun, std::move(message), retryAfter };
+}
+
+/// An endpoint and what is predicted for the request there.
+struct Placement {
+    EndpointId m_endpoint;
+    StewardChoice m_choice;
+};
+
+tl::expected<Placement, LedgerRefusal> tryPlace(const Steward &steward, const GrantRequest &request,
+                                                TimePoint now)
+{
+    const auto candidates = candidatesFor(steward, request, now);
+    const auto choice =
+        chooseBySteward(candidates, request.m_need, now, weightsOf(steward, request.m_model));
+    if (!choice)
+        return tl::unexpected(choice.error());
+    return Placement{ candidates[choice->m_index].m_ledger->m_endpoint, *choice };
+}
+
+/// Keeps the endpoint with the most free memory for a request that has long waited for memory, as
+/// smaller ones would take it again and again.
+void reserveMemory(Steward &steward, const GrantRequest &request, TimePoint now)
+{
+    if (steward.m_reservation || now - request.m_arrived < steward.m_settings.m_reserveAfter)
+        return;
+    const auto candidates = candidatesFor(steward, request, now);
+    const bool isLong = isLongPrefill(lengthClass(request.m_need.m_promptTokens));
+    const uint64_t needed = request.m_need.m_promptTokens + request.m_need.m_outputTokens;
+    uint64_t most = 0;
+    for (size_t i = 0; i < candidates.size(); ++i) {
+        const auto &candidate = candidates[i];
+        const auto memory = candidate.m_ledger->m_capacity.m_memoryTokens;
+        const auto used = candidate.m_ledger->m_totals.m_memoryTokens;
+        const bool mayTake = candidate.m_usable && (candidate.m_acceptsLong || !isLong);
+        if (!mayTake || memory < needed || used > memory || memory - used < most)
+            continue;
+        most = memory - used;
+        steward.m_reservation = { candidate.m_ledger->m_endpoint, request.m_request };
+    }
+}
+
+/// Forgets a request that waited and has left the queue.
+GrantRequest takeWaiting(Steward &steward, const RequestId &id)
+{
+    auto waiting = steward.m_waiting.extract(id).mapped();
+    if (steward.m_reservation && steward.m_reservation->m_request == id)
+        steward.m_reservation.reset();
+    const auto model = steward.m_models.find(waiting.m_request.m_model);
+    if (model != steward.m_models.end())
+        model->second.m_longSet.m_waiting -= waiting.m_longSeconds;
+    return std::move(waiting.m_request);
+}
+
+/// Grants to waiting requests in order, until none of them fits. Without room for one long prefill
+/// there is none for another, so those are not tried again.
+void grantWaiting(Steward &steward, TimePoint now, std::vector<GrantDecision> &decisions)
+{
+    std::vector<ModelId> noLongRoom;
+    while (!steward.m_queue.empty() && anyOpen(steward, now)) {
+        std::optional<Placement> placement;
+        uint32_t visited = 0;
+        const auto mayServe = [&](const WaitingRequest &waiting) {
+            if (++visited > steward.m_settings.m_maxVisited)
+                return false;
+            const auto &request = steward.m_waiting.at(waiting.m_id).m_request;
+            const bool isLong = isLongPrefill(lengthClass(request.m_need.m_promptTokens));
+            if (isLong && contains(noLongRoom, request.m_model))
+                return false;
+            auto outcome = tryPlace(steward, request, now);
+            if (!outcome) {
+                if (outcome.error() == LedgerRefusal::LongPrefill)
+                    noLongRoom.push_back(request.m_model);
+                if (outcome.error() == LedgerRefusal::Memory)
+                    reserveMemory(steward, request, now);
+                return false;
+            }
+            placement = std::move(*outcome);
+            return true;
+        };
+        const auto served = steward.m_queue.popIf(mayServe);
+        if (!served)
+            return;
+        const auto request = takeWaiting(steward, served->m_id);
+        decisions.push_back(
+            grantChoice(steward, request, placement->m_endpoint, placement->m_choice, now));
+    }
+}
+
+/// Says anew which engines accept the model's long prompts.
+void updateLongMembers(Steward &steward, const ModelId &id, StewardModel &model, uint32_t size,
+                       TimePoint now)
+{
+    std::vector<EndpointId> engines;
+    for (auto &[endpointId, endpoint] : steward.m_endpoints) {
+        std::erase(endpoint.m_longModels, id);
+        if (contains(endpoint.m_models, id) && isUsable(endpoint, now))
+            engines.push_back(endpointId);
+    }
+    const auto members = longSetMembers(engines, size);
+    for (size_t i = 0; i < engines.size(); ++i) {
+        if (members[i])
+            steward.m_endpoints.at(engines[i]).m_longModels.push_back(id);
+    }
+    model.m_engines = static_cast<uint32_t>(engines.size());
+    model.m_longEngines = size;
+}
+
+uint32_t usableEngines(const Steward &steward, const ModelId &model, TimePoint now)
+{
+    uint32_t count = 0;
+    for (const auto &[id, endpoint] : steward.m_endpoints)
+        count += contains(endpoint.m_models, model) && isUsable(endpoint, now);
+    return count;
+}
+
+/// Sizes the long set; its members change only with its size or the engines.
+void resizeLongMembers(Steward &steward, const ModelId &id, StewardModel &model, TimePoint now)
+{
+    const auto engines = usableEngines(steward, id, now);
+    const auto size = resizeLongSet(model.m_longSet, engines, now, steward.m_settings.m_longSet);
+    if (size != model.m_longEngines || engines != model.m_engines)
+        updateLongMembers(steward, id, model, size, now);
+}
+
+/// Refusals that no waiting can mend.
+std::optional<Refusal> finalRefusal(const Steward &steward, const GrantRequest &request)
+{
+    bool served = false;
+    for (const auto &[id, endpoint] : steward.m_endpoints) {
+        if (!contains(endpoint.m_models, request.m_model))
+            continue;
+        served = true;
+        const auto memory = endpoint.m_ledger.m_capacity.m_memoryTokens;
+        const auto needed = request.m_need.m_promptTokens + request.m_need.m_outputTokens;
+        if (memory == 0 || needed <= memory)
+            return std::nullopt;
+    }
+    if (served)
+        return makeRefusal(RequestError::PromptTooLong, "longer than one engine's memory");
+    return makeRefusal(RequestError::NoCapacity, "no endpoint here serves the model", Seconds(1));
+}
+
+WaitingRequest waitingRequest(const Steward &steward, const GrantRequest &request,
+                              const Estimate &estimated)
+{
+    WaitingRequest waiting;
+    waiting.m_id = request.m_request;
+    waiting.m_customer = request.m_customer;
+    waiting.m_priority = request.m_priority;
+    waiting.m_weight = request.m_weight;
+    waiting.m_cost = std::max(1e-6, FloatSeconds(estimated.m_prefill).count());
+    waiting.m_arrived = request.m_arrived;
+    waiting.m_deadline = request.m_deadline;
+    waiting.m_startBy =
+        latestStart(steward.m_settings.m_deadlines, request.m_deadline, estimated.m_run);
+    return waiting;
+}
+
+GrantDecision notGranted(const GrantRequest &request, GrantAnswer answer, Duration wait)
+{
+    GrantDecision decision;
+    decision.m_request = request.m_request;
+    decision.m_holder = request.m_holder;
+    decision.m_answer = answer;
+    decision.m_predictedWait = wait;
+    return decision;
+}
+
+/// Puts a request into the queue, telling what follows for it and for one that it displaces.
+void enqueue(Steward &steward, const GrantRequest &request, const Estimate &estimated,
+             Duration wait, std::vector<GrantDecision> &decisions)
+{
+    const auto pushed = steward.m_queue.push(waitingRequest(steward, request, estimated));
+    if (!pushed.m_accepted) {
+        decisions.push_back(
+            refuse(request, makeRefusal(RequestError::QueueFull, "queue is full", wait)));
+        return;
+    }
+    decisions.push_back(notGranted(request, GrantAnswer::Waiting, wait));
+    const double longSeconds = estimated.m_long ? FloatSeconds(estimated.m_prefill).count() : 0;
+    steward.m_waiting.emplace(request.m_request, WaitingGrant{ request, longSeconds });
+    steward.m_models[request.m_model].m_longSet.m_waiting += longSeconds;
+    if (!pushed.m_displaced)
+        return;
+    const auto displaced = takeWaiting(steward, pushed.m_displaced->m_id);
+    decisions.push_back(
+        refuse(displaced, makeRefusal(RequestError::DisplacedFromQueue,
+                                      "gave way to a request that goes first", wait)));
+}
+
+/// Notes a long request and sizes the long set by it.
+void noteDemand(Steward &steward, const GrantRequest &request, const Estimate &estimated,
+                TimePoint now)
+{
+    auto &model = steward.m_models[request.m_model];
+    noteLongDemand(model.m_longSet, estimated.m_prefill, now, steward.m_settings.m_longSet);
+    resizeLongMembers(steward, request.m_model, model, now);
+}
+
+std::optional<Refusal> lateRefusal(const Steward &steward, const GrantRequest &request,
+                                   const TimePrediction &prediction, TimePoint now,
+                                   RandomEngine &random)
+{
+    return refuseIfLate(steward.m_settings.m_deadlines, request.m_deadline, prediction, now,
+                        random);
+}
+
+/// Queues a request that fits nowhere now, unless it may not wait or cannot make it.
+std::vector<GrantDecision> decideToWait(Steward &steward, const GrantRequest &request,
+                                        const Estimate &estimated, TimePoint now,
+                                        RandomEngine &random)
+{
+    std::vector<GrantDecision> decisions;
+    const auto wait =
+        predictedWait(steward, request.m_customer, request.m_priority, request.m_weight);
+    if (auto late = lateRefusal(steward, request, { wait, estimated.m_run }, now, random))
+        decisions.push_back(refuse(request, std::move(*late)));
+    else if (!request.m_mayWait)
+        decisions.push_back(notGranted(request, GrantAnswer::Busy, wait));
+    else
+        enqueue(steward, request, estimated, wait, decisions);
+    return decisions;
+}
+
+/// Decides on a new request, once all that wait and fit have been granted.
+std::vector<GrantDecision> decide(Steward &steward, const GrantRequest &request, TimePoint now,
+                                  RandomEngine &random)
+{
+    const bool maybeLong = isLongPrefill(lengthClass(request.m_need.m_promptTokens));
+    std::optional<Estimate> estimated;
+    if (maybeLong)
+        estimated = estimate(steward, request);
+    if (maybeLong && estimated->m_long)
+        noteDemand(steward, request, *estimated, now);
+    const auto placement = tryPlace(steward, request, now);
+    if (!placement)
+        return decideToWait(steward, request, estimated ? *estimated : estimate(steward, request),
+                            now, random);
+    const auto &endpoint = steward.m_endpoints.at(placement->m_endpoint);
+    const auto run =
+        placement->m_choice.m_predictedTtft + predictDecode(steward, request, endpoint);
+    if (auto late = lateRefusal(steward, request, { Duration::zero(), run }, now, random))
+        return { refuse(request, std::move(*late)) };
+    return { grantChoice(steward, request, placement->m_endpoint, placement->m_choice, now) };
+}
+
+} // namespace
+
+Steward makeSteward(std::string idPrefix, const StewardSettings &settings)
+{
+    Steward steward;
+    steward.m_settings = settings;
+    steward.m_idPrefix = std::move(idPrefix);
+    steward.m_queue = FairQueue(settings.m_queue);
+    return steward;
+}
+
+void setObjective(Steward &steward, const ModelId &model, RoutingObjective objective)
+{
+    steward.m_models[model].m_objective = objective;
+}
+
+Duration predictedWait(const Steward &steward, const CustomerId &customer, int priority,
+                       double weight)
+{
+    size_t engines = 0;
+    for (const auto &[id, endpoint] : steward.m_endpoints)
+        engines += endpoint.m_draining ? 0 : 1;
+    const double ahead = steward.m_queue.fairCostAhead(customer, priority, weight);
+    const FloatSeconds wait(ahead / static_cast<double>(std::max<size_t>(1, engines)));
+    return std::chrono::duration_cast<Duration>(wait);
+}
+
+std::vector<GrantDecision> requestGrant(Steward &steward, const GrantRequest &request,
+                                        TimePoint now, RandomEngine &random)
+{
+    std::vector<GrantDecision> decisions;
+    if (steward.m_waiting.contains(request.m_request)) {
+        decisions.push_back(notGranted(request, GrantAnswer::Waiting, {}));
+        return decisions;
+    }
+    if (auto refusal = finalRefusal(steward, request)) {
+        decisions.push_back(refuse(request, std::move(*refusal)));
+        return decisions;
+    }
+    grantWaiting(steward, now, decisions);
+    auto own = decide(steward, request, now, random);
+    decisions.insert(decisions.begin(), std::make_move_iterator(own.begin()),
+                     std::make_move_iterator(own.end()));
+    return decisions;
+}
+
+bool cancelWaiting(Steward &steward, const RequestId &request)
+{
+    if (!steward.m_waiting.contains(request))
+        return false;
+    steward.m_queue.remove(request);
+    takeWaiting(steward, request);
+    return true;
+}
+
+std::vector<GrantDecision> grantWaiting(Steward &steward, TimePoint now)
+{
+    std::vector<GrantDecision> decisions;
+    grantWaiting(steward, now, decisions);
+    return decisions;
+}
+
+std::vector<GrantDecision> expire(Steward &steward, TimePoint now)
+{
+    std::vector<GrantDecision> decisions;
+    for (auto &[id, endpoint] : steward.m_endpoints) {
+        for (const auto &grant : sweepExpired(endpoint.m_ledger, now))
+            steward.m_grants.erase(grant.m_id);
+    }
+    for (const auto &late : steward.m_queue.expire(now)) {
+        const auto request = takeWaiting(steward, late.m_id);
+        decisions.push_back(refuse(
+            request, makeRefusal(RequestError::DeadlineUnmeetable,
+                                 "could not begin in time to meet the deadline", Seconds(1))));
+    }
+    for (auto &[id, model] : steward.m_models)
+        resizeLongMembers(steward, id, model, now);
+    grantWaiting(steward, now, decisions);
+    return decisions;
+}
+
+} // namespace stackquay
