--- a/store/lease.cpp
+++ b/store/lease.cpp
@@ -11,7 +11,7 @@
 bool isMine(const LeaseContext &lease)
 {
     return lease.m_record && lease.m_record->m_acquisition == lease.m_acquisition
-        && !lease.m_record->m_released;
+           && !lease.m_record->m_released;
 }
 
 /// When nobody can hold the lease any more, if the object stays as it is.
@@ -20,7 +20,7 @@
     if (!lease.m_seenSince)
         return TimePoint::max();
     const bool free = lease.m_version == NoObject || isMine(lease)
-        || (lease.m_record && lease.m_record->m_released);
+                      || (lease.m_record && lease.m_record->m_released);
     if (free)
         return *lease.m_seenSince;
     const auto &record = lease.m_record;
@@ -91,10 +91,9 @@
                     ask(lease, LeaseRequest::Write);
                 })
         .action("waitToRenew", [](LeaseContext &lease) { ask(lease, LeaseRequest::None); })
-        .action("retryLater",
-                [](LeaseContext &lease) {
-                    ask(lease, lease.m_request, lease.m_settings.m_retryEvery);
-                })
+        .action(
+            "retryLater",
+            [](LeaseContext &lease) { ask(lease, lease.m_request, lease.m_settings.m_retryEvery); })
         .action("holdOff",
                 [](LeaseContext &lease) {
                     lease.m_holdOffUntil = lease.m_now + lease.m_settings.m_retryEvery;
--- a/store/lease.h
+++ b/store/lease.h
@@ -8,6 +8,7 @@
 
 #include <optional>
 
+#include "core/chart.h"
 #include "core/core.h"
 #include "store/objects.h"
 
--- a/store/lease_keeper.cpp
+++ b/store/lease_keeper.cpp
@@ -38,7 +38,8 @@
             break;
         }
         case LeaseRequest::None:
-            if (!sleepFor(m_context, std::clamp<Duration>(step.m_until - now, Millis(1), LongestSleep)))
+            if (!sleepFor(m_context,
+                          std::clamp<Duration>(step.m_until - now, Millis(1), LongestSleep)))
                 return;
         }
     }
--- a/tests/store/lease_test.cpp
+++ b/tests/store/lease_test.cpp
@@ -62,8 +62,7 @@
 
     TimePoint localTime(Duration now) const
     {
-        return TimePoint(Seconds(1000))
-            + Duration(Duration::rep(double(now.count()) * m_rate));
+        return TimePoint(Seconds(1000)) + Duration(Duration::rep(double(now.count()) * m_rate));
     }
 
     Lease m_lease;
