--- a/standin/program.cpp
+++ b/standin/program.cpp
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include "standin/engine_standin.h"
 #include "standin/flags.h"
 #include "standin/platform_standin.h"
 
@@ -110,8 +111,61 @@
     return serve<PlatformStandin>(settings, *address);
 }
 
+std::vector<Flag> batchFlags(EngineLimits &limits)
+{
+    return {
+        sizeFlag("memory-tokens", "KV memory in tokens (default 400000).", limits.m_memoryTokens),
+        sizeFlag("max-running", "Streams decoded at once (default 64).", limits.m_maxRunning),
+        sizeFlag("max-waiting", "Waiting streams (default 1000).", limits.m_maxWaiting),
+        switchFlag("wait-for-memory", "Queues what lacks memory, instead of no_memory.",
+                   limits.m_waitForMemory),
+        sizeFlag("stop-after", "Answers stop at this length in tokens; 0 is never (default 0).",
+                 limits.m_stopAfter),
+        sizeFlag("prefill-batch-tokens", "Short prefills that share a step (default 2048).",
+                 limits.m_prefillBatchTokens),
+        microsFlag("step-base-us", "Time of a step (default 5000).", limits.m_stepBase),
+        microsFlag("decode-us", "Time more for each running stream (default 100).",
+                   limits.m_decode),
+        realFlag("prefill-us-per-token", "Time more for each computed token (default 20).",
+                 limits.m_prefillMicrosPerToken),
+        realFlag("time-scale", "Factor on all step times; 0 is at once (default 1).",
+                 limits.m_timeScale),
+    };
+}
+
+int runEngine(int argc, char **argv)
+{
+    EngineSettings settings;
+    std::vector<Flag> flags = batchFlags(settings.m_limits);
+    flags.push_back(millisFlag("resume-ms", "How long a cut stream can be resumed (default 2000).",
+                               settings.m_resume));
+    flags.push_back(millisFlag("report-lag-ms", "Lag of /load (default 0).", settings.m_reportLag));
+    flags.push_back(
+        millisFlag("event-lag-ms", "Lag of /cache/events (default 0).", settings.m_eventLag));
+    flags.push_back(sizeFlag("event-gap-every", "Each such cache event is lost (default 0: none).",
+                             settings.m_eventGapEvery));
+    flags.push_back(sizeFlag("tokens-per-frame", "Tokens of a frame at least (default 1).",
+                             settings.m_tokensPerFrame));
+    flags.push_back(switchFlag("check-fencing", "Refuses orders with an old fencing number.",
+                               settings.m_checkFencing));
+    flags.push_back(
+        millisFlag("load-ms", "Time to load a model or adapter (default 0).", settings.m_loadTime));
+    flags.push_back({ "model",
+                      "NAME[:VERSION] loaded at the start; may be repeated; without any, "
+                      "every model is served until the first load order.",
+                      [&settings](const std::string &name) {
+                          settings.m_models.push_back(name);
+                          return !name.empty();
+                      } });
+    const auto address = parseAll(argc, argv, std::move(flags));
+    if (!address)
+        return BadUsage;
+    return serve<EngineStandin>(settings, *address);
+}
+
 constexpr std::array Subcommands{
     Subcommand{ "platform", "object service and VM list", runPlatform },
+    Subcommand{ "engine", "model engine with continuous batching", runEngine },
 };
 
 int printUsage()
