--- a/standin/engine_batch.cpp
+++ b/standin/engine_batch.cpp
@@ -4,7 +4,7 @@
 
 #include "standin/notifier.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 namespace {
 
@@ -322,4 +322,4 @@
     return stats;
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/engine_batch.h
+++ b/standin/engine_batch.h
@@ -8,7 +8,7 @@
 
 #include "standin/kv_memory.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 class Notifier;
 
@@ -149,4 +149,4 @@
     EngineStats m_stats;
 };
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/engine_calls.cpp
+++ b/standin/engine_calls.cpp
@@ -3,7 +3,7 @@
 
 #include "standin/engine_standin.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 namespace {
 
@@ -403,4 +403,4 @@
     respondJson(exchange, 200, { { "tokens", state->end() } });
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/engine_orders.cpp
+++ b/standin/engine_orders.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace stackquay {
+namespace stackquay::standin {
 
 namespace {
 
@@ -131,4 +131,4 @@
     return models;
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/engine_orders.h
+++ b/standin/engine_orders.h
@@ -8,7 +8,7 @@
 
 #include "standin/json_http.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 struct LoadedModel {
     std::string m_model;
@@ -55,4 +55,4 @@
             const std::string &adapter);
 Json modelsToJson(const EngineOrders &orders);
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/engine_prompt.cpp
+++ b/standin/engine_prompt.cpp
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>
 
-namespace stackquay {
+namespace stackquay::standin {
 
 namespace {
 
@@ -57,4 +57,4 @@
     return text;
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/engine_prompt.h
+++ b/standin/engine_prompt.h
@@ -9,7 +9,7 @@
 
 #include "core/core.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 inline constexpr size_t PromptBytesPerToken = 4;
 inline constexpr size_t BlockTokens = 256;
@@ -31,4 +31,4 @@
 /// The text of tokens [from, to) of the answer to @p prompt, as any engine stand-in gives it.
 std::string expectedAnswer(std::string_view prompt, size_t from, size_t to);
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/engine_standin.cpp
+++ b/standin/engine_standin.cpp
@@ -4,7 +4,7 @@
 
 #include <boost/fiber/operations.hpp>
 
-namespace stackquay {
+namespace stackquay::standin {
 
 namespace {
 
@@ -228,4 +228,4 @@
     return m_loads.front();
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/engine_standin.h
+++ b/standin/engine_standin.h
@@ -8,7 +8,7 @@
 #include "standin/engine_orders.h"
 #include "standin/notifier.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 struct EngineSettings {
     EngineLimits m_limits;
@@ -161,4 +161,4 @@
     return answer.get_future().get();
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/engine_stream.cpp
+++ b/standin/engine_stream.cpp
@@ -5,7 +5,7 @@
 
 #include "standin/engine_standin.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 namespace {
 
@@ -170,4 +170,4 @@
     m_expiry.notifyAll();
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/kv_memory.cpp
+++ b/standin/kv_memory.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace stackquay {
+namespace stackquay::standin {
 
 namespace {
 
@@ -172,4 +172,4 @@
     return expired;
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/kv_memory.h
+++ b/standin/kv_memory.h
@@ -13,7 +13,7 @@
 
 #include "standin/engine_prompt.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 /// A named reservation. Its blocks and private tokens come out of what it reserved.
 struct KvHandle {
@@ -92,4 +92,4 @@
     uint64_t m_sequence = 0;
 };
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/object_store.cpp
+++ b/standin/object_store.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace stackquay {
+namespace stackquay::standin {
 
 namespace {
 
@@ -95,4 +95,4 @@
     store.m_changes.clear();
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/program.cpp
+++ b/standin/program.cpp
@@ -12,7 +12,7 @@
 #include "standin/flags.h"
 #include "standin/platform_standin.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 namespace {
 
@@ -189,4 +189,4 @@
     return printUsage();
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/tests/standin/engine_standin_test.cpp
+++ b/tests/standin/engine_standin_test.cpp
@@ -1,6 +1,6 @@
 #include "client.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 namespace {
 
 constexpr size_t Block = BlockTokens;
@@ -512,4 +512,4 @@
 }
 
 } // namespace
-} // namespace stackquay
+} // namespace stackquay::standin
