--- a/standin/hosted.h
+++ b/standin/hosted.h
@@ -5,7 +5,7 @@
 
 #include "platform/platform.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 /// A started FiberThread with one stand-in on it, listening on a port from the kernel.
 template<typename Standin>
@@ -43,4 +43,4 @@
     Address m_address;
 };
 
-} // namespace stackquay
+} // namespace stackquay::standin
