--- a/standin/json_http.h
+++ b/standin/json_http.h
@@ -5,7 +5,7 @@
 
 #include "platform/platform.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 using Json = nlohmann::json;
 
@@ -21,4 +21,4 @@
 /// A number from a query value or a header; the default if it is empty or malformed.
 int64_t toInt(std::string_view text, int64_t defaultValue);
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/platform_standin.cpp
+++ b/standin/platform_standin.cpp
@@ -2,7 +2,7 @@
 
 #include <array>
 
-namespace stackquay {
+namespace stackquay::standin {
 
 namespace {
 
@@ -377,4 +377,4 @@
     respondJson(exchange, 200, { { "mode", textMember(body, "mode") } });
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
