--- a/standin/notifier.cpp
+++ b/standin/notifier.cpp
@@ -1,6 +1,6 @@
 #include "standin/notifier.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 bool Notifier::waitFor(Duration timeout)
 {
@@ -28,4 +28,4 @@
         timer->cancel();
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/platform_standin.h
+++ b/standin/platform_standin.h
@@ -8,7 +8,7 @@
 #include "standin/object_store.h"
 #include "standin/rate_bucket.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 enum class PlatformFaultMode {
     Ok,
@@ -108,4 +108,4 @@
 /// "down", "lose_answer" and so on.
 Result<PlatformFaultMode> parsePlatformFaultMode(std::string_view name);
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/tests/standin/client.h
+++ b/tests/standin/client.h
@@ -7,7 +7,7 @@
 
 #include "standin/standin.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 /// Runs calls on a FiberThread of its own and waits for them on the test's thread.
 class Client
@@ -69,4 +69,4 @@
     return response ? response->m_status : 0;
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/tests/standin/platform_standin_test.cpp
+++ b/tests/standin/platform_standin_test.cpp
@@ -1,6 +1,6 @@
 #include "client.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 namespace {
 
 class PlatformStandinTest : public testing::Test
@@ -152,4 +152,4 @@
 }
 
 } // namespace
-} // namespace stackquay
+} // namespace stackquay::standin
