--- a/standin/program.cpp
+++ b/standin/program.cpp
@@ -11,6 +11,7 @@
 #include "standin/engine_standin.h"
 #include "standin/flags.h"
 #include "standin/platform_standin.h"
+#include "standin/service_standin.h"
 
 namespace stackquay::standin {
 
@@ -163,9 +164,21 @@
     return serve<EngineStandin>(settings, *address);
 }
 
+int runService(int argc, char **argv)
+{
+    ServiceSettings settings;
+    const auto address = parseAll(argc, argv,
+                                  { millisFlag("service-ms", "Time to execute a call (default 0).",
+                                               settings.m_serviceTime) });
+    if (!address)
+        return BadUsage;
+    return serve<ServiceStandin>(settings, *address);
+}
+
 constexpr std::array Subcommands{
     Subcommand{ "platform", "object service and VM list", runPlatform },
     Subcommand{ "engine", "model engine with continuous batching", runEngine },
+    Subcommand{ "service", "plain service that counts its executions", runService },
 };
 
 int printUsage()
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -9,6 +9,7 @@
 #include "standin/object_store.h"
 #include "standin/platform_standin.h"
 #include "standin/program.h"
+#include "standin/service_standin.h"
 
 namespace stackquay {
 
@@ -20,5 +21,8 @@
 using standin::PlatformFault;
 using standin::PlatformFaultMode;
 using standin::PlatformStandin;
+using standin::ServiceFault;
+using standin::ServiceFaultMode;
+using standin::ServiceStandin;
 
 } // namespace stackquay
