Objectives name the length classes of the policy library

The intent kept length classes as free text with names of its own, while the policy library has since got LengthClass with its own names. Objectives now hold that type, the codec names the allowed values and the examples use them, so that reports and intent cannot drift apart.

--- a/policy/intent.cpp
+++ b/policy/intent.cpp
@@ -8,13 +8,6 @@
 
 namespace stackquay {
 
-const std::vector<std::string> &lengthClassNames()
-{
-    static const std::vector<std::string> Names{ "up_to_4k", "up_to_32k", "up_to_128k",
-                                                 "above_128k" };
-    return Names;
-}
-
 std::string hashKey(std::string_view key)
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
--- a/policy/intent.h
+++ b/policy/intent.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "policy/length_class.h"
 
 namespace stackquay {
 
@@ -107,7 +108,7 @@
     std::string m_name;
     std::optional<CustomerId> m_customer; ///< None: all customers.
     std::optional<ModelId> m_model; ///< None: all models.
-    std::optional<std::string> m_lengthClass; ///< One of lengthClassNames(); none: all.
+    std::optional<LengthClass> m_lengthClass; ///< None: all.
     Millis m_ttft{ 1600 };
     double m_target = 0.95; ///< Fraction of requests that meet m_ttft.
 
@@ -143,9 +144,6 @@
     bool operator==(const Intent &) const = default;
 };
 
-/// Names of the length classes by uncached prompt tokens, shortest first.
-const std::vector<std::string> &lengthClassNames();
-
 /// SHA-256, in hex, of a bearer key, as kept in the intent.
 std::string hashKey(std::string_view key);
 
--- a/policy/intent_check.cpp
+++ b/policy/intent_check.cpp
@@ -297,15 +297,12 @@
     void checkObjectives()
     {
         const Names customers = namesOf(m_intent.m_customers);
-        const Names classes(lengthClassNames().begin(), lengthClassNames().end());
         for (const Objective &objective : m_intent.m_objectives) {
             const std::string entity = "objective " + objective.m_name;
             if (objective.m_customer)
                 checkKnown(entity, "customer", objective.m_customer->str(), customers);
             if (objective.m_model)
                 checkKnown(entity, "model", objective.m_model->str(), m_models);
-            if (objective.m_lengthClass)
-                checkKnown(entity, "length_class", *objective.m_lengthClass, classes);
             if (objective.m_ttft.count() < 1)
                 add(entity, "ttft_ms", objective.m_ttft.count(), "at least 1");
             if (!(objective.m_target > 0 && objective.m_target < 1))
--- a/policy/intent_fields.h
+++ b/policy/intent_fields.h
@@ -31,6 +31,17 @@
     EnumName<OperatorRole>{ OperatorRole::Change, "change" },
 };
 
+inline constexpr std::array LengthClassNames{
+    EnumName<LengthClass>{ LengthClass::Short, "short" },
+    EnumName<LengthClass>{ LengthClass::Medium, "medium" },
+    EnumName<LengthClass>{ LengthClass::Long, "long" },
+    EnumName<LengthClass>{ LengthClass::VeryLong, "very-long" },
+};
+
+constexpr const auto &enumNames(LengthClass)
+{
+    return LengthClassNames;
+}
 constexpr const auto &enumNames(RoutingObjective)
 {
     return ObjectiveNames;
