--- a/standin/object_store.h
+++ b/standin/object_store.h
@@ -10,7 +10,7 @@
 
 #include "core/core.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 struct StoredObject {
     std::string m_value;
@@ -58,4 +58,4 @@
 /// Forgets all changes up to now, as a platform does when it compacts its log.
 void compactChanges(ObjectStore &store);
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/tests/store/platform_test.cpp
+++ b/tests/store/platform_test.cpp
@@ -3,8 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "fake_objects.h"
-#include "standin/hosted.h"
-#include "standin/platform_standin.h"
+#include "standin/standin.h"
 
 namespace stackquay {
 namespace {
@@ -66,7 +65,7 @@
 
 TEST_F(PlatformTest, VmsAreTyped)
 {
-    m_platform->setVms(Json::array({ { { "id", "vm1" },
+    m_platform->setVms(standin::Json::array({ { { "id", "vm1" },
                                        { "data_centre", "dc1" },
                                        { "udp", "127.0.0.1:1" },
                                        { "peer", "127.0.0.1:2" },
