--- a/scripts/install_deps.sh
+++ b/scripts/install_deps.sh
@@ -5,7 +5,7 @@
   g++ cmake ninja-build ccache clang-format clang-tidy
   libboost-dev libboost-fiber-dev libboost-context-dev
   libmsgpack-cxx-dev libspdlog-dev libfmt-dev libexpected-dev nlohmann-json3-dev
-  libpugixml-dev tao-pegtl-dev libxxhash-dev libssl-dev libgtest-dev libreadline-dev
+  libpugixml-dev tao-pegtl-dev libxxhash-dev libssl-dev libgtest-dev libreadline-dev libzstd-dev
 )
 missing=()
 for package in "${packages[@]}"; do
