--- a/policy/choose_endpoint.cpp
+++ b/policy/choose_endpoint.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include "policy/chunking.h"
+
 namespace stackquay {
 
 namespace {
@@ -39,7 +41,7 @@
 };
 
 StewardChoice predictChoice(const StewardCandidate &candidate, const RequestNeed &need,
-                            TimePoint now)
+                            TimePoint now, const StewardWeights &weights)
 {
     StewardChoice choice;
     choice.m_cachedTokens =
@@ -48,8 +50,19 @@
     const uint32_t batch = candidate.m_ledger->m_totals.m_decoding;
     choice.m_predictedPrefill = predictPrefill(
         *candidate.m_cost, { choice.m_uncachedTokens, choice.m_cachedTokens, batch });
-    choice.m_predictedTtft = prefillAhead(*candidate.m_ledger, now) + choice.m_predictedPrefill
-                             + predictDecodeStep(*candidate.m_cost, batch + 1);
+    const bool isLong = isLongPrefill(lengthClass(choice.m_uncachedTokens));
+    if (isLong && weights.m_chunkBound > Duration::zero()) {
+        const PrefillWork atEnd{ 0, need.m_promptTokens, batch };
+        choice.m_chunkTokens = chunkTokens(*candidate.m_cost, atEnd, weights.m_chunkBound);
+    }
+    choice.m_blocking = choice.m_predictedPrefill;
+    if (choice.m_chunkTokens != 0)
+        choice.m_blocking = std::min<Duration>(choice.m_blocking, weights.m_chunkBound);
+    // Chunks take turns with what comes later; a whole prefill waits only for what came before.
+    const auto ahead = choice.m_chunkTokens == 0 ? blockingAhead(*candidate.m_ledger, now)
+                                                 : prefillAhead(*candidate.m_ledger, now);
+    choice.m_predictedTtft =
+        ahead + choice.m_predictedPrefill + predictDecodeStep(*candidate.m_cost, batch + 1);
     return choice;
 }
 
@@ -62,7 +75,7 @@
     const auto &totals = candidate.m_ledger->m_totals;
     const uint32_t waiting = totals.m_grants - totals.m_decoding - totals.m_longPrefills;
     const double factor = weights.m_interference * waiting;
-    return std::chrono::duration_cast<Duration>(choice.m_predictedPrefill * factor);
+    return std::chrono::duration_cast<Duration>(choice.m_blocking * factor);
 }
 
 double meanGrants(std::span<const StewardCandidate> candidates)
@@ -234,11 +247,11 @@
         const auto &candidate = candidates[i];
         if (!candidate.m_usable)
             continue;
-        Scored entry{ predictChoice(candidate, need, now) };
+        Scored entry{ predictChoice(candidate, need, now, weights) };
         entry.m_choice.m_index = i;
-        const auto misfit =
-            checkFits(*candidate.m_ledger, { entry.m_choice.m_uncachedTokens,
-                                             need.m_promptTokens + need.m_outputTokens });
+        const auto misfit = checkFits(
+            *candidate.m_ledger,
+            { entry.m_choice.m_uncachedTokens, need.m_promptTokens + need.m_outputTokens }, now);
         const bool isLong = isLongPrefill(lengthClass(entry.m_choice.m_uncachedTokens));
         if (misfit || (isLong && !candidate.m_acceptsLong)) {
             refusal = leastRefusal(refusal, misfit.value_or(LedgerRefusal::LongPrefill));
