--- a/control/control.h
+++ b/control/control.h
@@ -1,12 +1,4 @@
-<<<<<<< HEAD
-/// Public header of the control library: the daemon, its control state and the operators' side.
-#pragma once
-
-#include "control/control_state.h"
-#include "control/daemon.h"
-#include "control/daemon_settings.h"
-=======
-/// Public header of the control library: the operators' language and what it drives.
+/// Public header of the control library: the daemon, and the operators' language and what it drives.
 #pragma once
 
 #include "control/apply.h"
@@ -14,13 +6,15 @@
 #include "control/command_http.h"
 #include "control/command_json.h"
 #include "control/command_store.h"
+#include "control/control_state.h"
 #include "control/ctl.h"
 #include "control/ctl_client.h"
 #include "control/ctl_options.h"
+#include "control/daemon.h"
+#include "control/daemon_settings.h"
 #include "control/intent_tables.h"
 #include "control/parser.h"
 #include "control/run_on.h"
 #include "control/runtime_tables.h"
 #include "control/statement.h"
 #include "control/table.h"
->>>>>>> routing
