Stewards, claims, membership and operators' commands in the daemon

The daemon placed each request on its own. It now joins the data centre's membership, pulls revisions through the relay, asks the steward of an endpoint's shard for a grant over the peers' calls, runs keyed non-repeatable calls only under a claim, and serves /control/execute.

--- a/control/control.h
+++ b/control/control.h
@@ -14,7 +14,6 @@
 #include "control/daemon_settings.h"
 #include "control/intent_tables.h"
 #include "control/parser.h"
-#include "control/run_on.h"
 #include "control/runtime_tables.h"
 #include "control/statement.h"
 #include "control/table.h"
--- a/control/control_state.cpp
+++ b/control/control_state.cpp
@@ -2,11 +2,15 @@
 
 #include <nlohmann/json.hpp>
 
+#include "control/command_store.h"
+
 namespace stackquay {
 
 namespace {
 
 constexpr Millis LoadTimeout{ 1'000 };
+constexpr Millis VmListPeriod{ 5'000 };
+constexpr Millis VmListFirstPeriod{ 500 };
 
 StoreSettings storeSettings(std::vector<Address> platform)
 {
@@ -15,6 +19,24 @@
     return settings;
 }
 
+RandomEngine seededEngine()
+{
+    return RandomEngine(std::random_device{}());
+}
+
+ClaimRuntime claimRuntime(FiberThread &thread)
+{
+    ClaimRuntime runtime;
+    runtime.m_sleep = [&thread](Duration duration) { return sleepFor(thread.context(), duration); };
+    return runtime;
+}
+
+uint64_t wallMillis()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<uint64_t>(std::chrono::duration_cast<Millis>(now).count());
+}
+
 std::optional<ReportedLoad> parseLoad(const std::string &body)
 {
     const auto json = nlohmann::json::parse(body, nullptr, false);
@@ -30,63 +52,196 @@
     return load;
 }
 
+LeavingEndpoints leavingEndpoints(const MemberList &members)
+{
+    LeavingEndpoints leaving;
+    for (const EndpointNotice &notice : members.m_notices) {
+        if (notice.m_active && notice.m_kind == NoticeKind::Leaving)
+            leaving.push_back(notice.m_endpoint);
+    }
+    return leaving;
+}
+
 } // namespace
 
 ControlState::ControlState(Node &node, FiberThread &thread, const DaemonSettings &settings,
-                           std::vector<Address> platform)
+                           std::vector<Address> platform, std::vector<Address> seeds)
     : m_node(node)
     , m_thread(thread)
-    , m_loadPollInterval(settings.m_loadPollInterval)
+    , m_settings(settings)
+    , m_seeds(std::move(seeds))
     , m_pool(thread.context())
-    , m_store(thread.context(), storeSettings(std::move(platform)),
-              RandomEngine(std::random_device{}()))
-    , m_intents(m_store, thread.context(), {}, RandomEngine(std::random_device{}()))
-{ }
+    , m_peerServer(thread, {}, node.m_peerTraffic)
+    , m_peerClient(thread.context(), {}, node.m_peerTraffic)
+    , m_stewards(node, thread, m_peerServer)
+    , m_store(thread.context(), storeSettings(std::move(platform)), seededEngine())
+    , m_intents(m_store, thread.context(), {}, seededEngine())
+    , m_claims(m_store, {}, claimRuntime(thread), node.m_settings.m_vm, seededEngine())
+{
+    bindStore(m_commands, m_intents, m_store);
+    bindCommands();
+    bindMetrics();
+    node.m_claims = makeClaimGate(thread, m_claims);
+}
+
+ControlState::~ControlState() = default;
+
+Status ControlState::listen(const Address &http)
+{
+    const auto peer = m_peerServer.listen(m_settings.m_peer);
+    if (!peer)
+        return tl::unexpected(peer.error());
+    VmInfo self;
+    self.m_id = m_node.m_settings.m_vm;
+    self.m_incarnation = wallMillis();
+    self.m_dataCentre = m_node.m_settings.m_dataCentre;
+    self.m_udp = m_settings.m_udp;
+    self.m_peer = *peer;
+    self.m_http = http;
+    m_membership =
+        std::make_unique<Membership>(m_thread, self, MembershipOptions(), m_node.m_peerTraffic);
+    m_membership->onChange([this](const MemberListPtr &list) { membersChanged(list); });
+    m_membership->setSeeds(m_seeds);
+    const auto udp = m_membership->start(m_settings.m_udp);
+    if (!udp)
+        return tl::unexpected(udp.error());
+    m_relay = std::make_unique<IntentRelay>(m_thread, *m_membership, m_peerServer, m_peerClient,
+                                            relayHooks());
+    m_members = m_membership->list();
+    log(LogPart::Control)
+        .info("Listening for peers. peer={} udp={}", toString(*peer), toString(*udp));
+    return {};
+}
 
 void ControlState::start()
 {
-    spawnFiber([this] {
-        m_intents.watch(revision(), [this](const IntentState &state) { applyIntent(state); });
-    });
+    m_relay->start();
+    m_stewards.m_onLeaving = [this](const EndpointId &endpoint, bool leaving) {
+        m_membership->addNotice({ endpoint, NoticeKind::Leaving, leaving, wallMillis() });
+    };
+    m_stewards.start();
+    spawnFiber([this] { followVmList(); });
     if (m_node.m_settings.m_policy == RoutingPolicy::LeastReported)
         spawnFiber([this] { pollLoads(); });
 }
 
-void ControlState::setPeers(std::vector<PeerRoute> peers)
+void ControlState::leave()
 {
-    m_peers = std::move(peers);
-    publish();
+    m_membership->leave();
 }
 
-void ControlState::applyIntent(const IntentState &state)
+IntentRelayHooks ControlState::relayHooks()
 {
-    if (state.m_revision <= revision())
-        return;
-    auto intent = decodeIntent(state.m_snapshot, UnknownFields::Ignore);
-    if (!intent) {
-        log(LogPart::Control)
-            .error("Intent is unusable. revision={} error={}", state.m_revision,
-                   intent.error().m_message);
-        return;
+    IntentRelayHooks hooks;
+    hooks.m_load = [this]() -> Result<RevisionText> {
+        return m_intents.load().map([](const IntentState &state) {
+            return RevisionText{ state.m_revision, state.m_snapshot };
+        });
+    };
+    hooks.m_watch = [this](uint64_t above, const IntentRelayHooks::Taker &taker) {
+        m_intents.resume();
+        m_intents.watch(above, [&taker](const IntentState &state) {
+            taker(RevisionText{ state.m_revision, state.m_snapshot });
+        });
+    };
+    hooks.m_stopWatch = [this] { m_intents.stop(); };
+    hooks.m_apply = [this](const RevisionText &text) { return applyIntent(text); };
+    return hooks;
+}
+
+void ControlState::bindCommands()
+{
+    m_commands.m_intent = [this] { return m_intent; };
+    m_commands.m_committed = [this](const IntentState &state) {
+        const Status offered = m_relay->offer({ state.m_revision, state.m_snapshot });
+        if (!offered)
+            log(LogPart::Control)
+                .error("Own change is unusable. error={}", toString(offered.error()));
+    };
+    m_commands.m_runtime = [this] { return runtime(); };
+    m_commands.m_explain = [](const WhyStatement &) -> Result<Explanation> {
+        return makeError(ErrorCode::NotFound, "nothing is recorded about it on this VM");
+    };
+    m_commands.m_sleep = [this](Duration duration) {
+        return sleepFor(m_thread.context(), duration);
+    };
+    m_commands.m_now = [] { return Clock::now(); };
+}
+
+void ControlState::bindMetrics()
+{
+    MetricsRegistry &registry = m_node.m_metrics;
+    Counter &in = registry.counter("stackquay_control_bytes_in_total",
+                                   "Payload bytes received from peers, probes and calls.");
+    Counter &out = registry.counter("stackquay_control_bytes_out_total",
+                                    "Payload bytes sent to peers, probes and calls.");
+    Gauge &revision = registry.gauge("stackquay_intent_revision", "Revision in force.");
+    Counter &reads = registry.counter("stackquay_store_reads_total", "Reads of the store.");
+    Counter &writes = registry.counter("stackquay_store_writes_total", "Writes to the store.");
+    registry.onCollect([&in, &out, &revision, &reads, &writes, this] {
+        const PeerTraffic &traffic = *m_node.m_peerTraffic;
+        in.set(traffic.m_datagramBytesIn + traffic.m_rpcBytesIn);
+        out.set(traffic.m_datagramBytesOut + traffic.m_rpcBytesOut);
+        const RoutingViewPtr view = m_node.m_view.get();
+        revision.set(view ? static_cast<double>(view->m_revision) : 0);
+        const StoreCounters counters = m_store.counters();
+        reads.set(counters.m_gets + counters.m_lists + counters.m_watches + counters.m_vmLists);
+        writes.set(counters.m_puts + counters.m_removes);
+    });
+}
+
+RuntimeState ControlState::runtime() const
+{
+    RuntimeState state;
+    for (const VmInfo &vm : m_members->m_vms) {
+        VmRow row;
+        row.m_id = vm.m_id;
+        row.m_dataCentre = vm.m_dataCentre;
+        row.m_state = vmStateName(vm.m_state);
+        row.m_revision = vm.m_intentRevision;
+        row.m_address = toString(vm.m_http);
+        state.m_vms.push_back(std::move(row));
     }
-    intent->m_revision = state.m_revision;
+    return state;
+}
+
+Status ControlState::applyIntent(const RevisionText &text)
+{
+    auto intent = decodeIntent(text.m_text, UnknownFields::Ignore);
+    if (!intent)
+        return tl::unexpected(intent.error());
+    intent->m_revision = text.m_revision;
     m_intent = std::make_shared<const Intent>(std::move(*intent));
-    log(LogPart::Control).info("Intent in force. revision={}", state.m_revision);
+    log(LogPart::Control).info("Intent in force. revision={}", text.m_revision);
     publish();
+    return {};
+}
+
+void ControlState::membersChanged(const MemberListPtr &list)
+{
+    const bool sameMembers = m_members && m_members->m_version == list->m_version;
+    m_members = list;
+    m_relay->membersChanged(list);
+    if (!sameMembers)
+        publish();
 }
 
 void ControlState::publish()
 {
     if (!m_intent)
         return;
-    const auto view =
-        buildRoutingView(m_intent, m_node.m_settings.m_dataCentre, m_peers, m_leaving);
+    std::vector<PeerRoute> peers;
+    for (const VmInfo &vm : m_members->roleHolders())
+        peers.push_back({ vm.m_id, vm.m_peer });
+    const auto view = buildRoutingView(m_intent, m_node.m_settings.m_dataCentre, std::move(peers),
+                                       leavingEndpoints(*m_members));
     const TimePoint now = Clock::now();
     for (const Customer &customer : m_intent->m_customers) {
         const LimitSlice slice = equalSlice(customer, *view, m_node.m_settings.m_vm);
         m_node.m_admission.setSlice(customer.m_id, slice, now);
     }
     m_node.m_view.publish(view);
+    m_stewards.update(*view);
 }
 
 void ControlState::pollLoads()
@@ -99,7 +254,7 @@
             for (const EndpointRoute &endpoint : route.m_endpoints)
                 pollLoad(endpoint);
         }
-    } while (sleepFor(m_thread.context(), m_loadPollInterval));
+    } while (sleepFor(m_thread.context(), m_settings.m_loadPollInterval));
 }
 
 void ControlState::pollLoad(const EndpointRoute &endpoint)
@@ -115,4 +270,43 @@
     });
 }
 
+bool ControlState::watchesStore() const
+{
+    for (const VmInfo &vm : storeWatchers(*m_members)) {
+        if (vm.m_id == m_node.m_settings.m_vm)
+            return true;
+    }
+    return false;
+}
+
+void ControlState::followVmList()
+{
+    // Few VMs read the list for all; one that knows no other has to read it to find them.
+    for (;;) {
+        const bool alone = m_members->m_vms.size() <= 1;
+        if (alone || watchesStore()) {
+            const auto list = m_store.vms();
+            if (list)
+                takeVmList(*list);
+        }
+        if (!sleepFor(m_thread.context(), alone ? VmListFirstPeriod : VmListPeriod))
+            return;
+    }
+}
+
+void ControlState::takeVmList(const VmList &list)
+{
+    std::vector<Address> seeds = m_seeds;
+    for (const ListedVm &vm : list.m_vms) {
+        if (vm.m_dataCentre != m_node.m_settings.m_dataCentre)
+            continue;
+        const auto udp = parseAddress(vm.m_udp);
+        if (udp)
+            seeds.push_back(*udp);
+        if (vm.m_leaving)
+            m_membership->markLeaving(vm.m_id);
+    }
+    m_membership->setSeeds(std::move(seeds));
+}
+
 } // namespace stackquay
--- a/control/ctl_client.cpp
+++ b/control/ctl_client.cpp
@@ -7,7 +7,7 @@
 
 #include "control/command_http.h"
 #include "control/command_json.h"
-#include "control/run_on.h"
+#include "platform/platform.h"
 
 namespace stackquay {
 
--- a/control/daemon.cpp
+++ b/control/daemon.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "control/command_http.h"
+
 namespace stackquay {
 
 namespace {
@@ -64,8 +66,12 @@
     auto platform = parseAddresses(m_settings.m_platform);
     if (!platform)
         return tl::unexpected(platform.error());
+    auto seeds = parseAddresses(m_settings.m_seeds);
+    if (!seeds)
+        return tl::unexpected(seeds.error());
     m_node = std::make_unique<Node>(nodeSettings(m_settings), std::move(*chart));
-    m_state = std::make_unique<ControlState>(*m_node, m_control, m_settings, std::move(*platform));
+    m_state = std::make_unique<ControlState>(*m_node, m_control, m_settings, std::move(*platform),
+                                             std::move(*seeds));
     for (uint32_t i = 0; i < m_settings.m_threads; ++i)
         m_workers.push_back(std::make_unique<TrafficWorker>(*m_node, fmt::format("traffic-{}", i)));
     return {};
@@ -77,18 +83,18 @@
     limits.m_bodyBytes = m_settings.m_maxBodyBytes;
     m_http = m_settings.m_http;
     for (const auto &worker : m_workers) {
-        m_servers.push_back(
-            std::make_unique<HttpServer>(worker->thread(), makeRoutes(*worker), limits));
+        m_servers.push_back(std::make_unique<HttpServer>(
+            worker->thread(), makeRoutes(*worker, operatorRoutes()), limits));
         const auto bound = m_servers.back()->listen(m_http);
         if (!bound)
             return tl::unexpected(bound.error());
         m_http = *bound;
     }
+    const Status peers = m_state->listen(m_http);
+    if (!peers)
+        return peers;
     m_control.start();
-    m_control.post([this] {
-        m_state->start();
-        m_state->setPeers({ { m_node->m_settings.m_vm, m_settings.m_peer } });
-    });
+    m_control.post([this] { m_state->start(); });
     for (const auto &worker : m_workers)
         worker->thread().start();
     log(LogPart::Main)
@@ -97,6 +103,11 @@
     return {};
 }
 
+std::vector<ExtraRoute> Daemon::operatorRoutes()
+{
+    return { { CommandPath, makeCommandHandler(m_control, m_state->commands()) } };
+}
+
 void Daemon::drain()
 {
     const int drains = ++m_drains;
@@ -119,6 +130,7 @@
 {
     log(LogPart::Main).info("Draining.");
     m_node->m_draining = true;
+    m_state->leave();
     const TimePoint acceptUntil = Clock::now() + m_settings.m_drainLag;
     while (Clock::now() < acceptUntil && m_drains < 2 && sleepFor(m_control.context(), DrainPoll)) {
     }
--- a/control/daemon.h
+++ b/control/daemon.h
@@ -29,6 +29,7 @@
 
     Status init();
     Status listen();
+    std::vector<ExtraRoute> operatorRoutes();
     void drainFiber();
     bool requestsInProgress() const;
 
--- a/control/daemon_settings.h
+++ b/control/daemon_settings.h
@@ -15,7 +15,7 @@
     std::vector<std::string> m_seeds; ///< UDP addresses of other VMs of the data centre.
     uint32_t m_threads = 2;
     std::string m_charts = "charts";
-    RoutingPolicy m_policy = RoutingPolicy::LeastReported;
+    RoutingPolicy m_policy = RoutingPolicy::Steward;
     Millis m_drainLag{ 5'000 };
     Millis m_drainTimeout{ 900'000 };
     Millis m_loadPollInterval{ 1'000 };
--- a/entry/completion_run.cpp
+++ b/entry/completion_run.cpp
@@ -26,6 +26,20 @@
               toString(address));
 }
 
+/// What an engine's own refusal tells the steward.
+AttemptEnd attemptEndFor(std::string_view reason)
+{
+    if (reason == "no_memory")
+        return AttemptEnd::NoMemory;
+    if (reason == "queue_full")
+        return AttemptEnd::QueueFull;
+    if (reason == "draining")
+        return AttemptEnd::Draining;
+    if (reason == "model_not_loaded")
+        return AttemptEnd::ModelNotLoaded;
+    return AttemptEnd::Failed;
+}
+
 } // namespace
 
 CompletionRun::CompletionRun(TrafficWorker &worker, HttpExchange &exchange,
@@ -88,7 +102,7 @@
 
 RequestEvent CompletionRun::expired()
 {
-    m_placementEnd = PlacementEnd::Abandoned;
+    m_report.m_end = AttemptEnd::Cancelled;
     if (m_expiry == RequestError::ShuttingDown)
         fail(m_expiry, "this VM is shutting down");
     else
@@ -118,13 +132,19 @@
     request.m_need = m_need;
     request.m_deadline = m_admitted.m_deadline;
     request.m_excluded = m_excluded;
-    auto placement = stackquay::place(m_worker, *m_route, request);
+    request.m_arrived = context.m_arrived;
+    auto placement = stackquay::place(m_worker, *m_route, request, m_wait);
+    if (m_hungUp && !placement)
+        return RequestEvent::HungUp;
     if (!placement) {
         m_refusal = placement.error();
         return RequestEvent::NoEndpoint;
     }
     m_placement = std::move(*placement);
-    m_placementEnd = PlacementEnd::Failed;
+    m_report = AttemptReport();
+    m_report.m_end = AttemptEnd::Failed;
+    m_prefilled = m_placement->m_grant ? m_placement->m_grant->m_cachedTokens : 0;
+    notePlacement(m_worker, *m_placement, GrantStep::Started, timeout());
     return RequestEvent::Granted;
 }
 
@@ -149,6 +169,7 @@
     if (prefilled->m_prefilled <= m_prefilled)
         return RequestEvent::Prefilled; // The cache cannot hold more: the rest goes at once.
     m_prefilled = prefilled->m_prefilled;
+    m_placement->m_chunkTokens = nextChunk(m_worker, *m_placement, m_prefilled);
     return needsChunks() ? RequestEvent::ChunkDone : RequestEvent::Prefilled;
 }
 
@@ -174,7 +195,7 @@
     facts.m_reply = failure.m_notRun ? EndpointReply::NotRun : EndpointReply::Nothing;
     facts.m_replyIsOurs = true;
     m_attempts.push_back(facts);
-    m_placementEnd = failure.m_reason.empty() ? PlacementEnd::Failed : PlacementEnd::NotRun;
+    m_report.m_end = attemptEndFor(failure.m_reason);
     if (failure.m_error.m_code == ErrorCode::InvalidArgument) {
         fail(RequestError::PromptTooLong, failure.m_error.m_message);
         return RequestEvent::Rejected;
@@ -240,7 +261,11 @@
 {
     noteFirstToken();
     m_running = false;
-    m_placementEnd = PlacementEnd::Complete;
+    m_report.m_end = AttemptEnd::Complete;
+    m_report.m_cachedTokens = frame.m_cached;
+    m_report.m_prefill = frame.m_prefill;
+    m_report.m_decode = Clock::now() - m_firstTokenAt;
+    m_report.m_outputTokens = frame.m_tokens;
     m_attempts.back().m_reply = EndpointReply::Whole;
     if (!m_answer.finish(frame))
         return RequestEvent::HungUp;
@@ -324,8 +349,8 @@
     if (!m_placement)
         return;
     if (m_hungUp)
-        m_placementEnd = PlacementEnd::Abandoned;
-    endPlacement(m_worker, *m_placement, m_placementEnd);
+        m_report.m_end = AttemptEnd::Cancelled;
+    endPlacement(m_worker, *m_placement, m_report);
     m_placement.reset();
 }
 
@@ -349,7 +374,8 @@
     attempt.m_adapter = request.m_adapter;
     attempt.m_prompt = request.m_prompt;
     attempt.m_maxTokens = request.m_maxTokens;
-    attempt.m_priority = m_admitted.m_context.m_priority;
+    attempt.m_priority =
+        enginePriority(m_admitted.m_context.m_priority, isLongPrefill(m_admitted.m_length));
     attempt.m_owner = m_worker.node().owner();
     attempt.m_skip = m_position;
     return attempt;
@@ -368,6 +394,8 @@
     if (m_firstToken)
         return;
     m_firstToken = true;
+    m_firstTokenAt = Clock::now();
+    notePlacement(m_worker, *m_placement, GrantStep::FirstToken, timeout());
     const RequestContext &context = m_admitted.m_context;
     m_worker.node().m_entryMetrics.recordTtft(context.m_customer->m_id,
                                               m_admitted.m_request.m_model, m_admitted.m_length,
@@ -383,6 +411,7 @@
 void CompletionRun::onHangup()
 {
     m_hungUp = true;
+    cancelPlacement(m_worker, m_admitted.m_context.m_id, m_wait);
     if (m_stream)
         m_stream->cancel();
 }
--- a/entry/completion_run.h
+++ b/entry/completion_run.h
@@ -73,7 +73,9 @@
     std::vector<AttemptFacts> m_attempts;
     std::vector<EndpointId> m_excluded;
     std::optional<Placement> m_placement;
-    PlacementEnd m_placementEnd = PlacementEnd::Failed;
+    PlacementWait m_wait;
+    AttemptReport m_report; ///< Of the present attempt.
+    TimePoint m_firstTokenAt;
     AttemptId m_attempt;
     std::unique_ptr<EngineStream> m_stream;
     Refusal m_refusal; ///< Why the request fails, if it does.
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -4,4 +4,6 @@
 #include "entry/http_routes.h"
 #include "entry/node.h"
 #include "entry/routing_view.h"
+#include "entry/shards.h"
+#include "entry/steward_service.h"
 #include "entry/traffic_worker.h"
--- a/entry/entry_metrics.h
+++ b/entry/entry_metrics.h
@@ -16,6 +16,7 @@
     void countOutcome(Outcome outcome);
     void countAttempt() { m_attempts.add(); }
     void countRetry() { m_retries.add(); }
+    void countFallback() { m_fallbacks.add(); }
     void countResume() { m_resumes.add(); }
     void countTokens(uint64_t tokens) { m_tokens.add(tokens); }
     void recordTtft(const CustomerId &customer, const ModelId &model, LengthClass length,
@@ -29,6 +30,7 @@
     Counter &m_attempts;
     Counter &m_retries;
     Counter &m_resumes;
+    Counter &m_fallbacks;
     Counter &m_tokens;
 };
 
--- a/entry/node.h
+++ b/entry/node.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include "entry/admission_gate.h"
+#include "entry/claim_gate.h"
 #include "entry/endpoint_table.h"
 #include "entry/entry_metrics.h"
 #include "entry/request_chart.h"
 #include "entry/routing_view.h"
+#include "peers/peers.h"
 
 namespace stackquay {
 
@@ -13,7 +15,7 @@
     VmId m_vm;
     std::string m_incarnation; ///< Unguessable; new at each start.
     DataCentreId m_dataCentre;
-    RoutingPolicy m_policy = RoutingPolicy::LeastReported;
+    RoutingPolicy m_policy = RoutingPolicy::Steward;
     DeadlineSettings m_deadlines;
     /// An engine that sends nothing for this long after its first token is taken for dead.
     Millis m_streamIdleTimeout{ 10'000 };
@@ -37,6 +39,8 @@
     RoutingViewHolder m_view;
     EndpointTable m_endpoints;
     AdmissionGate m_admission;
+    ClaimGate m_claims;
+    std::shared_ptr<PeerTraffic> m_peerTraffic = std::make_shared<PeerTraffic>();
     std::atomic<bool> m_draining{ false };
 };
 
--- /dev/null
+++ b/entry/recorded_outcome.cpp
@@ -0,0 +1,89 @@
+#include "entry/recorded_outcome.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace stackquay {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t PlainGroup = 3; ///< Bytes that make one base64 group...
+constexpr size_t CodedGroup = 4; ///< ... of so many characters.
+
+std::string encodeBase64(const std::string &plain)
+{
+    std::string coded((plain.size() + PlainGroup - 1) / PlainGroup * CodedGroup + 1, '\0');
+    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(coded.data()),
+                                     reinterpret_cast<const unsigned char *>(plain.data()),
+                                     static_cast<int>(plain.size()));
+    coded.resize(static_cast<size_t>(size));
+    return coded;
+}
+
+/// Padding decodes to zero bytes, so the true size is kept beside the text.
+std::optional<std::string> decodeBase64(const std::string &coded, size_t plainSize)
+{
+    std::string plain(coded.size() / CodedGroup * PlainGroup + 1, '\0');
+    const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(plain.data()),
+                                     reinterpret_cast<const unsigned char *>(coded.data()),
+                                     static_cast<int>(coded.size()));
+    if (size < 0 || static_cast<size_t>(size) < plainSize)
+        return std::nullopt;
+    plain.resize(plainSize);
+    return plain;
+}
+
+Refusal unknownOutcome(std::string message)
+{
+    Refusal refusal;
+    refusal.m_error = RequestError::OutcomeUnknown;
+    refusal.m_outcome = Outcome::FailedMayHaveRun;
+    refusal.m_message = std::move(message);
+    return refusal;
+}
+
+} // namespace
+
+std::string encodeRecordedOutcome(const tl::expected<HttpResponse, Refusal> &outcome)
+{
+    if (!outcome)
+        return Json{ { "failed", outcome.error().m_message } }.dump(-1, ' ', true,
+                                                                    Json::error_handler_t::replace);
+    Json headers = Json::array();
+    for (const HttpHeader &header : outcome->m_headers)
+        headers.push_back({ header.m_name, encodeBase64(header.m_value), header.m_value.size() });
+    const Json json{ { "status", outcome->m_status },
+                     { "headers", headers },
+                     { "size", outcome->m_body.size() },
+                     { "body", encodeBase64(outcome->m_body) } };
+    return json.dump(-1, ' ', true, Json::error_handler_t::replace);
+}
+
+tl::expected<HttpResponse, Refusal> decodeRecordedOutcome(const std::string &text)
+{
+    const Json json = Json::parse(text, nullptr, false);
+    if (!json.is_object())
+        return tl::unexpected(unknownOutcome("the kept outcome cannot be read"));
+    if (json.contains("failed"))
+        return tl::unexpected(unknownOutcome("the call with this key failed and may have run"));
+    HttpResponse response;
+    response.m_status = json.value("status", 200u);
+    const auto body =
+        decodeBase64(json.value("body", std::string()), json.value("size", size_t(0)));
+    if (!body)
+        return tl::unexpected(unknownOutcome("the kept outcome cannot be read"));
+    response.m_body = *body;
+    for (const Json &header : json.value("headers", Json::array())) {
+        if (!header.is_array() || header.size() != 3 || !header[0].is_string()
+            || !header[1].is_string() || !header[2].is_number_unsigned())
+            continue;
+        const auto value = decodeBase64(header[1].get<std::string>(), header[2].get<size_t>());
+        if (value)
+            response.m_headers.push_back({ header[0].get<std::string>(), *value });
+    }
+    return response;
+}
+
+} // namespace stackquay
--- a/entry/routing_view.cpp
+++ b/entry/routing_view.cpp
@@ -11,14 +11,42 @@
     return std::find(endpoints.begin(), endpoints.end(), id) != endpoints.end();
 }
 
-void addEndpoint(RoutingView &view, const Endpoint &endpoint, bool leaving)
+/// An engine counts in the shards of the first model that it may serve, so that a model's engines
+/// are together in as few shards as possible.
+using ShardCounts = std::unordered_map<ModelId, uint32_t>;
+
+ShardCounts countShards(const Intent &intent, const DataCentreId &dataCentre)
+{
+    std::unordered_map<ModelId, size_t> engines;
+    for (const Endpoint &endpoint : intent.m_endpoints) {
+        if (endpoint.m_dataCentre == dataCentre && !endpoint.m_models.empty())
+            ++engines[endpoint.m_models.front()];
+    }
+    ShardCounts counts;
+    for (const auto &[model, count] : engines)
+        counts[model] = shardCount(count);
+    return counts;
+}
+
+std::string shardKeyOf(const Endpoint &endpoint, const ShardCounts &counts)
+{
+    if (endpoint.m_models.empty())
+        return {};
+    const ModelId &model = endpoint.m_models.front();
+    const DataCentreId group(endpoint.m_dataCentre.str() + "/" + model.str());
+    return shardKey(group, shardOf(endpoint.m_id, counts.at(model)));
+}
+
+void addEndpoint(RoutingView &view, const Endpoint &endpoint, bool leaving,
+                 const ShardCounts &shards)
 {
     const auto address = parseAddress(endpoint.m_address);
     if (!address) {
         log(LogPart::Entry).warn("Endpoint address is unusable. endpoint={}", endpoint.m_id.str());
         return;
     }
-    const EndpointRoute route{ endpoint.m_id, *address, endpoint.m_draining || leaving };
+    const EndpointRoute route{ endpoint.m_id, *address, endpoint.m_draining || leaving,
+                               shardKeyOf(endpoint, shards) };
     for (const ModelId &model : endpoint.m_models) {
         const auto found = view.m_models.find(model);
         if (found != view.m_models.end())
@@ -68,9 +96,10 @@
         view->m_models[model.m_id].m_model = model;
     for (const Service &service : intent->m_services)
         view->m_services[service.m_id].m_service = service;
+    const ShardCounts shards = countShards(*intent, view->m_dataCentre);
     for (const Endpoint &endpoint : intent->m_endpoints) {
         if (endpoint.m_dataCentre == view->m_dataCentre)
-            addEndpoint(*view, endpoint, contains(leaving, endpoint.m_id));
+            addEndpoint(*view, endpoint, contains(leaving, endpoint.m_id), shards);
     }
     for (auto &[id, route] : view->m_models)
         sortEndpoints(route.m_endpoints);
--- a/entry/routing_view.h
+++ b/entry/routing_view.h
@@ -16,6 +16,7 @@
     EndpointId m_id;
     Address m_address;
     bool m_draining = false; ///< Gets no new work.
+    std::string m_shard; ///< Engines: the key of the shard that they belong to.
 };
 
 struct ModelRoute {
--- a/entry/service_handler.cpp
+++ b/entry/service_handler.cpp
@@ -7,6 +7,7 @@
 #include "endpoint/endpoint.h"
 #include "entry/completion_answer.h"
 #include "entry/placement.h"
+#include "entry/recorded_outcome.h"
 #include "entry/request_context.h"
 
 namespace stackquay {
@@ -14,6 +15,9 @@
 namespace {
 
 constexpr std::string_view ServicePrefix = "/service/";
+constexpr Millis StoreRetryAfter{ 1'000 };
+/// How long the outcome of a call is tried to be kept before its caller is answered.
+constexpr Millis SettleTimeout{ 5'000 };
 
 /// "/service/NAME/rest?query" in its parts.
 struct ServiceTarget {
@@ -144,6 +148,61 @@
     }
 }
 
+tl::expected<HttpResponse, Refusal> refuseClaim(const ClaimResult &result)
+{
+    switch (result.m_outcome) {
+    case ClaimOutcome::InProgress:
+        return tl::unexpected(refuseNotRun(RequestError::DuplicateInProgress,
+                                           "a call with this idempotency key is in progress"));
+    case ClaimOutcome::DifferentBody:
+        return tl::unexpected(refuseNotRun(RequestError::InvalidRequest,
+                                           "the idempotency key belongs to a different call"));
+    case ClaimOutcome::Recorded:
+        return decodeRecordedOutcome(result.m_recorded);
+    case ClaimOutcome::Claimed:
+    case ClaimOutcome::Freed:
+    case ClaimOutcome::Refused:
+        break;
+    }
+    Refusal refusal = refuseNotRun(RequestError::StoreUnavailable, result.m_error.m_message);
+    refusal.m_retryAfter = StoreRetryAfter;
+    return tl::unexpected(std::move(refusal));
+}
+
+/// Keeps the outcome for repeats, or gives the claim up if nothing ran.
+void settleClaim(Node &node, const ClaimHandle &claim,
+                 const tl::expected<HttpResponse, Refusal> &outcome)
+{
+    const TimePoint deadline = Clock::now() + SettleTimeout;
+    const bool notRun = !outcome && outcome.error().m_outcome == Outcome::RefusedNotRun;
+    const Status settled =
+        notRun ? node.m_claims.m_free(claim, deadline)
+               : node.m_claims.m_record(claim, encodeRecordedOutcome(outcome), deadline);
+    if (!settled)
+        log(LogPart::Entry).warn("Claim is not settled. error={}", toString(settled.error()));
+}
+
+/// Claims the key, runs the call if the claim is ours, and keeps what became of it.
+tl::expected<HttpResponse, Refusal> executeClaimed(ServiceRun &run)
+{
+    Node &node = run.m_worker.node();
+    ClaimRequest request;
+    request.m_customer = run.m_context.m_customer->m_id;
+    request.m_key = run.m_context.m_idempotencyKey;
+    request.m_bodyHash = hashKey(run.m_request.m_method + " " + run.m_request.m_target + "\n"
+                                 + run.m_request.m_body);
+    request.m_attempt = AttemptId(randomToken());
+    request.m_retention = run.m_route.m_service.m_retention;
+    request.m_deadline = run.m_deadline;
+    const ClaimResult result = node.m_claims.m_claim(request);
+    if (result.m_outcome != ClaimOutcome::Claimed)
+        return refuseClaim(result);
+    const ClaimHandle claim{ request.m_customer, request.m_key, request.m_attempt };
+    auto outcome = execute(run);
+    settleClaim(node, claim, outcome);
+    return outcome;
+}
+
 tl::expected<HttpResponse, Refusal> serve(TrafficWorker &worker, HttpRequest &http,
                                           const RequestId &id)
 {
@@ -156,10 +215,6 @@
     if (!route)
         return tl::unexpected(refuseNotRun(RequestError::ServiceNotFound, "no such service"));
     const bool repeatable = route->m_service.m_repeatable && context->m_repeatable;
-    if (!repeatable && !context->m_idempotencyKey.empty())
-        return tl::unexpected(
-            refuseNotRun(RequestError::StoreUnavailable,
-                         "idempotency keys need the store, which is not connected"));
     ServiceRun run{ worker, *context, *route, {}, repeatable, {}, {}, {} };
     run.m_request.m_method = http.m_method;
     run.m_request.m_target = target->m_rest;
@@ -167,6 +222,8 @@
     run.m_request.m_body = std::move(http.m_body);
     run.m_deadline = requestDeadline(worker.node().m_settings.m_deadlines,
                                      context->m_wishedDeadline, LengthClass::Short, arrived);
+    if (!repeatable && !context->m_idempotencyKey.empty())
+        return executeClaimed(run);
     return execute(run);
 }
 
--- a/entry/traffic_worker.cpp
+++ b/entry/traffic_worker.cpp
@@ -8,6 +8,7 @@
     : m_node(node)
     , m_thread(name)
     , m_pool(m_thread.context())
+    , m_peers(m_thread.context(), {}, node.m_peerTraffic)
     , m_random(std::random_device{}())
 { }
 
--- a/entry/traffic_worker.h
+++ b/entry/traffic_worker.h
@@ -4,6 +4,7 @@
 #include <unordered_set>
 
 #include "entry/node.h"
+#include "peers/peers.h"
 #include "platform/platform.h"
 
 namespace stackquay {
@@ -16,6 +17,7 @@
     Node &node() { return m_node; }
     FiberThread &thread() { return m_thread; }
     HttpPool &pool() { return m_pool; }
+    PeerClient &peers() { return m_peers; }
     RandomEngine &random() { return m_random; }
     RoundRobinState &roundRobin() { return m_roundRobin; }
     /// The runs in progress. On the thread.
@@ -27,6 +29,7 @@
     Node &m_node;
     FiberThread m_thread;
     HttpPool m_pool;
+    PeerClient m_peers;
     RandomEngine m_random;
     RoundRobinState m_roundRobin;
     std::unordered_set<CompletionRun *> m_runs;
--- a/scripts/install_deps.sh
+++ b/scripts/install_deps.sh
@@ -2,7 +2,7 @@
 # Installs the packages that the build needs, only those that are missing.
 set -euo pipefail
 packages=(
-  g++ cmake ninja-build ccache clang-format clang-tidy
+  curl g++ cmake ninja-build ccache clang-format clang-tidy
   libboost-dev libboost-fiber-dev libboost-context-dev
   libmsgpack-cxx-dev libspdlog-dev libfmt-dev libexpected-dev nlohmann-json3-dev
   libpugixml-dev tao-pegtl-dev libxxhash-dev libssl-dev libgtest-dev libreadline-dev libzstd-dev
--- a/store/intent_store.h
+++ b/store/intent_store.h
@@ -66,6 +66,8 @@
     /// thread stops or stop() is called. Falls back to reading while watching fails.
     void watch(uint64_t revision, const Callback &callback);
     void stop() { m_stopped = true; }
+    /// Lets watch() run again after stop().
+    void resume() { m_stopped = false; }
     /// Removes snapshots that neither the head nor a kept change names, such as those of commits
     /// that lost. commit() removes what falls out of the head by itself.
     Status dropOldSnapshots();
