--- a/control/control_state.cpp
+++ b/control/control_state.cpp
@@ -105,6 +105,7 @@
     const auto udp = m_membership->start(m_settings.m_udp);
     if (!udp)
         return tl::unexpected(udp.error());
+    m_udp = *udp;
     m_relay = std::make_unique<IntentRelay>(m_thread, *m_membership, m_peerServer, m_peerClient,
                                             relayHooks());
     m_members = m_membership->list();
--- a/control/control_state.h
+++ b/control/control_state.h
@@ -25,6 +25,8 @@
     /// Tells the others that this VM takes over nothing new. On the thread.
     void leave();
 
+    /// For probes; known after listen().
+    const Address &udpAddress() const { return m_udp; }
     const CommandEnvironment &commands() const { return m_commands; }
 
 private:
@@ -46,6 +48,7 @@
     FiberThread &m_thread;
     const DaemonSettings &m_settings;
     std::vector<Address> m_seeds;
+    Address m_udp;
     HttpPool m_pool;
     PeerServer m_peerServer;
     PeerClient m_peerClient;
--- a/control/daemon.h
+++ b/control/daemon.h
@@ -22,6 +22,9 @@
     void wait();
 
     Address httpAddress() const { return m_http; }
+    Address udpAddress() const { return m_state->udpAddress(); }
+    /// Whether any request is being answered. Any thread.
+    bool requestsInProgress() const;
     Node &node() { return *m_node; }
 
 private:
@@ -31,7 +34,6 @@
     Status listen();
     std::vector<ExtraRoute> operatorRoutes();
     void drainFiber();
-    bool requestsInProgress() const;
 
     DaemonSettings m_settings;
     std::unique_ptr<Node> m_node;
--- /dev/null
+++ b/tests/control/daemon_test.cpp
@@ -0,0 +1,377 @@
+/// Whole daemons in one process, with stand-ins of the platform, an engine and a service.
+#include <gtest/gtest.h>
+
+#include "control/control.h"
+#include "standin/standin.h"
+
+namespace stackquay {
+namespace {
+
+using standin::EngineFault;
+using standin::EngineFaultMode;
+using standin::EngineSettings;
+using standin::EngineStandin;
+using standin::Hosted;
+using standin::PlatformFault;
+using standin::PlatformFaultMode;
+using standin::PlatformStandin;
+using standin::ServiceStandin;
+
+constexpr Millis PollPause{ 5 };
+
+/// Waits for an event that another thread brings about; the test's own limit ends a wait in vain.
+template<typename Condition>
+void awaitEvent(Condition condition)
+{
+    while (!condition())
+        std::this_thread::sleep_for(PollPause);
+}
+
+EngineSettings quickEngine()
+{
+    EngineSettings settings;
+    settings.m_limits.m_timeScale = 0;
+    return settings;
+}
+
+class DaemonTest : public testing::Test
+{
+protected:
+    DaemonTest()
+        : m_engine(quickEngine())
+        , m_otherEngine(quickEngine())
+    {
+        m_client.start();
+    }
+
+    ~DaemonTest() override
+    {
+        m_daemons.clear();
+        m_client.stop();
+        m_client.join();
+    }
+
+    Endpoint endpoint(const std::string &name, const Address &address) const
+    {
+        Endpoint endpoint;
+        endpoint.m_id = EndpointId(name);
+        endpoint.m_address = toString(address);
+        endpoint.m_dataCentre = DataCentreId("dundee-hall");
+        return endpoint;
+    }
+
+    Intent intent() const
+    {
+        Intent intent;
+        intent.m_revision = 1;
+        intent.m_dataCentres = { { DataCentreId("dundee-hall"), {}, {} } };
+        Model model;
+        model.m_id = ModelId("hint-forge");
+        intent.m_models = { model };
+        Service service;
+        service.m_id = ServiceId("entry-desk");
+        service.m_repeatable = false;
+        intent.m_services = { service };
+        for (const auto &[name, engine] : { std::pair{ "e1", &m_engine }, { "e2", &m_otherEngine } }) {
+            intent.m_endpoints.push_back(endpoint(name, engine->address()));
+            intent.m_endpoints.back().m_models = { ModelId("hint-forge") };
+        }
+        intent.m_endpoints.push_back(endpoint("s1", m_service.address()));
+        intent.m_endpoints.back().m_kind = EndpointKind::Service;
+        intent.m_endpoints.back().m_service = ServiceId("entry-desk");
+        Customer customer;
+        customer.m_id = CustomerId("solver-app");
+        customer.m_keyHashes = { hashKey("key") };
+        intent.m_customers = { customer };
+        return intent;
+    }
+
+    void declare(const Intent &intent)
+    {
+        const std::string key = "intent/snapshot/" + std::to_string(intent.m_revision);
+        m_platform->put(key, encodeIntent(intent));
+        IntentHead head;
+        head.m_revision = intent.m_revision;
+        head.m_snapshot = key;
+        m_platform->put(IntentHeadKey, formatIntentHead(head));
+    }
+
+    Daemon &startDaemon(const std::string &name)
+    {
+        DaemonSettings settings;
+        settings.m_vm = name;
+        settings.m_dataCentre = "dundee-hall";
+        settings.m_platform = { toString(m_platform.address()) };
+        settings.m_charts = std::string(STACKQUAY_SOURCE_DIR) + "/charts";
+        settings.m_threads = 1;
+        settings.m_drainLag = Millis(0);
+        settings.m_seeds = m_seeds;
+        auto daemon = Daemon::start(settings);
+        EXPECT_TRUE(daemon) << toString(daemon.error());
+        m_daemons.push_back(std::move(*daemon));
+        m_seeds.push_back(toString(m_daemons.back()->udpAddress()));
+        return *m_daemons.back();
+    }
+
+    /// Waits until the daemon serves with so many VMs in its view.
+    void awaitView(Daemon &daemon, size_t vms, uint64_t revision = 1)
+    {
+        awaitEvent([&] {
+            const auto view = daemon.node().m_view.get();
+            return view && view->m_revision >= revision && view->m_peers.size() == vms;
+        });
+    }
+
+    HttpResponse call(Daemon &daemon, const std::string &path, const std::string &body,
+                      HttpHeaders headers = {})
+    {
+        headers.push_back({ "Authorization", "Bearer key" });
+        std::promise<Result<HttpResponse>> answer;
+        m_client.post([&] {
+            HttpPool pool(m_client.context());
+            HttpRequest request{ "POST", path, headers, body };
+            answer.set_value(pool.call(daemon.httpAddress(), request, { Seconds(60) }, false));
+        });
+        const auto response = answer.get_future().get();
+        if (response)
+            return *response;
+        return { 0, {}, toString(response.error()) };
+    }
+
+    HttpResponse complete(Daemon &daemon, uint64_t tokens, bool stream)
+    {
+        const std::string body = fmt::format(
+                R"({{"model":"hint-forge","prompt":"a clue","max_tokens":{},"stream":{}}})", tokens,
+                stream);
+        return call(daemon, "/v1/completions", body);
+    }
+
+    std::vector<std::string> m_seeds;
+    Hosted<PlatformStandin> m_platform;
+    Hosted<EngineStandin> m_engine;
+    Hosted<EngineStandin> m_otherEngine;
+    Hosted<ServiceStandin> m_service;
+    FiberThread m_client{ "client" };
+    std::vector<std::unique_ptr<Daemon>> m_daemons;
+};
+
+TEST_F(DaemonTest, AnswersWholeThroughTwoDaemons)
+{
+    declare(intent());
+    Daemon &first = startDaemon("vm-1");
+    Daemon &second = startDaemon("vm-2");
+    awaitView(first, 2);
+    awaitView(second, 2);
+    const HttpResponse one = complete(first, 20, true);
+    const HttpResponse two = complete(second, 20, true);
+    for (const HttpResponse &answer : { one, two }) {
+        EXPECT_EQ(answer.m_status, 200u) << answer.m_body;
+        EXPECT_NE(answer.m_body.find("data: [DONE]"), std::string::npos);
+        EXPECT_NE(answer.m_body.find(R"("completion_tokens":)"), std::string::npos);
+    }
+}
+
+TEST_F(DaemonTest, RefusesWithoutAKeyOrModel)
+{
+    declare(intent());
+    Daemon &daemon = startDaemon("vm-1");
+    awaitView(daemon, 1);
+    const HttpResponse noModel = call(daemon, "/v1/completions", R"({"model":"x","prompt":"y"})");
+    EXPECT_EQ(noModel.m_status, 404u);
+    EXPECT_EQ(findHeader(noModel.m_headers, "Stackquay-Outcome"), "not-run");
+    const HttpResponse bad = call(daemon, "/v1/completions", "{");
+    EXPECT_EQ(bad.m_status, 400u);
+    EXPECT_EQ(m_engine->stats().m_started + m_otherEngine->stats().m_started, 0u);
+}
+
+TEST_F(DaemonTest, CutStreamIsResumedAndWhole)
+{
+    declare(intent());
+    Daemon &daemon = startDaemon("vm-1");
+    awaitView(daemon, 1);
+    const std::string expected = complete(daemon, 40, false).m_body;
+    for (auto *engine : { &m_engine, &m_otherEngine })
+        (*engine)->setFault({ EngineFaultMode::CutAfter, 1, 5, "" });
+    const std::string resumed = complete(daemon, 40, false).m_body;
+    const auto text = [](const std::string &body) {
+        return nlohmann::json::parse(body)["choices"][0]["text"].get<std::string>();
+    };
+    EXPECT_EQ(text(resumed), text(expected));
+}
+
+TEST_F(DaemonTest, CrossedFramesAreNeverPassedOn)
+{
+    declare(intent());
+    Daemon &daemon = startDaemon("vm-1");
+    awaitView(daemon, 1);
+    const std::string expected = complete(daemon, 40, false).m_body;
+    for (const EngineFaultMode mode : { EngineFaultMode::WrongAttempt, EngineFaultMode::SkipFrame,
+                                        EngineFaultMode::DuplicateFrame }) {
+        for (auto *engine : { &m_engine, &m_otherEngine })
+            (*engine)->setFault({ mode, 1, 0, "" });
+        const std::string answer = complete(daemon, 40, false).m_body;
+        EXPECT_EQ(nlohmann::json::parse(answer)["choices"],
+                  nlohmann::json::parse(expected)["choices"]);
+    }
+}
+
+TEST_F(DaemonTest, RefusingEngineIsPassedOver)
+{
+    declare(intent());
+    Daemon &daemon = startDaemon("vm-1");
+    awaitView(daemon, 1);
+    m_engine->setFault({ EngineFaultMode::Refuse, 1000, 0, "no_memory" });
+    for (int i = 0; i < 4; ++i)
+        EXPECT_EQ(complete(daemon, 5, false).m_status, 200u);
+}
+
+TEST_F(DaemonTest, AllEnginesRefusingSaysNotRun)
+{
+    declare(intent());
+    Daemon &daemon = startDaemon("vm-1");
+    awaitView(daemon, 1);
+    for (auto *engine : { &m_engine, &m_otherEngine })
+        (*engine)->setFault({ EngineFaultMode::Refuse, 1000, 0, "no_memory" });
+    const std::string body =
+            R"({"model":"hint-forge","prompt":"a clue","max_tokens":5})";
+    const HttpResponse answer =
+            call(daemon, "/v1/completions", body, { { "Stackquay-Deadline", "3000" } });
+    EXPECT_GE(answer.m_status, 429u);
+    EXPECT_EQ(findHeader(answer.m_headers, "Stackquay-Outcome"), "not-run");
+    EXPECT_EQ(m_engine->stats().m_started + m_otherEngine->stats().m_started, 0u);
+}
+
+TEST_F(DaemonTest, KeyedSubmissionRunsOnceAndRepeatsGetItsOutcome)
+{
+    declare(intent());
+    Daemon &first = startDaemon("vm-1");
+    Daemon &second = startDaemon("vm-2");
+    awaitView(first, 2);
+    awaitView(second, 2);
+    const HttpHeaders key{ { "Idempotency-Key", "k1" } };
+    const HttpResponse one = call(first, "/service/entry-desk/submit", "grid", key);
+    const HttpResponse two = call(second, "/service/entry-desk/submit", "grid", key);
+    EXPECT_EQ(one.m_status, 200u) << one.m_body;
+    EXPECT_EQ(two.m_body, one.m_body);
+    EXPECT_EQ(m_service->stats().m_executions["k1"], 1u);
+    const HttpResponse other = call(second, "/service/entry-desk/submit", "another grid", key);
+    EXPECT_EQ(other.m_status, 400u);
+    EXPECT_EQ(m_service->stats().m_total, 1u);
+}
+
+TEST_F(DaemonTest, LostAnswerOfASubmissionIsNotRepeated)
+{
+    declare(intent());
+    Daemon &daemon = startDaemon("vm-1");
+    awaitView(daemon, 1);
+    m_service->setFault({ standin::ServiceFaultMode::LoseAnswer, 1 });
+    const HttpHeaders key{ { "Idempotency-Key", "k2" } };
+    const HttpResponse lost = call(daemon, "/service/entry-desk/submit", "grid", key);
+    EXPECT_EQ(findHeader(lost.m_headers, "Stackquay-Outcome"), "may-have-run");
+    const HttpResponse again = call(daemon, "/service/entry-desk/submit", "grid", key);
+    EXPECT_EQ(findHeader(again.m_headers, "Stackquay-Outcome"), "may-have-run");
+    EXPECT_EQ(m_service->stats().m_executions["k2"], 1u);
+}
+
+TEST_F(DaemonTest, StoreDownRefusesKeyedCallsAndServesTheRest)
+{
+    declare(intent());
+    Daemon &daemon = startDaemon("vm-1");
+    awaitView(daemon, 1);
+    m_platform->setFault({ PlatformFaultMode::Down, Millis(0), 0 });
+    const HttpResponse keyed = call(daemon, "/service/entry-desk/submit", "grid",
+                                    { { "Idempotency-Key", "k3" }, { "Stackquay-Deadline", "2000" } });
+    EXPECT_EQ(findHeader(keyed.m_headers, "Stackquay-Outcome"), "not-run") << keyed.m_body;
+    EXPECT_EQ(m_service->stats().m_total, 0u);
+    EXPECT_EQ(complete(daemon, 5, false).m_status, 200u);
+}
+
+TEST_F(DaemonTest, NewRevisionComesIntoForceEverywhere)
+{
+    declare(intent());
+    Daemon &first = startDaemon("vm-1");
+    Daemon &second = startDaemon("vm-2");
+    awaitView(first, 2);
+    awaitView(second, 2);
+    Intent next = intent();
+    next.m_revision = 2;
+    next.m_endpoints[0].m_draining = true;
+    declare(next);
+    awaitView(first, 2, 2);
+    awaitView(second, 2, 2);
+    const uint64_t before = m_engine->stats().m_started;
+    for (Daemon *daemon : { &first, &second })
+        EXPECT_EQ(complete(*daemon, 5, false).m_status, 200u);
+    EXPECT_EQ(m_engine->stats().m_started, before);
+}
+
+TEST_F(DaemonTest, HangupCancelsAtTheEngine)
+{
+    declare(intent());
+    Daemon &daemon = startDaemon("vm-1");
+    awaitView(daemon, 1);
+    for (auto *engine : { &m_engine, &m_otherEngine })
+        (*engine)->setFault({ EngineFaultMode::Hang, 1, 0, "" });
+    auto connection = std::make_shared<HttpConnection>(m_client.context());
+    std::promise<void> sent;
+    m_client.post([&] {
+        EXPECT_TRUE(connection->connect(daemon.httpAddress(), Seconds(5)));
+        const HttpHeaders headers{ { "Authorization", "Bearer key" } };
+        const std::string body = R"({"model":"hint-forge","prompt":"a clue","max_tokens":5})";
+        EXPECT_TRUE(connection->send({ "POST", "/v1/completions", headers, body }, Seconds(5)));
+        sent.set_value();
+    });
+    sent.get_future().wait();
+    awaitEvent([&] { return daemon.requestsInProgress(); });
+    m_client.post([connection] { connection->cancel(); });
+    awaitEvent([&] { return !daemon.requestsInProgress(); });
+    for (auto *engine : { &m_engine, &m_otherEngine })
+        (*engine)->setFault({});
+    awaitEvent([&] {
+        return m_engine->stats().m_memoryUsed + m_otherEngine->stats().m_memoryUsed == 0
+                || m_engine->stats().m_running + m_otherEngine->stats().m_running == 0;
+    });
+}
+
+TEST_F(DaemonTest, DrainFinishesWhatIsInProgress)
+{
+    declare(intent());
+    Daemon &daemon = startDaemon("vm-1");
+    awaitView(daemon, 1);
+    for (auto *engine : { &m_engine, &m_otherEngine })
+        (*engine)->setFault({ EngineFaultMode::Hang, 1, 0, "" });
+    std::promise<HttpResponse> answer;
+    std::thread caller([&] { answer.set_value(complete(daemon, 30, true)); });
+    awaitEvent([&] { return daemon.requestsInProgress(); });
+    daemon.drain();
+    awaitEvent([&] { return daemon.node().m_draining.load(); });
+    for (auto *engine : { &m_engine, &m_otherEngine })
+        (*engine)->setFault({});
+    daemon.wait();
+    caller.join();
+    const HttpResponse response = answer.get_future().get();
+    EXPECT_EQ(response.m_status, 200u);
+    EXPECT_NE(response.m_body.find("[DONE]"), std::string::npos);
+}
+
+TEST_F(DaemonTest, SecondDrainFailsTruthfullyAtOnce)
+{
+    declare(intent());
+    Daemon &daemon = startDaemon("vm-1");
+    awaitView(daemon, 1);
+    for (auto *engine : { &m_engine, &m_otherEngine })
+        (*engine)->setFault({ EngineFaultMode::Hang, 1, 0, "" });
+    std::promise<HttpResponse> answer;
+    std::thread caller([&] { answer.set_value(complete(daemon, 30, false)); });
+    awaitEvent([&] { return daemon.requestsInProgress(); });
+    daemon.drain();
+    daemon.drain();
+    daemon.wait();
+    caller.join();
+    const HttpResponse response = answer.get_future().get();
+    EXPECT_EQ(response.m_status, 503u);
+    EXPECT_EQ(findHeader(response.m_headers, "Stackquay-Outcome"), "may-have-run");
+}
+
+} // namespace
+} // namespace stackquay
