--- a/store/store.h
+++ b/store/store.h
@@ -6,5 +6,7 @@
 #include "store/circuit.h"
 #include "store/intent_head.h"
 #include "store/intent_store.h"
+#include "store/lease.h"
+#include "store/lease_keeper.h"
 #include "store/objects.h"
 #include "store/store_client.h"
--- a/tests/store/platform_test.cpp
+++ b/tests/store/platform_test.cpp
@@ -66,11 +66,11 @@
 TEST_F(PlatformTest, VmsAreTyped)
 {
     m_platform->setVms(standin::Json::array({ { { "id", "vm1" },
-                                       { "data_centre", "dc1" },
-                                       { "udp", "127.0.0.1:1" },
-                                       { "peer", "127.0.0.1:2" },
-                                       { "http", "127.0.0.1:3" },
-                                       { "state", "leaving" } } }));
+                                                { "data_centre", "dc1" },
+                                                { "udp", "127.0.0.1:1" },
+                                                { "peer", "127.0.0.1:2" },
+                                                { "http", "127.0.0.1:3" },
+                                                { "state", "leaving" } } }));
     withClient([](StoreClient &client) {
         const auto vms = client.vms();
         ASSERT_EQ(vms->m_vms.size(), 1u);
