--- a/tests/store/lease_test.cpp
+++ b/tests/store/lease_test.cpp
@@ -304,8 +304,8 @@
 
 TEST(LeaseKeeperTest, HoldsRenewsAndHandsOverOnThePlatform)
 {
-    Hosted<PlatformStandin> platform;
-    platform->setFault({ PlatformFaultMode::LoseAnswer, {}, 1 });
+    standin::Hosted<standin::PlatformStandin> platform;
+    platform->setFault({ standin::PlatformFaultMode::LoseAnswer, {}, 1 });
     FiberThread thread("lease");
     thread.start();
     runOn(thread, [&] {
