--- a/standin/program.cpp
+++ b/standin/program.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "standin/engine_standin.h"
+#include "standin/fault_relay.h"
 #include "standin/flags.h"
 #include "standin/platform_standin.h"
 #include "standin/service_standin.h"
@@ -43,9 +44,9 @@
     sigwait(&signals, &received);
 }
 
-void printReady(std::string_view what, const Address &address)
+void printReady(std::string_view what, const Address &address, std::string_view more = "")
 {
-    std::puts(fmt::format("ready {}={}", what, toString(address)).c_str());
+    std::puts(fmt::format("ready {}={}{}", what, toString(address), more).c_str());
     std::fflush(stdout);
 }
 
@@ -74,6 +75,12 @@
     return *address;
 }
 
+int failToListen(const Error &error)
+{
+    std::fprintf(stderr, "%s\n", toString(error).c_str());
+    return EXIT_FAILURE;
+}
+
 /// Serves until a signal comes.
 template<typename Standin, typename Settings>
 int serve(const Settings &settings, const Address &address)
@@ -82,10 +89,8 @@
     FiberThread thread("standin");
     Standin standin(thread, settings);
     const auto bound = standin.listen(address);
-    if (!bound) {
-        std::fprintf(stderr, "%s\n", toString(bound.error()).c_str());
-        return EXIT_FAILURE;
-    }
+    if (!bound)
+        return failToListen(bound.error());
     thread.start();
     printReady("address", *bound);
     waitForSignal(signals);
@@ -175,10 +180,60 @@
     return serve<ServiceStandin>(settings, *address);
 }
 
+/// A flag that may be repeated and adds an address to @p targets.
+Flag targetFlag(std::string name, std::string help, std::vector<Address> &targets)
+{
+    return { std::move(name), std::move(help), [&targets](const std::string &text) {
+                const auto address = parseAddress(text);
+                if (address)
+                    targets.push_back(*address);
+                return address.has_value();
+            } };
+}
+
+int runFault(int argc, char **argv)
+{
+    std::vector<Address> targets;
+    std::vector<Address> udpTargets;
+    const auto admin = parseAll(
+        argc, argv,
+        { targetFlag("target", "TCP address a.b.c.d:port to relay to; may be repeated.", targets),
+          targetFlag("udp-target", "UDP address to relay to; may be repeated.", udpTargets) });
+    if (!admin)
+        return BadUsage;
+    const sigset_t signals = blockSignals();
+    FiberThread thread("relay");
+    FaultRelay relay(thread);
+    const auto add = [&](const Address &target, bool udp) {
+        const auto bound = udp ? relay.addUdpTarget(target) : relay.addTarget(target);
+        if (bound)
+            printReady("address", *bound, " target=" + toString(target));
+        return bound;
+    };
+    for (const Address &target : targets) {
+        if (const auto bound = add(target, false); !bound)
+            return failToListen(bound.error());
+    }
+    for (const Address &target : udpTargets) {
+        if (const auto bound = add(target, true); !bound)
+            return failToListen(bound.error());
+    }
+    const auto bound = relay.listen(*admin);
+    if (!bound)
+        return failToListen(bound.error());
+    thread.start();
+    printReady("admin", *bound);
+    waitForSignal(signals);
+    thread.stop();
+    thread.join();
+    return EXIT_SUCCESS;
+}
+
 constexpr std::array Subcommands{
     Subcommand{ "platform", "object service and VM list", runPlatform },
     Subcommand{ "engine", "model engine with continuous batching", runEngine },
     Subcommand{ "service", "plain service that counts its executions", runService },
+    Subcommand{ "fault", "relay of connections and datagrams that injects faults", runFault },
 };
 
 int printUsage()
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "standin/engine_standin.h"
+#include "standin/fault_relay.h"
 #include "standin/hosted.h"
 #include "standin/object_store.h"
 #include "standin/platform_standin.h"
@@ -17,10 +18,14 @@
 using standin::EngineFaultMode;
 using standin::EngineStandin;
 using standin::expectedAnswer;
+using standin::FaultRelay;
 using standin::Hosted;
 using standin::PlatformFault;
 using standin::PlatformFaultMode;
 using standin::PlatformStandin;
+using standin::RelayFault;
+using standin::RelayMode;
+using standin::RelayWay;
 using standin::ServiceFault;
 using standin::ServiceFaultMode;
 using standin::ServiceStandin;
