Peers: the test's thread outlives its membership

Change: the member order of the test is turned round, and the header says that the thread must outlive the membership. No check was changed. Conclusion: the fault was in the test; the library's order of destruction holds.

--- a/peers/membership.h
+++ b/peers/membership.h
@@ -15,7 +15,7 @@
     /// Called on the control thread after every change of the list.
     using ChangeCallback = std::function<void(const MemberListPtr &)>;
 
-    /// @p thread must be stopped before the membership is destroyed.
+    /// @p thread must be stopped before the membership is destroyed, and outlive it.
     Membership(FiberThread &thread, VmInfo self, MembershipOptions options = {},
                std::shared_ptr<PeerTraffic> traffic = nullptr);
     ~Membership();
--- a/tests/peers/membership_test.cpp
+++ b/tests/peers/membership_test.cpp
@@ -44,6 +44,7 @@
         m_changed.wait(lock, [&] { return m_list && condition(*m_list); });
     }
 
+    FiberThread m_thread;
     std::shared_ptr<PeerTraffic> m_traffic = std::make_shared<PeerTraffic>();
     std::unique_ptr<Membership> m_membership;
     Address m_address;
@@ -56,7 +57,6 @@
         return options;
     }
 
-    FiberThread m_thread;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     MemberListPtr m_list;
