Daemon starts without peers: the relay is made after the first member list

The first list is published while Membership::start() runs, before the relay exists; stackquayd crashed at every start.

--- a/control/control_state.cpp
+++ b/control/control_state.cpp
@@ -222,7 +222,9 @@
 {
     const bool sameMembers = m_members && m_members->m_version == list->m_version;
     m_members = list;
-    m_relay->membersChanged(list);
+    // The first list comes while the relay is still to be made.
+    if (m_relay)
+        m_relay->membersChanged(list);
     if (!sameMembers)
         publish();
 }
--- a/control/ctl_options.cpp
+++ b/control/ctl_options.cpp
@@ -4,7 +4,7 @@
 
 SettingsTable<CtlSettings> ctlSettingsTable()
 {
-    const Range<std::chrono::nanoseconds> timeouts{ Millis(1), std::chrono::hours(1) };
+    const ValueRange<std::chrono::nanoseconds> timeouts{ Millis(1), std::chrono::hours(1) };
     SettingsTable<CtlSettings> table("stackquayctl", "Queries and changes a stackquay deployment.");
     table.list("address", &CtlSettings::m_addresses, "HTTP addresses of daemons, tried in turn.")
         .text("key", &CtlSettings::m_key, "Bearer key of the operator.")
--- a/entry/steward_service.cpp
+++ b/entry/steward_service.cpp
@@ -34,15 +34,6 @@
     return reply;
 }
 
-GrantReply refusal(RequestError error, std::string message)
-{
-    GrantReply reply;
-    reply.m_answer = static_cast<uint32_t>(GrantAnswer::Refused);
-    reply.m_error = static_cast<uint32_t>(error);
-    reply.m_message = std::move(message);
-    return reply;
-}
-
 GrantRequest toRequest(const AskGrant &message, TimePoint now)
 {
     GrantRequest request;
