Demo answers a hint, a walkthrough and a submission through three daemons

Chunks counted from the start of the prompt, while the engine's prefill_limit counts computed tokens; the limit is now one chunk's. The demo's prompts were made by a bash substitution that took minutes for 800 kB; head and tr take milliseconds.

--- a/endpoint/engine_frame.h
+++ b/endpoint/engine_frame.h
@@ -17,8 +17,8 @@
 
 /// The answer to an attempt that only fills the prefix cache.
 struct PrefillFrame {
-    uint64_t m_prefilled = 0; ///< Tokens of the prompt now in the cache.
-    uint64_t m_cached = 0; ///< Those that had been there before.
+    uint64_t m_prefilled = 0; ///< Tokens of the prompt computed now.
+    uint64_t m_cached = 0; ///< Those before them that had been in the cache.
 };
 
 struct FinalFrame {
--- a/endpoint/engine_stream.h
+++ b/endpoint/engine_stream.h
@@ -25,7 +25,7 @@
     std::string m_owner; ///< "vm:incarnation", which holds the engine's memory.
     uint64_t m_skip = 0; ///< Tokens of the answer that the caller already has.
     bool m_prefillOnly = false;
-    uint64_t m_prefillLimit = 0; ///< 0: the whole prompt.
+    uint64_t m_prefillLimit = 0; ///< Most tokens to compute; 0: the whole prompt.
 };
 
 /// Why an attempt did not start to answer.
--- a/entry/completion_run.cpp
+++ b/entry/completion_run.cpp
@@ -152,7 +152,7 @@
 {
     EngineAttempt attempt = makeAttempt();
     attempt.m_prefillOnly = true;
-    attempt.m_prefillLimit = m_prefilled + m_placement->m_chunkTokens;
+    attempt.m_prefillLimit = m_placement->m_chunkTokens;
     attempt.m_attempt = AttemptId(randomToken());
     EngineStream chunk(m_worker.pool(), m_placement->m_address);
     m_running = true;
@@ -166,9 +166,9 @@
                                   : frame.error());
     chunk.release();
     m_running = false;
-    if (prefilled->m_prefilled <= m_prefilled)
-        return RequestEvent::Prefilled; // The cache cannot hold more: the rest goes at once.
-    m_prefilled = prefilled->m_prefilled;
+    if (prefilled->m_prefilled == 0)
+        return RequestEvent::Prefilled; // The cache takes no more: the rest goes at once.
+    m_prefilled = prefilled->m_cached + prefilled->m_prefilled;
     m_placement->m_chunkTokens = nextChunk(m_worker, *m_placement, m_prefilled);
     return needsChunks() ? RequestEvent::ChunkDone : RequestEvent::Prefilled;
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -27,9 +27,9 @@
 
 # completion TOKENS: a streamed completion of a prompt of so many tokens of four bytes.
 completion() {
-  local prompt
-  prompt=$(head -c $(($1 * 4)) < <(yes 'clue '))
-  printf '{"model":"%s","prompt":"%s","max_tokens":24,"stream":true}' "$MODEL" "${prompt//$'\n'/ }"
+  printf '{"model":"%s","max_tokens":24,"stream":true,"prompt":"' "$MODEL"
+  head -c $(($1 * 4)) < <(yes 'clue 7d' | tr '\n' ' ')
+  printf '"}'
 }
 
 deployment_begin
