--- a/policy/policy.h
+++ b/policy/policy.h
@@ -16,6 +16,8 @@
 #include "policy/limit_shares.h"
 #include "policy/limit_slices.h"
 #include "policy/outcome.h"
+#include "policy/overflow.h"
 #include "policy/prefix.h"
 #include "policy/retry.h"
+#include "policy/span_plan.h"
 #include "policy/tenure.h"
