--- a/main/stackquay_standin.cpp
+++ b/main/stackquay_standin.cpp
@@ -3,5 +3,5 @@
 
 int main(int argc, char **argv)
 {
-    return stackquay::runStandinProgram(argc, argv);
+    return stackquay::standin::runStandinProgram(argc, argv);
 }
