--- a/tests/policy/overflow_test.cpp
+++ b/tests/policy/overflow_test.cpp
@@ -7,173 +7,176 @@
 namespace stackquay {
 namespace {
 
-const TimePoint Start{Seconds(1'000)};
+const TimePoint Start{ Seconds(1'000) };
 
-OverflowCandidate candidate(const char *id, bool sameRegion, Millis delay,
-                            Duration wait) {
-  return {DataCentreId(id),  sameRegion, delay,
-          toWaitLevel(wait), Duration{}, true};
+OverflowCandidate candidate(const char *id, bool sameRegion, Millis delay, Duration wait)
+{
+    return { DataCentreId(id), sameRegion, delay, toWaitLevel(wait), Duration{}, true };
 }
 
-OverflowQuestion slowHere() {
-  return {false, Seconds(20), Seconds(1), Start + Seconds(30)};
+OverflowQuestion slowHere()
+{
+    return { false, Seconds(20), Seconds(1), Start + Seconds(30) };
 }
 
-std::optional<DataCentreId>
-choose(const OverflowQuestion &question,
-       const std::vector<OverflowCandidate> &candidates, double fraction = 1) {
-  RandomEngine random(1);
-  OverflowState state;
-  state.m_fraction = fraction;
-  return chooseOverflow({}, state, question, candidates, Start, random);
+std::optional<DataCentreId> choose(const OverflowQuestion &question,
+                                   const std::vector<OverflowCandidate> &candidates,
+                                   double fraction = 1)
+{
+    RandomEngine random(1);
+    OverflowState state;
+    state.m_fraction = fraction;
+    return chooseOverflow({}, state, question, candidates, Start, random);
 }
 
-TEST(Overflow, LevelsRoundUpByAFifthAtMost) {
-  EXPECT_EQ(toWaitLevel({}), 0);
-  EXPECT_EQ(fromWaitLevel(0), Duration{});
-  for (int64_t ms = 1; ms < 100'000'000; ms += 1 + ms / 50) {
-    const Duration back = fromWaitLevel(toWaitLevel(Millis(ms)));
-    if (ms < 86'000'000) {
-      ASSERT_GE(back, Millis(ms));
+TEST(Overflow, LevelsRoundUpByAFifthAtMost)
+{
+    EXPECT_EQ(toWaitLevel({}), 0);
+    EXPECT_EQ(fromWaitLevel(0), Duration{});
+    for (int64_t ms = 1; ms < 100'000'000; ms += 1 + ms / 50) {
+        const Duration back = fromWaitLevel(toWaitLevel(Millis(ms)));
+        if (ms < 86'000'000) {
+            ASSERT_GE(back, Millis(ms));
+        }
+        ASSERT_LE(back, Millis(ms) * 1.2);
+        ASSERT_LT(toWaitLevel(Millis(ms)), NoCapacityLevel);
     }
-    ASSERT_LE(back, Millis(ms) * 1.2);
-    ASSERT_LT(toWaitLevel(Millis(ms)), NoCapacityLevel);
-  }
 }
 
-TEST(Overflow, NearestOfTheRegionFirst) {
-  const auto far = candidate("far", false, Millis(1), {});
-  const auto near = candidate("near", true, Millis(20), Millis(500));
-  EXPECT_EQ(choose(slowHere(), {far, near}), DataCentreId("near"));
-  const auto busy = candidate("near", true, Millis(20), Seconds(2));
-  EXPECT_EQ(choose(slowHere(), {far, busy}), DataCentreId("far"));
+TEST(Overflow, NearestOfTheRegionFirst)
+{
+    const auto far = candidate("far", false, Millis(1), {});
+    const auto near = candidate("near", true, Millis(20), Millis(500));
+    EXPECT_EQ(choose(slowHere(), { far, near }), DataCentreId("near"));
+    const auto busy = candidate("near", true, Millis(20), Seconds(2));
+    EXPECT_EQ(choose(slowHere(), { far, busy }), DataCentreId("far"));
 }
 
-TEST(Overflow, OnlyIfTheDeadlineStillHolds) {
-  OverflowQuestion question = slowHere();
-  question.m_deadline = Start + Seconds(2);
-  EXPECT_EQ(choose(question, {candidate("b", true, Millis(1), {})}),
-            DataCentreId("b"));
-  EXPECT_FALSE(choose(question, {candidate("b", true, Millis(400), {})}));
-  EXPECT_FALSE(choose(question, {candidate("b", true, Millis(1), Seconds(1))}));
+TEST(Overflow, OnlyIfTheDeadlineStillHolds)
+{
+    OverflowQuestion question = slowHere();
+    question.m_deadline = Start + Seconds(2);
+    EXPECT_EQ(choose(question, { candidate("b", true, Millis(1), {}) }), DataCentreId("b"));
+    EXPECT_FALSE(choose(question, { candidate("b", true, Millis(400), {}) }));
+    EXPECT_FALSE(choose(question, { candidate("b", true, Millis(1), Seconds(1)) }));
 }
 
-TEST(Overflow, OwnOnlyWhenCutOffOrForwardedOrNotNeeded) {
-  auto cut = candidate("b", true, Millis(1), {});
-  cut.m_reachable = false;
-  EXPECT_FALSE(choose(slowHere(), {cut}));
-  auto old = candidate("b", true, Millis(1), {});
-  old.m_age = Seconds(11);
-  EXPECT_FALSE(choose(slowHere(), {old}));
-  auto full = candidate("b", true, Millis(1), {});
-  full.m_wait = NoCapacityLevel;
-  EXPECT_FALSE(choose(slowHere(), {full}));
-
-  OverflowQuestion forwarded = slowHere();
-  forwarded.m_cameFromElsewhere = true;
-  EXPECT_FALSE(choose(forwarded, {candidate("b", true, Millis(1), {})}));
-  EXPECT_FALSE(choose(slowHere(), {candidate("b", true, Millis(1), {})}, 0));
-  EXPECT_FALSE(
-      choose(slowHere(), {candidate("b", true, Millis(1), Seconds(18))}));
+TEST(Overflow, OwnOnlyWhenCutOffOrForwardedOrNotNeeded)
+{
+    auto cut = candidate("b", true, Millis(1), {});
+    cut.m_reachable = false;
+    EXPECT_FALSE(choose(slowHere(), { cut }));
+    auto old = candidate("b", true, Millis(1), {});
+    old.m_age = Seconds(11);
+    EXPECT_FALSE(choose(slowHere(), { old }));
+    auto full = candidate("b", true, Millis(1), {});
+    full.m_wait = NoCapacityLevel;
+    EXPECT_FALSE(choose(slowHere(), { full }));
+
+    OverflowQuestion forwarded = slowHere();
+    forwarded.m_cameFromElsewhere = true;
+    EXPECT_FALSE(choose(forwarded, { candidate("b", true, Millis(1), {}) }));
+    EXPECT_FALSE(choose(slowHere(), { candidate("b", true, Millis(1), {}) }, 0));
+    EXPECT_FALSE(choose(slowHere(), { candidate("b", true, Millis(1), Seconds(18)) }));
 }
 
 /// Three data centres as queues of work, with reports that are seconds old.
 struct Fleet {
-  static constexpr size_t Count = 3;
-  static constexpr double Capacity = 100;  ///< Requests a second each.
-  static constexpr size_t ReportDelay = 3; ///< Seconds.
-
-  std::array<double, Count> m_load{};
-  std::array<double, Count> m_backlog{};
-  std::array<OverflowState, Count> m_state;
-  std::vector<std::array<double, Count>> m_history;
-  bool m_cut = false; ///< Data centre 0 alone on its side.
-  RandomEngine m_random{17};
-  std::array<double, Count> m_sent{}; ///< To elsewhere, in the last second.
-
-  void second(TimePoint now) {
-    m_history.push_back(m_backlog);
-    const auto &seen = m_history[m_history.size() - 1 -
-                                 std::min(ReportDelay, m_history.size() - 1)];
-    std::array<double, Count> arrivals{};
-    m_sent = {};
-    for (size_t from = 0; from < Count; ++from) {
-      const Duration wait = waitFor(m_backlog[from]);
-      const auto others = candidates(from, seen);
-      stepOverflow({}, m_state[from], wait, others, now);
-      for (int i = 0; i < static_cast<int>(m_load[from]); ++i) {
-        const size_t to = route(from, others, wait, now);
-        arrivals[to] += 1;
-        m_sent[from] += to == from ? 0 : 1;
-      }
+    static constexpr size_t Count = 3;
+    static constexpr double Capacity = 100; ///< Requests a second each.
+    static constexpr size_t ReportDelay = 3; ///< Seconds.
+
+    std::array<double, Count> m_load{};
+    std::array<double, Count> m_backlog{};
+    std::array<OverflowState, Count> m_state;
+    std::vector<std::array<double, Count>> m_history;
+    bool m_cut = false; ///< Data centre 0 alone on its side.
+    RandomEngine m_random{ 17 };
+    std::array<double, Count> m_sent{}; ///< To elsewhere, in the last second.
+
+    void second(TimePoint now)
+    {
+        m_history.push_back(m_backlog);
+        const auto &seen =
+            m_history[m_history.size() - 1 - std::min(ReportDelay, m_history.size() - 1)];
+        std::array<double, Count> arrivals{};
+        m_sent = {};
+        for (size_t from = 0; from < Count; ++from) {
+            const Duration wait = waitFor(m_backlog[from]);
+            const auto others = candidates(from, seen);
+            stepOverflow({}, m_state[from], wait, others, now);
+            for (int i = 0; i < static_cast<int>(m_load[from]); ++i) {
+                const size_t to = route(from, others, wait, now);
+                arrivals[to] += 1;
+                m_sent[from] += to == from ? 0 : 1;
+            }
+        }
+        for (size_t i = 0; i < Count; ++i)
+            m_backlog[i] = std::max(0.0, m_backlog[i] + arrivals[i] - Capacity);
     }
-    for (size_t i = 0; i < Count; ++i)
-      m_backlog[i] = std::max(0.0, m_backlog[i] + arrivals[i] - Capacity);
-  }
-
-  static Duration waitFor(double backlog) {
-    return Millis(static_cast<int64_t>(backlog / Capacity * 1'000));
-  }
-
-  std::vector<OverflowCandidate>
-  candidates(size_t from, const std::array<double, Count> &seen) {
-    std::vector<OverflowCandidate> others;
-    for (size_t to = 0; to < Count; ++to) {
-      if (to == from)
-        continue;
-      auto other = candidate(std::to_string(to).c_str(), true, Millis(1),
-                             waitFor(seen[to]));
-      other.m_age = Seconds(ReportDelay);
-      other.m_reachable = !m_cut || (to != 0 && from != 0);
-      others.push_back(other);
+
+    static Duration waitFor(double backlog)
+    {
+        return Millis(static_cast<int64_t>(backlog / Capacity * 1'000));
+    }
+
+    std::vector<OverflowCandidate> candidates(size_t from, const std::array<double, Count> &seen)
+    {
+        std::vector<OverflowCandidate> others;
+        for (size_t to = 0; to < Count; ++to) {
+            if (to == from)
+                continue;
+            auto other = candidate(std::to_string(to).c_str(), true, Millis(1), waitFor(seen[to]));
+            other.m_age = Seconds(ReportDelay);
+            other.m_reachable = !m_cut || (to != 0 && from != 0);
+            others.push_back(other);
+        }
+        return others;
+    }
+
+    size_t route(size_t from, const std::vector<OverflowCandidate> &others, Duration wait,
+                 TimePoint now)
+    {
+        const OverflowQuestion question{ false, wait, Millis(500), now + Seconds(60) };
+        const auto chosen = chooseOverflow({}, m_state[from], question, others, now, m_random);
+        return chosen ? std::stoul(chosen->str()) : from;
     }
-    return others;
-  }
-
-  size_t route(size_t from, const std::vector<OverflowCandidate> &others,
-               Duration wait, TimePoint now) {
-    const OverflowQuestion question{false, wait, Millis(500),
-                                    now + Seconds(60)};
-    const auto chosen =
-        chooseOverflow({}, m_state[from], question, others, now, m_random);
-    return chosen ? std::stoul(chosen->str()) : from;
-  }
 };
 
-TEST(Overflow, CutAndHealingBringNoOscillation) {
-  Fleet fleet;
-  fleet.m_load = {140, 60, 60};
-  TimePoint now = Start;
-  const auto run = [&](int seconds) {
-    for (int i = 0; i < seconds; ++i) {
-      now += Seconds(1);
-      fleet.second(now);
+TEST(Overflow, CutAndHealingBringNoOscillation)
+{
+    Fleet fleet;
+    fleet.m_load = { 140, 60, 60 };
+    TimePoint now = Start;
+    const auto run = [&](int seconds) {
+        for (int i = 0; i < seconds; ++i) {
+            now += Seconds(1);
+            fleet.second(now);
+        }
+    };
+    run(120);
+    EXPECT_GT(fleet.m_sent[0], 20);
+    EXPECT_LT(Fleet::waitFor(fleet.m_backlog[0]), Seconds(6));
+
+    fleet.m_cut = true;
+    for (int i = 0; i < 20; ++i) {
+        run(1);
+        ASSERT_EQ(fleet.m_sent[0], 0);
+        ASSERT_EQ(fleet.m_sent[1], 0);
+    }
+    fleet.m_cut = false;
+    double largestElsewhere = 0;
+    double backwards = 0;
+    for (int i = 0; i < 120; ++i) {
+        run(1);
+        backwards += fleet.m_sent[1] + fleet.m_sent[2];
+        largestElsewhere = std::max({ largestElsewhere, fleet.m_backlog[1], fleet.m_backlog[2] });
     }
-  };
-  run(120);
-  EXPECT_GT(fleet.m_sent[0], 20);
-  EXPECT_LT(Fleet::waitFor(fleet.m_backlog[0]), Seconds(6));
-
-  fleet.m_cut = true;
-  for (int i = 0; i < 20; ++i) {
-    run(1);
-    ASSERT_EQ(fleet.m_sent[0], 0);
-    ASSERT_EQ(fleet.m_sent[1], 0);
-  }
-  fleet.m_cut = false;
-  double largestElsewhere = 0;
-  double backwards = 0;
-  for (int i = 0; i < 120; ++i) {
-    run(1);
-    backwards += fleet.m_sent[1] + fleet.m_sent[2];
-    largestElsewhere =
-        std::max({largestElsewhere, fleet.m_backlog[1], fleet.m_backlog[2]});
-  }
-  RecordProperty("backwards", std::to_string(backwards));
-  RecordProperty("largest_elsewhere", std::to_string(largestElsewhere));
-  EXPECT_EQ(backwards, 0);
-  EXPECT_LT(Fleet::waitFor(fleet.m_backlog[0]), Seconds(6));
-  EXPECT_LT(Fleet::waitFor(largestElsewhere), Seconds(2));
+    RecordProperty("backwards", std::to_string(backwards));
+    RecordProperty("largest_elsewhere", std::to_string(largestElsewhere));
+    EXPECT_EQ(backwards, 0);
+    EXPECT_LT(Fleet::waitFor(fleet.m_backlog[0]), Seconds(6));
+    EXPECT_LT(Fleet::waitFor(largestElsewhere), Seconds(2));
 }
 
 } // namespace
