--- a/policy/fair_queue.cpp
+++ b/policy/fair_queue.cpp
@@ -66,7 +66,7 @@
     }
     flow.m_weight = kept.m_weight;
     flow.m_cost += kept.m_cost;
-    flow.m_order.insert(orderKey(kept));
+    flow.m_order.emplace(orderKey(kept), kept.m_cost);
     level.m_cost += kept.m_cost;
     linkFlow(level, kept.m_customer, flow);
     m_byExpiry.insert({ kept.m_startBy, kept.m_id });
@@ -78,7 +78,7 @@
     if (level.m_byBacklog.empty())
         return std::nullopt;
     const CustomerId &customer = level.m_byBacklog.rbegin()->m_customer;
-    return level.m_flows.at(customer).m_order.rbegin()->m_id;
+    return level.m_flows.at(customer).m_order.rbegin()->first.m_id;
 }
 
 std::optional<WaitingRequest> FairQueue::makeRoomFor(const WaitingRequest &request)
@@ -139,7 +139,8 @@
     Level &level = found->second;
     if (!level.m_byStart.empty())
         return;
-    // Without any waiting request there is no share to keep, so the busy period ends.
+    // Without any waiting request there is no share to keep, so the busy period
+    // ends.
     m_levels.erase(found);
 }
 
@@ -152,7 +153,7 @@
 {
     for (const auto &[priority, level] : m_levels) {
         for (const FlowKey &key : level.m_byStart) {
-            for (const OrderKey &position : level.m_flows.at(key.m_customer).m_order) {
+            for (const auto &[position, cost] : level.m_flows.at(key.m_customer).m_order) {
                 const WaitingRequest &request = m_requests.at(position.m_id);
                 if (!mayServe(request))
                     continue;
@@ -200,27 +201,42 @@
     return cost;
 }
 
+double FairQueue::fairCostAhead(const WaitingRequest &request) const
+{
+    return costBefore(request.m_customer, request.m_priority, request.m_weight, orderKey(request));
+}
+
 double FairQueue::fairCostAhead(const CustomerId &customer, int priority, double weight) const
+{
+    return costBefore(customer, priority, weight, { Duration::max(), {} });
+}
+
+double FairQueue::costBefore(const CustomerId &customer, int priority, double weight,
+                             const OrderKey &position) const
 {
     double cost = costAhead(priority + 1);
     const auto found = m_levels.find(priority);
     if (found == m_levels.end())
         return cost;
     const Level &level = found->second;
-    double ownTag = level.m_virtualTime;
+    // The virtual time at which the request would begin.
+    double ownStart = level.m_virtualTime;
     const auto own = level.m_flows.find(customer);
     if (own != level.m_flows.end()) {
-        const double ownStart = std::max(own->second.m_start, level.m_virtualTime);
-        ownTag = ownStart + own->second.m_cost / positive(weight);
-        cost += own->second.m_cost;
+        const auto end = own->second.m_order.lower_bound(position);
+        double ownCost = 0;
+        for (auto it = own->second.m_order.begin(); it != end; ++it)
+            ownCost += it->second;
+        ownStart = std::max(own->second.m_start, ownStart) + ownCost / positive(weight);
+        cost += ownCost;
     }
     for (const FlowKey &key : level.m_byStart) {
-        if (key.m_value >= ownTag)
+        if (key.m_value >= ownStart)
             break;
         if (key.m_customer == customer)
             continue;
         const Flow &flow = level.m_flows.at(key.m_customer);
-        cost += std::min(flow.m_cost, (ownTag - key.m_value) * flow.m_weight);
+        cost += std::min(flow.m_cost, (ownStart - key.m_value) * flow.m_weight);
     }
     return cost;
 }
--- a/tests/policy/fair_queue_test.cpp
+++ b/tests/policy/fair_queue_test.cpp
@@ -193,9 +193,13 @@
     queue.push(request(200, "a", 4));
     queue.push(request(201, "vip", 3, 1));
     EXPECT_EQ(queue.costAhead(0), 1'007);
-    EXPECT_EQ(queue.fairCostAhead(CustomerId("new"), 0, 1), 3);
-    EXPECT_EQ(queue.fairCostAhead(CustomerId("a"), 0, 1), 3 + 4 + 4);
-    EXPECT_EQ(queue.fairCostAhead(CustomerId("flood"), 0, 1), 1'007);
+    EXPECT_EQ(queue.fairCostAhead(request(300, "new")), 3);
+    EXPECT_EQ(queue.fairCostAhead(request(300, "a")), 3 + 4 + 4);
+    EXPECT_EQ(queue.fairCostAhead(request(300, "flood")), 1'007);
+    // A close deadline goes before the customer's own requests that have time.
+    WaitingRequest urgent = request(300, "flood");
+    urgent.m_deadline = Start;
+    EXPECT_EQ(queue.fairCostAhead(urgent), 3);
 }
 
 struct Trace {
