--- a/bench/routing_run.cpp
+++ b/bench/routing_run.cpp
@@ -1,6 +1,7 @@
 #include "bench/routing_run.h"
 
 #include <malloc.h>
+#include <time.h>
 
 #include <fmt/format.h>
 
@@ -11,22 +12,26 @@
 using FloatMillis = std::chrono::duration<double, std::milli>;
 using FloatSeconds = std::chrono::duration<double>;
 
-/// Adds the real time of a scope, in nanoseconds.
+/// Adds the processor time of a scope, in nanoseconds: other work of the machine does not count.
 class Stopwatch
 {
 public:
     explicit Stopwatch(double &sum)
         : m_sum(sum)
-        , m_start(Clock::now())
+        , m_start(threadNanos())
     { }
-    ~Stopwatch()
+    ~Stopwatch() { m_sum += threadNanos() - m_start; }
+
+private:
+    static double threadNanos()
     {
-        m_sum += std::chrono::duration<double, std::nano>(Clock::now() - m_start).count();
+        timespec time{};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+        return static_cast<double>(time.tv_sec) * 1e9 + static_cast<double>(time.tv_nsec);
     }
 
-private:
     double &m_sum;
-    TimePoint m_start;
+    double m_start;
 };
 
 const ModelId BenchModel("model");
--- a/policy/choose_endpoint.cpp
+++ b/policy/choose_endpoint.cpp
@@ -53,12 +53,9 @@
     choice.m_predictedPrefill = predictPrefill(
         *candidate.m_cost, { choice.m_uncachedTokens, choice.m_cachedTokens, batch });
     const Duration bound = weights.m_chunkBound;
-    if (bound > Duration::zero() && choice.m_predictedPrefill > bound * ChunkAboveBounds) {
-        const PrefillWork atEnd{ 0, need.m_promptTokens, batch };
-        choice.m_chunkTokens = chunkTokens(*candidate.m_cost, atEnd, bound);
+    if (bound > Duration::zero() && choice.m_predictedPrefill > bound * ChunkAboveBounds)
         choice.m_chunkTime = bound;
-    }
-    const auto ahead = choice.m_chunkTokens == 0
+    const auto ahead = choice.m_chunkTime == Duration::zero()
                            ? blockingAhead(*candidate.m_ledger, now)
                            : sharedAhead(*candidate.m_ledger, choice.m_predictedPrefill, now);
     choice.m_predictedTtft =
@@ -70,7 +67,7 @@
 Duration interferenceCost(const StewardCandidate &candidate, const StewardChoice &choice,
                           const StewardWeights &weights)
 {
-    if (choice.m_chunkTokens == 0)
+    if (choice.m_chunkTime == Duration::zero())
         return Duration::zero();
     const auto &ledger = *candidate.m_ledger;
     const auto waiting = ledger.m_totals.m_grants - ledger.m_totals.m_decoding;
@@ -100,6 +97,14 @@
     return *known;
 }
 
+/// Tokens of a chunk that keeps its time even at the end of the prompt.
+uint64_t lastChunkTokens(const StewardCandidate &candidate, const RequestNeed &need,
+                         const StewardChoice &choice)
+{
+    const uint32_t batch = candidate.m_ledger->m_totals.m_decoding;
+    return chunkTokens(*candidate.m_cost, { 0, need.m_promptTokens, batch }, choice.m_chunkTime);
+}
+
 /// Whether @p left is to be preferred to @p right.
 bool isBetter(const Scored &left, const Scored &right, Duration tolerated)
 {
@@ -253,7 +258,7 @@
         const auto misfit =
             checkFits(*candidate.m_ledger,
                       { entry.m_choice.m_uncachedTokens, need.m_promptTokens + need.m_outputTokens,
-                        entry.m_choice.m_chunkTokens != 0 },
+                        entry.m_choice.m_chunkTime > Duration::zero() },
                       now);
         const bool isLong = isLongPrefill(lengthClass(entry.m_choice.m_uncachedTokens));
         if (misfit || (isLong && !candidate.m_acceptsLong)) {
@@ -274,7 +279,10 @@
         std::min_element(scored.begin(), scored.end(), [&](const auto &left, const auto &right) {
             return isBetter(left, right, tolerated);
         });
-    return best->m_choice;
+    auto choice = best->m_choice;
+    if (choice.m_chunkTime > Duration::zero())
+        choice.m_chunkTokens = lastChunkTokens(candidates[choice.m_index], need, choice);
+    return choice;
 }
 
 } // namespace stackquay
