Policy: search the cached prefix from its start

Cause: the search by halves touched several hash buckets even where nothing is cached. Change: growing steps from the start, then halves.

--- a/policy/prefix.cpp
+++ b/policy/prefix.cpp
@@ -88,10 +88,17 @@
 
 uint64_t cachedTokens(const PrefixIndex &index, const PrefixBlocks &blocks)
 {
-    // What is cached of a prompt is a prefix of it, so the border can be searched by halves.
-    const auto border = std::partition_point(blocks.begin(), blocks.end(), [&](const auto &block) {
+    const auto isCached = [&](const PrefixBlock &block) {
         return index.m_entries.contains(block.m_hash);
-    });
+    };
+    // What is cached of a prompt is a prefix of it, and mostly a short one: look at ever larger
+    // steps from the start, then search the last step by halves.
+    size_t step = 1;
+    while (step <= blocks.size() && isCached(blocks[step - 1]))
+        step *= 2;
+    const auto first = blocks.begin() + static_cast<ptrdiff_t>(step / 2);
+    const auto last = blocks.begin() + static_cast<ptrdiff_t>(std::min(step, blocks.size()));
+    const auto border = std::partition_point(first, last, isCached);
     return border == blocks.begin() ? 0 : std::prev(border)->m_number * PrefixBlockTokens;
 }
 
