Policy: waiting prefills of a kind without room are tried once

Cause: each event tried every waiting request on every endpoint. Change: a refusal that holds for a kind of prefill (whole, in chunks, long) skips the others of its kind.

--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -40,6 +40,7 @@
     std::vector<double> m_hitRate;
     std::vector<double> m_imbalance;
     std::vector<double> m_decisionNanos;
+    std::vector<double> m_decisionNanosP50;
     std::vector<double> m_decisionNanosP99;
     std::vector<double> m_totalNanos;
     std::vector<double> m_wireBytes;
@@ -87,6 +88,7 @@
                                 / static_cast<double>(mixed.m_sharing));
     figures.m_imbalance.push_back(imbalance(mixed.m_engineBusySeconds));
     figures.m_decisionNanos.push_back(mean(mixed.m_decisionNanos));
+    figures.m_decisionNanosP50.push_back(quantile(mixed.m_decisionNanos, 0.5));
     figures.m_decisionNanosP99.push_back(quantile(mixed.m_decisionNanos, 0.99));
     figures.m_totalNanos.push_back(mixed.m_stewardNanos / requests);
     figures.m_wireBytes.push_back(static_cast<double>(mixed.m_wireBytes) / requests);
@@ -101,9 +103,10 @@
     fmt::print("{:<15} short_slowdown_p95 {}, hit_rate {}, imbalance {}\n",
                routingPolicyName(policy), spread(figures.m_shortSlowdown, 3),
                spread(figures.m_hitRate, 3), spread(figures.m_imbalance, 2));
-    fmt::print("{:<15} decision_ns mean {}, p99 {}, all of a request's steward work {}\n",
+    fmt::print("{:<15} decision_ns mean {}, p50 {}, p99 {}, all of a request's steward work {}\n",
                routingPolicyName(policy), spread(figures.m_decisionNanos, 0),
-               spread(figures.m_decisionNanosP99, 0), spread(figures.m_totalNanos, 0));
+               spread(figures.m_decisionNanosP50, 0), spread(figures.m_decisionNanosP99, 0),
+               spread(figures.m_totalNanos, 0));
     fmt::print("{:<15} wire bytes a request {}, state bytes a node {}\n", routingPolicyName(policy),
                spread(figures.m_wireBytes, 0), spread(figures.m_stateBytes, 0));
     for (size_t i = 0; i < figures.m_longTtft.size(); ++i)
--- a/policy/choose_endpoint.cpp
+++ b/policy/choose_endpoint.cpp
@@ -52,9 +52,8 @@
     const uint32_t batch = candidate.m_ledger->m_totals.m_decoding;
     choice.m_predictedPrefill = predictPrefill(
         *candidate.m_cost, { choice.m_uncachedTokens, choice.m_cachedTokens, batch });
-    const Duration bound = weights.m_chunkBound;
-    if (bound > Duration::zero() && choice.m_predictedPrefill > bound * ChunkAboveBounds)
-        choice.m_chunkTime = bound;
+    if (goesInChunks(weights, choice.m_predictedPrefill))
+        choice.m_chunkTime = weights.m_chunkBound;
     const auto ahead = choice.m_chunkTime == Duration::zero()
                            ? blockingAhead(*candidate.m_ledger, now)
                            : sharedAhead(*candidate.m_ledger, choice.m_predictedPrefill, now);
@@ -91,8 +90,9 @@
 
 LedgerRefusal leastRefusal(std::optional<LedgerRefusal> known, LedgerRefusal other)
 {
-    // TooLong is final, so it is the answer only if every candidate gives it.
-    if (!known || *known == LedgerRefusal::TooLong)
+    // TooLong is final, so it is the answer only if every candidate gives it. Memory depends on the
+    // request's size, so it goes before the reasons that hold for others of its kind too.
+    if (!known || *known == LedgerRefusal::TooLong || other == LedgerRefusal::Memory)
         return other;
     return *known;
 }
@@ -240,6 +240,12 @@
     return weights;
 }
 
+bool goesInChunks(const StewardWeights &weights, Duration prefill)
+{
+    const Duration bound = weights.m_chunkBound;
+    return bound > Duration::zero() && prefill > bound * ChunkAboveBounds;
+}
+
 tl::expected<StewardChoice, LedgerRefusal>
 chooseBySteward(std::span<const StewardCandidate> candidates, const RequestNeed &need,
                 TimePoint now, const StewardWeights &weights)
@@ -262,7 +268,9 @@
                       now);
         const bool isLong = isLongPrefill(lengthClass(entry.m_choice.m_uncachedTokens));
         if (misfit || (isLong && !candidate.m_acceptsLong)) {
-            refusal = leastRefusal(refusal, misfit.value_or(LedgerRefusal::LongPrefill));
+            const auto reason = misfit.value_or(LedgerRefusal::LongPrefill);
+            if (reason != LedgerRefusal::TooLong || !refusal)
+                refusal = leastRefusal(refusal, reason);
             continue;
         }
         entry.m_cost =
--- a/policy/choose_endpoint.h
+++ b/policy/choose_endpoint.h
@@ -118,7 +118,10 @@
 
 StewardWeights stewardWeights(RoutingObjective objective);
 
-/// A choice, or the least of the reasons why none fits.
+/// Whether a prefill of this time goes in chunks.
+bool goesInChunks(const StewardWeights &weights, Duration prefill);
+
+/// A choice, or the reason why none fits.
 struct StewardChoice {
     size_t m_index = 0;
     uint64_t m_cachedTokens = 0;
--- a/policy/steward.cpp
+++ b/policy/steward.cpp
@@ -199,31 +199,47 @@
     return std::move(waiting.m_request);
 }
 
-/// Grants to waiting requests in order, until none of them fits. Without room for one long prefill
-/// there is none for another, so those are not tried again.
+/// Kinds of prefill that no endpoint has room for now: others of the kind need not be tried.
+struct FullKind {
+    ModelId m_model;
+    PrefillKind m_kind;
+
+    bool operator==(const FullKind &) const = default;
+};
+
+/// Whether a refusal holds for all of its kind, whatever their size.
+bool holdsForKind(LedgerRefusal refusal)
+{
+    return refusal != LedgerRefusal::Memory && refusal != LedgerRefusal::TooLong;
+}
+
+/// Grants to waiting requests in order, until none of them fits.
 void grantWaiting(Steward &steward, TimePoint now, std::vector<GrantDecision> &decisions)
 {
-    std::vector<ModelId> noLongRoom;
+    std::vector<FullKind> full;
     while (!steward.m_queue.empty() && anyOpen(steward, now)) {
         std::optional<Placement> placement;
         uint32_t visited = 0;
-        const auto mayServe = [&](const WaitingRequest &waiting) {
+        const auto mayServe = [&](const WaitingRequest &entry) {
             if (++visited > steward.m_settings.m_maxVisited)
                 return false;
-            const auto &request = steward.m_waiting.at(waiting.m_id).m_request;
-            const bool isLong = isLongPrefill(lengthClass(request.m_need.m_promptTokens));
-            if (isLong && contains(noLongRoom, request.m_model))
+            const auto &waiting = steward.m_waiting.at(entry.m_id);
+            const auto &request = waiting.m_request;
+            const FullKind kind{ request.m_model, waiting.m_kind };
+            const bool reserved =
+                steward.m_reservation && steward.m_reservation->m_request == entry.m_id;
+            if (!reserved && contains(full, kind))
                 return false;
             auto outcome = tryPlace(steward, request, now);
-            if (!outcome) {
-                if (outcome.error() == LedgerRefusal::LongPrefill)
-                    noLongRoom.push_back(request.m_model);
-                if (outcome.error() == LedgerRefusal::Memory)
-                    reserveMemory(steward, request, now);
-                return false;
+            if (outcome) {
+                placement = std::move(*outcome);
+                return true;
             }
-            placement = std::move(*outcome);
-            return true;
+            if (outcome.error() == LedgerRefusal::Memory)
+                reserveMemory(steward, request, now);
+            if (holdsForKind(outcome.error()) && request.m_excluded.empty())
+                full.push_back(kind);
+            return false;
         };
         const auto served = steward.m_queue.popIf(mayServe);
         if (!served)
@@ -314,6 +330,15 @@
     return decision;
 }
 
+PrefillKind kindOf(const Steward &steward, const GrantRequest &request, const Estimate &estimated)
+{
+    if (estimated.m_long)
+        return PrefillKind::Long;
+    return goesInChunks(weightsOf(steward, request.m_model), estimated.m_prefill)
+               ? PrefillKind::Chunked
+               : PrefillKind::Whole;
+}
+
 /// Puts a request into the queue, telling what follows for it and for one that it displaces.
 void enqueue(Steward &steward, const GrantRequest &request, const Estimate &estimated,
              Duration wait, std::vector<GrantDecision> &decisions)
@@ -326,7 +351,8 @@
     }
     decisions.push_back(notGranted(request, GrantAnswer::Waiting, wait));
     const double longSeconds = estimated.m_long ? FloatSeconds(estimated.m_prefill).count() : 0;
-    steward.m_waiting.emplace(request.m_request, WaitingGrant{ request, longSeconds });
+    const auto kind = kindOf(steward, request, estimated);
+    steward.m_waiting.emplace(request.m_request, WaitingGrant{ request, kind, longSeconds });
     steward.m_models[request.m_model].m_longSet.m_waiting += longSeconds;
     if (!pushed.m_displaced)
         return;
--- a/policy/steward.h
+++ b/policy/steward.h
@@ -22,7 +22,9 @@
 struct StewardSettings {
     Millis m_grantTtl{ 2'000 }; ///< A grant that is not started within this is void.
     Millis m_refusalPause{ 200 }; ///< No grants to an endpoint that just refused for want of room.
-    EndpointCapacity m_capacity{ 0, 64, 1, 0, 3, Millis(50) }; ///< Until an endpoint's own is known.
+    EndpointCapacity m_capacity{
+        0, 64, 1, 0, 3, Millis(50)
+    }; ///< Until an endpoint's own is known.
     Millis m_reserveAfter{ 1'000 }; ///< Waiting for memory before an endpoint is kept for it.
     uint32_t m_maxVisited = 1'024; ///< Waiting requests looked at for each decision.
     FairQueueSettings m_queue;
@@ -107,9 +109,17 @@
     double m_outputRatio = 0.5; ///< Mean of real to largest answer.
 };
 
+/// How a prefill is expected to go. What one waits for, all of its kind wait for.
+enum class PrefillKind {
+    Whole,
+    Chunked,
+    Long, ///< On an engine that accepts long prompts.
+};
+
 /// A request that waits.
 struct WaitingGrant {
     GrantRequest m_request;
+    PrefillKind m_kind = PrefillKind::Whole;
     double m_longSeconds = 0; ///< Of prefill, if it is long.
 };
 
