--- a/policy/choose_endpoint.cpp
+++ b/policy/choose_endpoint.cpp
@@ -52,13 +52,9 @@
     const uint32_t batch = candidate.m_ledger->m_totals.m_decoding;
     choice.m_predictedPrefill = predictPrefill(
         *candidate.m_cost, { choice.m_uncachedTokens, choice.m_cachedTokens, batch });
-    const Duration bound = weights.m_chunkBound;
-    if (bound > Duration::zero() && choice.m_predictedPrefill > bound * ChunkAboveBounds) {
-        const PrefillWork atEnd{ 0, need.m_promptTokens, batch };
-        choice.m_chunkTokens = chunkTokens(*candidate.m_cost, atEnd, bound);
-        choice.m_chunkTime = bound;
-    }
-    const auto ahead = choice.m_chunkTokens == 0
+    if (goesInChunks(weights, choice.m_predictedPrefill))
+        choice.m_chunkTime = weights.m_chunkBound;
+    const auto ahead = choice.m_chunkTime == Duration::zero()
                            ? blockingAhead(*candidate.m_ledger, now)
                            : sharedAhead(*candidate.m_ledger, choice.m_predictedPrefill, now);
     choice.m_predictedTtft =
@@ -70,7 +66,7 @@
 Duration interferenceCost(const StewardCandidate &candidate, const StewardChoice &choice,
                           const StewardWeights &weights)
 {
-    if (choice.m_chunkTokens == 0)
+    if (choice.m_chunkTime == Duration::zero())
         return Duration::zero();
     const auto &ledger = *candidate.m_ledger;
     const auto waiting = ledger.m_totals.m_grants - ledger.m_totals.m_decoding;
@@ -94,12 +90,21 @@
 
 LedgerRefusal leastRefusal(std::optional<LedgerRefusal> known, LedgerRefusal other)
 {
-    // TooLong is final, so it is the answer only if every candidate gives it.
-    if (!known || *known == LedgerRefusal::TooLong)
+    // TooLong is final, so it is the answer only if every candidate gives it. Memory depends on the
+    // request's size, so it goes before the reasons that hold for others of its kind too.
+    if (!known || *known == LedgerRefusal::TooLong || other == LedgerRefusal::Memory)
         return other;
     return *known;
 }
 
+/// Tokens of a chunk that keeps its time even at the end of the prompt.
+uint64_t lastChunkTokens(const StewardCandidate &candidate, const RequestNeed &need,
+                         const StewardChoice &choice)
+{
+    const uint32_t batch = candidate.m_ledger->m_totals.m_decoding;
+    return chunkTokens(*candidate.m_cost, { 0, need.m_promptTokens, batch }, choice.m_chunkTime);
+}
+
 /// Whether @p left is to be preferred to @p right.
 bool isBetter(const Scored &left, const Scored &right, Duration tolerated)
 {
@@ -235,6 +240,12 @@
     return weights;
 }
 
+bool goesInChunks(const StewardWeights &weights, Duration prefill)
+{
+    const Duration bound = weights.m_chunkBound;
+    return bound > Duration::zero() && prefill > bound * ChunkAboveBounds;
+}
+
 tl::expected<StewardChoice, LedgerRefusal>
 chooseBySteward(std::span<const StewardCandidate> candidates, const RequestNeed &need,
                 TimePoint now, const StewardWeights &weights)
@@ -253,11 +264,13 @@
         const auto misfit =
             checkFits(*candidate.m_ledger,
                       { entry.m_choice.m_uncachedTokens, need.m_promptTokens + need.m_outputTokens,
-                        entry.m_choice.m_chunkTokens != 0 },
+                        entry.m_choice.m_chunkTime > Duration::zero() },
                       now);
         const bool isLong = isLongPrefill(lengthClass(entry.m_choice.m_uncachedTokens));
         if (misfit || (isLong && !candidate.m_acceptsLong)) {
-            refusal = leastRefusal(refusal, misfit.value_or(LedgerRefusal::LongPrefill));
+            const auto reason = misfit.value_or(LedgerRefusal::LongPrefill);
+            if (reason != LedgerRefusal::TooLong || !refusal)
+                refusal = leastRefusal(refusal, reason);
             continue;
         }
         entry.m_cost =
@@ -274,7 +287,10 @@
         std::min_element(scored.begin(), scored.end(), [&](const auto &left, const auto &right) {
             return isBetter(left, right, tolerated);
         });
-    return best->m_choice;
+    auto choice = best->m_choice;
+    if (choice.m_chunkTime > Duration::zero())
+        choice.m_chunkTokens = lastChunkTokens(candidates[choice.m_index], need, choice);
+    return choice;
 }
 
 } // namespace stackquay
