Claims: close segments by the size of the open claims, and fewer buckets

The list of segments counted towards the limit, so a bucket with a long list would have closed a segment at each write.

--- a/store/claim_writer.cpp
+++ b/store/claim_writer.cpp
@@ -233,7 +233,7 @@
     ClaimBucket &next = proposal.m_next;
     proposal.m_expired = takeExpiredSegments(next, m_shared.m_runtime.m_wallNow());
     std::string value = formatClaimBucket(next);
-    if (value.size() > m_shared.m_settings.m_openBytes && !next.m_open.empty()) {
+    if (formatClaims(next.m_open).size() > m_shared.m_settings.m_openBytes) {
         const Status closed = closeSegment(proposal);
         if (!closed)
             return closed;
--- a/store/claim_writer.h
+++ b/store/claim_writer.h
@@ -14,9 +14,9 @@
 namespace stackquay {
 
 struct ClaimSettings {
-    size_t m_buckets = 64; ///< The same on every VM, for as long as claims are kept.
-    Duration m_window = Millis(20); ///< How long the first of a batch waits for others.
-    size_t m_openBytes = 32 * 1024; ///< A head longer than this has its open claims closed.
+    size_t m_buckets = 16; ///< The same on every VM, for as long as claims are kept.
+    Duration m_window = Millis(50); ///< How long the first of a batch waits for others.
+    size_t m_openBytes = 32 * 1024; ///< More open claims than this are closed into a segment.
     size_t m_inlineOutcomeBytes = 1024; ///< A longer outcome goes into an object of its own.
     BackoffSettings m_backoff{ Millis(20), Seconds(2) };
 };
--- a/tests/store/claim_test.cpp
+++ b/tests/store/claim_test.cpp
@@ -212,6 +212,19 @@
     EXPECT_EQ(world.claim(name(5), "c", 1).m_outcome, ClaimOutcome::Claimed);
 }
 
+TEST(ClaimTest, ALongListOfSegmentsClosesNoMoreOfThem)
+{
+    ClaimSettings settings = oneBucket();
+    settings.m_openBytes = 2000;
+    ClaimWorld world(1, settings);
+    const int claims = 800;
+    for (int i = 0; i < claims; ++i)
+        ASSERT_EQ(world.claim(std::to_string(i), "a").m_outcome, ClaimOutcome::Claimed);
+    ASSERT_GT(world.m_objects.get(claimHeadKey(0))->m_value.size(), 4000u);
+    // Some eleven claims fill a segment, also when the list alone is longer than the open ones.
+    EXPECT_LT(world.m_objects.count(claimSegmentPrefix(0)), claims / 6);
+}
+
 TEST(ClaimTest, AClosedClaimCanStillBeSettledOrFreed)
 {
     ClaimSettings settings = oneBucket();
