--- a/tests/store/claim_bench_test.cpp
+++ b/tests/store/claim_bench_test.cpp
@@ -95,8 +95,8 @@
         settings.m_burst = 1e6;
         StoreClient client(thread.context(), settings, RandomEngine(1));
         for (const double rate : { 10.0, 100.0, 1000.0 }) {
-            for (const size_t buckets : { size_t(4), size_t(64) }) {
-                for (const Millis window : { Millis(20), Millis(100) }) {
+            for (const size_t buckets : { size_t(4), size_t(16), size_t(64) }) {
+                for (const Millis window : { Millis(20), Millis(50), Millis(100) }) {
                     const ClaimLoad load{ rate, buckets, window };
                     printRow(load, runLoad(thread, client, load));
                     std::fflush(stdout);
