--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -23,6 +23,7 @@
 ENDPOINTS_JSON=()
 CUSTOMERS_JSON=()
 SERVICES=()
+declare -A FIRST_UDP=()     # UDP address of the first daemon, by data centre.
 
 fail() {
   echo "$(basename "$0"): $*" >&2
@@ -48,6 +49,7 @@
   ENDPOINTS_JSON=()
   CUSTOMERS_JSON=()
   SERVICES=()
+  FIRST_UDP=()
   rm -rf "${RUN_DIR:-}"
 }
 
@@ -74,7 +76,7 @@
   "$@" >"$RUN_DIR/$name.out" 2>"$RUN_DIR/$name.log" &
   PID[$name]=$!
   while [ -z "$line" ]; do
-    line=$(grep -m1 '^ready ' "$RUN_DIR/$name.out" || true)
+    line=$(grep -m1 '^ready ' "$RUN_DIR/$name.out" 2>/dev/null || true)
     if [ -z "$line" ]; then
       if ! kill -0 "${PID[$name]}" 2>/dev/null || [ $SECONDS -ge $deadline ]; then
         tail -5 "$RUN_DIR/$name.log" >&2
@@ -193,9 +195,13 @@
 start_daemon() {
   local name=$1 data_centre=$2
   shift 2
+  local seeds=()
+  [ -z "${FIRST_UDP[$data_centre]:-}" ] || seeds=(--seeds "${FIRST_UDP[$data_centre]}")
   start_process "$name" "$BIN/stackquayd" --vm "$name" --data-centre "$data_centre" \
-    --platform "${ADDRESS[platform]}" --charts "$CHARTS" --drain-lag 0ms --log-level warn "$@"
+    --platform "${ADDRESS[platform]}" --charts "$CHARTS" --drain-lag 0ms --log-level warn \
+    "${seeds[@]}" "$@"
   DAEMONS+=("${ADDRESS[$name]}")
+  : "${FIRST_UDP[$data_centre]:=$(sed -n 's/^ready .*udp=\([^ ]*\).*/\1/p' "$RUN_DIR/$name.out")}"
 }
 
 # Waits until every daemon is ready for callers.
