--- a/standin/flags.cpp
+++ b/standin/flags.cpp
@@ -5,7 +5,7 @@
 #include <fmt/format.h>
 #include <getopt.h>
 
-namespace stackquay {
+namespace stackquay::standin {
 
 namespace {
 
@@ -111,4 +111,4 @@
     return help;
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
