--- a/main/stackquayd.cpp
+++ b/main/stackquayd.cpp
@@ -39,7 +39,8 @@
         log(LogPart::Main).critical("Cannot start. error={}", daemon.error().m_message);
         return 1;
     }
-    std::printf("ready address=%s\n", toString((*daemon)->httpAddress()).c_str());
+    std::printf("ready address=%s udp=%s\n", toString((*daemon)->httpAddress()).c_str(),
+                toString((*daemon)->udpAddress()).c_str());
     std::fflush(stdout);
     std::thread([&signals, &daemon] {
         for (int signal = 0; sigwait(&signals, &signal) == 0;)
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -19,6 +19,7 @@
 declare -A PID=()      # By process name.
 declare -A ADDRESS=()  # By process name.
 DAEMONS=()             # Addresses.
+SEEDS=()               # UDP addresses of the daemons.
 DATA_CENTRES=()
 ENDPOINTS_JSON=()
 CUSTOMERS_JSON=()
@@ -45,6 +46,7 @@
   PID=()
   ADDRESS=()
   DAEMONS=()
+  SEEDS=()
   DATA_CENTRES=()
   ENDPOINTS_JSON=()
   CUSTOMERS_JSON=()
@@ -85,6 +87,9 @@
       sleep 0.02
     fi
   done
+  case $line in
+    *udp=*) SEEDS+=("${line##*udp=}") ;;
+  esac
   line=${line#*address=}
   ADDRESS[$name]=${line%% *}
 }
