--- a/policy/policy.h
+++ b/policy/policy.h
@@ -21,6 +21,7 @@
 #include "policy/overflow.h"
 #include "policy/prefix.h"
 #include "policy/retry.h"
+#include "policy/shard.h"
 #include "policy/span_plan.h"
 #include "policy/steward.h"
 #include "policy/tenure.h"
