--- a/bench/routing_run.cpp
+++ b/bench/routing_run.cpp
@@ -125,8 +125,10 @@
     {
         const auto count = shardCount(m_settings.m_endpoints, m_settings.m_perShard);
         m_shardSizes.resize(count);
-        for (uint32_t shard = 0; shard < count; ++shard)
+        for (uint32_t shard = 0; shard < count; ++shard) {
             m_stewards.push_back(makeSteward(fmt::format("vm{}:1", shard), m_settings.m_steward));
+            setObjective(m_stewards.back(), BenchModel, m_settings.m_objective);
+        }
         for (size_t i = 0; i < m_settings.m_endpoints; ++i) {
             const bool single = m_settings.m_perShard == 1;
             const auto shard = single ? static_cast<uint32_t>(i) : shardOf(endpointId(i), count);
@@ -177,7 +179,10 @@
         }
         m_result.m_decisionNanos.push_back(nanos);
         ++views[flight.m_engine].m_ownInFlight;
-        m_loop.after(m_settings.m_hop, [this, index] { submit(index, 0, 0); });
+        const auto chunk = m_settings.m_baselineChunk;
+        const bool inChunks = m_workload[index].m_need.m_promptTokens > 2 * chunk;
+        m_loop.after(m_settings.m_hop,
+                     [this, index, chunk, inChunks] { submit(index, 0, inChunks ? chunk : 0); });
     }
 
     /// Asks the steward of a shard; the answer comes to decided().
@@ -287,7 +292,7 @@
         job.m_prefix = item.m_need.m_prefix;
         job.m_prefilledTokens = prefilledTokens;
         job.m_prefillLimit = chunk;
-        if (m_settings.m_policy == RoutingPolicy::Steward)
+        if (m_settings.m_policy == RoutingPolicy::Steward || m_settings.m_baselineChunk != 0)
             job.m_priority = enginePriority(0, chunk != 0);
         job.m_onPrefill = [this, index](const FakePrefill &prefill) { prefilled(index, prefill); };
         job.m_onDone = [this, index](Duration decode) { done(index, decode); };
@@ -313,14 +318,21 @@
         m_loop.after(step + m_settings.m_hop, [this, index] { firstToken(index); });
     }
 
+    uint64_t noteChunk(const Flight &flight, uint64_t prefilledTokens)
+    {
+        return timed([&] {
+            return noteChunkDone(m_stewards[flight.m_shard], flight.m_grant, prefilledTokens,
+                                 m_loop.now());
+        });
+    }
+
     void nextChunk(size_t index, uint64_t prefilledTokens)
     {
         m_loop.after(2 * m_settings.m_hop, [this, index, prefilledTokens] {
             auto &flight = m_flights[index];
-            const auto chunk = timed([&] {
-                return noteChunkDone(m_stewards[flight.m_shard], flight.m_grant, prefilledTokens,
-                                     m_loop.now());
-            });
+            const bool steward = m_settings.m_policy == RoutingPolicy::Steward;
+            const auto chunk =
+                steward ? noteChunk(flight, prefilledTokens) : m_settings.m_baselineChunk;
             submit(index, prefilledTokens, chunk);
         });
     }
--- a/bench/routing_run.h
+++ b/bench/routing_run.h
@@ -11,8 +11,11 @@
 
 struct RoutingRunSettings {
     RoutingPolicy m_policy = RoutingPolicy::Steward;
+    RoutingObjective m_objective = RoutingObjective::ShortSlowdown;
     size_t m_endpoints = 420;
     size_t m_nodes = 70;
+    /// Gives the baselines chunks of so many tokens and the engines' priorities too; 0: neither.
+    uint64_t m_baselineChunk = 0;
     uint32_t m_perShard = EndpointsPerShard;
     Micros m_hop{ 250 }; ///< One way between any two machines.
     Millis m_loadPeriod{ 500 }; ///< Between two reports of an engine's load.
--- a/main/stackquay_bench.cpp
+++ b/main/stackquay_bench.cpp
@@ -13,7 +13,9 @@
 
 constexpr const char *Usage =
     "usage: stackquay-bench routing [--endpoints N] [--nodes N] [--per-shard N] [--load SHARE]\n"
-    "         [--seeds N] [--seconds N] [--policy round-robin|least-reported|steward]\n";
+    "         [--seeds N] [--seconds N] [--policy round-robin|least-reported|steward]\n"
+    "         [--objective short_slowdown|ttft_by_length]\n"
+    "         [--baseline-chunk TOKENS]\n";
 
 int routing(int argc, char **argv)
 {
@@ -25,6 +27,8 @@
         { "seeds", required_argument, nullptr, 's' },
         { "seconds", required_argument, nullptr, 't' },
         { "policy", required_argument, nullptr, 'o' },
+        { "baseline-chunk", required_argument, nullptr, 'c' },
+        { "objective", required_argument, nullptr, 'b' },
         {},
     };
     RoutingBenchSettings settings;
@@ -44,8 +48,14 @@
             settings.m_load = std::strtod(optarg, nullptr);
         else if (flag == 's')
             settings.m_seeds = static_cast<uint32_t>(number);
+        else if (flag == 'c')
+            settings.m_run.m_baselineChunk = number;
         else if (flag == 't')
             settings.m_run.m_workload.m_length = Seconds(number);
+        else if (flag == 'b')
+            settings.m_run.m_objective = std::strcmp(optarg, "ttft_by_length") == 0
+                                             ? RoutingObjective::TtftByLength
+                                             : RoutingObjective::ShortSlowdown;
         else if (const auto policy = parseRoutingPolicy(optarg))
             settings.m_policies = { *policy };
         else
--- a/policy/choose_endpoint.cpp
+++ b/policy/choose_endpoint.cpp
@@ -235,8 +235,10 @@
 StewardWeights stewardWeights(RoutingObjective objective)
 {
     StewardWeights weights;
-    if (objective == RoutingObjective::TtftByLength)
+    if (objective == RoutingObjective::TtftByLength) {
         weights.m_interference = 0.25;
+        weights.m_chunkBound = Millis(200);
+    }
     return weights;
 }
 
