--- a/standin/flags.h
+++ b/standin/flags.h
@@ -7,7 +7,7 @@
 
 #include "core/core.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 /// One `--name VALUE` flag, or `--name` alone if it takes no value.
 struct Flag {
@@ -30,4 +30,4 @@
 Status parseFlags(int argc, char **argv, const std::vector<Flag> &flags);
 std::string flagsHelp(const std::vector<Flag> &flags);
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/json_http.cpp
+++ b/standin/json_http.cpp
@@ -2,7 +2,7 @@
 
 #include <charconv>
 
-namespace stackquay {
+namespace stackquay::standin {
 
 Status respondJson(HttpExchange &exchange, unsigned status, const Json &body)
 {
@@ -56,4 +56,4 @@
     return value;
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/standin/notifier.h
+++ b/standin/notifier.h
@@ -7,7 +7,7 @@
 
 #include "platform/platform.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 /// Fibers check their condition, then wait here for a change. Used on its thread only. Unlike
 /// bare fiber primitives, its waits end when the thread stops.
@@ -31,4 +31,4 @@
     std::list<boost::asio::steady_timer *> m_waiting;
 };
 
-} // namespace stackquay
+} // namespace stackquay::standin
