--- a/core/core.h
+++ b/core/core.h
@@ -7,3 +7,4 @@
 #include "core/ids.h"
 #include "core/log.h"
 #include "core/random.h"
+#include "core/text_patch.h"
--- a/peers/revision_patch.cpp
+++ b/core/text_patch.cpp
@@ -1,5 +1,6 @@
-#include "peers/revision_patch.h"
+#include "core/text_patch.h"
 
+#include <algorithm>
 #include <bit>
 #include <memory>
 
@@ -12,6 +13,9 @@
 constexpr int CompressionLevel = 3;
 constexpr int SmallestWindowLog = 17;
 constexpr int LargestWindowLog = 27;
+constexpr size_t PackedFromBytes = 64 * 1024;
+/// The first bytes of every Zstandard frame; no JSON text begins so.
+constexpr std::string_view FrameMagic = "\x28\xb5\x2f\xfd";
 
 struct FreeContext {
     void operator()(ZSTD_CCtx *context) const { ZSTD_freeCCtx(context); }
@@ -55,7 +59,7 @@
 {
     const unsigned long long size = ZSTD_getFrameContentSize(patch.data(), patch.size());
     if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN
-        || size > MaxRevisionBytes)
+        || size > MaxPatchedBytes)
         return makeError(ErrorCode::ProtocolError, "not a patch of a known size");
     const std::unique_ptr<ZSTD_DCtx, FreeContext> context(ZSTD_createDCtx());
     ZSTD_DCtx_setParameter(context.get(), ZSTD_d_windowLogMax, LargestWindowLog);
@@ -71,4 +75,18 @@
     return text;
 }
 
+Result<std::string> packText(std::string text)
+{
+    if (text.size() < PackedFromBytes)
+        return text;
+    return makePatch({}, text);
+}
+
+Result<std::string> unpackText(std::string stored)
+{
+    if (!std::string_view(stored).starts_with(FrameMagic))
+        return stored;
+    return applyPatch({}, stored);
+}
+
 } // namespace stackquay
--- a/peers/revision_history.h
+++ b/peers/revision_history.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include <deque>
-#include <memory>
+#include <string>
 #include <vector>
 
-#include "peers/revision_patch.h"
+#include "core/core.h"
 
 namespace stackquay {
 
--- a/store/intent_head.h
+++ b/store/intent_head.h
@@ -9,7 +9,8 @@
 
 /// The key of the head object.
 constexpr const char *IntentHeadKey = "intent/head";
-/// Snapshots are objects below this prefix; they are never changed.
+/// Snapshots are objects below this prefix; they are never changed. Long ones are compressed, since
+/// an object holds a megabyte at most: see packText().
 constexpr const char *IntentSnapshotPrefix = "intent/snapshot/";
 /// How long the head names a change, so that its writer can still find out what became of it.
 constexpr std::chrono::minutes IntentChangeRetention{ 10 };
--- a/store/intent_store.cpp
+++ b/store/intent_store.cpp
@@ -85,8 +85,12 @@
         if (head->m_revision == 0)
             return IntentState{};
         auto snapshot = m_objects.get(head->m_snapshot);
-        if (snapshot)
-            return IntentState{ head->m_revision, std::move(snapshot->m_value) };
+        if (snapshot) {
+            auto text = unpackText(std::move(snapshot->m_value));
+            if (!text)
+                return tl::unexpected(text.error());
+            return IntentState{ head->m_revision, std::move(*text) };
+        }
         error = snapshot.error();
         // Not found: the head has moved on since, and the snapshot was dropped.
         if (error.m_code != ErrorCode::NotFound)
@@ -116,8 +120,11 @@
 Result<std::string> IntentStore::writeSnapshot(const IntentCommit &commit)
 {
     const std::string key = snapshotKey(commit.m_expectedRevision + 1);
+    const auto value = packText(commit.m_snapshot);
+    if (!value)
+        return tl::unexpected(value.error());
     for (unsigned i = 0;; ++i) {
-        const auto written = m_objects.put(key, commit.m_snapshot, NoObject);
+        const auto written = m_objects.put(key, *value, NoObject);
         if (written)
             return key;
         const ErrorCode code = written.error().m_code;
--- a/tests/peers/revision_history_test.cpp
+++ b/tests/peers/revision_history_test.cpp
@@ -18,7 +18,7 @@
     return text;
 }
 
-TEST(RevisionPatchTest, SmallChangeOfALargeTextIsASmallPatch)
+TEST(TextPatchTest, SmallChangeOfALargeTextIsASmallPatch)
 {
     const std::string base = largeText(20'000, 0, 1);
     const std::string text = "{\"revision\":8}" + largeText(20'000, 12'345, 70);
@@ -32,6 +32,17 @@
     EXPECT_FALSE(applyPatch(base, "junk"));
 }
 
+TEST(TextPatchTest, LongTextsAreStoredCompressedAndShortOnesAsTheyAre)
+{
+    const std::string text = largeText(20'000, 0, 1);
+    const std::string stored = packText(text).value();
+    EXPECT_LT(stored.size(), text.size() / 2);
+    EXPECT_EQ(unpackText(stored).value(), text);
+    EXPECT_FALSE(unpackText(stored.substr(0, stored.size() / 2)));
+    EXPECT_EQ(packText("{}").value(), "{}");
+    EXPECT_EQ(unpackText("{}").value(), "{}");
+}
+
 TEST(RevisionHistoryTest, GoesOnlyUpAndLeadsOthersAlong)
 {
     RevisionHistory leader;
