Peers: the bytes of a mass start are bounded

Cause: 12 s after 70 daemons had started at once each sent and received 5,448 bytes/s, 150 daemons 5,880; the bound is 3 KB/s. Joins were told 3 log2(n) times at up to 400 bytes a message, and whoever pulled the list told all of it again. Change: 170 bytes a message, 4 log10(n) tellings, at most one pull in 15 s, and pulled members are not told on. capacity.sh also measures requests, the target's intent and changes of it.

--- a/peers/membership_state.cpp
+++ b/peers/membership_state.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr uint32_t TellingsPerDoubling = 3;
+constexpr uint32_t TellingsPerDecade = 4;
 constexpr size_t PageBytes = 900; ///< Leaves room for the rest of the message.
 constexpr size_t SmallGroup = 10;
 
@@ -323,7 +323,11 @@
             pulled && report.m_state == VmState::Dead && !m_table.find(report.m_id);
         if (!isValid(report, dataCentre) || oldDeath)
             continue;
-        if (m_table.merge(pulled ? milder(report) : report, now, suspicion()))
+        if (!m_table.merge(pulled ? milder(report) : report, now, suspicion()))
+            continue;
+        m_lastChange = now;
+        // A list that was pulled is no news to others: whoever misses it pulls it too.
+        if (!pulled || report.m_state == VmState::Suspect || report.m_id == m_table.self().m_id)
             learned(report.m_id, now);
     }
     for (const EndpointNotice &notice : message.m_notices) {
@@ -505,8 +509,8 @@
 
 uint32_t MembershipState::tellingLimit() const
 {
-    const double doublings = std::ceil(std::log2(m_table.aliveCount() + 1.0));
-    return TellingsPerDoubling * static_cast<uint32_t>(doublings);
+    const double decades = std::ceil(std::log10(m_table.aliveCount() + 1.0));
+    return TellingsPerDecade * static_cast<uint32_t>(decades);
 }
 
 } // namespace stackquay
--- a/peers/membership_state.h
+++ b/peers/membership_state.h
@@ -21,14 +21,15 @@
     Millis m_suspicion{ 2'000 };
     Seconds m_forgetDead{ 7'200 };
     Seconds m_forgetNotice{ 600 };
-    Millis m_syncPeriod{ 5'000 }; ///< At most one pull of the whole list in this time.
+    Millis m_syncPeriod{ 15'000 }; ///< At most one pull of the whole list in this time.
     Millis m_settle{ 3'000 }; ///< Differences younger than this are left to the probes.
     /// Longer without tick(): this VM was paused, and blames nobody for it.
     Millis m_pause{ 1'000 };
     Millis m_pushPeriod{ 500 }; ///< At most one push of news outside the round in this time.
     size_t m_pushFanout = 2;
     size_t m_reconnectEvery = 10; ///< Each such probe goes to a seed or a dead VM.
-    size_t m_piggybackBytes = 400;
+    /// Bounds the control bytes while many VMs change at once: twelve messages a second.
+    size_t m_piggybackBytes = 170;
 };
 
 class MembershipState
--- a/scripts/measure/capacity.sh
+++ b/scripts/measure/capacity.sh
@@ -5,6 +5,7 @@
 #
 #   SIZES="8 16 32 70 110 150"  numbers of daemons
 #   SETTLE_S=15 WINDOW_S=20     seconds before and of each measurement
+#   SKIP_TARGET=1 SKIP_LOADED=1 leave out a part
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 source scripts/lib.sh
@@ -16,6 +17,10 @@
 TARGET_ENDPOINTS=7100
 TARGET_CUSTOMERS=1300
 TARGET_NODES=8
+LOADED_NODES=8
+CHANGES=10
+LOADED_ENGINES=8
+LOADED_RATE=80
 ROWS=''
 
 # control_bytes: sum over all daemons of what they sent and received.
@@ -114,19 +119,63 @@
   deployment_begin
   start_platform
   declare_target
-  intent_json 1 >"$RUN_DIR/size.json"
+  intent_json 0 >"$RUN_DIR/size.json"
   local bytes
   bytes=$(wc -c <"$RUN_DIR/size.json")
   echo "intent of $TARGET_ENDPOINTS endpoints and $TARGET_CUSTOMERS customers: $bytes bytes of JSON"
-  if ! (declare_intent) 2>/dev/null; then
-    echo 'the platform refuses it: larger than its largest value'
-    deployment_end
-    return
-  fi
+  "$BIN/stackquayctl" --platform "${ADDRESS[platform]}" --file "$RUN_DIR/size.json" init
   start_nodes "$TARGET_NODES"
   measure_nodes "$TARGET_NODES"
   printf 'with it, N=%d: node_bytes_s=%s node_cpu_pct=%s node_rss_mb=%s\n' \
     "$TARGET_NODES" "$BYTES" "$CPU" "$RSS"
+  measure_changes "$BYTES"
+  deployment_end
+}
+
+# What one change of the intent costs a node, given the bytes a second without changes.
+measure_changes() {
+  local idle=$1 index bytes ticks started elapsed hertz
+  hertz=$(getconf CLK_TCK)
+  bytes=$(control_bytes)
+  ticks=$(sum_over_daemons cpu_ticks "$TARGET_NODES")
+  started=$(milliseconds)
+  for ((index = 1; index <= CHANGES; index++)); do
+    "$BIN/stackquayctl" --address "${DAEMONS[0]}" --key operator-key --wait \
+      set customer customer-7 concurrency = "$index" >"$RUN_DIR/change.txt" 2>&1 \
+      || { cat "$RUN_DIR/change.txt"; fail 'a change was not made'; }
+  done
+  elapsed=$(($(milliseconds) - started))
+  ticks=$(($(sum_over_daemons cpu_ticks "$TARGET_NODES") - ticks))
+  bytes=$(($(control_bytes) - bytes))
+  awk -v b="$bytes" -v k="$ticks" -v t="$elapsed" -v n="$TARGET_NODES" -v c="$CHANGES" -v hz="$hertz" \
+    -v idle="$idle" 'BEGIN {
+      printf "a change, N=%d: node_bytes=%.0f node_cpu_ms=%.1f, waited for %.0f ms until in force\n",
+        n, (b - idle * n * t / 1000) / n / c, k * 1000 / hz / n / c, t / c }'
+}
+
+# Control bytes for each request, with short prompts before fast stand-ins of engines.
+measure_loaded() {
+  local index targets='' started=0 ended=0 requests=0
+  deployment_begin
+  start_platform
+  for ((index = 1; index <= LOADED_ENGINES; index++)); do
+    start_engine "engine-$index" "$DATA_CENTRE" --time-scale 0.05 --memory-tokens 4000000
+  done
+  declare_customer capacity
+  declare_intent
+  start_nodes "$LOADED_NODES"
+  sleep "$SETTLE_S"
+  targets=$(IFS=,; echo "${DAEMONS[*]}")
+  started=$(control_bytes)
+  "$BIN/stackquay-load" --targets "$targets" --customers capacity-key=1 --rate "$LOADED_RATE" \
+    --duration "$WINDOW_S" --lengths 1000-2000=1 --outputs 16-32 >"$RUN_DIR/load.txt"
+  ended=$(control_bytes)
+  requests=$((LOADED_RATE * WINDOW_S))
+  cat "$RUN_DIR/load.txt"
+  awk -v v="$((ended - started))" -v n="$LOADED_NODES" -v t="$WINDOW_S" -v r="$requests" \
+    -v idle="$IDLE_BYTES" 'BEGIN {
+      printf "loaded, N=%d at %.0f requests/s a node: node_bytes_s=%.0f, ", n, r / t / n, v / t / n
+      printf "of which a request %.0f bytes, sent and received\n", (v - idle * n * t) / r }'
   deployment_end
 }
 
@@ -143,6 +192,8 @@
   for size in $SIZES; do
     measure_size "$size"
   done
+  read -r size IDLE_BYTES CPU RSS < <(printf '%s' "$ROWS" | head -1)
+  [ -n "${SKIP_LOADED:-}" ] || measure_loaded
   [ -n "${SKIP_TARGET:-}" ] || measure_target_intent
   read -r size BYTES CPU RSS < <(printf '%s' "$ROWS" | tail -1)
   echo "capacity: node_bytes_s=$BYTES node_cpu_pct=$CPU node_rss_mb=$RSS at N=$size;" \
