--- a/control/command_store.cpp
+++ b/control/command_store.cpp
@@ -11,7 +11,7 @@
         auto object = objects.get(key);
         if (!object)
             return tl::unexpected(object.error());
-        return std::move(object->m_value);
+        return unpackText(std::move(object->m_value));
     };
 }
 
--- a/core/core.h
+++ b/core/core.h
@@ -12,4 +12,5 @@
 #include "core/metrics.h"
 #include "core/random.h"
 #include "core/settings.h"
+#include "core/text_patch.h"
 #include "core/wire.h"
