--- a/policy/policy.h
+++ b/policy/policy.h
@@ -19,6 +19,7 @@
 #include "policy/long_set.h"
 #include "policy/outcome.h"
 #include "policy/prefix.h"
+#include "policy/reconcile.h"
 #include "policy/retry.h"
 #include "policy/shard.h"
 #include "policy/steward.h"
