Operations: reconciler under its lease, why, burn report and its page

The daemon answered no why for endpoints and models, showed no orders or leases, and had no burn report.

--- a/control/command.cpp
+++ b/control/command.cpp
@@ -158,13 +158,15 @@
                 ErrorCode::InvalidArgument,
                 fmt::format("found \"{}\", allowed a table: {}", name, fmt::join(allowed, ", ")));
         }
+        if (name == "orders")
+            return orderTable(m_environment.m_orders ? m_environment.m_orders()
+                                                     : std::vector<OrderRow>());
+        if (name == "leases")
+            return leaseTable(m_environment.m_leases ? m_environment.m_leases()
+                                                     : std::vector<LeaseRow>());
         const RuntimeState state = m_environment.m_runtime();
         missing = state.m_missing;
-        if (name == "vms")
-            return vmTable(state.m_vms);
-        if (name == "requests")
-            return requestTable(state.m_requests);
-        return name == "orders" ? orderTable(state.m_orders) : leaseTable(state.m_leases);
+        return name == "vms" ? vmTable(state.m_vms) : requestTable(state.m_requests);
     }
 
     Result<Table> loadChanges()
--- a/control/command.h
+++ b/control/command.h
@@ -76,7 +76,9 @@
     std::function<CommitResult(const IntentCommit &)> m_commit;
     /// Told of a commit, so that it comes into force here without waiting for the watch.
     std::function<void(const IntentState &)> m_committed;
-    std::function<RuntimeState()> m_runtime;
+    std::function<RuntimeState()> m_runtime; ///< Cheap: asked often while a change spreads.
+    std::function<std::vector<OrderRow>()> m_orders; ///< May ask other nodes; may be empty.
+    std::function<std::vector<LeaseRow>()> m_leases; ///< May read the store; may be empty.
     std::function<Result<Explanation>(const WhyStatement &)> m_explain;
     std::function<bool(Duration)> m_sleep; ///< False: the thread is stopping.
     std::function<TimePoint()> m_now;
--- a/control/control.h
+++ b/control/control.h
@@ -1,7 +1,11 @@
-/// Public header of the control library: the daemon, and the operators' language and what it drives.
+/// Public header of the control library: the daemon, and the operators' language and what it
+/// drives.
 #pragma once
 
 #include "control/apply.h"
+#include "control/burn_history.h"
+#include "control/burn_http.h"
+#include "control/burn_report.h"
 #include "control/command.h"
 #include "control/command_http.h"
 #include "control/command_json.h"
@@ -12,8 +16,12 @@
 #include "control/ctl_options.h"
 #include "control/daemon.h"
 #include "control/daemon_settings.h"
+#include "control/engine_orders.h"
+#include "control/explain.h"
 #include "control/intent_tables.h"
+#include "control/operations.h"
 #include "control/parser.h"
+#include "control/reconciler.h"
 #include "control/runtime_tables.h"
 #include "control/statement.h"
 #include "control/table.h"
--- a/control/control_state.cpp
+++ b/control/control_state.cpp
@@ -77,6 +77,7 @@
     , m_store(thread.context(), storeSettings(std::move(platform)), seededEngine())
     , m_intents(m_store, thread.context(), {}, seededEngine())
     , m_claims(m_store, {}, claimRuntime(thread), node.m_settings.m_vm, seededEngine())
+    , m_operations(operationsContext())
 {
     bindStore(m_commands, m_intents, m_store);
     bindCommands();
@@ -121,6 +122,9 @@
         m_membership->addNotice({ endpoint, NoticeKind::Leaving, leaving, wallMillis() });
     };
     m_stewards.start();
+    const Status operations = m_operations.start();
+    if (!operations)
+        log(LogPart::Control).error("No reconciler. error={}", toString(operations.error()));
     spawnFiber([this] { followVmList(); });
     if (m_node.m_settings.m_policy == RoutingPolicy::LeastReported)
         spawnFiber([this] { pollLoads(); });
@@ -128,6 +132,7 @@
 
 void ControlState::leave()
 {
+    m_operations.leave();
     m_membership->leave();
 }
 
@@ -150,6 +155,21 @@
     return hooks;
 }
 
+OperationsContext ControlState::operationsContext()
+{
+    return { m_thread,
+             m_store,
+             m_pool,
+             m_peerServer,
+             m_peerClient,
+             m_node.m_metrics,
+             m_node.m_settings.m_vm,
+             m_node.m_settings.m_dataCentre,
+             m_settings.m_charts,
+             [this] { return m_intent; },
+             [this] { return m_members; } };
+}
+
 void ControlState::bindCommands()
 {
     m_commands.m_intent = [this] { return m_intent; };
@@ -167,6 +187,7 @@
         return sleepFor(m_thread.context(), duration);
     };
     m_commands.m_now = [] { return Clock::now(); };
+    m_operations.bind(m_commands);
 }
 
 void ControlState::bindMetrics()
--- a/control/control_state.h
+++ b/control/control_state.h
@@ -4,6 +4,7 @@
 
 #include "control/command.h"
 #include "control/daemon_settings.h"
+#include "control/operations.h"
 #include "entry/entry.h"
 #include "peers/peers.h"
 #include "store/store.h"
@@ -28,10 +29,12 @@
     /// For probes; known after listen().
     const Address &udpAddress() const { return m_udp; }
     const CommandEnvironment &commands() const { return m_commands; }
+    const ReportEnvironment &report() const { return m_operations.report(); }
 
 private:
     uint64_t revision() const { return m_intent ? m_intent->m_revision : 0; }
     IntentRelayHooks relayHooks();
+    OperationsContext operationsContext();
     void bindCommands();
     void bindMetrics();
     RuntimeState runtime() const;
@@ -56,6 +59,7 @@
     StoreClient m_store;
     IntentStore m_intents;
     ClaimStore m_claims;
+    Operations m_operations;
     CommandEnvironment m_commands;
     std::unique_ptr<Membership> m_membership;
     std::unique_ptr<IntentRelay> m_relay;
--- a/control/daemon.cpp
+++ b/control/daemon.cpp
@@ -105,7 +105,8 @@
 
 std::vector<ExtraRoute> Daemon::operatorRoutes()
 {
-    return { { CommandPath, makeCommandHandler(m_control, m_state->commands()) } };
+    return { { CommandPath, makeCommandHandler(m_control, m_state->commands()) },
+             { ReportPath, makeReportHandler(m_control, m_state->report()) } };
 }
 
 void Daemon::drain()
--- a/control/runtime_tables.h
+++ b/control/runtime_tables.h
@@ -40,7 +40,7 @@
     ModelId m_model;
     std::string m_version;
     std::string m_adapter;
-    std::string m_state; ///< "waiting", "sent", "loading", "done" or "failed".
+    std::string m_state; ///< "planned", "waiting", "sent", "accepted" or "failed".
     uint64_t m_fence = 0;
     std::string m_reason;
     Millis m_age{ 0 };
@@ -62,12 +62,10 @@
     std::string m_at; ///< Wall time, ISO 8601.
 };
 
-/// Everything but the declared intent, as one node knows it.
+/// The nodes and their requests, as one node knows them.
 struct RuntimeState {
     std::vector<VmRow> m_vms;
     std::vector<RequestRow> m_requests;
-    std::vector<OrderRow> m_orders;
-    std::vector<LeaseRow> m_leases;
     std::vector<std::string> m_missing; ///< Nodes that did not answer; answers name them.
 };
 
