--- a/policy/policy.h
+++ b/policy/policy.h
@@ -20,6 +20,7 @@
 #include "policy/outcome.h"
 #include "policy/overflow.h"
 #include "policy/prefix.h"
+#include "policy/reconcile.h"
 #include "policy/retry.h"
 #include "policy/shard.h"
 #include "policy/span_plan.h"
