--- a/control/command_store.cpp
+++ b/control/command_store.cpp
@@ -6,7 +6,9 @@
 {
     environment.m_load = [&intents] { return intents.load(); };
     environment.m_loadHead = [&intents] { return intents.loadHead(); };
-    environment.m_commit = [&intents](const IntentCommit &commit) { return intents.commit(commit); };
+    environment.m_commit = [&intents](const IntentCommit &commit) {
+        return intents.commit(commit);
+    };
     environment.m_loadSnapshot = [&objects](const std::string &key) -> Result<std::string> {
         auto object = objects.get(key);
         if (!object)
--- a/entry/entry_metrics.h
+++ b/entry/entry_metrics.h
@@ -19,6 +19,8 @@
     void countFallback() { m_fallbacks.add(); }
     void countResume() { m_resumes.add(); }
     void countTokens(uint64_t tokens) { m_tokens.add(tokens); }
+    /// Tokens passed on so far.
+    uint64_t tokens() const { return m_tokens.value(); }
     void recordTtft(const CustomerId &customer, const ModelId &model, LengthClass length,
                     Duration ttft);
 
--- a/tests/control/command_http_test.cpp
+++ b/tests/control/command_http_test.cpp
@@ -38,10 +38,11 @@
         m_environment.m_committed = [](const IntentState &) {};
         m_environment.m_runtime = [] { return RuntimeState(); };
         m_environment.m_now = [] { return Clock::now(); };
-        m_environment.m_sleep
-                = [this](Duration duration) { return sleepFor(m_control.context(), duration); };
-        m_server = std::make_unique<HttpServer>(m_traffic,
-                                                makeCommandHandler(m_control, m_environment));
+        m_environment.m_sleep = [this](Duration duration) {
+            return sleepFor(m_control.context(), duration);
+        };
+        m_server =
+            std::make_unique<HttpServer>(m_traffic, makeCommandHandler(m_control, m_environment));
         m_address = *m_server->listen(Address{});
         m_control.start();
         m_traffic.start();
@@ -96,7 +97,8 @@
     EXPECT_EQ(sendCommand(m_settings, "show models").m_outcome, CommandOutcome::NotPermitted);
     EXPECT_EQ(init().m_outcome, CommandOutcome::Committed);
     EXPECT_EQ(init().m_outcome, CommandOutcome::Conflict);
-    const CommandAnswer changed = sendCommand(m_settings, "promote model hint-forge version 2026-12");
+    const CommandAnswer changed =
+        sendCommand(m_settings, "promote model hint-forge version 2026-12");
     EXPECT_EQ(changed.m_outcome, CommandOutcome::Committed) << changed.m_text;
     EXPECT_EQ(changed.m_revision, 2u);
     EXPECT_EQ(sendCommand(m_settings, "show models version").m_text, "version\n2026-12\n");
@@ -108,8 +110,8 @@
 
 TEST_F(CommandHttp, initRefusesAnUnsoundIntent)
 {
-    const CommandAnswer answer = declareFirstIntent(
-            m_settings, R"({"data_centres":[{"name":"d","region":"r"}]})");
+    const CommandAnswer answer =
+        declareFirstIntent(m_settings, R"({"data_centres":[{"name":"d","region":"r"}]})");
     EXPECT_EQ(answer.m_outcome, CommandOutcome::Refused);
     EXPECT_EQ(answer.m_text, "data_centre d, region: found \"r\", allowed none, as none is "
                              "declared.\n");
@@ -120,7 +122,8 @@
     ASSERT_EQ(init().m_outcome, CommandOutcome::Committed);
     // Snapshot and head: the answers to both writes are lost.
     m_platform->setFault({ PlatformFaultMode::LoseAnswer, Millis(0), 2 });
-    const CommandAnswer answer = sendCommand(m_settings, "drain endpoint hint-forge-dundee-hall-01");
+    const CommandAnswer answer =
+        sendCommand(m_settings, "drain endpoint hint-forge-dundee-hall-01");
     EXPECT_EQ(answer.m_outcome, CommandOutcome::Committed) << answer.m_text;
     EXPECT_EQ(answer.m_revision, 2u);
 }
--- a/tests/control/daemon_test.cpp
+++ b/tests/control/daemon_test.cpp
@@ -72,7 +72,8 @@
         service.m_id = ServiceId("entry-desk");
         service.m_repeatable = false;
         intent.m_services = { service };
-        for (const auto &[name, engine] : { std::pair{ "e1", &m_engine }, { "e2", &m_otherEngine } }) {
+        for (const auto &[name, engine] :
+             { std::pair{ "e1", &m_engine }, { "e2", &m_otherEngine } }) {
             intent.m_endpoints.push_back(endpoint(name, engine->address()));
             intent.m_endpoints.back().m_models = { ModelId("hint-forge") };
         }
@@ -140,9 +141,9 @@
 
     HttpResponse complete(Daemon &daemon, uint64_t tokens, bool stream)
     {
-        const std::string body = fmt::format(
-                R"({{"model":"hint-forge","prompt":"a clue","max_tokens":{},"stream":{}}})", tokens,
-                stream);
+        const std::string body =
+            fmt::format(R"({{"model":"hint-forge","prompt":"a clue","max_tokens":{},"stream":{}}})",
+                        tokens, stream);
         return call(daemon, "/v1/completions", body);
     }
 
@@ -232,10 +233,9 @@
     awaitView(daemon, 1);
     for (auto *engine : { &m_engine, &m_otherEngine })
         (*engine)->setFault({ EngineFaultMode::Refuse, 1000, 0, "no_memory" });
-    const std::string body =
-            R"({"model":"hint-forge","prompt":"a clue","max_tokens":5})";
+    const std::string body = R"({"model":"hint-forge","prompt":"a clue","max_tokens":5})";
     const HttpResponse answer =
-            call(daemon, "/v1/completions", body, { { "Stackquay-Deadline", "3000" } });
+        call(daemon, "/v1/completions", body, { { "Stackquay-Deadline", "3000" } });
     EXPECT_GE(answer.m_status, 429u);
     EXPECT_EQ(findHeader(answer.m_headers, "Stackquay-Outcome"), "not-run");
     EXPECT_EQ(m_engine->stats().m_started + m_otherEngine->stats().m_started, 0u);
@@ -279,8 +279,9 @@
     Daemon &daemon = startDaemon("vm-1");
     awaitView(daemon, 1);
     m_platform->setFault({ PlatformFaultMode::Down, Millis(0), 0 });
-    const HttpResponse keyed = call(daemon, "/service/entry-desk/submit", "grid",
-                                    { { "Idempotency-Key", "k3" }, { "Stackquay-Deadline", "2000" } });
+    const HttpResponse keyed =
+        call(daemon, "/service/entry-desk/submit", "grid",
+             { { "Idempotency-Key", "k3" }, { "Stackquay-Deadline", "2000" } });
     EXPECT_EQ(findHeader(keyed.m_headers, "Stackquay-Outcome"), "not-run") << keyed.m_body;
     EXPECT_EQ(m_service->stats().m_total, 0u);
     EXPECT_EQ(complete(daemon, 5, false).m_status, 200u);
@@ -329,7 +330,7 @@
         (*engine)->setFault({});
     awaitEvent([&] {
         return m_engine->stats().m_memoryUsed + m_otherEngine->stats().m_memoryUsed == 0
-                || m_engine->stats().m_running + m_otherEngine->stats().m_running == 0;
+               || m_engine->stats().m_running + m_otherEngine->stats().m_running == 0;
     });
 }
 
@@ -356,20 +357,26 @@
 
 TEST_F(DaemonTest, SecondDrainFailsTruthfullyAtOnce)
 {
-    declare(intent());
+    // An answer of minutes, so that it is in progress whenever the drain comes.
+    constexpr uint64_t EndlessTokens = 500'000;
+    EngineSettings slow;
+    slow.m_limits.m_memoryTokens = 2 * EndlessTokens;
+    const Hosted<EngineStandin> engine(slow);
+    Intent only = intent();
+    only.m_endpoints = { endpoint("slow", engine.address()) };
+    only.m_endpoints[0].m_models = { ModelId("hint-forge") };
+    declare(only);
     Daemon &daemon = startDaemon("vm-1");
     awaitView(daemon, 1);
-    for (auto *engine : { &m_engine, &m_otherEngine })
-        (*engine)->setFault({ EngineFaultMode::Hang, 1, 0, "" });
     std::promise<HttpResponse> answer;
-    std::thread caller([&] { answer.set_value(complete(daemon, 30, false)); });
-    awaitEvent([&] { return daemon.requestsInProgress(); });
+    std::thread caller([&] { answer.set_value(complete(daemon, EndlessTokens, false)); });
+    awaitEvent([&] { return daemon.node().m_entryMetrics.tokens() > 0; });
     daemon.drain();
     daemon.drain();
     daemon.wait();
     caller.join();
     const HttpResponse response = answer.get_future().get();
-    EXPECT_EQ(response.m_status, 503u);
+    EXPECT_EQ(response.m_status, 503u) << response.m_body;
     EXPECT_EQ(findHeader(response.m_headers, "Stackquay-Outcome"), "may-have-run");
 }
 
--- a/tests/entry/completion_request_test.cpp
+++ b/tests/entry/completion_request_test.cpp
@@ -10,7 +10,7 @@
 TEST(CompletionRequestTest, ReadsTextAndChat)
 {
     const auto text = parseCompletionRequest(
-            ApiShape::Text, R"({"model":"m:a","prompt":"hi","max_tokens":7,"stream":true})");
+        ApiShape::Text, R"({"model":"m:a","prompt":"hi","max_tokens":7,"stream":true})");
     ASSERT_TRUE(text);
     EXPECT_EQ(text->m_model, ModelId("m"));
     EXPECT_EQ(text->m_adapter, "a");
@@ -18,7 +18,7 @@
     EXPECT_EQ(text->m_maxTokens, 7u);
     EXPECT_TRUE(text->m_stream);
     const auto chat = parseCompletionRequest(
-            ApiShape::Chat, R"({"model":"m","messages":[{"role":"user","content":"hi"}]})");
+        ApiShape::Chat, R"({"model":"m","messages":[{"role":"user","content":"hi"}]})");
     ASSERT_TRUE(chat);
     EXPECT_EQ(chat->m_prompt, "user: hi\n");
     EXPECT_FALSE(chat->m_stream);
@@ -44,7 +44,7 @@
         const auto request = parseCompletionRequest(ApiShape::Text, bad.m_body);
         ASSERT_FALSE(request) << bad.m_body;
         EXPECT_NE(request.error().m_message.find(bad.m_named), std::string::npos)
-                << request.error().m_message;
+            << request.error().m_message;
     }
 }
 
@@ -66,8 +66,8 @@
 {
     Refusal failed;
     failed.m_outcome = Outcome::FailedMayHaveRun;
-    for (const std::string &text : { encodeRecordedOutcome(tl::unexpected(failed)),
-                                     std::string("garbage") }) {
+    for (const std::string &text :
+         { encodeRecordedOutcome(tl::unexpected(failed)), std::string("garbage") }) {
         const auto kept = decodeRecordedOutcome(text);
         ASSERT_FALSE(kept);
         EXPECT_EQ(kept.error().m_outcome, Outcome::FailedMayHaveRun);
@@ -93,7 +93,9 @@
     uint32_t concurrency = 0;
     double rate = 0;
     for (const char *dataCentre : { "a", "b" }) {
-        const std::vector<PeerRoute> peers{ { VmId("1"), {} }, { VmId("2"), {} }, { VmId("3"), {} } };
+        const std::vector<PeerRoute> peers{ { VmId("1"), {} },
+                                            { VmId("2"), {} },
+                                            { VmId("3"), {} } };
         const auto view = buildRoutingView(intent, DataCentreId(dataCentre), peers, {});
         for (const PeerRoute &peer : peers) {
             const LimitSlice slice = equalSlice(intent->m_customers[0], *view, peer.m_id);
