--- a/control/control_state.cpp
+++ b/control/control_state.cpp
@@ -198,13 +198,16 @@
     Counter &out = registry.counter("stackquay_control_bytes_out_total",
                                     "Payload bytes sent to peers, probes and calls.");
     Gauge &revision = registry.gauge("stackquay_intent_revision", "Revision in force.");
+    Gauge &members =
+        registry.gauge("stackquay_members", "VMs of the data centre that may hold roles.");
     Counter &reads = registry.counter("stackquay_store_reads_total", "Reads of the store.");
     Counter &writes = registry.counter("stackquay_store_writes_total", "Writes to the store.");
-    registry.onCollect([&in, &out, &revision, &reads, &writes, this] {
+    registry.onCollect([&in, &out, &revision, &members, &reads, &writes, this] {
         const PeerTraffic &traffic = *m_node.m_peerTraffic;
         in.set(traffic.m_datagramBytesIn + traffic.m_rpcBytesIn);
         out.set(traffic.m_datagramBytesOut + traffic.m_rpcBytesOut);
         const RoutingViewPtr view = m_node.m_view.get();
+        members.set(view ? static_cast<double>(view->m_peers.size()) : 0);
         revision.set(view ? static_cast<double>(view->m_revision) : 0);
         const StoreCounters counters = m_store.counters();
         reads.set(counters.m_gets + counters.m_lists + counters.m_watches + counters.m_vmLists);
