--- a/policy/deadline.cpp
+++ b/policy/deadline.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+constexpr double LearningRate = 0.05;
+constexpr double LargestFactor = 10;
+/// Shorter predictions say little about a ratio.
+constexpr Duration ShortestLearned = Millis(200);
+
 Duration scaled(Duration duration, double factor)
 {
     return std::chrono::duration_cast<Duration>(
@@ -42,6 +47,22 @@
     return std::max(deadline - now, Duration{});
 }
 
+void learnWait(WaitCorrection &correction, Duration predicted, Duration waited)
+{
+    if (predicted < ShortestLearned)
+        return;
+    const double ratio =
+        std::chrono::duration<double>(waited) / std::chrono::duration<double>(predicted);
+    const double bounded = std::clamp(ratio, 0.0, LargestFactor);
+    correction.m_factor += LearningRate * (bounded - correction.m_factor);
+    correction.m_factor = std::max(correction.m_factor, 1.0);
+}
+
+Duration correctedWait(const WaitCorrection &correction, Duration predicted)
+{
+    return scaled(predicted, correction.m_factor);
+}
+
 TimePoint latestStart(const DeadlineSettings &settings, TimePoint deadline, Duration run)
 {
     return deadline - scaled(run, settings.m_safety);
--- a/policy/deadline.h
+++ b/policy/deadline.h
@@ -1,4 +1,5 @@
-/// Deadlines: fixed once at admission, and the decision whether a request can meet its own.
+/// Deadlines: fixed once at admission, and the decision whether a request can
+/// meet its own.
 #pragma once
 
 #include <array>
@@ -23,7 +24,8 @@
     Millis m_longestRetryAfter{ 60'000 };
 };
 
-/// Parses the header Stackquay-Deadline: whole milliseconds from arrival, above zero.
+/// Parses the header Stackquay-Deadline: whole milliseconds from arrival, above
+/// zero.
 Result<Millis> parseDeadline(std::string_view header);
 
 /// The deadline of a request that arrived at @p arrived.
@@ -39,15 +41,27 @@
     Duration m_run{}; ///< From then to the end of its answer.
 };
 
+/// How much longer than predicted requests really wait, learned from those that
+/// began or gave up: a prediction cannot foresee what comes later and goes
+/// first. Kept for each customer.
+struct WaitCorrection {
+    double m_factor = 1; ///< Real wait / predicted wait, never below 1.
+};
+
+/// A request waited this long, until it began or was given up.
+void learnWait(WaitCorrection &correction, Duration predicted, Duration waited);
+Duration correctedWait(const WaitCorrection &correction, Duration predicted);
+
 /// Last time at which beginning a run of this length makes sense.
 TimePoint latestStart(const DeadlineSettings &settings, TimePoint deadline, Duration run);
 
-/// When to ask again: the time that is missing, spread at random up to twice of it, so that refused
-/// callers do not come back together.
+/// When to ask again: the time that is missing, spread at random up to twice of
+/// it, so that refused callers do not come back together.
 Duration spreadRetryAfter(const DeadlineSettings &settings, Duration missing, RandomEngine &random);
 
-/// Refuses a request that cannot meet its deadline; it has not run. No value: it can.
-/// Without advice to ask again if the run alone is longer than the time left.
+/// Refuses a request that cannot meet its deadline; it has not run. No value:
+/// it can. Without advice to ask again if the run alone is longer than the time
+/// left.
 std::optional<Refusal> refuseIfLate(const DeadlineSettings &settings, TimePoint deadline,
                                     const TimePrediction &prediction, TimePoint now,
                                     RandomEngine &random);
