Platform and entry: headers, chunk and end of an answer share their writes

Cause: a short streamed answer cost three or four send calls towards the caller: headers, token chunk, final chunk, end of body. Change: startStream() takes the first chunk and finish() the last one along, and the completion's answer uses both, so a short answer takes two writes.

--- a/entry/completion_answer.cpp
+++ b/entry/completion_answer.cpp
@@ -60,10 +60,7 @@
 {
     if (!m_stream || m_buffer.empty())
         return {};
-    const Status begun = begin();
-    if (!begun)
-        return begun;
-    const Status written = m_exchange.write(m_buffer);
+    const Status written = m_streaming ? m_exchange.write(m_buffer) : begin(m_buffer);
     m_buffer.clear();
     return written;
 }
@@ -78,7 +75,9 @@
     }
     appendChunk(R"("")", finish, nullptr, &frame);
     m_buffer += "data: [DONE]\n\n";
-    return flush().and_then([&] { return m_exchange.finish(); });
+    if (m_streaming)
+        return m_exchange.finish(m_buffer);
+    return begin(m_buffer).and_then([&] { return m_exchange.finish(); });
 }
 
 void CompletionAnswer::fail(const Refusal &refusal)
@@ -94,14 +93,14 @@
     m_exchange.abort();
 }
 
-Status CompletionAnswer::begin()
+Status CompletionAnswer::begin(std::string_view first)
 {
-    if (m_streaming)
-        return {};
     m_streaming = true;
-    return m_exchange.startStream(200, { { "Content-Type", "text/event-stream" },
-                                         { "Cache-Control", "no-store" },
-                                         { "Stackquay-Request-Id", m_id.str() } });
+    return m_exchange.startStream(200,
+                                  { { "Content-Type", "text/event-stream" },
+                                    { "Cache-Control", "no-store" },
+                                    { "Stackquay-Request-Id", m_id.str() } },
+                                  first);
 }
 
 void CompletionAnswer::appendChunk(std::string_view textJson, std::string_view finish,
--- a/entry/completion_answer.h
+++ b/entry/completion_answer.h
@@ -30,7 +30,7 @@
 private:
     void appendChunk(std::string_view textJson, std::string_view finish, const TokenFrame *frame,
                      const FinalFrame *final);
-    Status begin();
+    Status begin(std::string_view first);
     std::string wholeBody(const FinalFrame &frame) const;
 
     HttpExchange &m_exchange;
--- a/tests/platform/http_test.cpp
+++ b/tests/platform/http_test.cpp
@@ -66,6 +66,11 @@
 TEST_F(HttpTest, StreamsChunksAndTellsCleanEndFromCut)
 {
     serve([](HttpExchange &exchange) {
+        if (exchange.request().path() == "/together") {
+            ASSERT_TRUE(exchange.startStream(200, {}, "one"));
+            ASSERT_TRUE(exchange.finish("two"));
+            return;
+        }
         ASSERT_TRUE(exchange.startStream(200, {}));
         ASSERT_TRUE(exchange.write("one"));
         ASSERT_TRUE(exchange.write("two"));
@@ -75,10 +80,11 @@
             exchange.abort();
     });
     onClient([&] {
-        for (const bool whole : { true, false }) {
+        for (const std::string path : { "/whole", "/together", "/cut" }) {
+            const bool whole = path != "/cut";
             HttpConnection connection(m_clientThread.context());
             ASSERT_TRUE(connection.connect(m_address, Seconds(5)));
-            ASSERT_TRUE(connection.send({ "GET", whole ? "/whole" : "/cut", {}, "" }, Seconds(5)));
+            ASSERT_TRUE(connection.send({ "GET", path, {}, "" }, Seconds(5)));
             const auto header = connection.readHeader(Seconds(5));
             if (!header && !whole)
                 continue; // The reset may overtake the header.
