--- a/tests/policy/deadline_test.cpp
+++ b/tests/policy/deadline_test.cpp
@@ -54,6 +54,18 @@
     EXPECT_EQ(refusal->m_retryAfter, Duration{});
 }
 
+TEST(Deadline, PredictionsAreCorrectedByWhatHappened)
+{
+    WaitCorrection correction;
+    for (int i = 0; i < 200; ++i)
+        learnWait(correction, Seconds(2), Seconds(6));
+    EXPECT_NEAR(correction.m_factor, 3, 0.01);
+    EXPECT_GT(correctedWait(correction, Seconds(2)), Millis(5'900));
+    for (int i = 0; i < 500; ++i)
+        learnWait(correction, Seconds(2), Seconds(1));
+    EXPECT_EQ(correctedWait(correction, Seconds(2)), Seconds(2));
+}
+
 TEST(Deadline, RetryAfterIsSpread)
 {
     const DeadlineSettings settings;
