Second drain's answer fits its deadline, so that it is admitted

The steward refused 500,000 tokens (2,784 s predicted) at once, truthfully, and the test waited for a token for ever. 20,000 tokens under a deadline of 800 s are admitted and still far from done when the drain comes.

--- a/tests/control/daemon_test.cpp
+++ b/tests/control/daemon_test.cpp
@@ -139,12 +139,12 @@
         return { 0, {}, toString(response.error()) };
     }
 
-    HttpResponse complete(Daemon &daemon, uint64_t tokens, bool stream)
+    HttpResponse complete(Daemon &daemon, uint64_t tokens, bool stream, HttpHeaders headers = {})
     {
         const std::string body =
             fmt::format(R"({{"model":"hint-forge","prompt":"a clue","max_tokens":{},"stream":{}}})",
                         tokens, stream);
-        return call(daemon, "/v1/completions", body);
+        return call(daemon, "/v1/completions", body, std::move(headers));
     }
 
     std::vector<std::string> m_seeds;
@@ -358,7 +358,7 @@
 TEST_F(DaemonTest, SecondDrainFailsTruthfullyAtOnce)
 {
     // An answer of minutes, so that it is in progress whenever the drain comes.
-    constexpr uint64_t EndlessTokens = 500'000;
+    constexpr uint64_t EndlessTokens = 20'000;
     EngineSettings slow;
     slow.m_limits.m_memoryTokens = 2 * EndlessTokens;
     const Hosted<EngineStandin> engine(slow);
@@ -368,8 +368,9 @@
     declare(only);
     Daemon &daemon = startDaemon("vm-1");
     awaitView(daemon, 1);
+    const HttpHeaders patient{ { "Stackquay-Deadline", "800000" } };
     std::promise<HttpResponse> answer;
-    std::thread caller([&] { answer.set_value(complete(daemon, EndlessTokens, false)); });
+    std::thread caller([&] { answer.set_value(complete(daemon, EndlessTokens, false, patient)); });
     awaitEvent([&] { return daemon.node().m_entryMetrics.tokens() > 0; });
     daemon.drain();
     daemon.drain();
