--- a/standin/rate_bucket.h
+++ b/standin/rate_bucket.h
@@ -5,7 +5,7 @@
 
 #include "core/core.h"
 
-namespace stackquay {
+namespace stackquay::standin {
 
 struct RateBucket {
     double m_perSecond = 0; ///< Calls a second; 0 is without limit.
@@ -35,4 +35,4 @@
     return true;
 }
 
-} // namespace stackquay
+} // namespace stackquay::standin
--- a/tests/store/platform_test.cpp
+++ b/tests/store/platform_test.cpp
@@ -3,8 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "fake_objects.h"
-#include "standin/hosted.h"
-#include "standin/platform_standin.h"
+#include "standin/standin.h"
 
 namespace stackquay {
 namespace {
@@ -66,12 +65,12 @@
 
 TEST_F(PlatformTest, VmsAreTyped)
 {
-    m_platform->setVms(Json::array({ { { "id", "vm1" },
-                                       { "data_centre", "dc1" },
-                                       { "udp", "127.0.0.1:1" },
-                                       { "peer", "127.0.0.1:2" },
-                                       { "http", "127.0.0.1:3" },
-                                       { "state", "leaving" } } }));
+    m_platform->setVms(standin::Json::array({ { { "id", "vm1" },
+                                                { "data_centre", "dc1" },
+                                                { "udp", "127.0.0.1:1" },
+                                                { "peer", "127.0.0.1:2" },
+                                                { "http", "127.0.0.1:3" },
+                                                { "state", "leaving" } } }));
     withClient([](StoreClient &client) {
         const auto vms = client.vms();
         ASSERT_EQ(vms->m_vms.size(), 1u);
