--- a/policy/steward.cpp
+++ b/policy/steward.cpp
@@ -2,137 +2,25 @@
 
 #include <algorithm>
 
-#include <fmt/format.h>
-
-#include "policy/chunking.h"
+#include "policy/steward_place.h"
 
 namespace stackquay {
 
 namespace {
 
 using FloatSeconds = std::chrono::duration<double>;
-
-bool contains(const auto &range, const auto &value)
-{
-    return std::find(range.begin(), range.end(), value) != range.end();
-}
-
-bool isUsable(const StewardEndpoint &endpoint, TimePoint now)
-{
-    return !endpoint.m_draining && !isEjected(endpoint.m_health, now)
-           && endpoint.m_pausedUntil <= now;
-}
-
-bool isReservedForOther(const Steward &steward, const EndpointId &endpoint,
-                        const RequestId &request)
-{
-    const auto &reserved = steward.m_reservation;
-    return reserved && reserved->m_endpoint == endpoint && reserved->m_request != request;
-}
-
-std::vector<StewardCandidate> candidatesFor(const Steward &steward, const GrantRequest &request,
-                                            TimePoint now)
-{
-    std::vector<StewardCandidate> candidates;
-    candidates.reserve(steward.m_endpoints.size());
-    for (const auto &[id, endpoint] : steward.m_endpoints) {
-        if (!contains(endpoint.m_models, request.m_model))
-            continue;
-        const bool usable = isUsable(endpoint, now) && !contains(request.m_excluded, id)
-                            && !isReservedForOther(steward, id, request.m_request);
-        const bool acceptsLong = contains(endpoint.m_longModels, request.m_model);
-        candidates.push_back(
-            { &endpoint.m_ledger, &endpoint.m_cost, &endpoint.m_prefixes, usable, acceptsLong });
-    }
-    return candidates;
-}
-
-StewardWeights weightsOf(const Steward &steward, const ModelId &model)
-{
-    const auto known = steward.m_models.find(model);
-    return stewardWeights(known == steward.m_models.end() ? RoutingObjective::ShortSlowdown
-                                                          : known->second.m_objective);
-}
-
-/// What a request is expected to take.
-struct Estimate {
-    Duration m_prefill = Duration::max();
-    Duration m_run{}; ///< Prefill and answer.
-    bool m_long = false;
-};
-
-Duration predictDecode(const Steward &steward, const GrantRequest &request,
-                       const StewardEndpoint &endpoint)
-{
-    const auto model = steward.m_models.find(request.m_model);
-    const double ratio = model == steward.m_models.end() ? 0.5 : model->second.m_outputRatio;
-    const double output = static_cast<double>(request.m_need.m_outputTokens) * ratio;
-    const uint32_t batch = endpoint.m_ledger.m_totals.m_decoding + 1;
-    return std::chrono::duration_cast<Duration>(predictDecodeStep(endpoint.m_cost, batch) * output);
-}
-
-/// On the endpoint that would do it fastest.
-Estimate estimate(const Steward &steward, const GrantRequest &request)
-{
-    Estimate best;
-    for (const auto &[id, endpoint] : steward.m_endpoints) {
-        if (!contains(endpoint.m_models, request.m_model))
-            continue;
-        const auto &need = request.m_need;
-        const auto cached =
-            std::min(cachedTokens(endpoint.m_prefixes, need.m_prefix), need.m_promptTokens);
-        const PrefillWork work{ need.m_promptTokens - cached, cached,
-                                endpoint.m_ledger.m_totals.m_decoding };
-        const auto prefill = predictPrefill(endpoint.m_cost, work);
-        if (prefill < best.m_prefill)
-            best = { prefill, prefill + predictDecode(steward, request, endpoint),
-                     isLongPrefill(lengthClass(work.m_uncachedTokens)) };
-    }
-    return best;
-}
+using detail::contains;
+using detail::StewardEstimate;
+using detail::StewardPlacement;
 
 /// Whether any endpoint has room at all: false saves the look at every waiting request.
 bool anyOpen(const Steward &steward, TimePoint now)
 {
     return std::any_of(steward.m_endpoints.begin(), steward.m_endpoints.end(), [&](const auto &e) {
-        return isUsable(e.second, now) && !checkFits(e.second.m_ledger, {}, now);
+        return detail::isUsable(e.second, now) && !checkFits(e.second.m_ledger, {}, now);
     });
 }
 
-GrantDecision grantChoice(Steward &steward, const GrantRequest &request,
-                          const EndpointId &endpointId, const StewardChoice &choice, TimePoint now)
-{
-    auto &endpoint = steward.m_endpoints.at(endpointId);
-    Grant grant;
-    grant.m_id = GrantId(fmt::format("{}:{}", steward.m_idPrefix, ++steward.m_nextGrant));
-    grant.m_attempt = request.m_attempt;
-    grant.m_customer = request.m_customer;
-    grant.m_holder = request.m_holder;
-    grant.m_class = lengthClass(choice.m_uncachedTokens);
-    grant.m_uncachedTokens = choice.m_uncachedTokens;
-    grant.m_cachedTokens = choice.m_cachedTokens;
-    grant.m_memoryTokens = request.m_need.m_promptTokens + request.m_need.m_outputTokens;
-    grant.m_outputTokens = request.m_need.m_outputTokens;
-    grant.m_batch = endpoint.m_ledger.m_totals.m_decoding;
-    grant.m_predictedPrefill = choice.m_predictedPrefill;
-    grant.m_chunkTime = choice.m_chunkTime;
-    grant.m_expiry = now + steward.m_settings.m_grantTtl;
-    grant.m_since = now;
-    addGrant(endpoint.m_ledger, grant, now);
-    steward.m_grants.emplace(grant.m_id, endpointId);
-    notePrompt(endpoint.m_prefixes, request.m_need.m_prefix);
-
-    GrantDecision decision;
-    decision.m_request = request.m_request;
-    decision.m_holder = request.m_holder;
-    decision.m_answer = GrantAnswer::Granted;
-    decision.m_endpoint = endpointId;
-    decision.m_chunkTokens = choice.m_chunkTokens;
-    decision.m_predictedTtft = choice.m_predictedTtft;
-    decision.m_grant = std::move(grant);
-    return decision;
-}
-
 GrantDecision refuse(const GrantRequest &request, Refusal refusal)
 {
     GrantDecision decision;
@@ -148,30 +36,13 @@
     return { error, Outcome::RefusedNotRun, std::move(message), retryAfter };
 }
 
-/// An endpoint and what is predicted for the request there.
-struct Placement {
-    EndpointId m_endpoint;
-    StewardChoice m_choice;
-};
-
-tl::expected<Placement, LedgerRefusal> tryPlace(const Steward &steward, const GrantRequest &request,
-                                                TimePoint now)
-{
-    const auto candidates = candidatesFor(steward, request, now);
-    const auto choice =
-        chooseBySteward(candidates, request.m_need, now, weightsOf(steward, request.m_model));
-    if (!choice)
-        return tl::unexpected(choice.error());
-    return Placement{ candidates[choice->m_index].m_ledger->m_endpoint, *choice };
-}
-
 /// Keeps the endpoint with the most free memory for a request that has long waited for memory, as
 /// smaller ones would take it again and again.
 void reserveMemory(Steward &steward, const GrantRequest &request, TimePoint now)
 {
     if (steward.m_reservation || now - request.m_arrived < steward.m_settings.m_reserveAfter)
         return;
-    const auto candidates = candidatesFor(steward, request, now);
+    const auto candidates = detail::candidatesFor(steward, request, now);
     const bool isLong = isLongPrefill(lengthClass(request.m_need.m_promptTokens));
     const uint64_t needed = request.m_need.m_promptTokens + request.m_need.m_outputTokens;
     uint64_t most = 0;
@@ -218,7 +89,7 @@
 {
     std::vector<FullKind> full;
     while (!steward.m_queue.empty() && anyOpen(steward, now)) {
-        std::optional<Placement> placement;
+        std::optional<StewardPlacement> placement;
         uint32_t visited = 0;
         const auto mayServe = [&](const WaitingRequest &entry) {
             if (++visited > steward.m_settings.m_maxVisited)
@@ -230,7 +101,7 @@
                 steward.m_reservation && steward.m_reservation->m_request == entry.m_id;
             if (!reserved && contains(full, kind))
                 return false;
-            auto outcome = tryPlace(steward, request, now);
+            auto outcome = detail::tryPlace(steward, request, now);
             if (outcome) {
                 placement = std::move(*outcome);
                 return true;
@@ -246,7 +117,7 @@
             return;
         const auto request = takeWaiting(steward, served->m_id);
         decisions.push_back(
-            grantChoice(steward, request, placement->m_endpoint, placement->m_choice, now));
+            detail::grantChoice(steward, request, placement->m_endpoint, placement->m_choice, now));
     }
 }
 
@@ -257,7 +128,7 @@
     std::vector<EndpointId> engines;
     for (auto &[endpointId, endpoint] : steward.m_endpoints) {
         std::erase(endpoint.m_longModels, id);
-        if (contains(endpoint.m_models, id) && isUsable(endpoint, now))
+        if (contains(endpoint.m_models, id) && detail::isUsable(endpoint, now))
             engines.push_back(endpointId);
     }
     const auto members = longSetMembers(engines, size);
@@ -273,7 +144,7 @@
 {
     uint32_t count = 0;
     for (const auto &[id, endpoint] : steward.m_endpoints)
-        count += contains(endpoint.m_models, model) && isUsable(endpoint, now);
+        count += contains(endpoint.m_models, model) && detail::isUsable(endpoint, now);
     return count;
 }
 
@@ -305,7 +176,7 @@
 }
 
 WaitingRequest waitingRequest(const Steward &steward, const GrantRequest &request,
-                              const Estimate &estimated)
+                              const StewardEstimate &estimated)
 {
     WaitingRequest waiting;
     waiting.m_id = request.m_request;
@@ -330,17 +201,18 @@
     return decision;
 }
 
-PrefillKind kindOf(const Steward &steward, const GrantRequest &request, const Estimate &estimated)
+PrefillKind kindOf(const Steward &steward, const GrantRequest &request,
+                   const StewardEstimate &estimated)
 {
     if (estimated.m_long)
         return PrefillKind::Long;
-    return goesInChunks(weightsOf(steward, request.m_model), estimated.m_prefill)
+    return goesInChunks(detail::weightsOf(steward, request.m_model), estimated.m_prefill)
                ? PrefillKind::Chunked
                : PrefillKind::Whole;
 }
 
 /// Puts a request into the queue, telling what follows for it and for one that it displaces.
-void enqueue(Steward &steward, const GrantRequest &request, const Estimate &estimated,
+void enqueue(Steward &steward, const GrantRequest &request, const StewardEstimate &estimated,
              Duration wait, std::vector<GrantDecision> &decisions)
 {
     const auto pushed = steward.m_queue.push(waitingRequest(steward, request, estimated));
@@ -363,7 +235,7 @@
 }
 
 /// Notes a long request and sizes the long set by it.
-void noteDemand(Steward &steward, const GrantRequest &request, const Estimate &estimated,
+void noteDemand(Steward &steward, const GrantRequest &request, const StewardEstimate &estimated,
                 TimePoint now)
 {
     auto &model = steward.m_models[request.m_model];
@@ -381,7 +253,7 @@
 
 /// Queues a request that fits nowhere now, unless it may not wait or cannot make it.
 std::vector<GrantDecision> decideToWait(Steward &steward, const GrantRequest &request,
-                                        const Estimate &estimated, TimePoint now,
+                                        const StewardEstimate &estimated, TimePoint now,
                                         RandomEngine &random)
 {
     std::vector<GrantDecision> decisions;
@@ -401,21 +273,23 @@
                                   RandomEngine &random)
 {
     const bool maybeLong = isLongPrefill(lengthClass(request.m_need.m_promptTokens));
-    std::optional<Estimate> estimated;
+    std::optional<StewardEstimate> estimated;
     if (maybeLong)
-        estimated = estimate(steward, request);
+        estimated = detail::estimate(steward, request);
     if (maybeLong && estimated->m_long)
         noteDemand(steward, request, *estimated, now);
-    const auto placement = tryPlace(steward, request, now);
+    const auto placement = detail::tryPlace(steward, request, now);
     if (!placement)
-        return decideToWait(steward, request, estimated ? *estimated : estimate(steward, request),
-                            now, random);
+        return decideToWait(steward, request,
+                            estimated ? *estimated : detail::estimate(steward, request), now,
+                            random);
     const auto &endpoint = steward.m_endpoints.at(placement->m_endpoint);
     const auto run =
-        placement->m_choice.m_predictedTtft + predictDecode(steward, request, endpoint);
+        placement->m_choice.m_predictedTtft + detail::predictDecode(steward, request, endpoint);
     if (auto late = lateRefusal(steward, request, { Duration::zero(), run }, now, random))
         return { refuse(request, std::move(*late)) };
-    return { grantChoice(steward, request, placement->m_endpoint, placement->m_choice, now) };
+    return { detail::grantChoice(steward, request, placement->m_endpoint, placement->m_choice,
+                                 now) };
 }
 
 } // namespace
