--- a/entry/completion_run.cpp
+++ b/entry/completion_run.cpp
@@ -375,7 +375,7 @@
     attempt.m_prompt = request.m_prompt;
     attempt.m_maxTokens = request.m_maxTokens;
     attempt.m_priority =
-        enginePriority(m_admitted.m_context.m_priority, isLongPrefill(m_admitted.m_length));
+        enginePriority(m_admitted.m_context.m_priority, m_placement->m_chunkTokens > 0);
     attempt.m_owner = m_worker.node().owner();
     attempt.m_skip = m_position;
     return attempt;
