--- a/control/burn_history.cpp
+++ b/control/burn_history.cpp
@@ -47,12 +47,12 @@
 
 const std::vector<BurnWindow> &burnWindows()
 {
-    static const std::vector<BurnWindow> Windows{
+    static const std::vector<BurnWindow> windows{
         { std::chrono::minutes(5), Seconds(30) },
         { std::chrono::hours(1), std::chrono::minutes(5) },
         { std::chrono::hours(6), std::chrono::minutes(30) },
     };
-    return Windows;
+    return windows;
 }
 
 void BurnHistory::record(TimePoint now, std::vector<HistogramSeries> series)
--- a/control/command.cpp
+++ b/control/command.cpp
@@ -145,8 +145,8 @@
 
     Result<Table> findTable(const std::string &name, std::vector<std::string> &missing)
     {
-        static const Intent Nothing;
-        if (Result<Table> table = intentTable(m_intent ? *m_intent : Nothing, name))
+        static const Intent nothing;
+        if (Result<Table> table = intentTable(m_intent ? *m_intent : nothing, name))
             return table;
         if (name == "changes")
             return loadChanges();
--- a/control/intent_tables.cpp
+++ b/control/intent_tables.cpp
@@ -11,7 +11,7 @@
 /// An intent with one entity of each kind, all fields at their defaults.
 const IntentJson &blankIntent()
 {
-    static const IntentJson Blank = [] {
+    static const IntentJson blank = [] {
         Intent intent;
         intent.m_regions.resize(1);
         intent.m_dataCentres.resize(1);
@@ -23,7 +23,7 @@
         intent.m_operators.resize(1);
         return intentToJson(intent);
     }();
-    return Blank;
+    return blank;
 }
 
 CellType typeOf(const IntentJson &value)
--- a/control/parser.cpp
+++ b/control/parser.cpp
@@ -21,6 +21,7 @@
 /// What is allowed where a rule has to match.
 struct Allowed {
     template<typename Rule>
+    // NOLINTNEXTLINE(readability-identifier-naming): the name that PEGTL asks for.
     static constexpr const char *message = nullptr;
 };
 
--- a/control/table.cpp
+++ b/control/table.cpp
@@ -110,9 +110,9 @@
 {
     if (isOrdering(comparison))
         return mismatch(literal, "= != ~ or in with a list's member");
-    static const TextList Empty;
+    static const TextList empty;
     const auto *list = std::get_if<TextList>(&cell);
-    const TextList &members = list ? *list : Empty;
+    const TextList &members = list ? *list : empty;
     const bool contains =
         std::find(members.begin(), members.end(), literalText(literal)) != members.end();
     return contains != (comparison == Comparison::NotEqual);
--- a/entry/entry_metrics.h
+++ b/entry/entry_metrics.h
@@ -25,10 +25,10 @@
                     Duration ttft);
 
 private:
-    static constexpr size_t outcomeCount = 3;
+    static constexpr size_t OutcomeCount = 3;
 
     MetricsRegistry &m_registry;
-    std::array<Counter *, outcomeCount> m_outcomes{};
+    std::array<Counter *, OutcomeCount> m_outcomes{};
     Counter &m_attempts;
     Counter &m_retries;
     Counter &m_resumes;
--- a/store/intent_store.cpp
+++ b/store/intent_store.cpp
@@ -154,7 +154,8 @@
         if (written) {
             next.m_version = *written;
             removeSnapshots(dropped);
-            return committed(next.m_revision, std::move(next));
+            const uint64_t revision = next.m_revision;
+            return committed(revision, std::move(next));
         }
         const Error &error = written.error();
         if (error.m_code == ErrorCode::Conflict)
--- a/store/json_fields.cpp
+++ b/store/json_fields.cpp
@@ -55,9 +55,9 @@
 
 const Json &arrayField(const Json &object, const char *name)
 {
-    static const Json Empty = Json::array();
+    static const Json empty = Json::array();
     const Json *field = findField(object, name);
-    return field && field->is_array() ? *field : Empty;
+    return field && field->is_array() ? *field : empty;
 }
 
 } // namespace stackquay
--- a/tests/control/daemon_test.cpp
+++ b/tests/control/daemon_test.cpp
@@ -7,12 +7,10 @@
 namespace stackquay {
 namespace {
 
-using standin::EngineFault;
 using standin::EngineFaultMode;
 using standin::EngineSettings;
 using standin::EngineStandin;
 using standin::Hosted;
-using standin::PlatformFault;
 using standin::PlatformFaultMode;
 using standin::PlatformStandin;
 using standin::ServiceStandin;
--- a/tests/integration/fault_matrix_test.cpp
+++ b/tests/integration/fault_matrix_test.cpp
@@ -17,7 +17,6 @@
 namespace stackquay {
 namespace {
 
-using standin::RelayFault;
 using standin::RelayMode;
 
 enum class Fault {
--- a/tests/policy/intent_check_test.cpp
+++ b/tests/policy/intent_check_test.cpp
@@ -42,6 +42,7 @@
     std::string m_problem;
 };
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name that GoogleTest asks for.
 void PrintTo(const Fault &fault, std::ostream *out)
 {
     *out << fault.m_name;
