Folder platform becomes net, to make room for the adapter

Cause: platform/ is promised to the adapter for the users' machines, which only translates; threads, fibers, sockets and HTTP are the product's own and move to net/.

--- a/control/burn_http.cpp
+++ b/control/burn_http.cpp
@@ -3,7 +3,7 @@
 #include <openssl/evp.h>
 
 #include "control/command_http.h"
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay {
 
--- a/control/burn_http.h
+++ b/control/burn_http.h
@@ -3,7 +3,7 @@
 
 #include "control/burn_report.h"
 #include "control/command.h"
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay {
 
--- a/control/command_http.cpp
+++ b/control/command_http.cpp
@@ -1,7 +1,7 @@
 #include "control/command_http.h"
 
 #include "control/command_json.h"
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay {
 
--- a/control/ctl_client.cpp
+++ b/control/ctl_client.cpp
@@ -7,7 +7,7 @@
 
 #include "control/command_http.h"
 #include "control/command_json.h"
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay {
 
--- a/control/ctl_options.h
+++ b/control/ctl_options.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "control/command.h"
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay {
 
--- a/control/engine_orders.h
+++ b/control/engine_orders.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "control/reconciler.h"
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay {
 
--- a/endpoint/engine_stream.h
+++ b/endpoint/engine_stream.h
@@ -9,7 +9,7 @@
 
 #include "endpoint/engine_frame.h"
 #include "endpoint/sse_reader.h"
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay {
 
--- a/endpoint/service_call.h
+++ b/endpoint/service_call.h
@@ -1,7 +1,7 @@
 /// One call of a plain service.
 #pragma once
 
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay {
 
--- a/entry/completion_answer.h
+++ b/entry/completion_answer.h
@@ -3,7 +3,7 @@
 
 #include "endpoint/endpoint.h"
 #include "entry/completion_request.h"
-#include "platform/platform.h"
+#include "net/net.h"
 #include "policy/policy.h"
 
 namespace stackquay {
--- a/entry/recorded_outcome.h
+++ b/entry/recorded_outcome.h
@@ -2,7 +2,7 @@
 /// answer.
 #pragma once
 
-#include "platform/platform.h"
+#include "net/net.h"
 #include "policy/policy.h"
 
 namespace stackquay {
--- a/entry/routing_view.h
+++ b/entry/routing_view.h
@@ -6,7 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "platform/platform.h"
+#include "net/net.h"
 #include "policy/policy.h"
 
 namespace stackquay {
--- a/entry/traffic_worker.h
+++ b/entry/traffic_worker.h
@@ -5,7 +5,7 @@
 
 #include "entry/node.h"
 #include "peers/peers.h"
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay {
 
--- a/load/options.h
+++ b/load/options.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay {
 
--- a/platform/address.cpp
+++ b/net/address.cpp
@@ -1,4 +1,4 @@
-#include "platform/address.h"
+#include "net/address.h"
 
 #include <charconv>
 
--- a/platform/fiber_socket.cpp
+++ b/net/fiber_socket.cpp
@@ -1,4 +1,4 @@
-#include "platform/fiber_socket.h"
+#include "net/fiber_socket.h"
 
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/beast/core/error.hpp>
--- a/platform/fiber_socket.h
+++ b/net/fiber_socket.h
@@ -8,7 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "core/core.h"
-#include "platform/yield.h"
+#include "net/yield.h"
 
 namespace stackquay {
 
--- a/platform/fiber_thread.cpp
+++ b/net/fiber_thread.cpp
@@ -1,4 +1,4 @@
-#include "platform/fiber_thread.h"
+#include "net/fiber_thread.h"
 
 #include <condition_variable>
 #include <mutex>
@@ -9,7 +9,7 @@
 #include <boost/fiber/pooled_fixedsize_stack.hpp>
 #include <pthread.h>
 
-#include "platform/yield.h"
+#include "net/yield.h"
 
 namespace stackquay {
 
--- a/platform/http_client.cpp
+++ b/net/http_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_client.h"
+#include "net/http_client.h"
 
 #include <optional>
 
@@ -6,7 +6,7 @@
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
 
-#include "platform/fiber_socket.h"
+#include "net/fiber_socket.h"
 
 namespace stackquay {
 
--- a/platform/http_client.h
+++ b/net/http_client.h
@@ -5,9 +5,9 @@
 #include <memory>
 #include <unordered_map>
 
-#include "platform/address.h"
-#include "platform/fiber_thread.h"
-#include "platform/http_message.h"
+#include "net/address.h"
+#include "net/fiber_thread.h"
+#include "net/http_message.h"
 
 namespace stackquay {
 
--- a/platform/http_message.cpp
+++ b/net/http_message.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_message.h"
+#include "net/http_message.h"
 
 #include <boost/beast/core/string.hpp>
 
--- a/platform/http_server.cpp
+++ b/net/http_server.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_server.h"
+#include "net/http_server.h"
 
 #include <atomic>
 #include <optional>
@@ -13,8 +13,8 @@
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
 
-#include "platform/fiber_socket.h"
-#include "platform/yield.h"
+#include "net/fiber_socket.h"
+#include "net/yield.h"
 
 namespace stackquay {
 
--- a/platform/process_stats.cpp
+++ b/net/process_stats.cpp
@@ -1,4 +1,4 @@
-#include "platform/process_stats.h"
+#include "net/process_stats.h"
 
 #include <algorithm>
 #include <charconv>
--- a/platform/run_on.h
+++ b/net/run_on.h
@@ -6,7 +6,7 @@
 
 #include <boost/fiber/future.hpp>
 
-#include "platform/fiber_thread.h"
+#include "net/fiber_thread.h"
 
 namespace stackquay {
 
--- a/platform/signals.cpp
+++ b/net/signals.cpp
@@ -1,10 +1,10 @@
-#include "platform/signals.h"
+#include "net/signals.h"
 
 #include <csignal>
 
 #include <boost/asio/signal_set.hpp>
 
-#include "platform/yield.h"
+#include "net/yield.h"
 
 namespace stackquay {
 
--- a/platform/signals.h
+++ b/net/signals.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <memory>
 
-#include "platform/fiber_thread.h"
+#include "net/fiber_thread.h"
 
 namespace stackquay {
 
--- a/platform/yield.cpp
+++ b/net/yield.cpp
@@ -1,4 +1,4 @@
-#include "platform/yield.h"
+#include "net/yield.h"
 
 #include <boost/asio/error.hpp>
 
--- a/peers/rpc_channel.h
+++ b/peers/rpc_channel.h
@@ -11,7 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "peers/traffic.h"
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay {
 
--- a/standin/hosted.h
+++ b/standin/hosted.h
@@ -3,7 +3,7 @@
 
 #include <cstdlib>
 
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay::standin {
 
--- a/standin/json_http.h
+++ b/standin/json_http.h
@@ -3,7 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay::standin {
 
--- a/standin/notifier.h
+++ b/standin/notifier.h
@@ -5,7 +5,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay::standin {
 
--- a/store/intent_store.cpp
+++ b/store/intent_store.cpp
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>
 
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay {
 
--- a/store/lease_keeper.cpp
+++ b/store/lease_keeper.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay {
 
--- a/store/store_channel.h
+++ b/store/store_channel.h
@@ -5,7 +5,7 @@
 #include <atomic>
 #include <memory>
 
-#include "platform/platform.h"
+#include "net/net.h"
 #include "store/call_budget.h"
 #include "store/circuit.h"
 #include "store/store_client.h"
--- a/store/store_client.h
+++ b/store/store_client.h
@@ -7,7 +7,7 @@
 
 #include <memory>
 
-#include "platform/platform.h"
+#include "net/net.h"
 #include "store/backoff.h"
 #include "store/objects.h"
 
--- a/tests/integration/process_test.cpp
+++ b/tests/integration/process_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include "platform/platform.h"
+#include "net/net.h"
 #include "tests/support/process.h"
 
 namespace stackquay {
--- a/tests/platform/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -4,7 +4,7 @@
 #include <boost/fiber/future.hpp>
 #include <gtest/gtest.h>
 
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay {
 namespace {
--- a/tests/platform/process_test.cpp
+++ b/tests/net/process_test.cpp
@@ -4,7 +4,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
-#include "platform/platform.h"
+#include "net/net.h"
 
 namespace stackquay {
 namespace {
--- a/tests/store/fake_objects.h
+++ b/tests/store/fake_objects.h
@@ -8,7 +8,7 @@
 
 #include <boost/fiber/operations.hpp>
 
-#include "platform/platform.h"
+#include "net/net.h"
 #include "store/store.h"
 
 namespace stackquay {
