--- a/control/daemon_settings.cpp
+++ b/control/daemon_settings.cpp
@@ -24,9 +24,13 @@
 {
     using S = DaemonSettings;
     SettingsTable<S> table("stackquayd", "Serves language traffic in one data centre.");
+    table.text("config", &S::m_config,
+               "Settings file of a platform, which then holds all that differs between VMs; empty "
+               "starts the native daemon.");
+    table.toggle("check-config", &S::m_checkConfig, "Only check the settings file, and end.");
     table.text("vm", &S::m_vm, "Name of this VM; empty takes a random one.");
-    table.text("data-centre", &S::m_dataCentre, "Data centre of this VM, as named in the intent.",
-               SettingPresence::Required);
+    table.text("data-centre", &S::m_dataCentre,
+               "Data centre of this VM, as named in the intent; the native daemon needs it.");
     addAddress(table, "http", &S::m_http,
                "Callers' and operators' address; port 0 asks the kernel.");
     addAddress(table, "peer", &S::m_peer, "Address for calls from other VMs.");
--- a/control/daemon_settings.h
+++ b/control/daemon_settings.h
@@ -6,6 +6,8 @@
 namespace stackquay {
 
 struct DaemonSettings {
+    std::string m_config; ///< Settings file of a platform; empty: the native daemon.
+    bool m_checkConfig = false; ///< Only check the file.
     std::string m_vm; ///< Empty: a random name.
     std::string m_dataCentre;
     Address m_http;
--- a/core/core.h
+++ b/core/core.h
@@ -4,6 +4,7 @@
 #include "core/chart.h"
 #include "core/chart_table.h"
 #include "core/clock.h"
+#include "core/decision_log.h"
 #include "core/error.h"
 #include "core/hash.h"
 #include "core/histogram.h"
--- /dev/null
+++ b/core/decision_log.cpp
@@ -0,0 +1,124 @@
+#include "core/decision_log.h"
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+
+#include <fmt/format.h>
+#include <spdlog/async.h>
+#include <spdlog/async_logger.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+namespace stackquay {
+
+namespace {
+
+constexpr size_t QueueLines = 4'096;
+constexpr size_t QueueThreads = 1;
+constexpr unsigned char FirstPrintable = 0x20;
+
+struct Output {
+    std::shared_ptr<spdlog::details::thread_pool> m_pool;
+    std::shared_ptr<spdlog::async_logger> m_logger;
+};
+
+Output &output()
+{
+    static Output instance;
+    return instance;
+}
+
+void appendEscaped(std::string &line, std::string_view value)
+{
+    for (const char character : value) {
+        if (character == '"' || character == '\\') {
+            line += '\\';
+            line += character;
+        } else if (static_cast<unsigned char>(character) < FirstPrintable) {
+            line += fmt::format("\\u{:04x}", static_cast<unsigned>(character));
+        } else {
+            line += character;
+        }
+    }
+}
+
+} // namespace
+
+DecisionLine::DecisionLine(std::string_view part, std::string_view event)
+{
+    if (!output().m_logger)
+        return;
+    // For people and for lines of several VMs only; no decision reads the time of day.
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    m_line = fmt::format(R"({{"time_ms":{},"part":"{}","event":"{}")", now.count(), part, event);
+}
+
+void DecisionLine::name(std::string_view name)
+{
+    m_line += ",\"";
+    m_line += name;
+    m_line += "\":";
+}
+
+DecisionLine &DecisionLine::text(std::string_view field, std::string_view value)
+{
+    if (m_line.empty())
+        return *this;
+    name(field);
+    m_line += '"';
+    appendEscaped(m_line, value);
+    m_line += '"';
+    return *this;
+}
+
+DecisionLine &DecisionLine::number(std::string_view field, int64_t value)
+{
+    if (m_line.empty())
+        return *this;
+    name(field);
+    m_line += std::to_string(value);
+    return *this;
+}
+
+DecisionLine &DecisionLine::flag(std::string_view field, bool value)
+{
+    if (m_line.empty())
+        return *this;
+    name(field);
+    m_line += value ? "true" : "false";
+    return *this;
+}
+
+void DecisionLine::write()
+{
+    if (m_line.empty())
+        return;
+    m_line += '}';
+    output().m_logger->info(m_line);
+}
+
+void openDecisionLog()
+{
+    Output &out = output();
+    out.m_pool = std::make_shared<spdlog::details::thread_pool>(QueueLines, QueueThreads);
+    out.m_logger = std::make_shared<spdlog::async_logger>(
+        "decisions", std::make_shared<spdlog::sinks::stdout_sink_mt>(), out.m_pool,
+        spdlog::async_overflow_policy::overrun_oldest);
+    out.m_logger->set_pattern("%v");
+}
+
+uint64_t droppedDecisionLines()
+{
+    return output().m_pool ? output().m_pool->overrun_counter() : 0;
+}
+
+void closeDecisionLog()
+{
+    if (output().m_logger)
+        output().m_logger->flush();
+    output().m_logger.reset();
+    output().m_pool.reset();
+}
+
+} // namespace stackquay
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include <charconv>
 #include <optional>
 
 #include <boost/beast/core.hpp>
@@ -21,6 +22,10 @@
 constexpr uint32_t HeaderLimit = 64 * 1024;
 // Answers are read in pieces; the reader bounds what it keeps.
 constexpr uint64_t BodyLimit = uint64_t(1) << 40;
+/// A peer that states no idle timeout is trusted for this long.
+constexpr Duration UnstatedIdleLimit = Seconds(3);
+/// Of a stated timeout, this part is used: the rest covers both ways and a slow peer.
+constexpr double IdleLimitShare = 0.6;
 
 /// A body that collects what has come, without trusting the announced length.
 struct PieceBody {
@@ -74,6 +79,22 @@
     return { ErrorCode::Unavailable, std::move(message) };
 }
 
+/// The timeout that a Keep-Alive header states, as "timeout=5, max=100", less a margin.
+std::optional<Duration> statedIdleLimit(std::string_view header)
+{
+    constexpr std::string_view Name = "timeout=";
+    const size_t start = header.find(Name);
+    if (start == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view digits = header.substr(start + Name.size());
+    int64_t seconds = 0;
+    const auto [end, error] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (error != std::errc())
+        return std::nullopt;
+    return std::chrono::duration_cast<Duration>(Seconds(seconds) * IdleLimitShare);
+}
+
 } // namespace
 
 struct HttpConnection::State {
@@ -88,6 +109,8 @@
     size_t m_bytesSent = 0;
     bool m_open = false;
     bool m_reusable = false;
+    Duration m_idleLimit = UnstatedIdleLimit; ///< How long the peer surely keeps it open.
+    TimePoint m_idleSince{};
 
     tl::unexpected<Error> fail(const boost::system::error_code &error, std::string_view step)
     {
@@ -97,6 +120,14 @@
         return tl::unexpected(toError(error, step));
     }
 
+    /// After the end of an answer the connection can be used again, unless bytes follow that belong
+    /// to no request.
+    void noteEnd()
+    {
+        m_reusable =
+            m_parser->is_done() && m_parser->keep_alive() && m_open && m_buffer.size() == 0;
+    }
+
     /// Parses what was read before, or else reads more. An end of the connection ends only a body
     /// without announced length.
     boost::system::error_code parseMore()
@@ -149,8 +180,13 @@
     message.target(request.m_target);
     message.version(11);
     message.set(http::field::host, state->m_host);
-    for (const HttpHeader &header : request.m_headers)
-        message.set(header.m_name, header.m_value);
+    for (const HttpHeader &header : request.m_headers) {
+        // A list may be sent as several headers of one name; there is only one host.
+        if (http::string_to_field(header.m_name) == http::field::host)
+            message.set(http::field::host, header.m_value);
+        else
+            message.insert(header.m_name, header.m_value);
+    }
     message.body() = beast::span<const char>(request.m_body.data(), request.m_body.size());
     message.prepare_payload();
     state->m_reusable = false;
@@ -180,8 +216,9 @@
     for (const auto &field : state->m_parser->get())
         response.m_headers.push_back(
             { std::string(field.name_string()), std::string(field.value()) });
-    if (state->m_parser->is_done())
-        state->m_reusable = state->m_parser->keep_alive();
+    if (const auto limit = statedIdleLimit(findHeader(response.m_headers, "Keep-Alive")))
+        state->m_idleLimit = *limit;
+    state->noteEnd();
     return response;
 }
 
@@ -199,7 +236,7 @@
             return state->fail(error, "read body");
     }
     body.swap(piece);
-    state->m_reusable = parser.is_done() && parser.keep_alive() && state->m_open;
+    state->noteEnd();
     return {};
 }
 
@@ -238,7 +275,7 @@
 
 bool HttpConnection::alive() const
 {
-    if (!m_state->m_open)
+    if (!m_state->m_open || Clock::now() - m_state->m_idleSince > m_state->m_idleLimit)
         return false;
     char byte = 0;
     const int socket = m_state->m_stream.socket().native_handle();
@@ -246,6 +283,16 @@
     return ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
 }
 
+bool HttpConnection::reused() const
+{
+    return m_state->m_idleSince != TimePoint{};
+}
+
+void HttpConnection::beginIdle()
+{
+    m_state->m_idleSince = Clock::now();
+}
+
 HttpPool::HttpPool(asio::io_context &context, size_t idlePerAddress)
     : m_context(context)
     , m_idlePerAddress(idlePerAddress)
@@ -271,8 +318,10 @@
 void HttpPool::release(const Address &address, std::unique_ptr<HttpConnection> connection)
 {
     auto &idle = m_idle[toString(address)];
-    if (connection->reusable() && idle.size() < m_idlePerAddress)
-        idle.push_back(std::move(connection));
+    if (!connection->reusable() || idle.size() >= m_idlePerAddress)
+        return;
+    connection->beginIdle();
+    idle.push_back(std::move(connection));
 }
 
 namespace {
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -35,8 +35,13 @@
     size_t bytesSent() const;
     /// Whether the last answer ended cleanly and the peer keeps the connection open.
     bool reusable() const;
-    /// Whether an idle connection is still open at the peer's end, as far as is known.
+    /// Whether an idle connection is still open at the peer's end, as far as is known, and was not
+    /// idle for so long that the peer may be closing it.
     bool alive() const;
+    /// Notes that the connection is idle from now on.
+    void beginIdle();
+    /// Whether it carried a request before the present one.
+    bool reused() const;
 
 private:
     struct State;
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -92,6 +92,7 @@
     Acceptor m_acceptor;
     std::set<FiberSocket *> m_idle; ///< Waiting for a next request.
     std::atomic<bool> m_draining{ false };
+    std::atomic<bool> m_closing{ false }; ///< Each answer is the last of its connection.
     std::atomic<size_t> m_activeRequests{ 0 };
     std::atomic<size_t> m_connections{ 0 };
 
@@ -111,12 +112,13 @@
 {
 public:
     Exchange(FiberSocket &stream, beast::flat_buffer &readAhead, HttpRequest request,
-             bool keepAlive, const HttpServerLimits &limits)
+             bool keepAlive, const HttpServerLimits &limits, const std::atomic<bool> &closing)
         : m_stream(stream)
         , m_readAhead(readAhead)
         , m_request(std::move(request))
         , m_keepAlive(keepAlive)
         , m_limits(limits)
+        , m_closing(closing)
     { }
 
     ~Exchange() override { endWatch(); }
@@ -133,6 +135,7 @@
         message.result(response.m_status);
         message.version(11);
         fillHeaders(message, response.m_headers);
+        m_keepAlive = m_keepAlive && !m_closing;
         message.keep_alive(m_keepAlive);
         message.body() = response.m_body;
         message.prepare_payload();
@@ -149,6 +152,7 @@
         message.result(status);
         message.version(11);
         fillHeaders(message, headers);
+        m_keepAlive = m_keepAlive && !m_closing;
         message.keep_alive(m_keepAlive);
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
@@ -259,6 +263,7 @@
     HttpRequest m_request;
     bool m_keepAlive;
     const HttpServerLimits &m_limits;
+    const std::atomic<bool> &m_closing;
     std::shared_ptr<Hangup> m_hangup;
     bool m_started = false;
     bool m_finished = false;
@@ -376,7 +381,8 @@
             break;
         }
         const bool keepAlive = parser.get().keep_alive();
-        Exchange exchange(stream, buffer, toRequest(parser.release()), keepAlive, m_limits);
+        Exchange exchange(stream, buffer, toRequest(parser.release()), keepAlive, m_limits,
+                          m_closing);
         m_handler(exchange);
         if (!exchange.started())
             exchange.respond({ 500,
@@ -421,8 +427,19 @@
     return bound;
 }
 
+void HttpServer::setLimits(const HttpServerLimits &limits)
+{
+    m_state->m_thread.post([state = m_state, limits] { state->m_limits = limits; });
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    m_state->m_closing = true;
+}
+
 void HttpServer::drain()
 {
+    m_state->m_closing = true;
     m_state->m_draining = true;
     m_state->m_thread.post([state = m_state] {
         boost::system::error_code ignored;
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -64,6 +64,10 @@
     /// Binds and starts to accept. Port 0 takes one from the kernel. Several servers may share an
     /// address, one per thread. Call before the thread starts or on it.
     Result<Address> listen(const Address &address);
+    /// Takes other limits for the requests that follow. Any thread.
+    void setLimits(const HttpServerLimits &limits);
+    /// Announces in each answer that its connection closes, and goes on accepting. Any thread.
+    void closeAfterAnswers();
     /// Accepts no more, and closes each connection after its present request. Any thread.
     void drain();
     /// Requests in progress now. Any thread.
--- a/net/net.h
+++ b/net/net.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "net/address.h"
+#include "net/datagrams.h"
 #include "net/fiber_socket.h"
 #include "net/fiber_thread.h"
 #include "net/http_client.h"
--- /dev/null
+++ b/policy/engine_costs.cpp
@@ -0,0 +1,21 @@
+#include "policy/engine_costs.h"
+
+namespace stackquay {
+
+FloatMillis readTime(const EngineCosts &costs, double tokens)
+{
+    constexpr double Million = 1e6;
+    const double pairs = tokens * tokens / 2;
+    return FloatMillis(tokens / costs.m_readTokensPerSecond * 1000)
+           + costs.m_perMillionPairs * (pairs / Million);
+}
+
+FloatMillis passTime(const EngineCosts &costs, uint32_t writers, double contextTokens)
+{
+    constexpr double Thousand = 1e3;
+    const FloatMillis step = costs.m_step + costs.m_stepPerSequence * writers
+                             + costs.m_stepPerThousandContext * (contextTokens / Thousand);
+    return step * costs.m_stride;
+}
+
+} // namespace stackquay
--- /dev/null
+++ b/policy/gang_plan.h
@@ -0,0 +1,62 @@
+/// Chooses the endpoints of one model request: which engine answers, which ones help to read its
+/// prompt, and what memory is reserved where.
+///
+/// A long prompt is read in even parts by several engines, so that the first event comes early and
+/// no engine is blocked for long. Strict streams and long prompts have engines of their own, which
+/// strictEngines() decides; here the candidates are those of one side.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "core/core.h"
+#include "policy/endpoint_directory.h"
+#include "policy/stream_ledger.h"
+
+namespace stackquay {
+
+struct GangSettings {
+    /// Longest part of a strict stream's prompt on one engine: with a pass of 45 ms and another
+    /// such part it stays below a pause of 250 ms.
+    FloatMillis m_strictPart{ 60 };
+    /// A long prompt is split down to parts of this length, less than a pass: shorter ones gain
+    /// nothing.
+    FloatMillis m_longPart{ 40 };
+    uint32_t m_mostHelpers = 16; ///< The engines' own limit.
+    /// Engines keep this part of their memory free of planned use, for answers longer than usual.
+    double m_memoryReserve = 0.1;
+};
+
+struct GangQuestion {
+    double m_promptTokens = 0;
+    double m_answerTokens = 0;
+    uint32_t m_gapAimMs = 0;
+    DataCentreId m_dataCentre; ///< Of the VM that asks.
+
+    bool strict() const { return m_gapAimMs > 0 && m_gapAimMs <= StrictGapMs; }
+};
+
+/// One engine that takes part. The first member answers.
+struct GangMember {
+    EndpointRecord m_endpoint;
+    double m_readMs = 0;
+    uint64_t m_tokens = 0; ///< Memory that its part takes; for a helper only what it reserves.
+    bool m_reserve = false; ///< That memory has to be reserved before the request is sent.
+};
+
+struct GangPlan {
+    std::vector<GangMember> m_members; ///< At least one.
+    FloatMillis m_firstEvent{ 0 }; ///< Predicted, from sending.
+};
+
+/// No plan if there is no candidate, or no set of engines can hold the prompt even when idle.
+std::optional<GangPlan> planGang(const GangSettings &settings, const EngineCosts &costs,
+                                 const std::vector<EndpointRecord> &candidates,
+                                 const EndpointUses &uses, const GangQuestion &question);
+
+/// The candidate with the fewest attempts in flight for its slots; one in the same data centre wins
+/// ties. Null if there is none.
+const EndpointRecord *leastLoaded(const std::vector<EndpointRecord> &candidates,
+                                  const EndpointUses &uses, const DataCentreId &dataCentre);
+
+} // namespace stackquay
--- /dev/null
+++ b/policy/retry_window.cpp
@@ -0,0 +1,40 @@
+#include "policy/retry_window.h"
+
+#include <algorithm>
+
+namespace stackquay {
+
+namespace {
+
+void forgetBefore(std::deque<TimePoint> &moments, TimePoint start)
+{
+    while (!moments.empty() && moments.front() < start)
+        moments.pop_front();
+}
+
+} // namespace
+
+void countArrival(RetryWindows &windows, const ServiceId &service, TimePoint now)
+{
+    RetryWindow &window = windows.m_services[service];
+    forgetBefore(window.m_requests, now - windows.m_settings.m_window);
+    window.m_requests.push_back(now);
+}
+
+bool takeRepeat(RetryWindows &windows, const ServiceId &service, TimePoint now)
+{
+    const RetryWindowSettings &settings = windows.m_settings;
+    RetryWindow &window = windows.m_services[service];
+    forgetBefore(window.m_requests, now - settings.m_window);
+    forgetBefore(window.m_repeats, now - settings.m_window);
+    const double slack = settings.m_slack / std::max(settings.m_sharers, 1u);
+    const double allowed =
+        settings.m_safety
+        * (settings.m_ratio * static_cast<double>(window.m_requests.size()) + slack);
+    if (static_cast<double>(window.m_repeats.size()) + 1 > allowed)
+        return false;
+    window.m_repeats.push_back(now);
+    return true;
+}
+
+} // namespace stackquay
--- /dev/null
+++ b/policy/route_table.cpp
@@ -0,0 +1,54 @@
+#include "policy/route_table.h"
+
+#include <algorithm>
+#include <array>
+
+namespace stackquay {
+
+void indexRoutes(RouteTable &table)
+{
+    table.m_byHost.clear();
+    for (uint32_t i = 0; i < table.m_routes.size(); ++i)
+        table.m_byHost[table.m_routes[i].m_host].push_back(i);
+    for (auto &[host, indices] : table.m_byHost) {
+        std::stable_sort(indices.begin(), indices.end(), [&table](uint32_t left, uint32_t right) {
+            return table.m_routes[left].m_pathPrefix.size()
+                   > table.m_routes[right].m_pathPrefix.size();
+        });
+    }
+}
+
+const Route *findRoute(const RouteTable &table, std::string_view host, std::string_view path)
+{
+    const auto found = table.m_byHost.find(std::string(host.substr(0, host.find(':'))));
+    if (found == table.m_byHost.end())
+        return nullptr;
+    for (const uint32_t index : found->second) {
+        const Route &route = table.m_routes[index];
+        if (path.substr(0, route.m_pathPrefix.size()) == route.m_pathPrefix)
+            return &route;
+    }
+    return nullptr;
+}
+
+const ServiceId &drawService(const Route &route, double draw)
+{
+    uint64_t total = 0;
+    for (const WeightedService &service : route.m_services)
+        total += service.m_weight;
+    double left = draw * static_cast<double>(total);
+    for (const WeightedService &service : route.m_services) {
+        left -= service.m_weight;
+        if (left < 0)
+            return service.m_service;
+    }
+    return route.m_services.back().m_service;
+}
+
+std::string_view routeKindName(RouteKind kind)
+{
+    static constexpr std::array<std::string_view, 3> Names = { "safe", "unsafe", "stream" };
+    return Names.at(static_cast<size_t>(kind));
+}
+
+} // namespace stackquay
--- /dev/null
+++ b/policy/stream_ledger.cpp
@@ -0,0 +1,79 @@
+#include "policy/stream_ledger.h"
+
+#include <algorithm>
+
+namespace stackquay {
+
+namespace {
+
+/// Reading that has not ended although its predicted time is over still counts for this part.
+constexpr double OverdueShare = 0.25;
+
+double msBetween(TimePoint from, TimePoint to)
+{
+    return FloatMillis(to - from).count();
+}
+
+/// Reading outstanding at one endpoint, before elapsed time is taken off.
+struct Backlog {
+    double m_readMs = 0;
+    TimePoint m_since = TimePoint::max(); ///< Placement of the oldest that is outstanding.
+};
+
+} // namespace
+
+void StreamLedger::place(const LoadKey &key, AttemptLoad load)
+{
+    m_loads[key] = std::move(load);
+}
+
+void StreamLedger::startWriting(const LoadKey &key)
+{
+    const auto found = m_loads.find(key);
+    if (found != m_loads.end())
+        found->second.m_writing = true;
+}
+
+void StreamLedger::end(const LoadKey &key)
+{
+    m_loads.erase(key);
+}
+
+void StreamLedger::forgetOrigin(uint64_t origin)
+{
+    std::erase_if(m_loads, [origin](const auto &entry) { return entry.first.m_origin == origin; });
+}
+
+EndpointUses StreamLedger::uses(TimePoint now)
+{
+    std::erase_if(m_loads, [now](const auto &entry) { return entry.second.m_expiresAt <= now; });
+    EndpointUses uses;
+    std::unordered_map<EndpointId, Backlog> backlogs;
+    for (const auto &[key, load] : m_loads) {
+        for (size_t i = 0; i < load.m_parts.size(); ++i) {
+            const LoadPart &part = load.m_parts[i];
+            EndpointUse &use = uses[part.m_endpoint];
+            use.m_tokens += part.m_tokens;
+            if (!load.m_writing) {
+                Backlog &backlog = backlogs[part.m_endpoint];
+                backlog.m_readMs += part.m_readMs;
+                backlog.m_since = std::min(backlog.m_since, load.m_placedAt);
+            }
+            if (i > 0)
+                continue;
+            ++use.m_attempts;
+            if (load.m_writing)
+                ++use.m_writers;
+            if (load.m_gapAimMs > 0 && load.m_gapAimMs <= StrictGapMs)
+                ++use.m_strictWriters;
+        }
+    }
+    for (const auto &[endpoint, backlog] : backlogs) {
+        EndpointUse &use = uses[endpoint];
+        const double elapsed = msBetween(backlog.m_since, now);
+        use.m_readBacklogMs = std::max(backlog.m_readMs - elapsed, backlog.m_readMs * OverdueShare);
+    }
+    return uses;
+}
+
+} // namespace stackquay
--- /dev/null
+++ b/policy/stream_ledger.h
@@ -0,0 +1,87 @@
+/// What all VMs together have in flight at each endpoint, as one VM knows it.
+///
+/// Each VM tells the others of every placement, first event and end. The ledger is a hint: a lost
+/// message makes a choice worse, never wrong, as the endpoint's own refusal decides. Entries whose
+/// end was never heard of expire.
+#pragma once
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include <msgpack.hpp>
+
+#include "core/core.h"
+#include "policy/engine_costs.h"
+
+namespace stackquay {
+
+/// Names one attempt in the fleet.
+struct LoadKey {
+    uint64_t m_origin = 0; ///< Random; one process of a VM.
+    uint64_t m_sequence = 0;
+
+    bool operator==(const LoadKey &) const = default;
+    MSGPACK_DEFINE(m_origin, m_sequence)
+};
+
+struct LoadKeyHash {
+    size_t operator()(const LoadKey &key) const noexcept
+    {
+        constexpr uint64_t Spread = 0x9e3779b97f4a7c15ull;
+        return key.m_origin ^ (key.m_sequence * Spread);
+    }
+};
+
+/// The share of one endpoint in an attempt.
+struct LoadPart {
+    EndpointId m_endpoint;
+    double m_readMs = 0; ///< Predicted, alone on the endpoint; zero for a plain service.
+    uint64_t m_tokens = 0; ///< Memory that the attempt takes there.
+
+    bool operator==(const LoadPart &) const = default;
+    MSGPACK_DEFINE(m_endpoint, m_readMs, m_tokens)
+};
+
+/// One attempt in flight. The first part is the endpoint that answers.
+struct AttemptLoad {
+    std::vector<LoadPart> m_parts;
+    uint32_t m_gapAimMs = 0; ///< Longest pause that its stream bears; zero: any.
+    bool m_writing = false; ///< Its first event came: nothing is left to read.
+    TimePoint m_placedAt{};
+    TimePoint m_expiresAt{};
+};
+
+/// What the ledger sums up for one endpoint.
+struct EndpointUse {
+    uint32_t m_attempts = 0; ///< That it answers, reading or writing.
+    uint32_t m_writers = 0;
+    uint32_t m_strictWriters = 0; ///< Whose streams bear only short pauses.
+    double m_readBacklogMs = 0; ///< Reading still to do, own and for others.
+    uint64_t m_tokens = 0; ///< Memory in use or promised.
+};
+
+using EndpointUses = std::unordered_map<EndpointId, EndpointUse>;
+
+class StreamLedger
+{
+public:
+    void place(const LoadKey &key, AttemptLoad load);
+    /// The first event of @p key came.
+    void startWriting(const LoadKey &key);
+    void end(const LoadKey &key);
+    /// Forgets attempts of a VM's process that is gone.
+    void forgetOrigin(uint64_t origin);
+
+    /// Sums at @p now, without expired entries, which are dropped.
+    EndpointUses uses(TimePoint now);
+    size_t size() const { return m_loads.size(); }
+
+private:
+    std::unordered_map<LoadKey, AttemptLoad, LoadKeyHash> m_loads;
+};
+
+/// A pause of this length or less makes a stream strict: it suffers where long parts are read.
+constexpr uint32_t StrictGapMs = 400;
+
+} // namespace stackquay
--- /dev/null
+++ b/relay/fleet_link.h
@@ -0,0 +1,56 @@
+/// The other VMs of the deployment: how they are found, what they believe, and what this one tells
+/// them. For the control thread.
+///
+/// A VM writes one small object into the store at its start, and reads those of the others then and
+/// once in a while. From there on VMs know each other by beats: whoever hears an unknown VM answers
+/// it. A VM without peers serves alone.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "peers/peers.h"
+#include "relay/fleet_messages.h"
+#include "relay/relay_settings.h"
+#include "relay/source.h"
+
+namespace stackquay {
+
+struct FleetHooks {
+    /// This VM's versions and proof, without routes and endpoints.
+    std::function<Beliefs()> m_own;
+    /// The same, with what the asker lacks.
+    std::function<Beliefs(const AskBeliefs &question)> m_answer;
+    /// A peer's beliefs came, in answer to a question; @p callTime is how long it took.
+    std::function<void(const Beliefs &beliefs, Duration callTime)> m_heard;
+    /// A peer's proof came with a beat.
+    std::function<void(const FreshnessProof &proof)> m_proof;
+    /// The set of live peers changed: their addresses for loads, and the most VMs ever known.
+    std::function<void(const std::vector<Address> &loads, uint32_t vms)> m_peers;
+};
+
+class FleetLink
+{
+public:
+    /// @p thread is the control thread; it must be stopped before the link is destroyed.
+    FleetLink(FiberThread &thread, const RelaySettings &settings, uint64_t origin, KindStore &store,
+              const RelaySource &source, FleetHooks hooks);
+    ~FleetLink();
+    FleetLink(const FleetLink &) = delete;
+    FleetLink &operator=(const FleetLink &) = delete;
+
+    /// Binds the addresses. Before the thread starts.
+    Status listen();
+    /// Starts the fibers. On the thread.
+    void start();
+    /// Tells the peers that this VM goes, and removes its object. On the thread.
+    void leave();
+    /// Tells the peers at once, as something has changed. On the thread.
+    void beatNow();
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace stackquay
--- /dev/null
+++ b/relay/load_exchange.h
@@ -0,0 +1,55 @@
+/// Tells the other VMs what this one places at endpoints, and hears the same from them, over UDP.
+///
+/// One datagram to each peer for a placement, a first event and an end. Nothing is acknowledged:
+/// the ledger is a hint, and its entries expire.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "net/net.h"
+#include "policy/policy.h"
+
+namespace stackquay {
+
+enum class LoadChange : uint8_t {
+    Placed = 0,
+    FirstEvent = 1,
+    Ended = 2,
+};
+
+struct LoadMessage {
+    LoadChange m_change = LoadChange::Placed;
+    LoadKey m_key;
+    std::vector<LoadPart> m_parts; ///< Placed only.
+    uint32_t m_gapAimMs = 0;
+    uint32_t m_expiresMs = 0; ///< From the placement.
+
+    MSGPACK_DEFINE(m_change, m_key, m_parts, m_gapAimMs, m_expiresMs)
+};
+
+/// Used on the traffic thread only.
+class LoadExchange
+{
+public:
+    using Receiver = std::function<void(const LoadMessage &)>;
+
+    /// @p thread must be stopped before the exchange is destroyed.
+    LoadExchange(FiberThread &thread, Receiver receiver);
+    ~LoadExchange();
+    LoadExchange(const LoadExchange &) = delete;
+    LoadExchange &operator=(const LoadExchange &) = delete;
+
+    /// Binds, and starts to receive. Before the thread starts or on it.
+    Status listen(const Address &address);
+    void setPeers(const std::vector<Address> &peers);
+    void send(const LoadMessage &message);
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace stackquay
+
+MSGPACK_ADD_ENUM(stackquay::LoadChange)
--- /dev/null
+++ b/relay/relay_daemon.cpp
@@ -0,0 +1,277 @@
+#include "relay/relay_daemon.h"
+
+#include <fmt/format.h>
+
+#include "relay/relay_run.h"
+
+namespace stackquay {
+
+namespace {
+
+/// The balancer takes a VM out after two misses at one a second, and what it sent before may still
+/// arrive.
+constexpr Millis BalancerLag{ 3'000 };
+/// Left of the grace when the daemon gives up waiting for requests in progress.
+constexpr Millis GraceReserve{ 700 };
+constexpr Millis DrainPoll{ 20 };
+/// Calls that the store answers at all come within some hundred ms, also when it is slow.
+constexpr Duration StoreTryTimeout = Millis(1'200);
+constexpr Duration StoreCallTimeout = Millis(2'500);
+constexpr double StoreReadsPerSecond = 20;
+constexpr double StoreWritesPerSecond = 5;
+/// The follower's own loops back off; the store's outage mode would notice a return later.
+constexpr unsigned NoOutageMode = 1'000'000;
+constexpr const char *MetricsPath = "/metrics";
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusUnavailable = 503;
+
+StoreSettings storeSettings(const RelaySettings &settings)
+{
+    StoreSettings store;
+    store.m_addresses = { settings.m_store };
+    store.m_tryTimeout = StoreTryTimeout;
+    store.m_callTimeout = StoreCallTimeout;
+    store.m_readsPerSecond = StoreReadsPerSecond;
+    store.m_writesPerSecond = StoreWritesPerSecond;
+    store.m_outageAfter = NoOutageMode;
+    return store;
+}
+
+HttpServerLimits serverLimits(const ClientLimits &limits, uint32_t connections)
+{
+    HttpServerLimits server;
+    server.m_headerBytes = limits.m_headerBytes;
+    server.m_bodyBytes = limits.m_bodyBytes;
+    server.m_headerTimeout = limits.m_headerTimeout;
+    server.m_idleTimeout = limits.m_idleTimeout;
+    server.m_connections = connections;
+    return server;
+}
+
+uint32_t ageMs(const FreshnessProof &proof)
+{
+    return static_cast<uint32_t>(
+        std::chrono::duration_cast<Millis>(Clock::now() - proof.m_provedAt).count());
+}
+
+} // namespace
+
+RelayDaemon::RelayDaemon(const RelaySettings &settings, const RelayAdapter &adapter)
+    : m_settings(settings)
+    , m_adapter(adapter)
+{
+    m_node = std::make_unique<RelayNode>(m_traffic, settings, adapter.m_requests);
+    const auto seed = RandomEngine(std::random_device{}());
+    m_store = std::make_unique<KindStore>(m_control.context(), storeSettings(settings), seed,
+                                          adapter.m_objects);
+    m_follower =
+        std::make_unique<StoreFollower>(m_control, *m_store, adapter.m_source, followerHooks());
+    m_fleet = std::make_unique<FleetLink>(m_control, settings, m_node->m_origin, *m_store,
+                                          adapter.m_source, fleetHooks());
+    RelayView view;
+    view.m_bounds = settings.m_bounds;
+    m_node->m_view.store(std::make_shared<const RelayView>(std::move(view)));
+}
+
+RelayDaemon::~RelayDaemon()
+{
+    m_traffic.stop();
+    m_control.stop();
+    m_traffic.join();
+    m_control.join();
+}
+
+Result<std::unique_ptr<RelayDaemon>> RelayDaemon::start(const RelaySettings &settings,
+                                                        const RelayAdapter &adapter)
+{
+    std::unique_ptr<RelayDaemon> daemon(new RelayDaemon(settings, adapter));
+    const Status listening = daemon->listen();
+    if (!listening)
+        return tl::unexpected(listening.error());
+    return daemon;
+}
+
+Status RelayDaemon::listen()
+{
+    m_clients = std::make_unique<HttpServer>(
+        m_traffic, [this](HttpExchange &exchange) { RelayRun(*m_node, exchange).run(); },
+        serverLimits({}, m_settings.m_connections));
+    m_ready = std::make_unique<HttpServer>(
+        m_traffic, [this](HttpExchange &exchange) { answerReady(exchange); });
+    const auto clients = m_clients->listen(m_settings.m_clients);
+    if (!clients)
+        return tl::unexpected(clients.error());
+    const auto ready = m_ready->listen(m_settings.m_ready);
+    if (!ready)
+        return tl::unexpected(ready.error());
+    m_clientsAddress = *clients;
+    m_readyAddress = *ready;
+    const Status loads = m_node->m_loads.listen(m_settings.m_loads);
+    if (!loads)
+        return loads;
+    const Status fleet = m_fleet->listen();
+    if (!fleet)
+        return fleet;
+    m_control.start();
+    m_control.post([this] {
+        m_follower->start();
+        m_fleet->start();
+    });
+    m_traffic.start();
+    DecisionLine("main", "started")
+        .text("vm", m_settings.m_vm.str())
+        .text("data_centre", m_settings.m_dataCentre.str())
+        .text("clients", toString(m_clientsAddress))
+        .text("version", STACKQUAY_VERSION)
+        .write();
+    return {};
+}
+
+void RelayDaemon::changeView(const std::function<void(RelayView &)> &change)
+{
+    RelayView view = *m_node->m_view.load();
+    const bool before = view.complete();
+    change(view);
+    if (!before && view.complete())
+        DecisionLine("main", "ready")
+            .number("version", static_cast<int64_t>(view.m_routes->m_version))
+            .write();
+    m_node->m_view.store(std::make_shared<const RelayView>(std::move(view)));
+}
+
+FollowerHooks RelayDaemon::followerHooks()
+{
+    FollowerHooks hooks;
+    hooks.m_routes = [this](const RouteTablePtr &routes, const std::string &spec) {
+        m_routesSpec = spec;
+        changeView([&](RelayView &view) {
+            view.m_routes = routes;
+            view.m_proof = m_proof.m_version == routes->m_version ? m_proof : FreshnessProof{};
+        });
+        m_clients->setLimits(serverLimits(routes->m_limits, m_settings.m_connections));
+    };
+    hooks.m_proof = [this](const FreshnessProof &proof) { takeProof(proof); };
+    hooks.m_directory = [this](const EndpointDirectoryPtr &directory) {
+        changeView([&](RelayView &view) {
+            view.m_directory = directory;
+            view.m_pools = poolsOf(*directory);
+        });
+    };
+    hooks.m_bestProof = [this] { return m_proof; };
+    return hooks;
+}
+
+void RelayDaemon::takeProof(const FreshnessProof &proof)
+{
+    const FreshnessProof better = betterProof(m_proof, proof);
+    if (better.m_version == m_proof.m_version && better.m_provedAt == m_proof.m_provedAt)
+        return;
+    m_proof = better;
+    const RelayViewPtr view = m_node->m_view.load();
+    if (view->m_routes && view->m_routes->m_version == better.m_version)
+        changeView([&](RelayView &changed) { changed.m_proof = better; });
+}
+
+Beliefs RelayDaemon::ownBeliefs() const
+{
+    const RelayViewPtr view = m_node->m_view.load();
+    Beliefs own;
+    own.m_routesVersion = view->m_routes ? view->m_routes->m_version : 0;
+    own.m_proved = view->m_proof.known();
+    own.m_proofAgeMs = own.m_proved ? ageMs(view->m_proof) : 0;
+    own.m_directoryRevision = view->m_directory ? view->m_directory->m_revision : 0;
+    return own;
+}
+
+FleetHooks RelayDaemon::fleetHooks()
+{
+    FleetHooks hooks;
+    hooks.m_own = [this] { return ownBeliefs(); };
+    hooks.m_answer = [this](const AskBeliefs &question) {
+        Beliefs own = ownBeliefs();
+        if (own.m_routesVersion > question.m_routesVersion)
+            own.m_routesSpec = m_routesSpec;
+        const RelayViewPtr view = m_node->m_view.load();
+        if (view->m_directory && own.m_directoryRevision > question.m_directoryRevision) {
+            for (const auto &[id, endpoint] : view->m_directory->m_endpoints)
+                own.m_endpoints.push_back(endpoint);
+        }
+        return own;
+    };
+    hooks.m_heard = [this](const Beliefs &beliefs, Duration callTime) {
+        takeBeliefs(beliefs, callTime);
+    };
+    hooks.m_proof = [this](const FreshnessProof &proof) { takeProof(proof); };
+    hooks.m_peers = [this](const std::vector<Address> &loads, uint32_t vms) {
+        changeView([vms](RelayView &view) { view.m_vms = vms; });
+        m_traffic.post([this, loads] { m_node->m_loads.setPeers(loads); });
+    };
+    return hooks;
+}
+
+void RelayDaemon::takeBeliefs(const Beliefs &beliefs, Duration callTime)
+{
+    if (!beliefs.m_routesSpec.empty())
+        m_follower->offerRoutes(beliefs.m_routesSpec);
+    if (beliefs.m_proved)
+        takeProof(proofFromAge(beliefs.m_routesVersion, Millis(beliefs.m_proofAgeMs), callTime,
+                               Clock::now()));
+    if (beliefs.m_endpoints.empty())
+        return;
+    EndpointDirectory directory;
+    directory.m_revision = beliefs.m_directoryRevision;
+    for (const EndpointRecord &endpoint : beliefs.m_endpoints)
+        directory.m_endpoints[endpoint.m_id] = endpoint;
+    m_follower->offerDirectory(directory);
+}
+
+void RelayDaemon::answerReady(HttpExchange &exchange)
+{
+    if (exchange.request().path() == MetricsPath) {
+        exchange.respond(
+            { StatusOk, { { "Content-Type", "text/plain" } }, m_node->m_registry.exposition() });
+        return;
+    }
+    const bool ready = !m_node->m_draining && m_node->m_view.load()->complete();
+    exchange.respond({ ready ? StatusOk : StatusUnavailable, {}, "" });
+}
+
+void RelayDaemon::reload(const RelaySettings &settings)
+{
+    m_control.post([this, bounds = settings.m_bounds] {
+        changeView([&bounds](RelayView &view) { view.m_bounds = bounds; });
+    });
+}
+
+void RelayDaemon::drain()
+{
+    if (!m_drainBegun.exchange(true))
+        m_control.post([this] { drainFiber(); });
+}
+
+void RelayDaemon::drainFiber()
+{
+    const TimePoint begun = Clock::now();
+    const TimePoint end = begun + m_node->m_view.load()->m_bounds.m_grace - GraceReserve;
+    DecisionLine("main", "draining")
+        .number("requests", int64_t(m_clients->activeRequests()))
+        .write();
+    m_node->m_draining = true;
+    m_clients->closeAfterAnswers();
+    m_fleet->leave();
+    while (Clock::now() < begun + BalancerLag && sleepFor(m_control.context(), DrainPoll)) { }
+    m_clients->drain();
+    while (m_clients->activeRequests() > 0 && Clock::now() < end
+           && sleepFor(m_control.context(), DrainPoll)) { }
+    DecisionLine("main", "drained")
+        .number("requests", int64_t(m_clients->activeRequests()))
+        .write();
+    m_drained.set_value();
+}
+
+void RelayDaemon::wait()
+{
+    m_drained.get_future().wait();
+}
+
+} // namespace stackquay
--- /dev/null
+++ b/relay/relay_daemon.h
@@ -0,0 +1,72 @@
+/// The daemon that relays declared routes on a platform: threads, servers and control state, from
+/// start to drained.
+#pragma once
+
+#include <future>
+#include <memory>
+
+#include "relay/fleet_link.h"
+#include "relay/relay_node.h"
+#include "relay/store_follower.h"
+
+namespace stackquay {
+
+/// How the daemon speaks with one kind of platform.
+struct RelayAdapter {
+    const RelayDialect &m_requests;
+    const KindDialect &m_objects;
+    const RelaySource &m_source;
+};
+
+class RelayDaemon
+{
+public:
+    /// Binds every address, and starts all threads.
+    static Result<std::unique_ptr<RelayDaemon>> start(const RelaySettings &settings,
+                                                      const RelayAdapter &adapter);
+    ~RelayDaemon();
+
+    /// Begins to drain: not ready, goes on accepting until the balancer has noticed, then finishes
+    /// what is in progress. Any thread; a second call changes nothing.
+    void drain();
+    /// Returns once drained.
+    void wait();
+    /// Takes the bounds of other settings; addresses do not change while it runs. Any thread.
+    void reload(const RelaySettings &settings);
+
+    Address clientsAddress() const { return m_clientsAddress; }
+    Address readyAddress() const { return m_readyAddress; }
+    RelayNode &node() { return *m_node; }
+
+private:
+    RelayDaemon(const RelaySettings &settings, const RelayAdapter &adapter);
+
+    Status listen();
+    FollowerHooks followerHooks();
+    FleetHooks fleetHooks();
+    Beliefs ownBeliefs() const;
+    void takeBeliefs(const Beliefs &beliefs, Duration callTime);
+    void takeProof(const FreshnessProof &proof);
+    void changeView(const std::function<void(RelayView &)> &change);
+    void answerReady(HttpExchange &exchange);
+    void drainFiber();
+
+    const RelaySettings m_settings;
+    const RelayAdapter m_adapter;
+    FiberThread m_control{ "control" };
+    FiberThread m_traffic{ "traffic" };
+    std::unique_ptr<RelayNode> m_node;
+    std::unique_ptr<HttpServer> m_clients;
+    std::unique_ptr<HttpServer> m_ready;
+    std::unique_ptr<KindStore> m_store;
+    std::unique_ptr<StoreFollower> m_follower;
+    std::unique_ptr<FleetLink> m_fleet;
+    Address m_clientsAddress;
+    Address m_readyAddress;
+    std::string m_routesSpec; ///< As in the store, for peers. Control thread.
+    FreshnessProof m_proof; ///< The best known, also of a version not yet here. Control thread.
+    std::atomic<bool> m_drainBegun{ false };
+    std::promise<void> m_drained;
+};
+
+} // namespace stackquay
--- /dev/null
+++ b/relay/relay_metrics.cpp
@@ -0,0 +1,52 @@
+#include "relay/relay_metrics.h"
+
+namespace stackquay {
+
+std::string_view relayOutcomeName(RelayOutcome outcome)
+{
+    static constexpr std::array<std::string_view, static_cast<size_t>(RelayOutcome::Count)>
+        Names = { "complete", "refused", "failed", "denied", "cut", "abandoned" };
+    return Names.at(static_cast<size_t>(outcome));
+}
+
+RelayMetrics::RelayMetrics(MetricsRegistry &registry)
+    : m_attempts(
+        registry.counter("stackquay_relay_attempts_total", "Attempts that reached an endpoint."))
+    , m_repeats(registry.counter("stackquay_relay_repeats_total",
+                                 "Attempts after the first that the retry budget paid for."))
+    , m_repeatsRefused(registry.counter("stackquay_relay_repeats_refused_total",
+                                        "Attempts that the retry budget did not allow."))
+    , m_ejections(registry.counter("stackquay_relay_ejections_total",
+                                   "Times an endpoint was left out for its failures."))
+    , m_tickets(registry.counter("stackquay_relay_reservations_total",
+                                 "Reservations of memory that engines granted."))
+    , m_ticketsRefused(registry.counter("stackquay_relay_reservations_refused_total",
+                                        "Reservations that engines did not grant in time."))
+    , m_registry(registry)
+{
+    for (size_t kind = 0; kind < KindCount; ++kind) {
+        for (size_t outcome = 0; outcome < OutcomeCount; ++outcome) {
+            m_outcomes.at(kind).at(outcome) = &registry.counter(
+                "stackquay_relay_requests_total", "Relayed requests by kind of route and outcome.",
+                { { "kind", std::string(routeKindName(static_cast<RouteKind>(kind))) },
+                  { "outcome",
+                    std::string(relayOutcomeName(static_cast<RelayOutcome>(outcome))) } });
+        }
+    }
+}
+
+void RelayMetrics::countOutcome(RouteKind kind, RelayOutcome outcome)
+{
+    m_outcomes.at(static_cast<size_t>(kind)).at(static_cast<size_t>(outcome))->add();
+}
+
+void RelayMetrics::recordFirst(const Route &route, Duration time)
+{
+    m_registry
+        .histogram("stackquay_relay_first_seconds",
+                   "Time from arrival to the first event or whole answer.", SecondsAxis,
+                   { { "route", route.m_name } })
+        .record(time);
+}
+
+} // namespace stackquay
--- /dev/null
+++ b/relay/relay_metrics.h
@@ -0,0 +1,47 @@
+/// Metrics of relayed requests.
+#pragma once
+
+#include <array>
+
+#include "core/core.h"
+#include "policy/policy.h"
+
+namespace stackquay {
+
+/// How a relayed request ended for its client.
+enum class RelayOutcome {
+    Complete, ///< The endpoint's whole answer, whatever its status.
+    Refused, ///< Not run, and never will be.
+    Failed, ///< May have run.
+    Denied, ///< No such route, or no valid key.
+    Cut, ///< A stream that broke off after its first event.
+    Abandoned, ///< The client left.
+    Count, ///< Number of outcomes; not an outcome.
+};
+
+std::string_view relayOutcomeName(RelayOutcome outcome);
+
+class RelayMetrics
+{
+public:
+    explicit RelayMetrics(MetricsRegistry &registry);
+
+    void countOutcome(RouteKind kind, RelayOutcome outcome);
+    void recordFirst(const Route &route, Duration time);
+
+    Counter &m_attempts;
+    Counter &m_repeats;
+    Counter &m_repeatsRefused;
+    Counter &m_ejections;
+    Counter &m_tickets;
+    Counter &m_ticketsRefused;
+
+private:
+    static constexpr size_t KindCount = 3;
+    static constexpr size_t OutcomeCount = static_cast<size_t>(RelayOutcome::Count);
+
+    MetricsRegistry &m_registry;
+    std::array<std::array<Counter *, OutcomeCount>, KindCount> m_outcomes{};
+};
+
+} // namespace stackquay
--- /dev/null
+++ b/relay/relay_node.cpp
@@ -0,0 +1,87 @@
+#include "relay/relay_node.h"
+
+namespace stackquay {
+
+namespace {
+
+/// Idle connections kept to one endpoint.
+constexpr size_t IdleConnections = 8;
+/// VMs may be added: the slack is divided by this many times those known.
+constexpr double SharerMargin = 1.5;
+
+} // namespace
+
+RelayNode::RelayNode(FiberThread &thread, RelaySettings settings, const RelayDialect &dialect)
+    : m_settings(std::move(settings))
+    , m_dialect(dialect)
+    , m_thread(thread)
+    , m_random(std::random_device{}())
+    , m_origin(m_random())
+    , m_pool(thread.context(), IdleConnections)
+    , m_loads(thread, [this](const LoadMessage &message) { receive(message); })
+{
+    m_view.store(std::make_shared<const RelayView>());
+}
+
+LoadKey RelayNode::place(std::vector<LoadPart> parts, uint32_t gapAimMs, Duration lifetime)
+{
+    const LoadKey key{ m_origin, ++m_sequence };
+    const TimePoint now = Clock::now();
+    const auto millis = std::chrono::duration_cast<Millis>(lifetime).count();
+    m_loads.send({ LoadChange::Placed, key, parts, gapAimMs, static_cast<uint32_t>(millis) });
+    m_ledger.place(key, { std::move(parts), gapAimMs, false, now, now + lifetime });
+    return key;
+}
+
+void RelayNode::startWriting(const LoadKey &key)
+{
+    m_ledger.startWriting(key);
+    m_loads.send({ LoadChange::FirstEvent, key, {}, 0, 0 });
+}
+
+void RelayNode::end(const LoadKey &key)
+{
+    m_ledger.end(key);
+    m_loads.send({ LoadChange::Ended, key, {}, 0, 0 });
+}
+
+void RelayNode::noteFailure(const EndpointId &endpoint, FailureWeight weight, std::string_view why)
+{
+    if (!recordFailure(m_ejections, endpoint, weight, Clock::now()))
+        return;
+    m_metrics.m_ejections.add();
+    DecisionLine("relay", "endpoint ejected")
+        .text("endpoint", endpoint.str())
+        .text("why", why)
+        .write();
+}
+
+bool RelayNode::takeRepeat(const ServiceId &service, const RelayView &view)
+{
+    m_retries.m_settings.m_ratio = view.m_bounds.m_retryRatio;
+    m_retries.m_settings.m_slack = view.m_bounds.m_retrySlack;
+    m_retries.m_settings.m_window = view.m_bounds.m_retryWindow;
+    m_retries.m_settings.m_sharers = static_cast<uint32_t>(view.m_vms * SharerMargin) + 1;
+    const bool taken = ::stackquay::takeRepeat(m_retries, service, Clock::now());
+    (taken ? m_metrics.m_repeats : m_metrics.m_repeatsRefused).add();
+    return taken;
+}
+
+void RelayNode::receive(const LoadMessage &message)
+{
+    const TimePoint now = Clock::now();
+    switch (message.m_change) {
+    case LoadChange::Placed:
+        m_ledger.place(message.m_key, { message.m_parts, message.m_gapAimMs, false, now,
+                                        now + Millis(message.m_expiresMs) });
+        return;
+    case LoadChange::FirstEvent:
+        m_ledger.startWriting(message.m_key);
+        return;
+    case LoadChange::Ended:
+        m_ledger.end(message.m_key);
+        return;
+    }
+}
+
+} // namespace stackquay
--- /dev/null
+++ b/relay/relay_node.h
@@ -0,0 +1,51 @@
+/// What all relayed requests of one daemon share.
+#pragma once
+
+#include <atomic>
+
+#include "relay/dialect.h"
+#include "relay/load_exchange.h"
+#include "relay/relay_metrics.h"
+#include "relay/relay_view.h"
+
+namespace stackquay {
+
+/// All but the atomics is used on the traffic thread only.
+struct RelayNode {
+    /// @p thread is the traffic thread; it must be stopped before the node is destroyed.
+    RelayNode(FiberThread &thread, RelaySettings settings, const RelayDialect &dialect);
+
+    // Any thread.
+    std::atomic<RelayViewPtr> m_view;
+    std::atomic<bool> m_draining{ false };
+
+    const RelaySettings m_settings;
+    const RelayDialect &m_dialect;
+    FiberThread &m_thread;
+    MetricsRegistry m_registry;
+    RelayMetrics m_metrics{ m_registry };
+    RandomEngine m_random;
+    const uint64_t m_origin; ///< Names this process in the ledgers of all VMs.
+    uint64_t m_sequence = 0;
+    HttpPool m_pool;
+    StreamLedger m_ledger;
+    EjectionTable m_ejections;
+    RetryWindows m_retries;
+    GangSettings m_gang;
+    std::unordered_map<ServiceId, PoolSplit> m_splits;
+    LoadExchange m_loads;
+
+    /// Enters an attempt into the ledgers of all VMs.
+    LoadKey place(std::vector<LoadPart> parts, uint32_t gapAimMs, Duration lifetime);
+    void startWriting(const LoadKey &key);
+    void end(const LoadKey &key);
+    /// Notes a failure of an endpoint here.
+    void noteFailure(const EndpointId &endpoint, FailureWeight weight, std::string_view why);
+    /// Takes one repeated send to @p service out of the budget of the present view.
+    bool takeRepeat(const ServiceId &service, const RelayView &view);
+
+private:
+    void receive(const LoadMessage &message);
+};
+
+} // namespace stackquay
--- /dev/null
+++ b/relay/relay_run.h
@@ -0,0 +1,100 @@
+/// One relayed request, from its arrival to its outcome.
+///
+/// The client's method, path, body and headers go to an endpoint unchanged, and its answer comes
+/// back unchanged. What may be repeated is sent to another endpoint when one fails, within the
+/// route's attempts, the fleet's retry budget and the deadline. "Not run" is answered only if no
+/// attempt reached an endpoint, or each endpoint said that it did not run it.
+#pragma once
+
+#include <optional>
+#include <unordered_set>
+
+#include "relay/event_splitter.h"
+#include "relay/memory_tickets.h"
+#include "relay/relay_node.h"
+
+namespace stackquay {
+
+class RelayRun
+{
+public:
+    RelayRun(RelayNode &node, HttpExchange &exchange);
+    RelayRun(const RelayRun &) = delete;
+    RelayRun &operator=(const RelayRun &) = delete;
+
+    /// Answers the exchange. Blocks its fiber until the end.
+    void run();
+
+private:
+    /// How one attempt ended.
+    enum class AttemptEnd {
+        Answered, ///< The client has the whole answer.
+        NotSent, ///< Nothing reached the endpoint.
+        NotRun, ///< The endpoint refused it.
+        Failed, ///< It may have run.
+    };
+
+    bool admit();
+    bool admitKey(bool fresh);
+    void attemptUntilDone();
+    /// Whether another attempt may be made, given that some were.
+    bool mayAttempt();
+    std::optional<GangPlan> choose();
+    std::vector<EndpointRecord> candidates() const;
+    /// Those of @p pool that are for this request's kind of stream; all, if there are none.
+    std::vector<EndpointRecord> sideOf(std::vector<EndpointRecord> pool, const EndpointUses &uses,
+                                       bool strictStream) const;
+    AttemptEnd attempt(const GangPlan &plan);
+    AttemptEnd attemptPlaced(const GangPlan &plan, const MemoryTickets &tickets);
+    AttemptEnd converse(HttpConnection &connection, const EndpointRecord &endpoint, bool reused,
+                        TimePoint firstBy);
+    AttemptEnd takeAnswer(HttpConnection &connection, const EndpointRecord &endpoint,
+                          const AnswerHead &head, HttpResponse response, TimePoint firstBy);
+    AttemptEnd takeRefusal(HttpConnection &connection, const EndpointRecord &endpoint,
+                           const AnswerHead &head, const HttpResponse &response, bool reused);
+    AttemptEnd takeStream(HttpConnection &connection, const EndpointRecord &endpoint,
+                          const AnswerHead &head, const HttpResponse &response, TimePoint firstBy);
+    AttemptEnd failAttempt(const EndpointRecord &endpoint, FailureWeight weight,
+                           std::string_view why);
+    bool takeEvents(EventSplitter &events, std::string &batch);
+    void passOnEvents(const AnswerHead &head, unsigned status, const std::string &batch);
+    void logPlacement(const GangPlan &plan) const;
+    HttpRequest upstreamRequest(const GangPlan &plan, const MemoryTickets &tickets) const;
+    Duration silencePatience() const;
+    Duration left() const;
+
+    void finishUnanswered();
+    void refuse(unsigned status, std::string_view why, Millis retryAfter);
+    void passOn(const HttpResponse &response);
+    void logEnd(RelayOutcome outcome, unsigned status, std::string_view why);
+
+    bool strict() const { return !m_route->repeatable(); }
+
+    RelayNode &m_node;
+    HttpExchange &m_exchange;
+    const TimePoint m_arrival;
+    RelayHead m_head;
+    RelayViewPtr m_view; ///< At the arrival: decides on the route.
+    const Route *m_route = nullptr;
+    const DeclaredService *m_service = nullptr;
+    ServiceId m_serviceId;
+    CustomerId m_customer;
+    uint32_t m_urgency = 0;
+    TimePoint m_deadline{};
+    std::unordered_set<EndpointId> m_tried; ///< Not to be tried again.
+    uint32_t m_arrivals = 0; ///< Attempts that reached an endpoint.
+    uint32_t m_mayHaveRun = 0; ///< Of those, the ones not refused.
+    uint32_t m_placements = 0;
+    HttpConnection *m_connection = nullptr; ///< Of the attempt in progress.
+    LoadKey m_load;
+    std::optional<uint64_t> m_lastEvent; ///< That the client has.
+    std::optional<HttpResponse> m_failure; ///< An endpoint's own failure, if nothing better comes.
+    std::string m_why; ///< Of the last failed attempt.
+    TimePoint m_lastPassedOn{}; ///< When the client was last sent events.
+    Duration m_longestGap{}; ///< Between events, as passed on.
+    Duration m_firstAfter{}; ///< From arrival to the first event.
+    bool m_streaming = false; ///< The client has the answer's head.
+    bool m_hungUp = false;
+};
+
+} // namespace stackquay
--- /dev/null
+++ b/relay/relay_view.h
@@ -0,0 +1,31 @@
+/// What the control thread knows, as the traffic thread reads it: immutable, replaced whole.
+#pragma once
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "policy/policy.h"
+#include "relay/relay_settings.h"
+
+namespace stackquay {
+
+struct RelayView {
+    RouteTablePtr m_routes; ///< Null until one is known.
+    FreshnessProof m_proof; ///< Of m_routes.
+    EndpointDirectoryPtr m_directory; ///< Null until one is known.
+    /// Endpoints that take new work, by service.
+    std::unordered_map<ServiceId, std::vector<EndpointRecord>> m_pools;
+    RelayBounds m_bounds;
+    uint32_t m_vms = 1; ///< The most VMs known at once, with this one.
+
+    bool complete() const { return m_routes && m_directory; }
+};
+
+using RelayViewPtr = std::shared_ptr<const RelayView>;
+
+/// The pools of @p directory: all endpoints that are not draining, sorted by id.
+std::unordered_map<ServiceId, std::vector<EndpointRecord>>
+poolsOf(const EndpointDirectory &directory);
+
+} // namespace stackquay
--- /dev/null
+++ b/relay/store_follower.h
@@ -0,0 +1,48 @@
+/// Follows the declared routes and the endpoints in the platform's store, for the control thread.
+///
+/// Changes come by watches. That nothing has changed is proved by reading the object of the routes:
+/// a watch that stays silent proves nothing. A VM whose peers hold a young proof does not read.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "relay/relay_view.h"
+#include "relay/source.h"
+
+namespace stackquay {
+
+struct FollowerHooks {
+    /// Another version of the routes, or a later proof of the same.
+    std::function<void(const RouteTablePtr &routes, const std::string &spec)> m_routes;
+    std::function<void(const FreshnessProof &proof)> m_proof;
+    std::function<void(const EndpointDirectoryPtr &directory)> m_directory;
+    /// The best proof that is known, of this VM or its peers.
+    std::function<FreshnessProof()> m_bestProof;
+};
+
+class StoreFollower
+{
+public:
+    /// @p thread is the control thread; it must be stopped before the follower is destroyed.
+    StoreFollower(FiberThread &thread, KindStore &store, const RelaySource &source,
+                  FollowerHooks hooks);
+    ~StoreFollower();
+    StoreFollower(const StoreFollower &) = delete;
+    StoreFollower &operator=(const StoreFollower &) = delete;
+
+    /// Starts the fibers. On the thread.
+    void start();
+    /// Takes routes that a peer has. Ignored unless their version is higher. On the thread.
+    void offerRoutes(const std::string &spec);
+    /// Takes a peer's directory. Ignored unless it is of a later revision. On the thread.
+    void offerDirectory(const EndpointDirectory &directory);
+    /// When the store was last heard of with its endpoints. On the thread.
+    TimePoint directoryHeard() const;
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace stackquay
--- a/store/store.h
+++ b/store/store.h
@@ -9,6 +9,7 @@
 #include "store/claim_store.h"
 #include "store/intent_head.h"
 #include "store/intent_store.h"
+#include "store/kind_store.h"
 #include "store/lease.h"
 #include "store/lease_keeper.h"
 #include "store/objects.h"
