A hang-up is not told once the handler has returned

The watch of a connection readied a fiber that calls the handler's callback; the handler, ready before it, returned first and took its stack's objects with it. Ruled out: renewals of reservations (they hold their own state); the ledger's expiry (one thread). Conclusion: the callback is looked up when the fiber runs, and the end of the watch always clears it.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -238,7 +238,12 @@
                 if (!error && callerSentMore())
                     return;
                 hangup->m_active = false;
-                spawnFiber(hangup->m_callback);
+                // The handler may return before the fiber runs: then nobody is to be told.
+                spawnFiber([hangup] {
+                    const auto callback = hangup->m_callback;
+                    if (callback)
+                        callback();
+                });
             });
     }
 
@@ -252,7 +257,7 @@
 
     void endWatch()
     {
-        if (!m_hangup || !m_hangup->m_active)
+        if (!m_hangup)
             return;
         m_hangup->m_active = false;
         m_hangup->m_callback = nullptr;
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -1,4 +1,6 @@
+#include <array>
 #include <future>
+#include <thread>
 
 #include <boost/asio/write.hpp>
 #include <boost/fiber/future.hpp>
@@ -244,5 +246,129 @@
     EXPECT_TRUE(request.query("none").empty());
 }
 
+TEST_F(HttpTest, HangupIsNotToldOnceTheHandlerHasReturned)
+{
+    // The handler returns in the same turn of the loop in which the hang-up is seen: while the
+    // thread is held the caller closes, and the handler is ready before the close is looked for.
+    constexpr Millis HoldTime{ 10 };
+    std::atomic<int> told{ 0 };
+    std::atomic<int> toldLate{ 0 };
+    std::atomic<int> returned{ 0 };
+    serve([&](HttpExchange &exchange) {
+        const auto over = std::make_shared<bool>(false);
+        exchange.onHangup([&, over] {
+            ++told;
+            if (*over)
+                ++toldLate;
+        });
+        boost::fibers::promise<void> held;
+        m_serverThread.post([&] {
+            std::this_thread::sleep_for(HoldTime);
+            held.set_value();
+        });
+        held.get_future().wait();
+        *over = true;
+        ++returned;
+    });
+    constexpr int Tries = 20;
+    onClient([&] {
+        for (int i = 0; i < Tries; ++i) {
+            HttpConnection connection(m_clientThread.context());
+            ASSERT_TRUE(connection.connect(m_address, Seconds(5)));
+            ASSERT_TRUE(connection.send({ "GET", "/", {}, "" }, Seconds(5)));
+            ASSERT_TRUE(sleepFor(m_clientThread.context(), Millis(1)));
+            connection.cancel();
+            while (returned <= i)
+                ASSERT_TRUE(sleepFor(m_clientThread.context(), Millis(1)));
+        }
+    });
+    EXPECT_EQ(toldLate, 0) << "of " << told << " times told";
+}
+
+TEST_F(HttpTest, BytesAfterAnAnswerEndTheConnectionsUse)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context,
+                                            { boost::asio::ip::address_v4::loopback(), 0 });
+    m_address = { "127.0.0.1", acceptor.local_endpoint().port() };
+    std::thread peer([&] {
+        boost::asio::ip::tcp::socket socket = acceptor.accept();
+        std::array<char, 4096> request;
+        boost::system::error_code error;
+        socket.read_some(boost::asio::buffer(request), error);
+        boost::asio::write(socket,
+                           boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2"
+                                                           "\r\n\r\nokHTTP/1.1 200 OK\r\n")),
+                           error);
+        socket.read_some(boost::asio::buffer(request), error);
+    });
+    m_clientThread.start();
+    onClient([&] {
+        HttpConnection connection(m_clientThread.context());
+        ASSERT_TRUE(connection.connect(m_address, Seconds(5)));
+        ASSERT_TRUE(connection.send({ "GET", "/", {}, "" }, Seconds(5)));
+        ASSERT_TRUE(connection.readHeader(Seconds(5)));
+        const auto body = connection.readWhole(Seconds(5));
+        ASSERT_TRUE(body);
+        EXPECT_EQ(*body, "ok");
+        EXPECT_FALSE(connection.reusable());
+    });
+    peer.join();
+}
+
+TEST_F(HttpTest, ConnectionIsNotReusedNearItsStatedIdleTimeout)
+{
+    serve([](HttpExchange &exchange) {
+        exchange.respond({ 200, { { "Keep-Alive", "timeout=1" } }, "ok" });
+    });
+    onClient([&] {
+        HttpPool pool(m_clientThread.context());
+        ASSERT_TRUE(pool.call(m_address, { "GET", "/", {}, "" }));
+        ASSERT_TRUE(pool.call(m_address, { "GET", "/", {}, "" }));
+        EXPECT_EQ(m_server->connections(), 1u);
+        ASSERT_TRUE(sleepFor(m_clientThread.context(), Millis(700)));
+        const auto fresh = pool.acquire(m_address, Seconds(1));
+        ASSERT_TRUE(fresh);
+        EXPECT_FALSE((*fresh)->reused());
+    });
+}
+
+TEST_F(HttpTest, HeadersOfOneNameAllArrive)
+{
+    serve([](HttpExchange &exchange) {
+        std::string values;
+        for (const HttpHeader &header : exchange.request().m_headers) {
+            if (header.m_name == "X-List")
+                values += header.m_value + ";";
+        }
+        exchange.respond({ 200, {}, values });
+    });
+    onClient([&] {
+        HttpPool pool(m_clientThread.context());
+        const auto answer =
+            pool.call(m_address, { "GET", "/", { { "X-List", "a" }, { "X-List", "b" } }, "" });
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->m_body, "a;b;");
+    });
+}
+
+TEST_F(HttpTest, AnswersAnnounceTheCloseAndConnectionsAreStillAccepted)
+{
+    serve([](HttpExchange &exchange) { exchange.respond({ 200, {}, "ok" }); });
+    m_server->closeAfterAnswers();
+    onClient([&] {
+        for (int i = 0; i < 2; ++i) {
+            HttpConnection connection(m_clientThread.context());
+            ASSERT_TRUE(connection.connect(m_address, Seconds(5)));
+            ASSERT_TRUE(connection.send({ "GET", "/", {}, "" }, Seconds(5)));
+            const auto header = connection.readHeader(Seconds(5));
+            ASSERT_TRUE(header);
+            EXPECT_EQ(findHeader(header->m_headers, "Connection"), "close");
+            EXPECT_EQ(connection.readWhole(Seconds(5)).value_or(""), "ok");
+            EXPECT_FALSE(connection.reusable());
+        }
+    });
+}
+
 } // namespace
 } // namespace stackquay
