Tests of the relay against stand-ins of the users' store and workers

The daemon takes ports from the kernel for them. Ruled out: tests over a mocked network (the sockets' failures are the point).

--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -1,8 +1,9 @@
-# stackquay_library(NAME DEPS...): the library of the folder NAME, and its test program.
+# stackquay_library(NAME DEPS...): the library of the folder NAME; a_b is the folder a/b.
 set(STACKQUAY_OBJECTS "" CACHE INTERNAL "")
 
 function(stackquay_library NAME)
-  file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/${NAME}/*.cpp)
+  string(REPLACE "_" "/" folder ${NAME})
+  file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/${folder}/*.cpp)
   if(NOT sources)
     add_library(stackquay_${NAME} INTERFACE)
     target_link_libraries(stackquay_${NAME} INTERFACE stackquay_flags)
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -53,7 +53,7 @@
     { }
 
     FiberThread &m_thread;
-    const RelaySettings m_settings;
+    RelaySettings m_settings; ///< With the ports as bound.
     const uint64_t m_origin;
     KindStore &m_store;
     const RelaySource &m_source;
@@ -275,20 +275,23 @@
 
 FleetLink::~FleetLink() = default;
 
-Status FleetLink::listen()
+Status FleetLink::listen(const Address &loads)
 {
     State *state = m_state.get();
+    state->m_settings.m_loads = loads;
     const auto beats = state->m_socket.listen(
         state->m_settings.m_beats,
         [state](const Address &from, std::string_view bytes) { state->receive(from, bytes); });
     if (!beats)
         return tl::unexpected(beats.error());
+    state->m_settings.m_beats = *beats;
     state->m_server.handle<AskBeliefs>([state](const AskBeliefs &question) -> Result<Beliefs> {
         return state->m_hooks.m_answer(question);
     });
     const auto calls = state->m_server.listen(state->m_settings.m_peerCalls);
     if (!calls)
         return tl::unexpected(calls.error());
+    state->m_settings.m_peerCalls = *calls;
     return {};
 }
 
--- a/relay/fleet_link.h
+++ b/relay/fleet_link.h
@@ -39,8 +39,9 @@
     FleetLink(const FleetLink &) = delete;
     FleetLink &operator=(const FleetLink &) = delete;
 
-    /// Binds the addresses. Before the thread starts.
-    Status listen();
+    /// Binds the addresses; port 0 takes one from the kernel. @p loads is where the peers send what
+    /// they place. Before the thread starts.
+    Status listen(const Address &loads);
     /// Starts the fibers. On the thread.
     void start();
     /// Tells the peers that this VM goes, and removes its object. On the thread.
--- a/relay/load_exchange.cpp
+++ b/relay/load_exchange.cpp
@@ -22,10 +22,10 @@
 
 LoadExchange::~LoadExchange() = default;
 
-Status LoadExchange::listen(const Address &address)
+Result<Address> LoadExchange::listen(const Address &address)
 {
-    const auto bound =
-        m_state->m_socket.listen(address, [state = m_state.get()](const Address &from, auto bytes) {
+    return m_state->m_socket.listen(
+        address, [state = m_state.get()](const Address &from, auto bytes) {
             const Result<LoadMessage> message = decodeMessage<LoadMessage>(bytes);
             if (message) {
                 state->m_receiver(*message);
@@ -35,9 +35,6 @@
             if (state->m_refused++ == 0)
                 log(LogPart::Peers).warn("Load message not understood. from={}", toString(from));
         });
-    if (!bound)
-        return tl::unexpected(bound.error());
-    return {};
 }
 
 void LoadExchange::setPeers(const std::vector<Address> &peers)
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -40,8 +40,9 @@
     LoadExchange(const LoadExchange &) = delete;
     LoadExchange &operator=(const LoadExchange &) = delete;
 
-    /// Binds, and starts to receive. Before the thread starts or on it.
-    Status listen(const Address &address);
+    /// Binds, and starts to receive. Before the thread starts or on it. Port 0 takes one from the
+    /// kernel.
+    Result<Address> listen(const Address &address);
     void setPeers(const std::vector<Address> &peers);
     void send(const LoadMessage &message);
 
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -106,10 +106,10 @@
         return tl::unexpected(ready.error());
     m_clientsAddress = *clients;
     m_readyAddress = *ready;
-    const Status loads = m_node->m_loads.listen(m_settings.m_loads);
+    const auto loads = m_node->m_loads.listen(m_settings.m_loads);
     if (!loads)
-        return loads;
-    const Status fleet = m_fleet->listen();
+        return tl::unexpected(loads.error());
+    const Status fleet = m_fleet->listen(*loads);
     if (!fleet)
         return fleet;
     m_control.start();
--- /dev/null
+++ b/tests/platform/deployment.h
@@ -0,0 +1,78 @@
+/// A deployment inside a test process: a store, endpoints and daemons, on loopback.
+#pragma once
+
+#include <memory>
+
+#include "platform/platform.h"
+#include "platform/standin/store_standin.h"
+#include "platform/standin/worker_standin.h"
+#include "relay/relay.h"
+#include "standin/hosted.h"
+
+namespace stackquay::platform {
+
+using HostedStore = standin::Hosted<StoreStandin>;
+using HostedWorker = standin::Hosted<WorkerStandin>;
+
+/// What a client got.
+struct ClientAnswer {
+    unsigned m_status = 0; ///< Zero: no answer.
+    HttpHeaders m_headers;
+    std::string m_body; ///< As far as it came.
+    bool m_whole = false;
+
+    std::string header(std::string_view name) const
+    {
+        return std::string(findHeader(m_headers, name));
+    }
+};
+
+struct ClientRequest {
+    std::string m_method = "GET";
+    std::string m_path = "/safe/x";
+    std::string m_body;
+    HttpHeaders m_headers;
+    Millis m_deadline{ 3'000 };
+    std::string m_key = "key-of-one";
+    std::string m_id = "request-1";
+    uint64_t m_promptTokens = 0; ///< Zero: no model request.
+    Millis m_leaveAfter{ 0 }; ///< Zero: waits for the answer.
+};
+
+class Deployment
+{
+public:
+    Deployment();
+    ~Deployment();
+
+    /// Routes /safe/, /unsafe/ and /public/ go to the service "plain"; /stream/ (resumable),
+    /// /once/ (a stream that is not) and /long/ to "model".
+    void declare(uint64_t version, const std::string &extraRoutes = "",
+                 const std::string &keys = R"(["key-of-one"])");
+    HostedWorker &addWorker(const std::string &service);
+    void describe(const HostedWorker &worker, const std::string &service,
+                  const std::string &state = "ready");
+    RelayDaemon &addDaemon();
+    /// Waits until each daemon says that it is ready; false after some seconds.
+    bool awaitReady();
+    /// Waits until all daemons know all others.
+    bool awaitPeers();
+    ClientAnswer call(const ClientRequest &request, size_t daemon = 0);
+    unsigned readyStatus(size_t daemon = 0);
+
+    HostedStore m_store;
+    std::vector<std::unique_ptr<HostedWorker>> m_workers;
+    std::vector<std::unique_ptr<RelayDaemon>> m_daemons;
+    RelayBounds m_bounds;
+
+private:
+    FiberThread m_clients{ "clients" };
+};
+
+/// Polls until @p condition holds; false after @p timeout.
+bool eventually(const std::function<bool()> &condition, Duration timeout = Seconds(5));
+
+/// The text of the events @p first to @p last as the stand-in writes them.
+std::string eventsText(uint64_t first, uint64_t last);
+
+} // namespace stackquay::platform
