--- a/policy/gang_plan.cpp
+++ b/policy/gang_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace stackquay {
 
@@ -118,28 +119,76 @@
     return backlog + pass * PassesToFirstEvent + part;
 }
 
-} // namespace
-
-std::optional<GangPlan> planGang(const GangSettings &settings, const EngineCosts &costs,
-                                 const std::vector<EndpointRecord> &candidates,
-                                 const EndpointUses &uses, const GangQuestion &question)
+std::vector<Weighed> weighAll(const GangSettings &settings, const EngineCosts &costs,
+                              const std::vector<EndpointRecord> &endpoints,
+                              const EndpointUses &uses, const GangQuestion &question)
 {
-    if (candidates.empty())
-        return std::nullopt;
     std::vector<Weighed> engines;
-    for (const EndpointRecord &endpoint : candidates)
+    for (const EndpointRecord &endpoint : endpoints)
         engines.push_back(weigh(settings, costs, endpoint, uses, question));
-    const double answer = question.m_answerTokens;
-    const double tokens = question.m_promptTokens + answer;
+    return engines;
+}
+
+/// The one that answers first, then the others by the cost of reading a part.
+void orderEngines(std::vector<Weighed> &engines, double tokens)
+{
     std::swap(engines[0], engines[chooseFirst(engines, tokens)]);
     std::stable_sort(engines.begin() + 1, engines.end(), [](const auto &left, const auto &right) {
         return left.m_partCost < right.m_partCost;
     });
+}
+
+/// Adds engines of strict streams as helpers: those that read no long part, if all parts stay short
+/// by it; or any, if few strict streams suffer.
+void inviteGuests(const GangSettings &settings, std::vector<Weighed> &engines,
+                  const std::vector<Weighed> &others, FloatMillis read, bool any)
+{
+    std::vector<Weighed> idle;
+    uint32_t strictWriters = 0;
+    for (const Weighed &engine : others) {
+        strictWriters += engine.m_use.m_strictWriters;
+        if (engine.m_use.m_longReadMs <= 0)
+            idle.push_back(engine);
+    }
+    const auto partWith = [&](size_t guests) {
+        const size_t width = std::min<size_t>(engines.size() + guests, settings.m_mostHelpers + 1);
+        return read / static_cast<double>(width);
+    };
+    if (partWith(idle.size()) <= settings.m_guestPart)
+        engines.insert(engines.end(), idle.begin(), idle.end());
+    else if (any && strictWriters <= settings.m_mostSpoilt)
+        engines.insert(engines.end(), others.begin(), others.end());
+}
+
+} // namespace
+
+std::optional<GangPlan> planGang(const GangSettings &settings, const EngineCosts &costs,
+                                 const GangSides &sides, const EndpointUses &uses,
+                                 const GangQuestion &question)
+{
+    const bool lone = sides.m_own.empty();
+    std::vector<Weighed> engines =
+        weighAll(settings, costs, lone ? sides.m_other : sides.m_own, uses, question);
+    if (engines.empty())
+        return std::nullopt;
+    const double answer = question.m_answerTokens;
+    const double tokens = question.m_promptTokens + answer;
+    orderEngines(engines, tokens);
 
     const FloatMillis read = readTime(costs, question.m_promptTokens);
     const bool spans = tokens > usableTokens(settings, costs);
-    const size_t width = spans ? std::min<size_t>(engines.size(), settings.m_mostHelpers + 1)
-                               : chooseWidth(settings, engines.size(), read, question.strict());
+    size_t width = chooseWidth(settings, engines.size(), read, question.strict());
+    const FloatMillis expected =
+        predictFirst(costs, engines, width, read / static_cast<double>(width));
+    if (!question.strict() && !lone && expected > question.m_aim * settings.m_guestsAfter) {
+        const bool any = expected > question.m_aim * settings.m_anyAfter;
+        inviteGuests(settings, engines, weighAll(settings, costs, sides.m_other, uses, question),
+                     read, any);
+        orderEngines(engines, tokens);
+        width = chooseWidth(settings, engines.size(), read, false);
+    }
+    if (spans)
+        width = std::min<size_t>(engines.size(), settings.m_mostHelpers + 1);
     const FloatMillis part = read / static_cast<double>(width);
     GangPlan plan;
     for (size_t i = 0; i < width; ++i)
--- a/policy/gang_plan.h
+++ b/policy/gang_plan.h
@@ -3,7 +3,8 @@
 ///
 /// A long prompt is read in even parts by several engines, so that the first event comes early and
 /// no engine is blocked for long. Strict streams and long prompts have engines of their own, which
-/// strictEngines() decides; here the candidates are those of one side.
+/// strictEngines() decides. A long prompt may also be read by engines of strict streams, if its
+/// parts stay short and its own side would take too long.
 #pragma once
 
 #include <optional>
@@ -22,6 +23,15 @@
     /// A long prompt is split down to parts of this length, less than a pass: shorter ones gain
     /// nothing.
     FloatMillis m_longPart{ 40 };
+    /// Longest part of a long prompt on an engine of strict streams that reads no other: with a
+    /// pass of 75 ms it stays below a pause of 250 ms.
+    FloatMillis m_guestPart{ 110 };
+    /// A long prompt whose own side is expected to begin after this part of the aim may use such
+    /// guests; after the second, any engines, if that is in time and spoils few strict streams.
+    double m_guestsAfter = 0.5;
+    double m_anyAfter = 0.9;
+    /// A long prompt in time is worth about ten strict streams (the users' sheets).
+    uint32_t m_mostSpoilt = 12;
     uint32_t m_mostHelpers = 16; ///< The engines' own limit.
     /// Engines keep this part of their memory free of planned use, for answers longer than usual.
     double m_memoryReserve = 0.1;
@@ -31,6 +41,7 @@
     double m_promptTokens = 0;
     double m_answerTokens = 0;
     uint32_t m_gapAimMs = 0;
+    FloatMillis m_aim{ 1'000 };
     DataCentreId m_dataCentre; ///< Of the VM that asks.
 
     bool strict() const { return m_gapAimMs > 0 && m_gapAimMs <= StrictGapMs; }
@@ -49,10 +60,16 @@
     FloatMillis m_firstEvent{ 0 }; ///< Predicted, from sending.
 };
 
-/// No plan if there is no candidate, or no set of engines can hold the prompt even when idle.
+/// The candidates of the request's own side, and the others.
+struct GangSides {
+    std::vector<EndpointRecord> m_own;
+    std::vector<EndpointRecord> m_other;
+};
+
+/// No plan if there is no candidate, or no set of engines has memory for the prompt now.
 std::optional<GangPlan> planGang(const GangSettings &settings, const EngineCosts &costs,
-                                 const std::vector<EndpointRecord> &candidates,
-                                 const EndpointUses &uses, const GangQuestion &question);
+                                 const GangSides &sides, const EndpointUses &uses,
+                                 const GangQuestion &question);
 
 /// The candidate with the fewest attempts in flight for its slots; one in the same data centre wins
 /// ties. Null if there is none.
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -26,6 +26,7 @@
 #include "policy/overflow.h"
 #include "policy/pool_split.h"
 #include "policy/prefix.h"
+#include "policy/read_queue.h"
 #include "policy/reconcile.h"
 #include "policy/retry.h"
 #include "policy/retry_window.h"
--- a/policy/pool_split.cpp
+++ b/policy/pool_split.cpp
@@ -7,16 +7,42 @@
 
 namespace {
 
-size_t enginesNeeded(const PoolSplitSettings &settings, const std::vector<EndpointRecord> &pool,
-                     const EndpointUses &uses)
+/// What both sides ask for now.
+struct Demand {
+    double m_strictStreams = 0;
+    double m_longEngines = 0;
+};
+
+Demand demandOf(const PoolSplitSettings &settings, const std::vector<EndpointRecord> &pool,
+                const EndpointUses &uses)
 {
-    size_t strict = 0;
+    Demand demand;
+    double longMs = 0;
     for (const EndpointRecord &engine : pool) {
         const auto use = uses.find(engine.m_id);
-        if (use != uses.end())
-            strict += use->second.m_strictWriters;
+        if (use == uses.end())
+            continue;
+        demand.m_strictStreams += use->second.m_strictWriters;
+        longMs += use->second.m_recentLongMs;
     }
-    return static_cast<size_t>(std::ceil(static_cast<double>(strict) / settings.m_strictPerEngine));
+    demand.m_longEngines =
+        longMs / FloatMillis(LongReadWindow).count() / settings.m_longUtilization;
+    return demand;
+}
+
+/// Engines for strict streams. What neither side needs goes to the long prompts, which get shorter
+/// parts by it; if both need more than there is, they share in proportion.
+size_t strictShare(const PoolSplitSettings &settings, const Demand &demand, size_t engines)
+{
+    if (engines < 2)
+        return engines;
+    const auto all = static_cast<double>(engines);
+    double strict = std::max(demand.m_strictStreams / settings.m_strictPerEngine, 1.0);
+    strict = std::min(strict, std::max(1.0, all * settings.m_strictShare));
+    strict = std::max(strict, demand.m_strictStreams / settings.m_strictPerFullEngine);
+    const double wanted = strict + demand.m_longEngines;
+    const double share = wanted <= all ? std::ceil(strict) : std::round(all * strict / wanted);
+    return std::clamp<size_t>(static_cast<size_t>(share), 1, engines - 1);
 }
 
 } // namespace
@@ -26,18 +52,14 @@
                                              const EndpointUses &uses, TimePoint now)
 {
     const PoolSplitSettings &settings = split.m_settings;
-    const auto keptForLong = static_cast<size_t>(
-        std::ceil(static_cast<double>(pool.size()) * settings.m_leastLongShare));
-    const size_t most = pool.size() - std::min(pool.size(), keptForLong);
-    const size_t least = std::min(settings.m_leastStrict, most);
-    const size_t needed = std::clamp(enginesNeeded(settings, pool, uses), least, most);
+    const size_t needed = strictShare(settings, demandOf(settings, pool, uses), pool.size());
 
     auto &needs = split.m_needs;
     std::erase_if(needs, [&](const PoolNeed &need) {
         return need.m_at + settings.m_memory <= now || need.m_engines <= needed;
     });
     needs.push_back({ now, needed });
-    const size_t count = std::min(needs.front().m_engines, most);
+    const size_t count = std::min(needs.front().m_engines, pool.size());
 
     std::unordered_set<EndpointId> strict;
     for (size_t i = 0; i < count; ++i)
--- a/policy/pool_split.h
+++ b/policy/pool_split.h
@@ -16,15 +16,21 @@
 namespace stackquay {
 
 struct PoolSplitSettings {
-    double m_strictPerEngine = 10; ///< Strict streams that an engine is meant to have at once.
-    size_t m_leastStrict = 2; ///< Engines, unless the pool is too small.
-    double m_leastLongShare = 0.25; ///< Of the engines, kept for long prompts.
+    /// Strict streams that an engine is meant to have at once: with ten, a pass takes about 60 ms,
+    /// and reads of newcomers double it at most.
+    double m_strictPerEngine = 10;
+    /// More engines than this part of the pool are given to strict streams only if these have so
+    /// many an engine that they fill it: a burst of long prompts needs engines from its first.
+    double m_strictShare = 0.85;
+    double m_strictPerFullEngine = 11;
+    /// Part of its time that an engine for long prompts is meant to read.
+    double m_longUtilization = 0.75;
     /// The strict part shrinks only to what was needed in this time: bursts come in clumps, and an
     /// engine that changes sides spoils the streams that it still writes.
-    Duration m_memory = Millis(2'500);
+    Duration m_memory = Millis(1'000);
 };
 
-/// Engines needed for strict streams, at some moment.
+/// Engines that strict streams were given at some moment.
 struct PoolNeed {
     TimePoint m_at{};
     size_t m_engines = 0;
--- a/policy/stream_ledger.cpp
+++ b/policy/stream_ledger.cpp
@@ -17,13 +17,25 @@
 /// Reading outstanding at one endpoint, before elapsed time is taken off.
 struct Backlog {
     double m_readMs = 0;
+    double m_longMs = 0; ///< Of that, for streams that are not strict.
     TimePoint m_since = TimePoint::max(); ///< Placement of the oldest that is outstanding.
 };
 
 } // namespace
 
+bool AttemptLoad::strict() const
+{
+    return m_gapAimMs > 0 && m_gapAimMs <= StrictGapMs;
+}
+
 void StreamLedger::place(const LoadKey &key, AttemptLoad load)
 {
+    if (!load.strict()) {
+        for (const LoadPart &part : load.m_parts) {
+            if (part.m_readMs > 0)
+                m_longReads.push_back({ load.m_placedAt, part.m_endpoint, part.m_readMs });
+        }
+    }
     m_loads[key] = std::move(load);
 }
 
@@ -44,6 +56,22 @@
     std::erase_if(m_loads, [origin](const auto &entry) { return entry.first.m_origin == origin; });
 }
 
+ReadingNow StreamLedger::readingLong() const
+{
+    ReadingNow reading;
+    for (const auto &[key, load] : m_loads) {
+        if (load.m_writing || load.strict())
+            continue;
+        double readMs = 0;
+        for (const LoadPart &part : load.m_parts)
+            readMs += part.m_readMs;
+        if (readMs > 0)
+            ++reading.m_prompts;
+        reading.m_readMs += readMs;
+    }
+    return reading;
+}
+
 EndpointUses StreamLedger::uses(TimePoint now)
 {
     std::erase_if(m_loads, [now](const auto &entry) { return entry.second.m_expiresAt <= now; });
@@ -57,6 +85,8 @@
             if (!load.m_writing) {
                 Backlog &backlog = backlogs[part.m_endpoint];
                 backlog.m_readMs += part.m_readMs;
+                if (!load.strict())
+                    backlog.m_longMs += part.m_readMs;
                 backlog.m_since = std::min(backlog.m_since, load.m_placedAt);
             }
             if (i > 0)
@@ -64,7 +94,7 @@
             ++use.m_attempts;
             if (load.m_writing)
                 ++use.m_writers;
-            if (load.m_gapAimMs > 0 && load.m_gapAimMs <= StrictGapMs)
+            if (load.strict())
                 ++use.m_strictWriters;
         }
     }
@@ -72,7 +102,12 @@
         EndpointUse &use = uses[endpoint];
         const double elapsed = msBetween(backlog.m_since, now);
         use.m_readBacklogMs = std::max(backlog.m_readMs - elapsed, backlog.m_readMs * OverdueShare);
+        use.m_longReadMs = std::min(backlog.m_longMs, use.m_readBacklogMs);
     }
+    while (!m_longReads.empty() && m_longReads.front().m_at + LongReadWindow <= now)
+        m_longReads.pop_front();
+    for (const LongRead &read : m_longReads)
+        uses[read.m_endpoint].m_recentLongMs += read.m_readMs;
     return uses;
 }
 
--- a/policy/stream_ledger.h
+++ b/policy/stream_ledger.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <unordered_map>
 #include <vector>
 
@@ -50,6 +51,8 @@
     bool m_writing = false; ///< Its first event came: nothing is left to read.
     TimePoint m_placedAt{};
     TimePoint m_expiresAt{};
+
+    bool strict() const;
 };
 
 /// What the ledger sums up for one endpoint.
@@ -58,9 +61,18 @@
     uint32_t m_writers = 0;
     uint32_t m_strictWriters = 0; ///< Whose streams bear only short pauses.
     double m_readBacklogMs = 0; ///< Reading still to do, own and for others.
+    double m_longReadMs = 0; ///< Of that, for streams that are not strict.
+    double m_recentLongMs = 0; ///< Such reading placed there within LongReadWindow.
     uint64_t m_tokens = 0; ///< Memory in use or promised.
 };
 
+/// What reads now, as the ledger knows it.
+struct ReadingNow {
+    uint32_t m_prompts = 0; ///< Long ones without a first event.
+    double m_readMs = 0; ///< Of all their parts.
+    size_t m_engines = 1; ///< Of the side that reads them.
+};
+
 using EndpointUses = std::unordered_map<EndpointId, EndpointUse>;
 
 class StreamLedger
@@ -73,15 +85,27 @@
     /// Forgets attempts of a VM's process that is gone.
     void forgetOrigin(uint64_t origin);
 
+    /// Long prompts in all that have no first event yet. m_engines is left at 1.
+    ReadingNow readingLong() const;
     /// Sums at @p now, without expired entries, which are dropped.
     EndpointUses uses(TimePoint now);
     size_t size() const { return m_loads.size(); }
 
 private:
+    struct LongRead {
+        TimePoint m_at{};
+        EndpointId m_endpoint;
+        double m_readMs = 0;
+    };
+
     std::unordered_map<LoadKey, AttemptLoad, LoadKeyHash> m_loads;
+    std::deque<LongRead> m_longReads; ///< Of the last window, by time of placement.
 };
 
 /// A pause of this length or less makes a stream strict: it suffers where long parts are read.
 constexpr uint32_t StrictGapMs = 400;
+/// Over this time the demand of long prompts is measured: some of them arrive in it, and a burst is
+/// seen in part of it.
+constexpr Millis LongReadWindow{ 2'500 };
 
 } // namespace stackquay
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -130,7 +130,10 @@
     if (!beat || beat->m_origin == m_origin)
         return;
     Peer &peer = m_peers[from];
-    const bool changed = !peer.m_live || peer.m_beat.m_origin != beat->m_origin || beat->m_leaving;
+    const bool restarted = peer.m_beat.m_origin != beat->m_origin;
+    const bool changed = !peer.m_live || restarted || beat->m_leaving;
+    if (restarted && peer.m_beat.m_origin != 0)
+        m_hooks.m_gone(peer.m_beat.m_origin);
     peer.m_beat = *beat;
     peer.m_heard = Clock::now();
     peer.m_live = !beat->m_leaving;
@@ -159,6 +162,7 @@
             continue;
         peer.m_live = false;
         changed = true;
+        m_hooks.m_gone(peer.m_beat.m_origin);
         DecisionLine("peers", "peer lost").text("vm", peer.m_beat.m_vm.str()).write();
     }
     std::erase_if(m_peers, [now](const auto &entry) {
--- a/relay/fleet_link.h
+++ b/relay/fleet_link.h
@@ -25,6 +25,8 @@
     std::function<void(const Beliefs &beliefs, Duration callTime)> m_heard;
     /// A peer's proof came with a beat.
     std::function<void(const FreshnessProof &proof)> m_proof;
+    /// A process of a peer is gone, or cannot be heard: what it placed is not known any more.
+    std::function<void(uint64_t origin)> m_gone;
     /// The set of live peers changed: their addresses for loads, and the most VMs ever known.
     std::function<void(const std::vector<Address> &loads, uint32_t vms)> m_peers;
 };
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -202,6 +202,9 @@
         takeBeliefs(beliefs, callTime);
     };
     hooks.m_proof = [this](const FreshnessProof &proof) { takeProof(proof); };
+    hooks.m_gone = [this](uint64_t origin) {
+        m_traffic.post([this, origin] { m_node->forget(origin); });
+    };
     hooks.m_peers = [this](const std::vector<Address> &loads, uint32_t vms) {
         changeView([vms](RelayView &view) { view.m_vms = vms; });
         m_traffic.post([this, loads] { m_node->m_loads.setPeers(loads); });
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -23,26 +23,51 @@
     m_view.store(std::make_shared<const RelayView>());
 }
 
-LoadKey RelayNode::place(std::vector<LoadPart> parts, uint32_t gapAimMs, Duration lifetime)
+void RelayNode::wait(const LoadKey &key, const WaitingRead &read)
+{
+    const TimePoint now = Clock::now();
+    const auto millisUntil = [now](TimePoint moment) {
+        const auto millis = std::chrono::duration_cast<Millis>(moment - now).count();
+        return static_cast<uint32_t>(std::max<Millis::rep>(millis, 0));
+    };
+    m_loads.send({ LoadChange::Waiting,
+                   key,
+                   {},
+                   0,
+                   millisUntil(read.m_expiresAt),
+                   millisUntil(read.m_aimAt),
+                   read.m_readMs });
+    m_readQueue.m_waiting[key] = read;
+}
+
+void RelayNode::place(const LoadKey &key, std::vector<LoadPart> parts, uint32_t gapAimMs,
+                      Duration lifetime)
 {
-    const LoadKey key{ m_origin, ++m_sequence };
     const TimePoint now = Clock::now();
     const auto millis = std::chrono::duration_cast<Millis>(lifetime).count();
-    m_loads.send({ LoadChange::Placed, key, parts, gapAimMs, static_cast<uint32_t>(millis) });
+    m_loads.send({ LoadChange::Placed, key, parts, gapAimMs, static_cast<uint32_t>(millis), 0, 0 });
+    m_readQueue.m_waiting.erase(key);
     m_ledger.place(key, { std::move(parts), gapAimMs, false, now, now + lifetime });
-    return key;
 }
 
 void RelayNode::startWriting(const LoadKey &key)
 {
     m_ledger.startWriting(key);
-    m_loads.send({ LoadChange::FirstEvent, key, {}, 0, 0 });
+    m_loads.send({ LoadChange::FirstEvent, key, {}, 0, 0, 0, 0 });
 }
 
 void RelayNode::end(const LoadKey &key)
 {
     m_ledger.end(key);
-    m_loads.send({ LoadChange::Ended, key, {}, 0, 0 });
+    m_readQueue.m_waiting.erase(key);
+    m_loads.send({ LoadChange::Ended, key, {}, 0, 0, 0, 0 });
+}
+
+void RelayNode::forget(uint64_t origin)
+{
+    m_ledger.forgetOrigin(origin);
+    std::erase_if(m_readQueue.m_waiting,
+                  [origin](const auto &entry) { return entry.first.m_origin == origin; });
 }
 
 void RelayNode::noteFailure(const EndpointId &endpoint, FailureWeight weight, std::string_view why)
@@ -71,7 +96,12 @@
 {
     const TimePoint now = Clock::now();
     switch (message.m_change) {
+    case LoadChange::Waiting:
+        m_readQueue.m_waiting[message.m_key] = { now + Millis(message.m_aimMs), message.m_readMs,
+                                                 now + Millis(message.m_expiresMs) };
+        return;
     case LoadChange::Placed:
+        m_readQueue.m_waiting.erase(message.m_key);
         m_ledger.place(message.m_key, { message.m_parts, message.m_gapAimMs, false, now,
                                         now + Millis(message.m_expiresMs) });
         return;
@@ -79,6 +109,7 @@
         m_ledger.startWriting(message.m_key);
         return;
     case LoadChange::Ended:
+        m_readQueue.m_waiting.erase(message.m_key);
         m_ledger.end(message.m_key);
         return;
     }
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -32,13 +32,21 @@
     EjectionTable m_ejections;
     RetryWindows m_retries;
     GangSettings m_gang;
+    ReadQueue m_readQueue;
     std::unordered_map<ServiceId, PoolSplit> m_splits;
     LoadExchange m_loads;
 
+    /// A name for the next attempt.
+    LoadKey nextKey() { return { m_origin, ++m_sequence }; }
+    /// Tells all VMs that a long prompt waits to be read; place() or end() ends it.
+    void wait(const LoadKey &key, const WaitingRead &read);
     /// Enters an attempt into the ledgers of all VMs.
-    LoadKey place(std::vector<LoadPart> parts, uint32_t gapAimMs, Duration lifetime);
+    void place(const LoadKey &key, std::vector<LoadPart> parts, uint32_t gapAimMs,
+               Duration lifetime);
     void startWriting(const LoadKey &key);
     void end(const LoadKey &key);
+    /// Forgets what a VM's process that is gone had placed or waited for.
+    void forget(uint64_t origin);
     /// Notes a failure of an endpoint here.
     void noteFailure(const EndpointId &endpoint, FailureWeight weight, std::string_view why);
     /// Takes one repeated send to @p service out of the budget of the present view.
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -29,6 +29,8 @@
 constexpr Millis BodyTimeout{ 1'000 };
 /// Attempts that one request makes at most, sent or not.
 constexpr uint32_t MostPlacements = 6;
+/// Between looks whether a long prompt may be read: a tenth of a usual part.
+constexpr Millis TurnPoll{ 12 };
 /// Waits between tries while no endpoint can take the request.
 constexpr Millis PlacementPause{ 60 };
 
@@ -39,6 +41,8 @@
 constexpr int AbandonGaps = 8;
 constexpr double PatienceShare = 0.45;
 constexpr Millis LeastPatience{ 300 };
+/// A first event is not late before so many times its prediction.
+constexpr double LateFactor = 2;
 /// Plain services that are silent for this many aims are given up, where that is allowed.
 constexpr int ServiceAims = 2;
 
@@ -152,9 +156,13 @@
 {
     while (mayAttempt()) {
         ++m_placements;
+        m_load = m_node.nextKey();
+        if (!awaitTurn())
+            break;
         const auto plan = choose();
         if (!plan) {
             m_why = "no endpoint can take it";
+            m_node.end(m_load);
             const bool waited = sleepFor(m_node.m_thread.context(), PlacementPause);
             if (waited)
                 continue;
@@ -190,26 +198,26 @@
     return healthyOf(m_node.m_ejections, std::move(untried), Clock::now());
 }
 
-std::vector<EndpointRecord> RelayRun::sideOf(std::vector<EndpointRecord> pool,
-                                             const EndpointUses &uses, bool strictStream) const
+GangSides RelayRun::sidesOf(const std::vector<EndpointRecord> &pool, const EndpointUses &uses,
+                            bool strictStream) const
 {
     const RelayViewPtr view = m_node.m_view.load();
     const auto whole = view->m_pools.find(m_serviceId);
     if (whole == view->m_pools.end())
-        return pool;
+        return { pool, {} };
     const auto strictSide =
         strictEngines(m_node.m_splits[m_serviceId], whole->second, uses, Clock::now());
-    std::vector<EndpointRecord> side;
+    GangSides sides;
     for (const EndpointRecord &endpoint : pool) {
-        if ((strictSide.count(endpoint.m_id) > 0) == strictStream)
-            side.push_back(endpoint);
+        const bool own = (strictSide.count(endpoint.m_id) > 0) == strictStream;
+        (own ? sides.m_own : sides.m_other).push_back(endpoint);
     }
-    return side.empty() ? pool : side;
+    return sides;
 }
 
 std::optional<GangPlan> RelayRun::choose()
 {
-    std::vector<EndpointRecord> pool = candidates();
+    const std::vector<EndpointRecord> pool = candidates();
     const TimePoint now = Clock::now();
     const EndpointUses uses = m_node.m_ledger.uses(now);
     const DataCentreId &here = m_node.m_settings.m_dataCentre;
@@ -225,8 +233,53 @@
     question.m_answerTokens = static_cast<double>(costs.m_usualAnswerTokens);
     question.m_gapAimMs = static_cast<uint32_t>(m_route->m_gapAim.count());
     question.m_dataCentre = here;
-    pool = sideOf(std::move(pool), uses, question.strict());
-    return planGang(m_node.m_gang, costs, pool, uses, question);
+    question.m_aim = m_route->m_aim;
+    return planGang(m_node.m_gang, costs, sidesOf(pool, uses, question.strict()), uses, question);
+}
+
+bool RelayRun::isLongPrompt() const
+{
+    return m_service && m_service->m_engine && m_head.m_promptTokens > 0
+           && m_route->m_gapAim > Millis(StrictGapMs);
+}
+
+ReadingNow RelayRun::readingNow(const EndpointUses &uses)
+{
+    const RelayViewPtr view = m_node.m_view.load();
+    const auto pool = view->m_pools.find(m_serviceId);
+    ReadingNow reading = m_node.m_ledger.readingLong();
+    if (pool == view->m_pools.end())
+        return reading;
+    const auto strictSide =
+        strictEngines(m_node.m_splits[m_serviceId], pool->second, uses, Clock::now());
+    reading.m_engines = std::max<size_t>(pool->second.size() - strictSide.size(), 1);
+    return reading;
+}
+
+bool RelayRun::awaitTurn()
+{
+    if (!isLongPrompt())
+        return true;
+    const double readMs =
+        readTime(*m_service->m_engine, static_cast<double>(m_head.m_promptTokens)).count();
+    bool told = false;
+    for (;;) {
+        const TimePoint now = Clock::now();
+        const ReadingNow reading = readingNow(m_node.m_ledger.uses(now));
+        if (!told)
+            m_node.m_readQueue.m_waiting[m_load] = { m_arrival + m_route->m_aim, readMs,
+                                                     m_deadline };
+        if (mayBegin(m_node.m_readQueue, m_load, reading, now))
+            return true;
+        if (!told)
+            m_node.wait(m_load, m_node.m_readQueue.m_waiting[m_load]);
+        told = true;
+        if (!sleepFor(m_node.m_thread.context(), TurnPoll) || m_hungUp || left() <= TurnPoll) {
+            m_why = "waited for its turn to be read";
+            m_node.end(m_load);
+            return false;
+        }
+    }
 }
 
 RelayRun::AttemptEnd RelayRun::attempt(const GangPlan &plan)
@@ -234,6 +287,7 @@
     MemoryTickets tickets(m_node);
     const Status reserved = tickets.reserve(plan.m_members);
     if (!reserved) {
+        m_node.end(m_load);
         m_why = "memory not reserved: " + reserved.error().m_message;
         if (reserved.error().m_code == ErrorCode::OutcomeUnknown)
             m_node.noteFailure(tickets.refusedBy(), FailureWeight::Chance,
@@ -245,8 +299,8 @@
     std::vector<LoadPart> parts;
     for (const GangMember &member : plan.m_members)
         parts.push_back({ member.m_endpoint.m_id, member.m_readMs, member.m_tokens });
-    m_load = m_node.place(std::move(parts), static_cast<uint32_t>(m_route->m_gapAim.count()),
-                          left() + LedgerSlack);
+    m_node.place(m_load, std::move(parts), static_cast<uint32_t>(m_route->m_gapAim.count()),
+                 left() + LedgerSlack);
     logPlacement(plan);
     const AttemptEnd end = attemptPlaced(plan, tickets);
     m_node.end(m_load);
@@ -260,6 +314,22 @@
     return std::chrono::duration_cast<Duration>(abandon * PatienceShare);
 }
 
+bool RelayRun::mayRepeat() const
+{
+    return !strict() && m_mayHaveRun < m_route->m_maxAttempts;
+}
+
+Duration RelayRun::firstPatience(const GangPlan &plan) const
+{
+    if (!mayRepeat())
+        return left();
+    if (m_route->m_kind != RouteKind::Stream)
+        return std::max<Duration>(m_route->m_aim * ServiceAims, LeastPatience);
+    // Where much waits, a late first event says little about the endpoint.
+    return std::max(silencePatience(),
+                    std::chrono::duration_cast<Duration>(plan.m_firstEvent * LateFactor));
+}
+
 HttpRequest RelayRun::upstreamRequest(const GangPlan &plan, const MemoryTickets &tickets) const
 {
     const HttpRequest &request = m_exchange.request();
@@ -300,14 +370,8 @@
     const Status sent = (*connection)->send(request, std::min<Duration>(left(), BodyTimeout));
     AttemptEnd end = AttemptEnd::Failed;
     if (sent) {
-        Duration patience = left();
-        if (m_route->m_kind == RouteKind::Stream && m_route->repeatable()) {
-            patience = silencePatience();
-        } else if (m_route->repeatable()) {
-            patience = std::max<Duration>(m_route->m_aim * ServiceAims, LeastPatience);
-        }
-        end =
-            converse(**connection, endpoint, reused, std::min(Clock::now() + patience, m_deadline));
+        end = converse(**connection, endpoint, reused,
+                       std::min(Clock::now() + firstPatience(plan), m_deadline));
     } else {
         failAttempt(endpoint, FailureWeight::Chance, sent.error().m_message);
     }
@@ -435,7 +499,7 @@
     bool first = true;
     for (;;) {
         const TimePoint silentUntil =
-            strict() ? m_deadline : std::min(m_deadline, Clock::now() + silencePatience());
+            mayRepeat() ? std::min(m_deadline, Clock::now() + silencePatience()) : m_deadline;
         const TimePoint until = first ? firstBy : silentUntil;
         const Status read =
             connection.readBody(piece, std::max<Duration>(until - Clock::now(), Millis(1)));
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -40,10 +40,14 @@
     /// Whether another attempt may be made, given that some were.
     bool mayAttempt();
     std::optional<GangPlan> choose();
+    bool isLongPrompt() const;
+    /// Waits until this long prompt may be read. False if the request ends before.
+    bool awaitTurn();
+    ReadingNow readingNow(const EndpointUses &uses);
     std::vector<EndpointRecord> candidates() const;
-    /// Those of @p pool that are for this request's kind of stream; all, if there are none.
-    std::vector<EndpointRecord> sideOf(std::vector<EndpointRecord> pool, const EndpointUses &uses,
-                                       bool strictStream) const;
+    /// @p pool divided into those for this request's kind of stream, and the others.
+    GangSides sidesOf(const std::vector<EndpointRecord> &pool, const EndpointUses &uses,
+                      bool strictStream) const;
     AttemptEnd attempt(const GangPlan &plan);
     AttemptEnd attemptPlaced(const GangPlan &plan, const MemoryTickets &tickets);
     AttemptEnd converse(HttpConnection &connection, const EndpointRecord &endpoint, bool reused,
@@ -60,7 +64,9 @@
     void passOnEvents(const AnswerHead &head, unsigned status, const std::string &batch);
     void logPlacement(const GangPlan &plan) const;
     HttpRequest upstreamRequest(const GangPlan &plan, const MemoryTickets &tickets) const;
+    bool mayRepeat() const;
     Duration silencePatience() const;
+    Duration firstPatience(const GangPlan &plan) const;
     Duration left() const;
 
     void finishUnanswered();
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,260 @@
+// What the adapter decodes and encodes, and what it does with input that is none of it.
+
+#include <gtest/gtest.h>
+
+#include <fmt/format.h>
+
+#include "peers/peers.h"
+#include "platform/platform.h"
+#include "relay/relay.h"
+
+namespace stackquay::platform {
+namespace {
+
+constexpr const char *Settings = R"({
+  "nodeName": "front-a-1", "ip": "10.1.0.40", "zone": "a", "new": {"field": 1},
+  "listen": {"front": "10.1.0.40:8227", "ready": "10.1.0.40:8220"},
+  "portRange": [7340, 7355], "limits": {"maxFds": 4200},
+  "bounds": {"strictRevoke": true, "revokeMs": 5000, "retryRatio": 0.2, "retrySlack": 100,
+             "retryWindowS": 10, "graceS": 8, "holdMaxMs": 20000, "freeMs": 4000},
+  "platform": {"address": "10.200.1.7:8223"}})";
+
+TEST(SettingsCodecTest, TakesThePlatformsFile)
+{
+    const auto settings = decodeSettings(Settings);
+    ASSERT_TRUE(settings);
+    EXPECT_EQ(settings->m_vm.str(), "front-a-1");
+    EXPECT_EQ(settings->m_dataCentre.str(), "a");
+    EXPECT_EQ(toString(settings->m_clients), "10.1.0.40:8227");
+    EXPECT_EQ(toString(settings->m_peerCalls), "10.1.0.40:7340");
+    EXPECT_EQ(toString(settings->m_loads), "10.1.0.40:7341");
+    EXPECT_EQ(toString(settings->m_store), "10.200.1.7:8223");
+    EXPECT_EQ(settings->m_connections, 2'000u);
+    EXPECT_EQ(settings->m_bounds.m_revoke, Millis(5'000));
+    EXPECT_DOUBLE_EQ(settings->m_bounds.m_retrySlack, 100);
+}
+
+TEST(SettingsCodecTest, NamesAllBadFieldsAtOnce)
+{
+    const auto settings = decodeSettings(
+        R"({"nodeName":"","ip":"10.1.0.40","zone":"a","listen":{"front":"nowhere","ready":7},
+            "portRange":[7340,7340],"bounds":{"revokeMs":-1,"strictRevoke":"yes"}})");
+    ASSERT_FALSE(settings);
+    std::vector<std::string> paths;
+    for (const SettingProblem &problem : settings.error()) {
+        paths.push_back(problem.m_source);
+        EXPECT_NE(problem.m_accepted, "");
+    }
+    const std::vector<std::string> expected = { "nodeName",       "listen.front",
+                                                "listen.ready",   "platform.address",
+                                                "portRange",      "bounds.strictRevoke",
+                                                "bounds.revokeMs" };
+    EXPECT_EQ(paths, expected);
+    EXPECT_EQ(settings.error()[1].m_value, "\"nowhere\"");
+    EXPECT_FALSE(decodeSettings("[]"));
+    EXPECT_FALSE(decodeSettings(""));
+}
+
+TEST(RequestCodecTest, ReadsAClientsHead)
+{
+    const RelayHead head = relayDialect().m_readRequest({ "POST",
+                                                          "/a/b",
+                                                          { { "Host", "h" },
+                                                            { "x-request-id", "r1" },
+                                                            { "X-Deadline-Ms", "1500" },
+                                                            { "X-Token-Counts", "1460, 80" },
+                                                            { "Last-Event-Id", "12" },
+                                                            { "Api-Key", "secret" },
+                                                            { "X-Helpers", "1.2.3.4:5" },
+                                                            { "X-Request-Urgency", "0" },
+                                                            { "X-Length-Hint", "70" },
+                                                            { "Connection", "X-Drop" },
+                                                            { "X-Drop", "1" },
+                                                            { "Transfer-Encoding", "chunked" } },
+                                                          "" });
+    EXPECT_EQ(head.m_id.str(), "r1");
+    EXPECT_EQ(head.m_deadline, Millis(1'500));
+    EXPECT_EQ(head.m_promptTokens, 1'460u);
+    EXPECT_EQ(head.m_answerTokens, 80u);
+    EXPECT_EQ(head.m_lastEvent, 12u);
+    EXPECT_EQ(head.m_key, "secret");
+    std::string names;
+    for (const HttpHeader &header : head.m_endToEnd)
+        names += header.m_name + ";";
+    EXPECT_EQ(names, "Host;x-request-id;X-Token-Counts;X-Length-Hint;");
+}
+
+TEST(RequestCodecTest, WritesAnAttempt)
+{
+    RelayHead request;
+    request.m_endToEnd = { { "X-Model", "m" } };
+    AttemptHead attempt;
+    attempt.m_endpoint = EndpointId("i-1");
+    attempt.m_left = Millis(700);
+    attempt.m_customer = CustomerId("one");
+    attempt.m_helpers = { { "10.2.64.3:8080", "t81" }, { "10.2.64.5:8080", "" } };
+    attempt.m_lastEvent = 4;
+    attempt.m_urgency = 2;
+    const HttpHeaders headers = relayDialect().m_writeAttempt(request, attempt);
+    EXPECT_EQ(findHeader(headers, "X-Helpers"), "10.2.64.3:8080/t81,10.2.64.5:8080");
+    EXPECT_EQ(findHeader(headers, "X-Deadline-Ms"), "700");
+    EXPECT_EQ(findHeader(headers, "X-Expect-Instance"), "i-1");
+    EXPECT_EQ(findHeader(headers, "X-Tenant"), "one");
+    EXPECT_EQ(findHeader(headers, "Last-Event-Id"), "4");
+    EXPECT_EQ(findHeader(headers, "X-Request-Urgency"), "2");
+    EXPECT_EQ(findHeader(headers, "X-Model"), "m");
+}
+
+TEST(RequestCodecTest, TellsWhatAnAnswerSays)
+{
+    const auto read = relayDialect().m_readAnswer;
+    EXPECT_TRUE(read({ 503, { { "X-Not-Executed", "1" } }, "" }).m_notRun);
+    EXPECT_FALSE(read({ 503, {}, "" }).m_notRun);
+    EXPECT_TRUE(read({ 421, {}, "" }).m_notRun);
+    EXPECT_TRUE(read({ 421, {}, "" }).m_misdirected);
+    const AnswerHead whole = read({ 200,
+                                    { { "X-Request-Id", "r" },
+                                      { "X-Response-Seal", "s" },
+                                      { "Keep-Alive", "timeout=5" },
+                                      { "Content-Length", "3" } },
+                                    "" });
+    EXPECT_TRUE(whole.m_signed);
+    EXPECT_EQ(whole.m_id.str(), "r");
+    EXPECT_EQ(whole.m_endToEnd.size(), 2u);
+    EXPECT_TRUE(read({ 200, { { "Content-Encoding", "gzip" } }, "" }).m_encoded);
+}
+
+TEST(ConfigCodecTest, DecodesRoutesServicesAndKeys)
+{
+    const auto table = relaySource().m_decodeRoutes(
+        R"({"version":7,"routes":[
+            {"name":"r","host":"h","pathPrefix":"/p/","kind":"stream","timeoutMs":10000,
+             "aimMs":300,"priority":1,"backends":[{"service":"a","weight":90},{"service":"b","weight":10}],
+             "maxAttempts":2,"public":false,"resumable":true,"gapAimMs":250}],
+            "services":[{"name":"a","maxConns":264,"engine":{"slots":16,"kvCapacity":232000,
+             "stride":43,"step_ms":1.02,"per_seq_ms":0.00226,"context_per_k":0.00431,
+             "read_per_s":206000.0,"pairs_per_m":0.138,"usual":{"prompt":12331,"answer":1303},
+             "hopMs":0.075}},{"name":"b","maxConns":96}],
+            "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+             "idleTimeoutMs":15000},
+            "tenants":[{"name":"one","apiKeys":["k1","k2"],"priority":3}]})");
+    ASSERT_TRUE(table);
+    EXPECT_EQ(table->m_version, 7u);
+    const Route *route = findRoute(*table, "h", "/p/1");
+    ASSERT_NE(route, nullptr);
+    EXPECT_EQ(route->m_kind, RouteKind::Stream);
+    EXPECT_EQ(route->m_gapAim, Millis(250));
+    EXPECT_TRUE(route->m_resumable);
+    EXPECT_EQ(route->m_services.size(), 2u);
+    const DeclaredService &engine = table->m_services.at(ServiceId("a"));
+    ASSERT_TRUE(engine.m_engine);
+    EXPECT_EQ(engine.m_engine->m_memoryTokens, 232'000u);
+    EXPECT_EQ(engine.m_engine->m_usualAnswerTokens, 1'303u);
+    EXPECT_FALSE(table->m_services.at(ServiceId("b")).m_engine);
+    EXPECT_EQ(table->m_keys.at("k2").m_customer.str(), "one");
+    EXPECT_EQ(table->m_keys.at("k2").m_priority, 3u);
+    EXPECT_EQ(table->m_limits.m_idleTimeout, Millis(15'000));
+}
+
+TEST(ConfigCodecTest, RefusesWhatHasNoVersionOrAnIncompleteRoute)
+{
+    EXPECT_FALSE(relaySource().m_decodeRoutes(R"({"routes":[]})"));
+    EXPECT_FALSE(relaySource().m_decodeRoutes(R"({"version":1,"routes":[{"host":"h"}]})"));
+    EXPECT_FALSE(relaySource().m_decodeRoutes("null"));
+}
+
+// A kind of route that is not known may be repeated as little as any.
+TEST(ConfigCodecTest, UnknownKindIsNeverRepeated)
+{
+    const auto table = relaySource().m_decodeRoutes(
+        R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/","kind":"new","service":"a"}]})");
+    ASSERT_TRUE(table);
+    EXPECT_FALSE(table->m_routes[0].repeatable());
+}
+
+TEST(ObjectCodecTest, WritesCallsAndReadsPagesAndEvents)
+{
+    const KindDialect &dialect = kindDialect();
+    EXPECT_EQ(dialect.m_list("servers", "", false).m_target, "/objects/servers");
+    EXPECT_EQ(dialect.m_list("servers", "i-7", true).m_target,
+              "/objects/servers?sinceRev=i-7&staleOk=1");
+    EXPECT_EQ(dialect.m_watch("servers", 530, Millis(20'000)).m_target,
+              "/objects/servers?watch=530&waitMs=20000");
+    EXPECT_EQ(dialect.m_remove("k", { "n", 5, "" }).m_target, "/objects/k/n?revision=5");
+    EXPECT_NE(dialect.m_replace("k", { "n", 5, "{}" }).m_body.find("\"revision\":5"),
+              std::string::npos);
+    const auto page = dialect.m_readPage(
+        R"({"items":[{"metadata":{"name":"n","revision":4},"spec":{"a":1}}],"morePages":true,"currentRev":9})");
+    ASSERT_TRUE(page);
+    EXPECT_TRUE(page->m_more);
+    EXPECT_EQ(page->m_revision, 9u);
+    EXPECT_EQ(page->m_objects.at(0).m_spec, "{\"a\":1}");
+    const auto events = dialect.m_readEvents(
+        R"({"events":[{"removed":true,"object":{"metadata":{"name":"n"},"spec":null}}],"currentRev":10})");
+    ASSERT_TRUE(events);
+    EXPECT_TRUE(events->m_events.at(0).m_removed);
+    EXPECT_FALSE(dialect.m_readEvents(R"({"events":[]})"));
+    EXPECT_FALSE(dialect.m_readPage("oops"));
+}
+
+/// Changes some bytes of @p text: drops, doubles or replaces them.
+std::string spoil(std::string text, RandomEngine &random)
+{
+    const auto changes = 1 + random() % 6;
+    for (uint64_t i = 0; i < changes && !text.empty(); ++i) {
+        const size_t at = random() % text.size();
+        switch (random() % 4) {
+        case 0:
+            text.erase(at, 1 + random() % 8);
+            break;
+        case 1:
+            text.insert(at, text.substr(at, 1 + random() % 8));
+            break;
+        case 2:
+            text[at] = static_cast<char>(random() % 256);
+            break;
+        default:
+            text.resize(at);
+        }
+    }
+    return text;
+}
+
+// Seeded; STACKQUAY_FUZZ_INPUTS raises the count by hand.
+TEST(CodecFuzzTest, MalformedInputIsAnErrorAndNeverACrash)
+{
+    const char *wanted = std::getenv("STACKQUAY_FUZZ_INPUTS");
+    const int inputs = wanted ? std::atoi(wanted) : 4'000;
+    RandomEngine random(20261202);
+    const std::string routes =
+        R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/","kind":"safe","service":"a",)"
+        R"("timeoutMs":100}],"services":[{"name":"a","engine":{"slots":4}}],"tenants":[{"apiKeys":["k"]}]})";
+    const std::string page =
+        R"({"items":[{"metadata":{"name":"n","revision":4},"spec":{"a":1}}],"currentRev":9})";
+    const std::string entry =
+        R"({"service":"a","address":"10.0.0.1:80","slots":4,"state":"ready"})";
+    const Beat beat;
+    int refused = 0;
+    for (int i = 0; i < inputs; ++i) {
+        refused += !decodeSettings(spoil(Settings, random));
+        refused += !relaySource().m_decodeRoutes(spoil(routes, random));
+        refused += !kindDialect().m_readPage(spoil(page, random));
+        refused += !kindDialect().m_readEvents(spoil(page, random));
+        refused += !relaySource().m_decodeEndpoint({ "n", 1, spoil(entry, random) });
+        refused += !decodeMessage<Beat>(spoil(encodeMessage(beat), random));
+        refused += !decodeMessage<LoadMessage>(spoil(encodeMessage(LoadMessage{}), random));
+        relayDialect().m_readRequest({ "GET",
+                                       "/",
+                                       { { "X-Token-Counts", spoil("1460,80", random) },
+                                         { "X-Deadline-Ms", spoil("1500", random) },
+                                         { "Connection", spoil("a, b", random) } },
+                                       "" });
+        EventSplitter splitter;
+        splitter.feed(spoil("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", random));
+        while (splitter.next()) { }
+    }
+    EXPECT_GT(refused, inputs);
+}
+
+} // namespace
+} // namespace stackquay::platform
--- /dev/null
+++ b/tests/policy/gang_plan_test.cpp
@@ -0,0 +1,265 @@
+#include <gtest/gtest.h>
+
+#include "policy/policy.h"
+
+namespace stackquay {
+namespace {
+
+const TimePoint Start = TimePoint{} + Seconds(1'000);
+
+// Costs as the users' pages give them.
+EngineCosts usersCosts()
+{
+    EngineCosts costs;
+    costs.m_slots = 16;
+    costs.m_memoryTokens = 232'000;
+    costs.m_stride = 43;
+    costs.m_step = FloatMillis(1.02);
+    costs.m_stepPerSequence = FloatMillis(0.00226);
+    costs.m_stepPerThousandContext = FloatMillis(0.00431);
+    costs.m_readTokensPerSecond = 206'000;
+    costs.m_perMillionPairs = FloatMillis(0.138);
+    costs.m_usualAnswerTokens = 1'300;
+    return costs;
+}
+
+std::vector<EndpointRecord> engines(size_t from, size_t to)
+{
+    std::vector<EndpointRecord> list;
+    for (size_t i = from; i < to; ++i) {
+        EndpointRecord record;
+        record.m_id = EndpointId("e" + std::to_string(100 + i));
+        record.m_address = "10.0.0." + std::to_string(i) + ":80";
+        list.push_back(record);
+    }
+    return list;
+}
+
+LoadPart part(const EndpointRecord &engine, double readMs, uint64_t tokens = 0)
+{
+    return { engine.m_id, readMs, tokens };
+}
+
+AttemptLoad load(std::vector<LoadPart> parts, uint32_t gapAimMs, TimePoint at = Start)
+{
+    return { std::move(parts), gapAimMs, false, at, at + Seconds(10) };
+}
+
+GangQuestion strictQuestion(double tokens)
+{
+    GangQuestion question;
+    question.m_promptTokens = tokens;
+    question.m_answerTokens = 1'300;
+    question.m_gapAimMs = 250;
+    question.m_aim = FloatMillis(300);
+    return question;
+}
+
+GangQuestion longQuestion(double tokens)
+{
+    GangQuestion question = strictQuestion(tokens);
+    question.m_gapAimMs = 1'000;
+    question.m_aim = FloatMillis(2'500);
+    return question;
+}
+
+TEST(EngineCostsTest, FollowTheDeclaredArithmetic)
+{
+    const EngineCosts costs = usersCosts();
+    EXPECT_NEAR(readTime(costs, 4'960).count(), 24.08 + 1.70, 0.1);
+    EXPECT_NEAR(readTime(costs, 133'000).count(), 645.6 + 1'220.5, 1);
+    EXPECT_NEAR(passTime(costs, 10, 55'000).count(), 43 * (1.02 + 0.0226 + 0.237), 0.1);
+}
+
+TEST(StreamLedgerTest, SumsPartsAndForgetsWhatEnded)
+{
+    StreamLedger ledger;
+    const auto pool = engines(0, 2);
+    ledger.place({ 1, 1 }, load({ part(pool[0], 100, 5'000), part(pool[1], 100) }, 1'000));
+    ledger.place({ 1, 2 }, load({ part(pool[0], 20, 3'000) }, 250));
+    EndpointUses uses = ledger.uses(Start);
+    EXPECT_EQ(uses[pool[0].m_id].m_attempts, 2u);
+    EXPECT_EQ(uses[pool[0].m_id].m_strictWriters, 1u);
+    EXPECT_EQ(uses[pool[0].m_id].m_tokens, 8'000u);
+    EXPECT_DOUBLE_EQ(uses[pool[0].m_id].m_readBacklogMs, 120);
+    EXPECT_DOUBLE_EQ(uses[pool[0].m_id].m_longReadMs, 100);
+    EXPECT_EQ(uses[pool[1].m_id].m_attempts, 0u);
+    EXPECT_DOUBLE_EQ(uses[pool[1].m_id].m_readBacklogMs, 100);
+    EXPECT_EQ(ledger.readingLong().m_prompts, 1u);
+    EXPECT_DOUBLE_EQ(ledger.readingLong().m_readMs, 200);
+    ledger.startWriting({ 1, 1 });
+    EXPECT_EQ(ledger.readingLong().m_prompts, 0u);
+    uses = ledger.uses(Start);
+    EXPECT_DOUBLE_EQ(uses[pool[1].m_id].m_readBacklogMs, 0);
+    EXPECT_EQ(uses[pool[0].m_id].m_writers, 1u);
+    ledger.end({ 1, 1 });
+    ledger.forgetOrigin(1);
+    EXPECT_EQ(ledger.size(), 0u);
+}
+
+TEST(StreamLedgerTest, EntriesWhoseEndIsNotHeardOfExpire)
+{
+    StreamLedger ledger;
+    const auto pool = engines(0, 1);
+    ledger.place({ 1, 1 }, load({ part(pool[0], 100) }, 1'000));
+    EXPECT_EQ(ledger.uses(Start + Seconds(10)).size(), 0u);
+    EXPECT_EQ(ledger.size(), 0u);
+}
+
+TEST(GangPlanTest, ShortPromptGoesToTheLeastLoadedEngine)
+{
+    const auto pool = engines(0, 4);
+    StreamLedger ledger;
+    for (uint64_t i = 0; i < 3; ++i)
+        ledger.place({ 1, i }, load({ part(pool[i], 20, 6'000) }, 250));
+    const auto plan =
+        planGang({}, usersCosts(), { pool, {} }, ledger.uses(Start), strictQuestion(5'000));
+    ASSERT_TRUE(plan);
+    ASSERT_EQ(plan->m_members.size(), 1u);
+    EXPECT_EQ(plan->m_members[0].m_endpoint.m_id, pool[3].m_id);
+}
+
+TEST(GangPlanTest, LongPromptIsReadInEvenPartsByItsSide)
+{
+    const auto own = engines(0, 14);
+    const auto plan =
+        planGang({}, usersCosts(), { own, engines(14, 18) }, {}, longQuestion(133'000));
+    ASSERT_TRUE(plan);
+    EXPECT_EQ(plan->m_members.size(), 14u);
+    const double whole = readTime(usersCosts(), 133'000).count();
+    for (const GangMember &member : plan->m_members) {
+        EXPECT_NEAR(member.m_readMs, whole / 14, 0.01);
+        EXPECT_FALSE(member.m_reserve);
+    }
+}
+
+TEST(GangPlanTest, SmallSideInvitesGuestsOnlyForShortParts)
+{
+    const auto own = engines(0, 1);
+    const auto others = engines(1, 18);
+    StreamLedger ledger;
+    for (uint64_t i = 0; i < 17; ++i) {
+        ledger.place({ 1, i }, load({ part(others[i], 0, 5'000) }, 250));
+        ledger.startWriting({ 1, i });
+    }
+    const EndpointUses uses = ledger.uses(Start);
+    const auto usual = planGang({}, usersCosts(), { own, others }, uses, longQuestion(120'000));
+    ASSERT_TRUE(usual);
+    EXPECT_EQ(usual->m_members.size(), 17u);
+    for (const GangMember &member : usual->m_members)
+        EXPECT_LE(member.m_readMs, GangSettings{}.m_guestPart.count());
+    const auto huge = planGang({}, usersCosts(), { own, others }, uses, longQuestion(200'000));
+    ASSERT_TRUE(huge);
+    EXPECT_EQ(huge->m_members.size(), 1u);
+}
+
+TEST(GangPlanTest, PromptBeyondOneEnginesMemoryIsReservedInFull)
+{
+    const auto own = engines(0, 14);
+    for (const double tokens : { 230'000.0, 400'000.0, 600'000.0 }) {
+        const auto plan = planGang({}, usersCosts(), { own, {} }, {}, longQuestion(tokens));
+        ASSERT_TRUE(plan) << tokens;
+        uint64_t held = 0;
+        for (const GangMember &member : plan->m_members) {
+            held += member.m_tokens;
+            EXPECT_LE(member.m_tokens, 232'000u);
+        }
+        EXPECT_GE(held, static_cast<uint64_t>(tokens) + 1'300);
+        EXPECT_FALSE(plan->m_members[0].m_reserve);
+    }
+}
+
+TEST(GangPlanTest, NoPlanIfTheMemoryIsNotThere)
+{
+    EXPECT_FALSE(planGang({}, usersCosts(), { engines(0, 2), {} }, {}, longQuestion(600'000)));
+    EXPECT_FALSE(planGang({}, usersCosts(), {}, {}, longQuestion(1'000)));
+}
+
+TEST(PoolSplitTest, FollowsTheDemandOfBothSides)
+{
+    const auto pool = engines(0, 18);
+    PoolSplit split;
+    StreamLedger ledger;
+    EXPECT_EQ(strictEngines(split, pool, ledger.uses(Start), Start).size(), 1u);
+    for (uint64_t i = 0; i < 60; ++i)
+        ledger.place({ 1, i }, load({ part(pool[i % 18], 0, 5'000) }, 250));
+    EXPECT_EQ(strictEngines(split, pool, ledger.uses(Start), Start).size(), 6u);
+    for (uint64_t i = 60; i < 240; ++i)
+        ledger.place({ 1, i }, load({ part(pool[i % 18], 0, 5'000) }, 250));
+    const size_t most = strictEngines(split, pool, ledger.uses(Start), Start).size();
+    EXPECT_GT(most, 14u);
+    EXPECT_LT(most, 18u);
+}
+
+TEST(PoolSplitTest, RemembersWhatWasNeededForAWhile)
+{
+    const auto pool = engines(0, 18);
+    PoolSplit split;
+    StreamLedger ledger;
+    for (uint64_t i = 0; i < 60; ++i)
+        ledger.place({ 1, i }, load({ part(pool[i % 18], 0, 5'000) }, 250));
+    EXPECT_EQ(strictEngines(split, pool, ledger.uses(Start), Start).size(), 6u);
+    ledger.forgetOrigin(1);
+    const TimePoint soon = Start + split.m_settings.m_memory / 2;
+    EXPECT_EQ(strictEngines(split, pool, ledger.uses(soon), soon).size(), 6u);
+    const TimePoint later = Start + split.m_settings.m_memory;
+    EXPECT_EQ(strictEngines(split, pool, ledger.uses(later), later).size(), 1u);
+}
+
+TEST(PoolSplitTest, SharesInProportionUnderOverload)
+{
+    const auto pool = engines(0, 18);
+    PoolSplit split;
+    StreamLedger ledger;
+    for (uint64_t i = 0; i < 100; ++i)
+        ledger.place({ 1, i }, load({ part(pool[i % 18], 0, 5'000) }, 250));
+    for (uint64_t i = 0; i < 18; ++i)
+        ledger.place({ 2, i }, load({ part(pool[i], 2'000) }, 1'000));
+    const size_t strict = strictEngines(split, pool, ledger.uses(Start), Start).size();
+    EXPECT_GE(strict, 5u);
+    EXPECT_LE(strict, 7u);
+}
+
+TEST(ReadQueueTest, EarliestAimGoesFirstAndTheLateGoLast)
+{
+    ReadQueue queue;
+    const LoadKey late{ 1, 1 };
+    const LoadKey early{ 1, 2 };
+    const LoadKey other{ 1, 3 };
+    queue.m_waiting[late] = { Start - Millis(1), 100, Start + Seconds(9) };
+    queue.m_waiting[early] = { Start + Millis(500), 100, Start + Seconds(9) };
+    queue.m_waiting[other] = { Start + Millis(900), 100, Start + Seconds(9) };
+    const ReadingNow idle{ 0, 0, 4 };
+    EXPECT_TRUE(mayBegin(queue, early, idle, Start));
+    EXPECT_FALSE(mayBegin(queue, other, idle, Start));
+    EXPECT_FALSE(mayBegin(queue, late, idle, Start));
+    queue.m_waiting.erase(early);
+    EXPECT_TRUE(mayBegin(queue, other, idle, Start));
+    queue.m_waiting.erase(other);
+    EXPECT_TRUE(mayBegin(queue, late, idle, Start));
+}
+
+TEST(ReadQueueTest, WaitsWhileEnoughIsRead)
+{
+    ReadQueue queue;
+    const LoadKey key{ 1, 1 };
+    queue.m_waiting[key] = { Start + Seconds(1), 100, Start + Seconds(9) };
+    EXPECT_TRUE(mayBegin(queue, key, { 1, 10'000, 4 }, Start));
+    EXPECT_FALSE(mayBegin(queue, key, { 2, 10'000, 4 }, Start));
+    EXPECT_TRUE(mayBegin(queue, key, { 2, 100, 4 }, Start));
+}
+
+TEST(ReadQueueTest, OneWhoseEndIsNotHeardOfBlocksNobodyForLong)
+{
+    ReadQueue queue;
+    const LoadKey gone{ 1, 1 };
+    const LoadKey mine{ 2, 1 };
+    queue.m_waiting[gone] = { Start + Millis(100), 100, Start + Seconds(2) };
+    queue.m_waiting[mine] = { Start + Millis(200), 100, Start + Seconds(9) };
+    const ReadingNow idle{ 0, 0, 4 };
+    EXPECT_FALSE(mayBegin(queue, mine, idle, Start));
+    EXPECT_TRUE(mayBegin(queue, mine, idle, Start + Seconds(2)));
+}
+
+} // namespace
+} // namespace stackquay
--- /dev/null
+++ b/tests/relay/event_splitter_test.cpp
@@ -0,0 +1,40 @@
+#include <gtest/gtest.h>
+
+#include "relay/relay.h"
+
+namespace stackquay {
+namespace {
+
+TEST(EventSplitterTest, GivesWholeEventsByteForByteHoweverTheyArrive)
+{
+    const std::string stream = "id: 1\ndata: a\n\ndata: none\n\nid:2\r\ndata: b\r\n\r\n: c\n\n";
+    for (size_t step = 1; step <= stream.size(); ++step) {
+        EventSplitter splitter;
+        std::vector<RawEvent> events;
+        for (size_t at = 0; at < stream.size(); at += step) {
+            splitter.feed(std::string_view(stream).substr(at, step));
+            while (auto event = splitter.next())
+                events.push_back(*event);
+        }
+        ASSERT_EQ(events.size(), 4u) << step;
+        EXPECT_EQ(events[0].m_id, 1u);
+        EXPECT_FALSE(events[1].m_id);
+        EXPECT_EQ(events[2].m_id, 2u);
+        std::string joined;
+        for (const RawEvent &event : events)
+            joined += event.m_bytes;
+        EXPECT_EQ(joined, stream);
+        EXPECT_TRUE(splitter.empty());
+    }
+}
+
+TEST(EventSplitterTest, PartOfAnEventIsNotEmpty)
+{
+    EventSplitter splitter;
+    splitter.feed("id: 1\ndata: a\n");
+    EXPECT_FALSE(splitter.next());
+    EXPECT_FALSE(splitter.empty());
+}
+
+} // namespace
+} // namespace stackquay
