Middle prompts are answered by engines of strict streams; a proof holds for higher versions

Cause: streams of middle prompts wrote on engines that read long parts, so that a fifth had a pause over their aim; and for about 100 ms after each change of the configuration requests were refused, as the proof of the version before was dropped.

--- a/policy/freshness.cpp
+++ b/policy/freshness.cpp
@@ -1,12 +1,20 @@
 #include "policy/freshness.h"
 
+#include <algorithm>
+
 namespace stackquay {
 
-FreshnessProof betterProof(const FreshnessProof &left, const FreshnessProof &right)
+FreshnessProof joinProofs(const FreshnessProof &left, const FreshnessProof &right)
+{
+    return { std::max(left.m_version, right.m_version),
+             std::max(left.m_provedAt, right.m_provedAt) };
+}
+
+FreshnessProof proofFor(uint64_t version, const FreshnessProof &proof)
 {
-    if (left.m_version != right.m_version)
-        return left.m_version > right.m_version ? left : right;
-    return left.m_provedAt >= right.m_provedAt ? left : right;
+    if (!proof.known() || proof.m_version > version)
+        return {};
+    return { version, proof.m_provedAt };
 }
 
 FreshnessProof proofFromAge(uint64_t version, Duration age, Duration callTime, TimePoint now)
--- a/policy/freshness.h
+++ b/policy/freshness.h
@@ -18,9 +18,13 @@
     bool known() const { return m_version != 0; }
 };
 
-/// The better of two proofs: the higher version, and of one version the later moment. A version
-/// seen without proof of its own keeps no older version's moment.
-FreshnessProof betterProof(const FreshnessProof &left, const FreshnessProof &right);
+/// What two proofs say together: the higher version and the later moment. What was written before
+/// the moment of a lower version's proof is in every higher version too.
+FreshnessProof joinProofs(const FreshnessProof &left, const FreshnessProof &right);
+
+/// The proof that holds for @p version, which was seen but not proved itself: that of a lower
+/// version, if there is one.
+FreshnessProof proofFor(uint64_t version, const FreshnessProof &proof);
 
 /// The proof as a peer passes it on, received after @p callTime.
 FreshnessProof proofFromAge(uint64_t version, Duration age, Duration callTime, TimePoint now);
--- a/policy/gang_plan.cpp
+++ b/policy/gang_plan.cpp
@@ -70,6 +70,14 @@
     return best;
 }
 
+/// Puts an engine of strict streams before those of the long prompts' own side, to answer.
+void addGuestAnswerer(std::vector<Weighed> &engines, const std::vector<Weighed> &others,
+                      double tokens)
+{
+    if (!others.empty())
+        engines.insert(engines.begin(), others[chooseFirst(others, tokens)]);
+}
+
 /// How many engines read a prompt together.
 size_t chooseWidth(const GangSettings &settings, size_t engines, FloatMillis read, bool strict)
 {
@@ -174,13 +182,19 @@
     const double answer = question.m_answerTokens;
     const double tokens = question.m_promptTokens + answer;
     orderEngines(engines, tokens);
+    const bool guestAnswers = !question.strict() && !lone
+        && tokens <= settings.m_guestAnswerShare * static_cast<double>(costs.m_memoryTokens);
+    if (guestAnswers) {
+        addGuestAnswerer(engines, weighAll(settings, costs, sides.m_other, uses, question),
+                         tokens);
+    }
 
     const FloatMillis read = readTime(costs, question.m_promptTokens);
     const bool spans = tokens > usableTokens(settings, costs);
     size_t width = chooseWidth(settings, engines.size(), read, question.strict());
     const FloatMillis expected =
         predictFirst(costs, engines, width, read / static_cast<double>(width));
-    if (!question.strict() && !lone && expected > question.m_aim * settings.m_guestsAfter) {
+    if (!question.strict() && !lone && !guestAnswers && expected > question.m_aim * settings.m_guestsAfter) {
         const bool any = expected > question.m_aim * settings.m_anyAfter;
         inviteGuests(settings, engines, weighAll(settings, costs, sides.m_other, uses, question),
                      read, any);
--- a/policy/gang_plan.h
+++ b/policy/gang_plan.h
@@ -32,6 +32,9 @@
     double m_anyAfter = 0.9;
     /// A long prompt in time is worth about ten strict streams (the users' sheets).
     uint32_t m_mostSpoilt = 12;
+    /// A long prompt that takes up to this part of an engine's memory is answered by an engine of
+    /// strict streams, whose passes are short, and read mostly by its own side.
+    double m_guestAnswerShare = 0.3;
     uint32_t m_mostHelpers = 16; ///< The engines' own limit.
     /// Engines keep this part of their memory free of planned use, for answers longer than usual.
     double m_memoryReserve = 0.1;
--- a/policy/read_queue.h
+++ b/policy/read_queue.h
@@ -26,9 +26,9 @@
     FloatMillis m_overhead{ 250 };
     /// Begins at any load if fewer than this read: the next one's parts fill the gap between the
     /// last part's end and the news of it.
-    uint32_t m_leastReading = 3;
+    uint32_t m_leastReading = 4;
     /// More may begin while an engine of the side has less than this to read.
-    FloatMillis m_backlog{ 120 };
+    FloatMillis m_backlog{ 220 };
 };
 
 struct ReadQueue {
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -146,7 +146,7 @@
         m_routesSpec = spec;
         changeView([&](RelayView &view) {
             view.m_routes = routes;
-            view.m_proof = m_proof.m_version == routes->m_version ? m_proof : FreshnessProof{};
+            view.m_proof = proofFor(routes->m_version, m_proof);
         });
         m_clients->setLimits(serverLimits(routes->m_limits, m_settings.m_connections));
     };
@@ -163,13 +163,17 @@
 
 void RelayDaemon::takeProof(const FreshnessProof &proof)
 {
-    const FreshnessProof better = betterProof(m_proof, proof);
-    if (better.m_version == m_proof.m_version && better.m_provedAt == m_proof.m_provedAt)
+    const FreshnessProof joined = joinProofs(m_proof, proof);
+    if (joined.m_version == m_proof.m_version && joined.m_provedAt == m_proof.m_provedAt)
         return;
-    m_proof = better;
+    m_proof = joined;
     const RelayViewPtr view = m_node->m_view.load();
-    if (view->m_routes && view->m_routes->m_version == better.m_version)
-        changeView([&](RelayView &changed) { changed.m_proof = better; });
+    if (!view->m_routes)
+        return;
+    // Routes that are older than the proof keep the proof that they had.
+    const FreshnessProof holds = proofFor(view->m_routes->m_version, joined);
+    if (holds.known())
+        changeView([&](RelayView &changed) { changed.m_proof = holds; });
 }
 
 Beliefs RelayDaemon::ownBeliefs() const
