Strict streams wait for a slot at their VM; one queue of turns for both kinds

Cause: streams beyond the engines' slots waited in the engines' queues in order of arrival, so that one late made all late. Now those past their aim come after the others, at the VMs.

--- a/policy/gang_plan.h
+++ b/policy/gang_plan.h
@@ -47,7 +47,7 @@
     FloatMillis m_aim{ 1'000 };
     DataCentreId m_dataCentre; ///< Of the VM that asks.
 
-    bool strict() const { return m_gapAimMs > 0 && m_gapAimMs <= StrictGapMs; }
+    bool strict() const { return isStrictGap(m_gapAimMs); }
 };
 
 /// One engine that takes part. The first member answers.
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -26,7 +26,6 @@
 #include "policy/overflow.h"
 #include "policy/pool_split.h"
 #include "policy/prefix.h"
-#include "policy/read_queue.h"
 #include "policy/reconcile.h"
 #include "policy/retry.h"
 #include "policy/retry_window.h"
@@ -36,3 +35,4 @@
 #include "policy/steward.h"
 #include "policy/stream_ledger.h"
 #include "policy/tenure.h"
+#include "policy/turn_queue.h"
--- a/policy/stream_ledger.cpp
+++ b/policy/stream_ledger.cpp
@@ -25,7 +25,7 @@
 
 bool AttemptLoad::strict() const
 {
-    return m_gapAimMs > 0 && m_gapAimMs <= StrictGapMs;
+    return isStrictGap(m_gapAimMs);
 }
 
 void StreamLedger::place(const LoadKey &key, AttemptLoad load)
--- a/policy/stream_ledger.h
+++ b/policy/stream_ledger.h
@@ -70,7 +70,6 @@
 struct ReadingNow {
     uint32_t m_prompts = 0; ///< Long ones without a first event.
     double m_readMs = 0; ///< Of all their parts.
-    size_t m_engines = 1; ///< Of the side that reads them.
 };
 
 using EndpointUses = std::unordered_map<EndpointId, EndpointUse>;
@@ -85,7 +84,7 @@
     /// Forgets attempts of a VM's process that is gone.
     void forgetOrigin(uint64_t origin);
 
-    /// Long prompts in all that have no first event yet. m_engines is left at 1.
+    /// Long prompts in all that have no first event yet.
     ReadingNow readingLong() const;
     /// Sums at @p now, without expired entries, which are dropped.
     EndpointUses uses(TimePoint now);
@@ -104,6 +103,10 @@
 
 /// A pause of this length or less makes a stream strict: it suffers where long parts are read.
 constexpr uint32_t StrictGapMs = 400;
+constexpr bool isStrictGap(uint32_t gapAimMs)
+{
+    return gapAimMs > 0 && gapAimMs <= StrictGapMs;
+}
 /// Over this time the demand of long prompts is measured: some of them arrive in it, and a burst is
 /// seen in part of it.
 constexpr Millis LongReadWindow{ 2'500 };
--- /dev/null
+++ b/policy/turn_queue.h
@@ -0,0 +1,58 @@
+/// Who may begin next, over all VMs, while engines have enough to do.
+///
+/// Engines share their reading among all prompts that they have, and a stream beyond their slots
+/// waits for a slot: what begins too early makes all end late. So requests wait at their VMs. All
+/// VMs know who waits, from the same messages as the ledger, and come to about the same order: the
+/// earliest aim first, and those that can no longer meet theirs after all others. Nobody waits
+/// beyond its patience; a lost message lets one request more begin.
+#pragma once
+
+#include <unordered_map>
+
+#include "core/core.h"
+#include "policy/stream_ledger.h"
+
+namespace stackquay {
+
+struct WaitingTurn {
+    TimePoint m_aimAt{}; ///< When the first event is wanted.
+    Duration m_needed{}; ///< From the beginning to the first event, at least.
+    TimePoint m_expiresAt{}; ///< Not heard of after this, it is forgotten.
+};
+
+using TurnQueue = std::unordered_map<LoadKey, WaitingTurn, LoadKeyHash>;
+
+/// Whether @p key is the next one of @p queue. True if it does not wait there.
+bool isNext(TurnQueue &queue, const LoadKey &key, TimePoint now);
+
+struct TurnSettings {
+    /// Long prompts that may read at any load: the next one's parts fill the gap between the last
+    /// part's end and the news of it.
+    uint32_t m_leastReading = 4;
+    /// More may begin while an engine of their side has less than this to read.
+    FloatMillis m_readBacklog{ 220 };
+    /// Passes and others that read at once come on top of a prompt's own reading.
+    double m_readFactor = 1.5;
+    FloatMillis m_readOverhead{ 250 };
+    /// Part of the slots of their side that strict streams fill.
+    double m_slotShare = 0.95;
+    /// A strict stream's first event takes one and a half passes of full engines.
+    FloatMillis m_strictNeed{ 130 };
+    /// Clients leave a silent stream; after this part of that time it begins in any case.
+    double m_patienceShare = 0.55;
+};
+
+/// What one side of a pool has to do now.
+struct SideLoad {
+    uint32_t m_strictStreams = 0;
+    uint32_t m_slots = 0; ///< Of its engines together.
+    size_t m_engines = 1;
+    ReadingNow m_reading;
+};
+
+/// Whether a long prompt may begin to read.
+bool roomToRead(const TurnSettings &settings, const SideLoad &load);
+/// Whether a strict stream finds a slot.
+bool roomToWrite(const TurnSettings &settings, const SideLoad &load);
+
+} // namespace stackquay
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -16,19 +16,19 @@
     Placed = 0,
     FirstEvent = 1,
     Ended = 2,
-    Waiting = 3, ///< A long prompt waits to be read; ends with Placed or Ended of the same key.
+    Waiting = 3, ///< A request waits for its turn; ends with Placed or Ended of the same key.
 };
 
 struct LoadMessage {
     LoadChange m_change = LoadChange::Placed;
     LoadKey m_key;
     std::vector<LoadPart> m_parts; ///< Placed only.
-    uint32_t m_gapAimMs = 0;
-    uint32_t m_expiresMs = 0; ///< From the placement.
-    uint32_t m_aimMs = 0; ///< Waiting only: when the first event is wanted.
-    double m_readMs = 0; ///< Waiting only: of the whole prompt.
+    uint32_t m_gapAimMs = 0; ///< Placed and waiting.
+    uint32_t m_expiresMs = 0; ///< Placed and waiting: from now.
+    uint32_t m_aimMs = 0; ///< Waiting only: when the first event is wanted, from now.
+    uint32_t m_neededMs = 0; ///< Waiting only: as WaitingTurn.
 
-    MSGPACK_DEFINE(m_change, m_key, m_parts, m_gapAimMs, m_expiresMs, m_aimMs, m_readMs)
+    MSGPACK_DEFINE(m_change, m_key, m_parts, m_gapAimMs, m_expiresMs, m_aimMs, m_neededMs)
 };
 
 /// Used on the traffic thread only.
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -23,21 +23,27 @@
     m_view.store(std::make_shared<const RelayView>());
 }
 
-void RelayNode::wait(const LoadKey &key, const WaitingRead &read)
+TurnQueue &RelayNode::queueOf(uint32_t gapAimMs)
+{
+    return isStrictGap(gapAimMs) ? m_strictQueue : m_longQueue;
+}
+
+void RelayNode::leaveQueues(const LoadKey &key)
+{
+    m_strictQueue.erase(key);
+    m_longQueue.erase(key);
+}
+
+void RelayNode::wait(const LoadKey &key, uint32_t gapAimMs, const WaitingTurn &turn)
 {
     const TimePoint now = Clock::now();
-    const auto millisUntil = [now](TimePoint moment) {
-        const auto millis = std::chrono::duration_cast<Millis>(moment - now).count();
-        return static_cast<uint32_t>(std::max<Millis::rep>(millis, 0));
+    const auto millis = [](Duration duration) {
+        const auto count = std::chrono::duration_cast<Millis>(duration).count();
+        return static_cast<uint32_t>(std::max<Millis::rep>(count, 0));
     };
-    m_loads.send({ LoadChange::Waiting,
-                   key,
-                   {},
-                   0,
-                   millisUntil(read.m_expiresAt),
-                   millisUntil(read.m_aimAt),
-                   read.m_readMs });
-    m_readQueue.m_waiting[key] = read;
+    m_loads.send({ LoadChange::Waiting, key, {}, gapAimMs, millis(turn.m_expiresAt - now),
+                   millis(turn.m_aimAt - now), millis(turn.m_needed) });
+    queueOf(gapAimMs)[key] = turn;
 }
 
 void RelayNode::place(const LoadKey &key, std::vector<LoadPart> parts, uint32_t gapAimMs,
@@ -46,7 +52,7 @@
     const TimePoint now = Clock::now();
     const auto millis = std::chrono::duration_cast<Millis>(lifetime).count();
     m_loads.send({ LoadChange::Placed, key, parts, gapAimMs, static_cast<uint32_t>(millis), 0, 0 });
-    m_readQueue.m_waiting.erase(key);
+    leaveQueues(key);
     m_ledger.place(key, { std::move(parts), gapAimMs, false, now, now + lifetime });
 }
 
@@ -59,15 +65,17 @@
 void RelayNode::end(const LoadKey &key)
 {
     m_ledger.end(key);
-    m_readQueue.m_waiting.erase(key);
+    leaveQueues(key);
     m_loads.send({ LoadChange::Ended, key, {}, 0, 0, 0, 0 });
 }
 
 void RelayNode::forget(uint64_t origin)
 {
     m_ledger.forgetOrigin(origin);
-    std::erase_if(m_readQueue.m_waiting,
-                  [origin](const auto &entry) { return entry.first.m_origin == origin; });
+    for (TurnQueue *queue : { &m_strictQueue, &m_longQueue }) {
+        std::erase_if(*queue,
+                      [origin](const auto &entry) { return entry.first.m_origin == origin; });
+    }
 }
 
 void RelayNode::noteFailure(const EndpointId &endpoint, FailureWeight weight, std::string_view why)
@@ -97,11 +105,12 @@
     const TimePoint now = Clock::now();
     switch (message.m_change) {
     case LoadChange::Waiting:
-        m_readQueue.m_waiting[message.m_key] = { now + Millis(message.m_aimMs), message.m_readMs,
-                                                 now + Millis(message.m_expiresMs) };
+        queueOf(message.m_gapAimMs)[message.m_key] = { now + Millis(message.m_aimMs),
+                                                       Millis(message.m_neededMs),
+                                                       now + Millis(message.m_expiresMs) };
         return;
     case LoadChange::Placed:
-        m_readQueue.m_waiting.erase(message.m_key);
+        leaveQueues(message.m_key);
         m_ledger.place(message.m_key, { message.m_parts, message.m_gapAimMs, false, now,
                                         now + Millis(message.m_expiresMs) });
         return;
@@ -109,7 +118,7 @@
         m_ledger.startWriting(message.m_key);
         return;
     case LoadChange::Ended:
-        m_readQueue.m_waiting.erase(message.m_key);
+        leaveQueues(message.m_key);
         m_ledger.end(message.m_key);
         return;
     }
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -32,14 +32,17 @@
     EjectionTable m_ejections;
     RetryWindows m_retries;
     GangSettings m_gang;
-    ReadQueue m_readQueue;
+    TurnSettings m_turns;
+    TurnQueue m_strictQueue; ///< Strict streams that wait for a slot.
+    TurnQueue m_longQueue; ///< Long prompts that wait to be read.
     std::unordered_map<ServiceId, PoolSplit> m_splits;
     LoadExchange m_loads;
 
     /// A name for the next attempt.
     LoadKey nextKey() { return { m_origin, ++m_sequence }; }
-    /// Tells all VMs that a long prompt waits to be read; place() or end() ends it.
-    void wait(const LoadKey &key, const WaitingRead &read);
+    TurnQueue &queueOf(uint32_t gapAimMs);
+    /// Tells all VMs that a request waits for its turn; place() or end() ends it.
+    void wait(const LoadKey &key, uint32_t gapAimMs, const WaitingTurn &turn);
     /// Enters an attempt into the ledgers of all VMs.
     void place(const LoadKey &key, std::vector<LoadPart> parts, uint32_t gapAimMs,
                Duration lifetime);
@@ -54,6 +57,7 @@
 
 private:
     void receive(const LoadMessage &message);
+    void leaveQueues(const LoadKey &key);
 };
 
 } // namespace stackquay
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -221,7 +221,7 @@
     const TimePoint now = Clock::now();
     const EndpointUses uses = m_node.m_ledger.uses(now);
     const DataCentreId &here = m_node.m_settings.m_dataCentre;
-    if (!m_service || !m_service->m_engine || m_head.m_promptTokens == 0) {
+    if (!isModelRequest()) {
         const EndpointRecord *best = leastLoaded(pool, uses, here);
         if (!best)
             return std::nullopt;
@@ -231,51 +231,75 @@
     GangQuestion question;
     question.m_promptTokens = static_cast<double>(m_head.m_promptTokens);
     question.m_answerTokens = static_cast<double>(costs.m_usualAnswerTokens);
-    question.m_gapAimMs = static_cast<uint32_t>(m_route->m_gapAim.count());
+    question.m_gapAimMs = gapAimMs();
     question.m_dataCentre = here;
     question.m_aim = m_route->m_aim;
     return planGang(m_node.m_gang, costs, sidesOf(pool, uses, question.strict()), uses, question);
 }
 
-bool RelayRun::isLongPrompt() const
+bool RelayRun::isModelRequest() const
 {
-    return m_service && m_service->m_engine && m_head.m_promptTokens > 0
-           && m_route->m_gapAim > Millis(StrictGapMs);
+    return m_service && m_service->m_engine && m_head.m_promptTokens > 0;
 }
 
-ReadingNow RelayRun::readingNow(const EndpointUses &uses)
+bool RelayRun::roomNow() const
 {
     const RelayViewPtr view = m_node.m_view.load();
     const auto pool = view->m_pools.find(m_serviceId);
-    ReadingNow reading = m_node.m_ledger.readingLong();
     if (pool == view->m_pools.end())
-        return reading;
+        return true;
+    const EndpointUses uses = m_node.m_ledger.uses(Clock::now());
     const auto strictSide =
         strictEngines(m_node.m_splits[m_serviceId], pool->second, uses, Clock::now());
-    reading.m_engines = std::max<size_t>(pool->second.size() - strictSide.size(), 1);
-    return reading;
+    const bool strictStream = isStrictGap(gapAimMs());
+    SideLoad load;
+    load.m_reading = m_node.m_ledger.readingLong();
+    load.m_engines = strictStream ? strictSide.size() : pool->second.size() - strictSide.size();
+    load.m_engines = std::max<size_t>(load.m_engines, 1);
+    load.m_slots = static_cast<uint32_t>(load.m_engines) * m_service->m_engine->m_slots;
+    for (const EndpointRecord &endpoint : pool->second) {
+        const auto use = uses.find(endpoint.m_id);
+        if (use != uses.end())
+            load.m_strictStreams += use->second.m_strictWriters;
+    }
+    return strictStream ? roomToWrite(m_node.m_turns, load) : roomToRead(m_node.m_turns, load);
+}
+
+WaitingTurn RelayRun::turnWanted() const
+{
+    const TurnSettings &turns = m_node.m_turns;
+    const RelayViewPtr view = m_node.m_view.load();
+    const auto pool = view->m_pools.find(m_serviceId);
+    const size_t engines = pool == view->m_pools.end() ? 1 : pool->second.size();
+    const FloatMillis read =
+        readTime(*m_service->m_engine, static_cast<double>(m_head.m_promptTokens));
+    const FloatMillis needed = isStrictGap(gapAimMs())
+        ? read + turns.m_strictNeed
+        : read / static_cast<double>(engines) * turns.m_readFactor + turns.m_readOverhead;
+    const auto patience =
+        std::chrono::duration_cast<Duration>(clientPatience() * turns.m_patienceShare);
+    return { m_arrival + m_route->m_aim, std::chrono::duration_cast<Duration>(needed),
+             std::min(m_arrival + patience, m_deadline) };
 }
 
 bool RelayRun::awaitTurn()
 {
-    if (!isLongPrompt())
+    if (!isModelRequest())
         return true;
-    const double readMs =
-        readTime(*m_service->m_engine, static_cast<double>(m_head.m_promptTokens)).count();
+    TurnQueue &queue = m_node.queueOf(gapAimMs());
+    const WaitingTurn turn = turnWanted();
+    queue[m_load] = turn;
     bool told = false;
     for (;;) {
         const TimePoint now = Clock::now();
-        const ReadingNow reading = readingNow(m_node.m_ledger.uses(now));
-        if (!told)
-            m_node.m_readQueue.m_waiting[m_load] = { m_arrival + m_route->m_aim, readMs,
-                                                     m_deadline };
-        if (mayBegin(m_node.m_readQueue, m_load, reading, now))
+        const bool impatient = now >= turn.m_expiresAt;
+        if (impatient || (roomNow() && isNext(queue, m_load, now)))
             return true;
         if (!told)
-            m_node.wait(m_load, m_node.m_readQueue.m_waiting[m_load]);
+            m_node.wait(m_load, gapAimMs(), turn);
         told = true;
         if (!sleepFor(m_node.m_thread.context(), TurnPoll) || m_hungUp || left() <= TurnPoll) {
-            m_why = "waited for its turn to be read";
+            m_why = "waited for its turn";
             m_node.end(m_load);
             return false;
         }
@@ -307,11 +331,15 @@
     return end;
 }
 
+Duration RelayRun::clientPatience() const
+{
+    return std::max(
+        { LeastAbandon, m_route->m_aim * AbandonAims, m_route->m_gapAim * AbandonGaps });
+}
+
 Duration RelayRun::silencePatience() const
 {
-    const auto abandon =
-        std::max({ LeastAbandon, m_route->m_aim * AbandonAims, m_route->m_gapAim * AbandonGaps });
-    return std::chrono::duration_cast<Duration>(abandon * PatienceShare);
+    return std::chrono::duration_cast<Duration>(clientPatience() * PatienceShare);
 }
 
 bool RelayRun::mayRepeat() const
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -40,10 +40,12 @@
     /// Whether another attempt may be made, given that some were.
     bool mayAttempt();
     std::optional<GangPlan> choose();
-    bool isLongPrompt() const;
-    /// Waits until this long prompt may be read. False if the request ends before.
+    bool isModelRequest() const;
+    uint32_t gapAimMs() const { return static_cast<uint32_t>(m_route->m_gapAim.count()); }
+    /// Waits until this model request may begin. False if the request ends before.
     bool awaitTurn();
-    ReadingNow readingNow(const EndpointUses &uses);
+    bool roomNow() const;
+    WaitingTurn turnWanted() const;
     std::vector<EndpointRecord> candidates() const;
     /// @p pool divided into those for this request's kind of stream, and the others.
     GangSides sidesOf(const std::vector<EndpointRecord> &pool, const EndpointUses &uses,
@@ -65,6 +67,8 @@
     void logPlacement(const GangPlan &plan) const;
     HttpRequest upstreamRequest(const GangPlan &plan, const MemoryTickets &tickets) const;
     bool mayRepeat() const;
+    /// How long the client bears silence before it leaves.
+    Duration clientPatience() const;
     Duration silencePatience() const;
     Duration firstPatience(const GangPlan &plan) const;
     Duration left() const;
