Demand counts strict streams that wait and arrive; a blind VM spreads; neighbours share ejections

Change: demand = in flight, waiting and arriving; half of the pool while a VM is blind, and a draw between near equals; ejections for want of a connection are shared in a data centre; a quarter of a pool stays in at least; connections are given up after 200 ms.

--- a/policy/ejection.cpp
+++ b/policy/ejection.cpp
@@ -34,7 +34,8 @@
         if (!isEjected(table, endpoint.m_id, now))
             healthy.push_back(endpoint);
     }
-    return healthy.size() * 2 >= pool.size() ? healthy : pool;
+    const auto least = LeastHealthyShare * static_cast<double>(pool.size());
+    return static_cast<double>(healthy.size()) >= least ? healthy : pool;
 }
 
 } // namespace stackquay
--- a/policy/ejection.h
+++ b/policy/ejection.h
@@ -1,7 +1,8 @@
 /// Endpoints that fail are left out for a while, from what this VM itself has seen of them.
 ///
 /// Health answers and the directory may be wrong either way, and an endpoint may be bad for some
-/// callers only, so each VM judges by its own outcomes. Never more than half of a pool is left out.
+/// callers only, so each VM judges by its own outcomes and those of VMs in its data centre. A part
+/// of each pool is always left in.
 #pragma once
 
 #include <unordered_map>
@@ -33,7 +34,11 @@
 void recordSuccess(EjectionTable &table, const EndpointId &endpoint);
 bool isEjected(const EjectionTable &table, const EndpointId &endpoint, TimePoint now);
 
-/// Those of @p pool that are not ejected; all, if more than half are.
+/// Endpoints of a pool that stay in at least, as a share: in a cut data centre of three, a third of
+/// the endpoints can be reached.
+constexpr double LeastHealthyShare = 0.25;
+
+/// Those of @p pool that are not ejected; all, if too few would be left.
 std::vector<EndpointRecord> healthyOf(const EjectionTable &table, std::vector<EndpointRecord> pool,
                                       TimePoint now);
 
--- a/policy/gang_plan.cpp
+++ b/policy/gang_plan.cpp
@@ -14,6 +14,8 @@
 constexpr double WriterCostMs = 6;
 /// Added where the slots are all in use: the request would wait for one to end.
 constexpr double FullCostMs = 2'000;
+/// Costs are drawn apart by up to this: half a writer, so that it decides between near equals.
+constexpr double DrawCostMs = 3;
 /// An endpoint elsewhere costs the round trip; it decides between equals only.
 constexpr double FarCostMs = 1;
 
@@ -46,9 +48,10 @@
     weighed.m_use = useOf(uses, endpoint.m_id);
     const EndpointUse &use = weighed.m_use;
     const double far = endpoint.m_dataCentre == question.m_dataCentre ? 0 : FarCostMs;
+    const double draw = question.m_draw ? question.m_draw() * DrawCostMs : 0;
     const double full = use.m_attempts >= costs.m_slots ? FullCostMs : 0;
     weighed.m_partCost = use.m_readBacklogMs + far;
-    weighed.m_answerCost = weighed.m_partCost + WriterCostMs * use.m_attempts + full;
+    weighed.m_answerCost = weighed.m_partCost + WriterCostMs * use.m_attempts + full + draw;
     weighed.m_freeTokens =
         std::max(0.0, usableTokens(settings, costs) - static_cast<double>(use.m_tokens));
     return weighed;
@@ -182,11 +185,11 @@
     const double answer = question.m_answerTokens;
     const double tokens = question.m_promptTokens + answer;
     orderEngines(engines, tokens);
-    const bool guestAnswers = !question.strict() && !lone
+    const bool guestAnswers =
+        !question.strict() && !lone
         && tokens <= settings.m_guestAnswerShare * static_cast<double>(costs.m_memoryTokens);
     if (guestAnswers) {
-        addGuestAnswerer(engines, weighAll(settings, costs, sides.m_other, uses, question),
-                         tokens);
+        addGuestAnswerer(engines, weighAll(settings, costs, sides.m_other, uses, question), tokens);
     }
 
     const FloatMillis read = readTime(costs, question.m_promptTokens);
@@ -194,7 +197,8 @@
     size_t width = chooseWidth(settings, engines.size(), read, question.strict());
     const FloatMillis expected =
         predictFirst(costs, engines, width, read / static_cast<double>(width));
-    if (!question.strict() && !lone && !guestAnswers && expected > question.m_aim * settings.m_guestsAfter) {
+    if (!question.strict() && !lone && !guestAnswers
+        && expected > question.m_aim * settings.m_guestsAfter) {
         const bool any = expected > question.m_aim * settings.m_anyAfter;
         inviteGuests(settings, engines, weighAll(settings, costs, sides.m_other, uses, question),
                      read, any);
--- a/policy/gang_plan.h
+++ b/policy/gang_plan.h
@@ -7,6 +7,7 @@
 /// parts stay short and its own side would take too long.
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -46,6 +47,9 @@
     uint32_t m_gapAimMs = 0;
     FloatMillis m_aim{ 1'000 };
     DataCentreId m_dataCentre; ///< Of the VM that asks.
+    /// Draws a number in [0, 1) for each candidate, so that VMs that know little do not all choose
+    /// the same; empty: no draw.
+    std::function<double()> m_draw;
 
     bool strict() const { return isStrictGap(m_gapAimMs); }
 };
--- a/policy/pool_split.cpp
+++ b/policy/pool_split.cpp
@@ -14,9 +14,10 @@
 };
 
 Demand demandOf(const PoolSplitSettings &settings, const std::vector<EndpointRecord> &pool,
-                const EndpointUses &uses)
+                const EndpointUses &uses, const StrictDemand &strict)
 {
     Demand demand;
+    demand.m_strictStreams = strict.m_waiting;
     double longMs = 0;
     for (const EndpointRecord &engine : pool) {
         const auto use = uses.find(engine.m_id);
@@ -25,6 +26,8 @@
         demand.m_strictStreams += use->second.m_strictWriters;
         longMs += use->second.m_recentLongMs;
     }
+    const double perWindow = strict.m_streamTime / FloatMillis(StrictRateWindow);
+    demand.m_strictStreams = std::max(demand.m_strictStreams, strict.m_arrivals * perWindow);
     demand.m_longEngines =
         longMs / FloatMillis(LongReadWindow).count() / settings.m_longUtilization;
     return demand;
@@ -49,10 +52,13 @@
 
 std::unordered_set<EndpointId> strictEngines(PoolSplit &split,
                                              const std::vector<EndpointRecord> &pool,
-                                             const EndpointUses &uses, TimePoint now)
+                                             const EndpointUses &uses, const StrictDemand &strict,
+                                             TimePoint now)
 {
     const PoolSplitSettings &settings = split.m_settings;
-    const size_t needed = strictShare(settings, demandOf(settings, pool, uses), pool.size());
+    size_t needed = strictShare(settings, demandOf(settings, pool, uses, strict), pool.size());
+    if (strict.m_blind)
+        needed = std::max(needed, pool.size() / 2);
 
     auto &needs = split.m_needs;
     std::erase_if(needs, [&](const PoolNeed &need) {
@@ -61,10 +67,10 @@
     needs.push_back({ now, needed });
     const size_t count = std::min(needs.front().m_engines, pool.size());
 
-    std::unordered_set<EndpointId> strict;
+    std::unordered_set<EndpointId> engines;
     for (size_t i = 0; i < count; ++i)
-        strict.insert(pool[i].m_id);
-    return strict;
+        engines.insert(pool[i].m_id);
+    return engines;
 }
 
 } // namespace stackquay
--- a/policy/pool_split.h
+++ b/policy/pool_split.h
@@ -36,6 +36,15 @@
     size_t m_engines = 0;
 };
 
+/// What is known of strict streams beside those in flight.
+struct StrictDemand {
+    uint32_t m_waiting = 0; ///< For a slot, at all VMs.
+    uint32_t m_arrivals = 0; ///< Within StrictRateWindow.
+    FloatMillis m_streamTime{ 0 }; ///< That one takes, at least.
+    /// This VM cannot know yet what the others do: it began a moment ago.
+    bool m_blind = false;
+};
+
 struct PoolSplit {
     PoolSplitSettings m_settings;
     std::vector<PoolNeed> m_needs; ///< Of the last while, falling.
@@ -44,6 +53,7 @@
 /// The engines of @p pool, which is sorted by id, that are for strict streams now.
 std::unordered_set<EndpointId> strictEngines(PoolSplit &split,
                                              const std::vector<EndpointRecord> &pool,
-                                             const EndpointUses &uses, TimePoint now);
+                                             const EndpointUses &uses, const StrictDemand &strict,
+                                             TimePoint now);
 
 } // namespace stackquay
--- a/policy/stream_ledger.cpp
+++ b/policy/stream_ledger.cpp
@@ -30,7 +30,9 @@
 
 void StreamLedger::place(const LoadKey &key, AttemptLoad load)
 {
-    if (!load.strict()) {
+    if (load.strict()) {
+        m_strictPlaced.push_back(load.m_placedAt);
+    } else {
         for (const LoadPart &part : load.m_parts) {
             if (part.m_readMs > 0)
                 m_longReads.push_back({ load.m_placedAt, part.m_endpoint, part.m_readMs });
@@ -56,6 +58,13 @@
     std::erase_if(m_loads, [origin](const auto &entry) { return entry.first.m_origin == origin; });
 }
 
+uint32_t StreamLedger::recentStrict(TimePoint now)
+{
+    while (!m_strictPlaced.empty() && m_strictPlaced.front() + StrictRateWindow <= now)
+        m_strictPlaced.pop_front();
+    return static_cast<uint32_t>(m_strictPlaced.size());
+}
+
 ReadingNow StreamLedger::readingLong() const
 {
     ReadingNow reading;
--- a/policy/stream_ledger.h
+++ b/policy/stream_ledger.h
@@ -84,6 +84,8 @@
     /// Forgets attempts of a VM's process that is gone.
     void forgetOrigin(uint64_t origin);
 
+    /// Strict streams placed within StrictRateWindow before @p now.
+    uint32_t recentStrict(TimePoint now);
     /// Long prompts in all that have no first event yet.
     ReadingNow readingLong() const;
     /// Sums at @p now, without expired entries, which are dropped.
@@ -98,6 +100,7 @@
     };
 
     std::unordered_map<LoadKey, AttemptLoad, LoadKeyHash> m_loads;
+    std::deque<TimePoint> m_strictPlaced; ///< Of the last window.
     std::deque<LongRead> m_longReads; ///< Of the last window, by time of placement.
 };
 
@@ -110,5 +113,8 @@
 /// Over this time the demand of long prompts is measured: some of them arrive in it, and a burst is
 /// seen in part of it.
 constexpr Millis LongReadWindow{ 2'500 };
+/// Over this time the arrivals of strict streams are counted: long enough for some to arrive, short
+/// enough to see a burst at its begin.
+constexpr Millis StrictRateWindow{ 400 };
 
 } // namespace stackquay
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -16,19 +16,22 @@
     Placed = 0,
     FirstEvent = 1,
     Ended = 2,
+    Ejected = 4, ///< An endpoint cannot be reached from the sender's data centre.
     Waiting = 3, ///< A request waits for its turn; ends with Placed or Ended of the same key.
 };
 
 struct LoadMessage {
     LoadChange m_change = LoadChange::Placed;
     LoadKey m_key;
-    std::vector<LoadPart> m_parts; ///< Placed only.
+    std::vector<LoadPart> m_parts; ///< Placed; ejected: the endpoint.
+    DataCentreId m_dataCentre; ///< Ejected only: of the sender.
     uint32_t m_gapAimMs = 0; ///< Placed and waiting.
     uint32_t m_expiresMs = 0; ///< Placed and waiting: from now.
     uint32_t m_aimMs = 0; ///< Waiting only: when the first event is wanted, from now.
     uint32_t m_neededMs = 0; ///< Waiting only: as WaitingTurn.
 
-    MSGPACK_DEFINE(m_change, m_key, m_parts, m_gapAimMs, m_expiresMs, m_aimMs, m_neededMs)
+    MSGPACK_DEFINE(m_change, m_key, m_parts, m_dataCentre, m_gapAimMs, m_expiresMs, m_aimMs,
+                   m_neededMs)
 };
 
 /// Used on the traffic thread only.
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -6,6 +6,9 @@
 
 /// Idle connections kept to one endpoint.
 constexpr size_t IdleConnections = 8;
+/// A VM that began so short ago has not heard of all that the others have in flight: streams last
+/// longer than this.
+constexpr Millis BlindTime{ 1'500 };
 /// VMs may be added: the slack is divided by this many times those known.
 constexpr double SharerMargin = 1.5;
 
@@ -41,8 +44,14 @@
         const auto count = std::chrono::duration_cast<Millis>(duration).count();
         return static_cast<uint32_t>(std::max<Millis::rep>(count, 0));
     };
-    m_loads.send({ LoadChange::Waiting, key, {}, gapAimMs, millis(turn.m_expiresAt - now),
-                   millis(turn.m_aimAt - now), millis(turn.m_needed) });
+    m_loads.send({ LoadChange::Waiting,
+                   key,
+                   {},
+                   {},
+                   gapAimMs,
+                   millis(turn.m_expiresAt - now),
+                   millis(turn.m_aimAt - now),
+                   millis(turn.m_needed) });
     queueOf(gapAimMs)[key] = turn;
 }
 
@@ -51,7 +60,8 @@
 {
     const TimePoint now = Clock::now();
     const auto millis = std::chrono::duration_cast<Millis>(lifetime).count();
-    m_loads.send({ LoadChange::Placed, key, parts, gapAimMs, static_cast<uint32_t>(millis), 0, 0 });
+    m_loads.send(
+        { LoadChange::Placed, key, parts, {}, gapAimMs, static_cast<uint32_t>(millis), 0, 0 });
     leaveQueues(key);
     m_ledger.place(key, { std::move(parts), gapAimMs, false, now, now + lifetime });
 }
@@ -59,14 +69,30 @@
 void RelayNode::startWriting(const LoadKey &key)
 {
     m_ledger.startWriting(key);
-    m_loads.send({ LoadChange::FirstEvent, key, {}, 0, 0, 0, 0 });
+    m_loads.send({ LoadChange::FirstEvent, key, {}, {}, 0, 0, 0, 0 });
 }
 
 void RelayNode::end(const LoadKey &key)
 {
     m_ledger.end(key);
     leaveQueues(key);
-    m_loads.send({ LoadChange::Ended, key, {}, 0, 0, 0, 0 });
+    m_loads.send({ LoadChange::Ended, key, {}, {}, 0, 0, 0, 0 });
+}
+
+std::unordered_set<EndpointId> RelayNode::strictSide(const ServiceId &service,
+                                                     const EngineCosts &costs,
+                                                     const std::vector<EndpointRecord> &pool,
+                                                     const EndpointUses &uses)
+{
+    const TimePoint now = Clock::now();
+    if (m_readySince == TimePoint{})
+        m_readySince = now;
+    StrictDemand demand;
+    demand.m_waiting = static_cast<uint32_t>(m_strictQueue.size());
+    demand.m_arrivals = m_ledger.recentStrict(now);
+    demand.m_streamTime = costs.m_step * static_cast<double>(costs.m_usualAnswerTokens);
+    demand.m_blind = now - m_readySince < BlindTime;
+    return strictEngines(m_splits[service], pool, uses, demand, now);
 }
 
 void RelayNode::forget(uint64_t origin)
@@ -83,6 +109,16 @@
     if (!recordFailure(m_ejections, endpoint, weight, Clock::now()))
         return;
     m_metrics.m_ejections.add();
+    if (weight == FailureWeight::Telling) {
+        m_loads.send({ LoadChange::Ejected,
+                       nextKey(),
+                       { { endpoint, 0, 0 } },
+                       m_settings.m_dataCentre,
+                       0,
+                       0,
+                       0,
+                       0 });
+    }
     DecisionLine("relay", "endpoint ejected")
         .text("endpoint", endpoint.str())
         .text("why", why)
@@ -109,6 +145,12 @@
                                                        Millis(message.m_neededMs),
                                                        now + Millis(message.m_expiresMs) };
         return;
+    case LoadChange::Ejected:
+        // Others may reach it: only a neighbour's failure tells of this VM's way there.
+        if (message.m_dataCentre == m_settings.m_dataCentre && !message.m_parts.empty())
+            recordFailure(m_ejections, message.m_parts.front().m_endpoint, FailureWeight::Telling,
+                          now);
+        return;
     case LoadChange::Placed:
         leaveQueues(message.m_key);
         m_ledger.place(message.m_key, { message.m_parts, message.m_gapAimMs, false, now,
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -50,12 +50,18 @@
     void end(const LoadKey &key);
     /// Forgets what a VM's process that is gone had placed or waited for.
     void forget(uint64_t origin);
+    /// The engines of @p pool that are for strict streams now.
+    std::unordered_set<EndpointId> strictSide(const ServiceId &service, const EngineCosts &costs,
+                                              const std::vector<EndpointRecord> &pool,
+                                              const EndpointUses &uses);
     /// Notes a failure of an endpoint here.
     void noteFailure(const EndpointId &endpoint, FailureWeight weight, std::string_view why);
     /// Takes one repeated send to @p service out of the budget of the present view.
     bool takeRepeat(const ServiceId &service, const RelayView &view);
 
 private:
+    TimePoint m_readySince{}; ///< First placement: before, nothing was heard of.
+
     void receive(const LoadMessage &message);
     void leaveQueues(const LoadKey &key);
 };
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -24,7 +24,7 @@
 constexpr Millis DenialFreshness{ 2'500 };
 
 /// A data centre away a connection takes a few ms; a lost packet is sent again after a second.
-constexpr Millis ConnectTimeout{ 350 };
+constexpr Millis ConnectTimeout{ 200 };
 /// What is left of an answer whose head has come.
 constexpr Millis BodyTimeout{ 1'000 };
 /// Attempts that one request makes at most, sent or not.
@@ -206,7 +206,7 @@
     if (whole == view->m_pools.end())
         return { pool, {} };
     const auto strictSide =
-        strictEngines(m_node.m_splits[m_serviceId], whole->second, uses, Clock::now());
+        m_node.strictSide(m_serviceId, *m_service->m_engine, whole->second, uses);
     GangSides sides;
     for (const EndpointRecord &endpoint : pool) {
         const bool own = (strictSide.count(endpoint.m_id) > 0) == strictStream;
@@ -234,6 +234,9 @@
     question.m_gapAimMs = gapAimMs();
     question.m_dataCentre = here;
     question.m_aim = m_route->m_aim;
+    question.m_draw = [this] {
+        return std::uniform_real_distribution<double>(0, 1)(m_node.m_random);
+    };
     return planGang(m_node.m_gang, costs, sidesOf(pool, uses, question.strict()), uses, question);
 }
 
@@ -250,7 +253,7 @@
         return true;
     const EndpointUses uses = m_node.m_ledger.uses(Clock::now());
     const auto strictSide =
-        strictEngines(m_node.m_splits[m_serviceId], pool->second, uses, Clock::now());
+        m_node.strictSide(m_serviceId, *m_service->m_engine, pool->second, uses);
     const bool strictStream = isStrictGap(gapAimMs());
     SideLoad load;
     load.m_reading = m_node.m_ledger.readingLong();
@@ -273,9 +276,10 @@
     const size_t engines = pool == view->m_pools.end() ? 1 : pool->second.size();
     const FloatMillis read =
         readTime(*m_service->m_engine, static_cast<double>(m_head.m_promptTokens));
-    const FloatMillis needed = isStrictGap(gapAimMs())
-        ? read + turns.m_strictNeed
-        : read / static_cast<double>(engines) * turns.m_readFactor + turns.m_readOverhead;
+    const FloatMillis needed =
+        isStrictGap(gapAimMs())
+            ? read + turns.m_strictNeed
+            : read / static_cast<double>(engines) * turns.m_readFactor + turns.m_readOverhead;
     const auto patience =
         std::chrono::duration_cast<Duration>(clientPatience() * turns.m_patienceShare);
     return { m_arrival + m_route->m_aim, std::chrono::duration_cast<Duration>(needed),
