--- a/policy/gang_plan.h
+++ b/policy/gang_plan.h
@@ -44,14 +44,14 @@
 struct GangQuestion {
     double m_promptTokens = 0;
     double m_answerTokens = 0;
-    uint32_t m_gapAimMs = 0;
+    uint32_t m_gapLimitMs = 0;
     FloatMillis m_aim{ 1'000 };
     DataCentreId m_dataCentre; ///< Of the VM that asks.
     /// Draws a number in [0, 1) for each candidate, so that VMs that know little do not all choose
     /// the same; empty: no draw.
     std::function<double()> m_draw;
 
-    bool strict() const { return isStrictGap(m_gapAimMs); }
+    bool strict() const { return isStrictGap(m_gapLimitMs); }
 };
 
 /// One engine that takes part. The first member answers.
--- a/policy/stream_ledger.cpp
+++ b/policy/stream_ledger.cpp
@@ -25,7 +25,7 @@
 
 bool AttemptLoad::strict() const
 {
-    return isStrictGap(m_gapAimMs);
+    return isStrictGap(m_gapLimitMs);
 }
 
 void StreamLedger::place(const LoadKey &key, AttemptLoad load)
--- a/policy/stream_ledger.h
+++ b/policy/stream_ledger.h
@@ -47,7 +47,7 @@
 /// One attempt in flight. The first part is the endpoint that answers.
 struct AttemptLoad {
     std::vector<LoadPart> m_parts;
-    uint32_t m_gapAimMs = 0; ///< Longest pause that its stream bears; zero: any.
+    uint32_t m_gapLimitMs = 0; ///< Longest pause that its stream bears; zero: any.
     bool m_writing = false; ///< Its first event came: nothing is left to read.
     TimePoint m_placedAt{};
     TimePoint m_expiresAt{};
@@ -106,9 +106,9 @@
 
 /// A pause of this length or less makes a stream strict: it suffers where long parts are read.
 constexpr uint32_t StrictGapMs = 400;
-constexpr bool isStrictGap(uint32_t gapAimMs)
+constexpr bool isStrictGap(uint32_t gapLimitMs)
 {
-    return gapAimMs > 0 && gapAimMs <= StrictGapMs;
+    return gapLimitMs > 0 && gapLimitMs <= StrictGapMs;
 }
 /// Over this time the demand of long prompts is measured: some of them arrive in it, and a burst is
 /// seen in part of it.
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -25,12 +25,12 @@
     LoadKey m_key;
     std::vector<LoadPart> m_parts; ///< Placed; ejected: the endpoint.
     DataCentreId m_dataCentre; ///< Ejected only: of the sender.
-    uint32_t m_gapAimMs = 0; ///< Placed and waiting.
+    uint32_t m_gapLimitMs = 0; ///< Placed and waiting.
     uint32_t m_expiresMs = 0; ///< Placed and waiting: from now.
     uint32_t m_aimMs = 0; ///< Waiting only: when the first event is wanted, from now.
     uint32_t m_neededMs = 0; ///< Waiting only: as WaitingTurn.
 
-    MSGPACK_DEFINE(m_change, m_key, m_parts, m_dataCentre, m_gapAimMs, m_expiresMs, m_aimMs,
+    MSGPACK_DEFINE(m_change, m_key, m_parts, m_dataCentre, m_gapLimitMs, m_expiresMs, m_aimMs,
                    m_neededMs)
 };
 
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -34,6 +34,7 @@
     store.m_readsPerSecond = StoreReadsPerSecond;
     store.m_writesPerSecond = StoreWritesPerSecond;
     store.m_outageAfter = NoOutageMode;
+    store.m_retry = false;
     return store;
 }
 
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -26,9 +26,9 @@
     m_view.store(std::make_shared<const RelayView>());
 }
 
-TurnQueue &RelayNode::queueOf(uint32_t gapAimMs)
+TurnQueue &RelayNode::queueOf(uint32_t gapLimitMs)
 {
-    return isStrictGap(gapAimMs) ? m_strictQueue : m_longQueue;
+    return isStrictGap(gapLimitMs) ? m_strictQueue : m_longQueue;
 }
 
 void RelayNode::leaveQueues(const LoadKey &key)
@@ -37,7 +37,7 @@
     m_longQueue.erase(key);
 }
 
-void RelayNode::wait(const LoadKey &key, uint32_t gapAimMs, const WaitingTurn &turn)
+void RelayNode::wait(const LoadKey &key, uint32_t gapLimitMs, const WaitingTurn &turn)
 {
     const TimePoint now = Clock::now();
     const auto millis = [](Duration duration) {
@@ -48,22 +48,22 @@
                    key,
                    {},
                    {},
-                   gapAimMs,
+                   gapLimitMs,
                    millis(turn.m_expiresAt - now),
                    millis(turn.m_aimAt - now),
                    millis(turn.m_needed) });
-    queueOf(gapAimMs)[key] = turn;
+    queueOf(gapLimitMs)[key] = turn;
 }
 
-void RelayNode::place(const LoadKey &key, std::vector<LoadPart> parts, uint32_t gapAimMs,
+void RelayNode::place(const LoadKey &key, std::vector<LoadPart> parts, uint32_t gapLimitMs,
                       Duration lifetime)
 {
     const TimePoint now = Clock::now();
     const auto millis = std::chrono::duration_cast<Millis>(lifetime).count();
     m_loads.send(
-        { LoadChange::Placed, key, parts, {}, gapAimMs, static_cast<uint32_t>(millis), 0, 0 });
+        { LoadChange::Placed, key, parts, {}, gapLimitMs, static_cast<uint32_t>(millis), 0, 0 });
     leaveQueues(key);
-    m_ledger.place(key, { std::move(parts), gapAimMs, false, now, now + lifetime });
+    m_ledger.place(key, { std::move(parts), gapLimitMs, false, now, now + lifetime });
 }
 
 void RelayNode::startWriting(const LoadKey &key)
@@ -141,9 +141,9 @@
     const TimePoint now = Clock::now();
     switch (message.m_change) {
     case LoadChange::Waiting:
-        queueOf(message.m_gapAimMs)[message.m_key] = { now + Millis(message.m_aimMs),
-                                                       Millis(message.m_neededMs),
-                                                       now + Millis(message.m_expiresMs) };
+        queueOf(message.m_gapLimitMs)[message.m_key] = { now + Millis(message.m_aimMs),
+                                                         Millis(message.m_neededMs),
+                                                         now + Millis(message.m_expiresMs) };
         return;
     case LoadChange::Ejected:
         // Others may reach it: only a neighbour's failure tells of this VM's way there.
@@ -153,7 +153,7 @@
         return;
     case LoadChange::Placed:
         leaveQueues(message.m_key);
-        m_ledger.place(message.m_key, { message.m_parts, message.m_gapAimMs, false, now,
+        m_ledger.place(message.m_key, { message.m_parts, message.m_gapLimitMs, false, now,
                                         now + Millis(message.m_expiresMs) });
         return;
     case LoadChange::FirstEvent:
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -40,11 +40,11 @@
 
     /// A name for the next attempt.
     LoadKey nextKey() { return { m_origin, ++m_sequence }; }
-    TurnQueue &queueOf(uint32_t gapAimMs);
+    TurnQueue &queueOf(uint32_t gapLimitMs);
     /// Tells all VMs that a request waits for its turn; place() or end() ends it.
-    void wait(const LoadKey &key, uint32_t gapAimMs, const WaitingTurn &turn);
+    void wait(const LoadKey &key, uint32_t gapLimitMs, const WaitingTurn &turn);
     /// Enters an attempt into the ledgers of all VMs.
-    void place(const LoadKey &key, std::vector<LoadPart> parts, uint32_t gapAimMs,
+    void place(const LoadKey &key, std::vector<LoadPart> parts, uint32_t gapLimitMs,
                Duration lifetime);
     void startWriting(const LoadKey &key);
     void end(const LoadKey &key);
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -231,7 +231,7 @@
     GangQuestion question;
     question.m_promptTokens = static_cast<double>(m_head.m_promptTokens);
     question.m_answerTokens = static_cast<double>(costs.m_usualAnswerTokens);
-    question.m_gapAimMs = gapAimMs();
+    question.m_gapLimitMs = gapLimitMs();
     question.m_dataCentre = here;
     question.m_aim = m_route->m_aim;
     question.m_draw = [this] {
@@ -254,7 +254,7 @@
     const EndpointUses uses = m_node.m_ledger.uses(Clock::now());
     const auto strictSide =
         m_node.strictSide(m_serviceId, *m_service->m_engine, pool->second, uses);
-    const bool strictStream = isStrictGap(gapAimMs());
+    const bool strictStream = isStrictGap(gapLimitMs());
     SideLoad load;
     load.m_reading = m_node.m_ledger.readingLong();
     load.m_engines = strictStream ? strictSide.size() : pool->second.size() - strictSide.size();
@@ -277,7 +277,7 @@
     const FloatMillis read =
         readTime(*m_service->m_engine, static_cast<double>(m_head.m_promptTokens));
     const FloatMillis needed =
-        isStrictGap(gapAimMs())
+        isStrictGap(gapLimitMs())
             ? read + turns.m_strictNeed
             : read / static_cast<double>(engines) * turns.m_readFactor + turns.m_readOverhead;
     const auto patience =
@@ -290,7 +290,7 @@
 {
     if (!isModelRequest())
         return true;
-    TurnQueue &queue = m_node.queueOf(gapAimMs());
+    TurnQueue &queue = m_node.queueOf(gapLimitMs());
     const WaitingTurn turn = turnWanted();
     queue[m_load] = turn;
     bool told = false;
@@ -300,7 +300,7 @@
         if (impatient || (roomNow() && isNext(queue, m_load, now)))
             return true;
         if (!told)
-            m_node.wait(m_load, gapAimMs(), turn);
+            m_node.wait(m_load, gapLimitMs(), turn);
         told = true;
         if (!sleepFor(m_node.m_thread.context(), TurnPoll) || m_hungUp || left() <= TurnPoll) {
             m_why = "waited for its turn";
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -41,7 +41,7 @@
     bool mayAttempt();
     std::optional<GangPlan> choose();
     bool isModelRequest() const;
-    uint32_t gapAimMs() const { return static_cast<uint32_t>(m_route->m_gapAim.count()); }
+    uint32_t gapLimitMs() const { return static_cast<uint32_t>(m_route->m_gapAim.count()); }
     /// Waits until this model request may begin. False if the request ends before.
     bool awaitTurn();
     bool roomNow() const;
--- a/relay/store_follower.cpp
+++ b/relay/store_follower.cpp
@@ -69,7 +69,9 @@
     return sleepFor(m_thread.context(), backoffDelay(Backoff, failures, m_random) + Millis(20));
 }
 
-/// After an outage, watches that still wait may never be answered: new ones take their place.
+/// To be called with each answer of the store, before what it says is taken: after an outage,
+/// endpoints that it has lost are not gone yet, and watches that still wait may never be answered,
+/// so that new ones take their place.
 void StoreFollower::State::noteAlive()
 {
     const TimePoint now = Clock::now();
@@ -180,6 +182,9 @@
             continue;
         }
         failures = 0;
+        noteAlive();
+        if (generation != m_generation)
+            return;
         revision = events->m_revision;
         for (const KindEvent &event : events->m_events) {
             if (!event.m_removed && event.m_object.m_name == m_source.m_routesName)
@@ -258,6 +263,7 @@
     const auto page = m_store.list(m_source.m_endpointsKind);
     if (!page)
         return false;
+    noteAlive();
     m_directoryHeard = Clock::now();
     std::unordered_map<EndpointId, bool> listed;
     for (const KindObject &object : page->m_objects) {
@@ -297,6 +303,9 @@
             continue;
         }
         failures = 0;
+        noteAlive();
+        if (generation != m_generation)
+            return;
         m_directoryHeard = Clock::now();
         revision = events->m_revision;
         for (const KindEvent &event : events->m_events)
--- a/store/store_channel.cpp
+++ b/store/store_channel.cpp
@@ -72,7 +72,7 @@
             return tl::unexpected(budget.error());
         const Duration left = deadline - Clock::now();
         auto response = tryOnce(call, std::clamp<Duration>(left, Millis(1), call.m_tryTimeout));
-        if (response || !mayRetry(response.error()))
+        if (response || !m_settings.m_retry || !mayRetry(response.error()))
             return response;
         const Duration delay = backoffDelay(m_settings.m_backoff, failures, m_random);
         if (Clock::now() + delay >= deadline)
--- a/store/store_client.h
+++ b/store/store_client.h
@@ -22,6 +22,9 @@
     double m_burst = 20; ///< Calls that may go out at once after a quiet time.
     BackoffSettings m_backoff;
     unsigned m_outageAfter = 5; ///< Failures in a row.
+    /// Whether a call is tried again here; a caller with a loop of its own wants to see each
+    /// failure.
+    bool m_retry = true;
     BackoffSettings m_probe{ Millis(500), Seconds(5) };
 };
 
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -93,12 +93,12 @@
                              service, toString(worker.address()), state));
 }
 
-RelayDaemon &Deployment::addDaemon()
+RelayDaemon &Deployment::addDaemon(std::optional<Address> store)
 {
     RelaySettings settings;
     settings.m_vm = VmId(fmt::format("vm-{}", m_daemons.size() + 1));
     settings.m_dataCentre = DataCentreId("here");
-    settings.m_store = m_store.address();
+    settings.m_store = store.value_or(m_store.address());
     settings.m_bounds = m_bounds;
     auto daemon = RelayDaemon::start(settings, { relayDialect(), kindDialect(), relaySource() });
     if (!daemon) {
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -52,7 +52,8 @@
     HostedWorker &addWorker(const std::string &service);
     void describe(const HostedWorker &worker, const std::string &service,
                   const std::string &state = "ready");
-    RelayDaemon &addDaemon();
+    /// @p store stands in the store's place, if given.
+    RelayDaemon &addDaemon(std::optional<Address> store = std::nullopt);
     /// Waits until each daemon says that it is ready; false after some seconds.
     bool awaitReady();
     /// Waits until all daemons know all others.
--- /dev/null
+++ b/tests/platform/fleet_test.cpp
@@ -0,0 +1,188 @@
+// Several daemons before one store: what they tell each other.
+
+#include <gtest/gtest.h>
+
+#include "deployment.h"
+#include "standin/fault_relay.h"
+
+namespace stackquay::platform {
+namespace {
+
+class FleetTest : public testing::Test
+{
+protected:
+    FleetTest()
+        : m_relayThread("relay")
+        , m_relay(m_relayThread)
+    {
+        const auto address = m_relay.addTarget(m_deployment.m_store.address());
+        m_relayedStore = address.value_or(Address{});
+        m_relayThread.start();
+    }
+
+    ~FleetTest() override
+    {
+        m_relayThread.stop();
+        m_relayThread.join();
+    }
+
+    /// The second daemon reaches the store through the relay.
+    void start()
+    {
+        m_deployment.declare(1);
+        m_deployment.addWorker("plain");
+        m_deployment.addDaemon();
+        m_deployment.addDaemon(m_relayedStore);
+        ASSERT_TRUE(m_deployment.awaitReady());
+        ASSERT_TRUE(m_deployment.awaitPeers());
+    }
+
+    void setStoreFault(standin::RelayMode mode)
+    {
+        standin::RelayFault fault;
+        fault.m_mode = mode;
+        m_relay.setFault(fault);
+    }
+
+    RelayViewPtr view(size_t daemon)
+    {
+        return m_deployment.m_daemons[daemon]->node().m_view.load();
+    }
+
+    FiberThread m_relayThread;
+    standin::FaultRelay m_relay;
+    Address m_relayedStore;
+    Deployment m_deployment;
+};
+
+TEST_F(FleetTest, VmThatTheStoreTurnsAwayLivesOnThroughItsPeers)
+{
+    m_deployment.m_bounds.m_revoke = Millis(2'500);
+    start();
+    setStoreFault(standin::RelayMode::Reset);
+    std::this_thread::sleep_for(m_deployment.m_bounds.m_revoke + Millis(500));
+    EXPECT_EQ(m_deployment.call({}, 1).m_status, 200u);
+    // Changes reach it too: routes, keys and endpoints.
+    m_deployment.declare(2, "", R"(["key-of-two"])");
+    EXPECT_TRUE(eventually([&] { return view(1)->m_routes->m_version == 2; }, Millis(1'500)));
+    EXPECT_EQ(m_deployment.call({}, 1).m_status, 401u);
+    ClientRequest other;
+    other.m_key = "key-of-two";
+    EXPECT_EQ(m_deployment.call(other, 1).m_status, 200u);
+    m_deployment.describe(*m_deployment.m_workers[0], "plain", "draining");
+    EXPECT_TRUE(eventually([&] { return view(1)->m_pools.empty(); }, Millis(1'800)));
+}
+
+TEST_F(FleetTest, RevokedKeyIsRefusedInTimeByAVmThatHearsNothing)
+{
+    m_deployment.m_bounds.m_revoke = Millis(2'500);
+    m_deployment.declare(1);
+    m_deployment.addWorker("plain");
+    m_deployment.addDaemon(m_relayedStore);
+    ASSERT_TRUE(m_deployment.awaitReady());
+    EXPECT_EQ(m_deployment.call({}).m_status, 200u);
+    setStoreFault(standin::RelayMode::HalfOpen);
+    m_deployment.declare(2, "", R"(["key-of-two"])");
+    std::this_thread::sleep_for(m_deployment.m_bounds.m_revoke);
+    EXPECT_EQ(m_deployment.call({}).m_status, 503u);
+}
+
+TEST_F(FleetTest, VmsKnowWhatTheOthersHaveInFlight)
+{
+    start();
+    auto &model = m_deployment.addWorker("model");
+    model->setEvents(100, Millis(20));
+    ASSERT_TRUE(eventually([&] {
+        return view(0)->m_pools.count(ServiceId("model")) > 0
+               && view(1)->m_pools.count(ServiceId("model")) > 0;
+    }));
+    ClientRequest request;
+    request.m_method = "POST";
+    request.m_path = "/stream/x";
+    request.m_promptTokens = 2'000;
+    request.m_leaveAfter = Millis(600);
+    auto answer = std::async(std::launch::async, [&] { return m_deployment.call(request, 0); });
+    const auto known = [&](size_t daemon) {
+        RelayNode &node = m_deployment.m_daemons[daemon]->node();
+        auto size = std::make_shared<std::promise<size_t>>();
+        node.m_thread.post([&node, size] { size->set_value(node.m_ledger.size()); });
+        return size->get_future().get();
+    };
+    EXPECT_TRUE(eventually([&] { return known(1) == 1; }, Millis(500)));
+    answer.get();
+    EXPECT_TRUE(eventually([&] { return known(0) == 0 && known(1) == 0; }, Millis(1'000)));
+}
+
+TEST_F(FleetTest, DeafWatchProvesNothingAndLosesNothing)
+{
+    start();
+    // The store's watches hear nothing while the configuration changes; then its history is
+    // dropped.
+    m_deployment.m_store->setDeaf(true);
+    m_deployment.declare(2, "", R"(["key-of-two"])");
+    EXPECT_TRUE(eventually(
+        [&] { return view(0)->m_routes->m_version == 2 && view(1)->m_routes->m_version == 2; },
+        Millis(3'000)));
+    m_deployment.m_store->remove("servers", (**m_deployment.m_workers[0]).id());
+    m_deployment.m_store->compact();
+    m_deployment.m_store->setDeaf(false);
+    EXPECT_TRUE(eventually([&] { return view(0)->m_pools.empty() && view(1)->m_pools.empty(); },
+                           Millis(3'000)));
+}
+
+TEST_F(FleetTest, RoutesNeverGoBack)
+{
+    start();
+    m_deployment.declare(5);
+    ASSERT_TRUE(eventually([&] { return view(1)->m_routes->m_version == 5; }));
+    m_deployment.declare(4); // As a stale answer would show it.
+    std::this_thread::sleep_for(Millis(2'500));
+    EXPECT_EQ(view(0)->m_routes->m_version, 5u);
+    EXPECT_EQ(view(1)->m_routes->m_version, 5u);
+}
+
+TEST_F(FleetTest, DirectoryIsKeptWhileTheStoreIsAway)
+{
+    start();
+    // Long enough for the entries of all endpoints to lapse; they are back soon after.
+    constexpr Millis Outage{ 4'000 };
+    m_deployment.m_store->setMode(StoreMode::Busy);
+    std::this_thread::sleep_for(Outage);
+    m_deployment.m_store->remove("servers", (**m_deployment.m_workers[0]).id());
+    ClientRequest open;
+    open.m_path = "/public/x";
+    EXPECT_EQ(m_deployment.call(open, 0).m_status, 200u);
+    m_deployment.m_store->setMode(StoreMode::Up);
+    std::this_thread::sleep_for(Millis(900));
+    EXPECT_EQ(m_deployment.call(open, 0).m_status, 200u);
+    m_deployment.describe(*m_deployment.m_workers[0], "plain");
+    std::this_thread::sleep_for(Millis(2'500));
+    EXPECT_EQ(m_deployment.call(open, 0).m_status, 200u);
+}
+
+TEST_F(FleetTest, ObjectsOfVmsAreWrittenAndRemoved)
+{
+    start();
+    EXPECT_TRUE(eventually([&] {
+        return m_deployment.m_store->exists("stackquay-vms", "vm-1")
+               && m_deployment.m_store->exists("stackquay-vms", "vm-2");
+    }));
+    m_deployment.m_daemons[0]->drain();
+    m_deployment.m_daemons[0]->wait();
+    EXPECT_FALSE(m_deployment.m_store->exists("stackquay-vms", "vm-1"));
+}
+
+// Two VMs in steady state: proofs of one serve the other.
+TEST_F(FleetTest, StoreCallsInSteadyStateAreFew)
+{
+    start();
+    std::this_thread::sleep_for(Millis(1'500));
+    const uint64_t before = m_deployment.m_store->calls();
+    constexpr int Span = 5;
+    std::this_thread::sleep_for(Seconds(Span));
+    const uint64_t calls = m_deployment.m_store->calls() - before;
+    EXPECT_LE(calls, uint64_t(Span) * 2 * 1); // One a VM and second.
+}
+
+} // namespace
+} // namespace stackquay::platform
--- a/tests/policy/gang_plan_test.cpp
+++ b/tests/policy/gang_plan_test.cpp
@@ -42,9 +42,9 @@
     return { engine.m_id, readMs, tokens };
 }
 
-AttemptLoad load(std::vector<LoadPart> parts, uint32_t gapAimMs, TimePoint at = Start)
+AttemptLoad load(std::vector<LoadPart> parts, uint32_t gapLimitMs, TimePoint at = Start)
 {
-    return { std::move(parts), gapAimMs, false, at, at + Seconds(10) };
+    return { std::move(parts), gapLimitMs, false, at, at + Seconds(10) };
 }
 
 GangQuestion strictQuestion(double tokens)
@@ -52,7 +52,7 @@
     GangQuestion question;
     question.m_promptTokens = tokens;
     question.m_answerTokens = 1'300;
-    question.m_gapAimMs = 250;
+    question.m_gapLimitMs = 250;
     question.m_aim = FloatMillis(300);
     return question;
 }
@@ -60,7 +60,7 @@
 GangQuestion longQuestion(double tokens)
 {
     GangQuestion question = strictQuestion(tokens);
-    question.m_gapAimMs = 1'000;
+    question.m_gapLimitMs = 1'000;
     question.m_aim = FloatMillis(2'500);
     return question;
 }
