--- a/policy/turn_queue.h
+++ b/policy/turn_queue.h
@@ -40,6 +40,9 @@
     FloatMillis m_strictNeed{ 130 };
     /// Clients leave a silent stream; after this part of that time it begins in any case.
     double m_patienceShare = 0.55;
+    /// And after this part of the time that it has: one that is held for over half of it, and is
+    /// not served, had better been offered.
+    double m_timeShare = 0.4;
 };
 
 /// What one side of a pool has to do now.
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -282,8 +282,10 @@
             : read / static_cast<double>(engines) * turns.m_readFactor + turns.m_readOverhead;
     const auto patience =
         std::chrono::duration_cast<Duration>(clientPatience() * turns.m_patienceShare);
+    const auto most =
+        std::chrono::duration_cast<Duration>((m_deadline - m_arrival) * turns.m_timeShare);
     return { m_arrival + m_route->m_aim, std::chrono::duration_cast<Duration>(needed),
-             std::min(m_arrival + patience, m_deadline) };
+             m_arrival + std::min(patience, most) };
 }
 
 bool RelayRun::awaitTurn()
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -364,6 +364,33 @@
     EXPECT_GT(held.get(), 0u);
 }
 
+// From an incident: prompts with little time left waited for their turn until it was over.
+TEST_F(RelayTest, TurnIsWaitedForInPartOfTheTimeOnly)
+{
+    start(0, 2);
+    RelayNode &node = m_deployment.m_daemons[0]->node();
+    std::promise<void> filled;
+    node.m_thread.post([&] {
+        constexpr double EndlessMs = 1e6;
+        for (uint64_t i = 0; i < node.m_turns.m_leastReading; ++i) {
+            node.m_ledger.place({ 1, i }, { { { EndpointId("worker-1"), EndlessMs, 0 } },
+                                            1'000,
+                                            false,
+                                            Clock::now(),
+                                            Clock::now() + Seconds(10) });
+        }
+        filled.set_value();
+    });
+    filled.get_future().wait();
+    ClientRequest request = streamRequest("/long/x", 20'000);
+    request.m_deadline = Millis(1'500);
+    const TimePoint begun = Clock::now();
+    const ClientAnswer answer = m_deployment.call(request);
+    EXPECT_TRUE(answer.m_whole);
+    EXPECT_EQ(answer.m_status, 200u);
+    EXPECT_LT(Clock::now() - begun, request.m_deadline / 2);
+}
+
 TEST_F(RelayTest, EndpointThatLeavesGetsNoNewWork)
 {
     start(2, 0);
