--- a/policy/turn_queue.cpp
+++ b/policy/turn_queue.cpp
@@ -35,7 +35,7 @@
 {
     const double perEngine = load.m_reading.m_readMs / static_cast<double>(load.m_engines);
     return load.m_reading.m_prompts < settings.m_leastReading
-        || FloatMillis(perEngine) < settings.m_readBacklog;
+           || FloatMillis(perEngine) < settings.m_readBacklog;
 }
 
 bool roomToWrite(const TurnSettings &settings, const SideLoad &load)
