--- a/entry/traffic_worker.h
+++ b/entry/traffic_worker.h
@@ -4,8 +4,8 @@
 #include <unordered_set>
 
 #include "entry/node.h"
-#include "peers/peers.h"
 #include "net/net.h"
+#include "peers/peers.h"
 
 namespace stackquay {
 
--- a/peers/rpc_channel.h
+++ b/peers/rpc_channel.h
@@ -10,8 +10,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "peers/traffic.h"
 #include "net/net.h"
+#include "peers/traffic.h"
 
 namespace stackquay {
 
