--- a/policy/turn_queue.cpp
+++ b/policy/turn_queue.cpp
@@ -1,5 +1,7 @@
 #include "policy/turn_queue.h"
 
+#include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace stackquay {
@@ -15,7 +17,7 @@
 
 } // namespace
 
-bool isNext(TurnQueue &queue, const LoadKey &key, TimePoint now)
+bool mayBegin(TurnQueue &queue, const LoadKey &key, uint32_t room, TimePoint now)
 {
     std::erase_if(queue, [&](const auto &entry) {
         return entry.second.m_expiresAt <= now && !(entry.first == key);
@@ -24,23 +26,28 @@
     if (mine == queue.end())
         return true;
     const auto rank = rankOf(key, mine->second, now);
+    uint32_t before = 0;
     for (const auto &[other, turn] : queue) {
-        if (!(other == key) && rankOf(other, turn, now) < rank)
+        if (before >= room)
             return false;
+        if (!(other == key) && rankOf(other, turn, now) < rank)
+            ++before;
     }
-    return true;
+    return before < room;
 }
 
-bool roomToRead(const TurnSettings &settings, const SideLoad &load)
+uint32_t roomToRead(const TurnSettings &settings, const SideLoad &load)
 {
+    if (load.m_reading.m_prompts < settings.m_leastReading)
+        return settings.m_leastReading - load.m_reading.m_prompts;
     const double perEngine = load.m_reading.m_readMs / static_cast<double>(load.m_engines);
-    return load.m_reading.m_prompts < settings.m_leastReading
-           || FloatMillis(perEngine) < settings.m_readBacklog;
+    return FloatMillis(perEngine) < settings.m_readBacklog ? 1 : 0;
 }
 
-bool roomToWrite(const TurnSettings &settings, const SideLoad &load)
+uint32_t roomToWrite(const TurnSettings &settings, const SideLoad &load)
 {
-    return load.m_strictStreams < settings.m_slotShare * load.m_slots;
+    const double most = std::ceil(settings.m_slotShare * load.m_slots);
+    return static_cast<uint32_t>(std::max(most - load.m_strictStreams, 0.0));
 }
 
 } // namespace stackquay
--- a/policy/turn_queue.h
+++ b/policy/turn_queue.h
@@ -22,8 +22,11 @@
 
 using TurnQueue = std::unordered_map<LoadKey, WaitingTurn, LoadKeyHash>;
 
-/// Whether @p key is the next one of @p queue. True if it does not wait there.
-bool isNext(TurnQueue &queue, const LoadKey &key, TimePoint now);
+/// Whether @p key is among the first @p room of @p queue. True if it does not wait there.
+///
+/// All that find room begin at once: if each had to see the one before it leave, a queue would
+/// move no faster than VMs look and hear of each other.
+bool mayBegin(TurnQueue &queue, const LoadKey &key, uint32_t room, TimePoint now);
 
 struct TurnSettings {
     /// Long prompts that may read at any load: the next one's parts fill the gap between the last
@@ -53,9 +56,9 @@
     ReadingNow m_reading;
 };
 
-/// Whether a long prompt may begin to read.
-bool roomToRead(const TurnSettings &settings, const SideLoad &load);
-/// Whether a strict stream finds a slot.
-bool roomToWrite(const TurnSettings &settings, const SideLoad &load);
+/// How many more long prompts may begin to read.
+uint32_t roomToRead(const TurnSettings &settings, const SideLoad &load);
+/// How many more strict streams find a slot.
+uint32_t roomToWrite(const TurnSettings &settings, const SideLoad &load);
 
 } // namespace stackquay
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -245,12 +245,12 @@
     return m_service && m_service->m_engine && m_head.m_promptTokens > 0;
 }
 
-bool RelayRun::roomNow() const
+uint32_t RelayRun::roomNow() const
 {
     const RelayViewPtr view = m_node.m_view.load();
     const auto pool = view->m_pools.find(m_serviceId);
     if (pool == view->m_pools.end())
-        return true;
+        return 1;
     const EndpointUses uses = m_node.m_ledger.uses(Clock::now());
     const auto strictSide =
         m_node.strictSide(m_serviceId, *m_service->m_engine, pool->second, uses);
@@ -299,7 +299,7 @@
     for (;;) {
         const TimePoint now = Clock::now();
         const bool impatient = now >= turn.m_expiresAt;
-        if (impatient || (roomNow() && isNext(queue, m_load, now)))
+        if (impatient || mayBegin(queue, m_load, roomNow(), now))
             return true;
         if (!told)
             m_node.wait(m_load, gapLimitMs(), turn);
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -44,7 +44,8 @@
     uint32_t gapLimitMs() const { return static_cast<uint32_t>(m_route->m_gapAim.count()); }
     /// Waits until this model request may begin. False if the request ends before.
     bool awaitTurn();
-    bool roomNow() const;
+    /// How many requests of this one's kind may begin now.
+    uint32_t roomNow() const;
     WaitingTurn turnWanted() const;
     std::vector<EndpointRecord> candidates() const;
     /// @p pool divided into those for this request's kind of stream, and the others.
--- a/tests/policy/gang_plan_test.cpp
+++ b/tests/policy/gang_plan_test.cpp
@@ -278,14 +278,25 @@
     queue[late] = { Start + Millis(99), Millis(100), Start + Seconds(9) };
     queue[early] = { Start + Millis(500), Millis(100), Start + Seconds(9) };
     queue[other] = { Start + Millis(900), Millis(100), Start + Seconds(9) };
-    EXPECT_TRUE(isNext(queue, early, Start));
-    EXPECT_FALSE(isNext(queue, other, Start));
-    EXPECT_FALSE(isNext(queue, late, Start));
+    EXPECT_TRUE(mayBegin(queue, early, 1, Start));
+    EXPECT_FALSE(mayBegin(queue, other, 1, Start));
+    EXPECT_FALSE(mayBegin(queue, late, 1, Start));
     queue.erase(early);
-    EXPECT_TRUE(isNext(queue, other, Start));
+    EXPECT_TRUE(mayBegin(queue, other, 1, Start));
     queue.erase(other);
-    EXPECT_TRUE(isNext(queue, late, Start));
-    EXPECT_TRUE(isNext(queue, { 9, 9 }, Start)); // Does not wait.
+    EXPECT_TRUE(mayBegin(queue, late, 1, Start));
+    EXPECT_TRUE(mayBegin(queue, { 9, 9 }, 1, Start)); // Does not wait.
+}
+
+// One at a time, a burst of 250 a second waited 1.1 s in front of free slots.
+TEST(TurnQueueTest, AllThatFindRoomBeginAtOnce)
+{
+    TurnQueue queue;
+    for (uint64_t i = 1; i <= 5; ++i)
+        queue[{ 1, i }] = { Start + Millis(500 + i), Millis(100), Start + Seconds(9) };
+    EXPECT_TRUE(mayBegin(queue, { 1, 3 }, 3, Start));
+    EXPECT_FALSE(mayBegin(queue, { 1, 4 }, 3, Start));
+    EXPECT_FALSE(mayBegin(queue, { 1, 1 }, 0, Start));
 }
 
 TEST(TurnQueueTest, OneWhoseEndIsNotHeardOfBlocksNobodyForLong)
@@ -295,8 +306,8 @@
     TurnQueue queue;
     queue[gone] = { Start + Seconds(3), Millis(100), Start + Seconds(2) };
     queue[mine] = { Start + Seconds(4), Millis(100), Start + Seconds(9) };
-    EXPECT_FALSE(isNext(queue, mine, Start));
-    EXPECT_TRUE(isNext(queue, mine, Start + Seconds(2)));
+    EXPECT_FALSE(mayBegin(queue, mine, 1, Start));
+    EXPECT_TRUE(mayBegin(queue, mine, 1, Start + Seconds(2)));
 }
 
 TEST(TurnQueueTest, RoomFollowsWhatTheSideHasToDo)
@@ -306,15 +317,19 @@
     load.m_engines = 4;
     load.m_slots = 64;
     load.m_reading = { settings.m_leastReading - 1, 10'000 };
-    EXPECT_TRUE(roomToRead(settings, load));
+    EXPECT_EQ(roomToRead(settings, load), 1u);
     load.m_reading = { settings.m_leastReading, 10'000 };
-    EXPECT_FALSE(roomToRead(settings, load));
+    EXPECT_EQ(roomToRead(settings, load), 0u);
     load.m_reading = { settings.m_leastReading, 100 };
-    EXPECT_TRUE(roomToRead(settings, load));
+    EXPECT_EQ(roomToRead(settings, load), 1u);
+    load.m_reading = { 0, 0 };
+    EXPECT_EQ(roomToRead(settings, load), settings.m_leastReading);
     load.m_strictStreams = 60;
-    EXPECT_TRUE(roomToWrite(settings, load));
+    EXPECT_EQ(roomToWrite(settings, load), 1u);
     load.m_strictStreams = 61;
-    EXPECT_FALSE(roomToWrite(settings, load));
+    EXPECT_EQ(roomToWrite(settings, load), 0u);
+    load.m_strictStreams = 0;
+    EXPECT_EQ(roomToWrite(settings, load), 61u);
 }
 
 } // namespace
