--- /dev/null
+++ b/policy/endpoint_directory.cpp
@@ -0,0 +1,50 @@
+#include "policy/endpoint_directory.h"
+
+namespace stackquay {
+
+namespace {
+
+void noteSure(EndpointDirectory &directory)
+{
+    if (directory.sure())
+        directory.m_sureRevision = directory.m_revision;
+}
+
+/// The directory of a later revision, in which endpoints of @p own may be missing.
+bool replace(EndpointDirectory &own, const EndpointDirectory &offered)
+{
+    EndpointDirectory joined = offered;
+    joined.m_sureRevision = own.m_sureRevision;
+    if (!offered.m_whole) {
+        for (const auto &[id, endpoint] : own.m_endpoints) {
+            if (joined.m_endpoints.emplace(id, endpoint).second)
+                joined.m_doubtful.insert(id);
+        }
+        // What is missing from both stays unknown only if this one's own picture was partial.
+        joined.m_whole = own.m_whole && own.m_revision > 0;
+    }
+    own = std::move(joined);
+    noteSure(own);
+    return true;
+}
+
+bool dropDoubtful(EndpointDirectory &own, const EndpointDirectory &offered)
+{
+    // An older picture may be from before the endpoint came.
+    if (!offered.m_whole || offered.m_revision < own.m_sureRevision)
+        return false;
+    const size_t dropped = std::erase_if(own.m_doubtful, [&](const EndpointId &id) {
+        return offered.m_endpoints.count(id) == 0 && own.m_endpoints.erase(id) > 0;
+    });
+    noteSure(own);
+    return dropped > 0;
+}
+
+} // namespace
+
+bool joinDirectory(EndpointDirectory &own, const EndpointDirectory &offered)
+{
+    return offered.m_revision > own.m_revision ? replace(own, offered) : dropDoubtful(own, offered);
+}
+
+} // namespace stackquay
--- a/policy/endpoint_directory.h
+++ b/policy/endpoint_directory.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <msgpack.hpp>
@@ -30,8 +31,21 @@
 struct EndpointDirectory {
     uint64_t m_revision = 0; ///< Of the store, when this was read.
     EndpointMap m_endpoints;
+    /// Of these, the ones that a list after an outage of the store lacked: gone, or soon back.
+    std::unordered_set<EndpointId> m_doubtful;
+    /// No living endpoint is missing. False for a while after a first list, as there may have been
+    /// an outage before it.
+    bool m_whole = true;
+    uint64_t m_sureRevision = 0; ///< The last one at which nothing was in doubt.
+
+    bool sure() const { return m_whole && m_doubtful.empty(); }
 };
 
+/// Takes what @p offered, a peer's directory, tells better than @p own: all of it if it is of a
+/// later revision; else only which doubtful endpoints are gone, if the peer is sure. Returns
+/// whether anything changed.
+bool joinDirectory(EndpointDirectory &own, const EndpointDirectory &offered);
+
 using EndpointDirectoryPtr = std::shared_ptr<const EndpointDirectory>;
 
 } // namespace stackquay
--- a/policy/freshness.cpp
+++ b/policy/freshness.cpp
@@ -17,6 +17,14 @@
     return { version, proof.m_provedAt };
 }
 
+Duration delayOf(ArrivalClock &clock, TimePoint sent, TimePoint received)
+{
+    const Duration offset = received - sent;
+    clock.m_leastOffset = clock.m_started ? std::min(clock.m_leastOffset, offset) : offset;
+    clock.m_started = true;
+    return offset - clock.m_leastOffset;
+}
+
 FreshnessProof proofFromAge(uint64_t version, Duration age, Duration callTime, TimePoint now)
 {
     return { version, now - age - callTime };
--- a/policy/freshness.h
+++ b/policy/freshness.h
@@ -26,6 +26,16 @@
 /// version, if there is one.
 FreshnessProof proofFor(uint64_t version, const FreshnessProof &proof);
 
+/// Tells how long messages of one process were on their way, though its clock starts elsewhere: the
+/// quickest one so far is taken as not delayed. Messages that waited for a frozen VM are seen so.
+struct ArrivalClock {
+    bool m_started = false;
+    Duration m_leastOffset{}; ///< Between both clocks, plus the travel of the quickest.
+};
+
+/// How much longer than the quickest a message was on its way.
+Duration delayOf(ArrivalClock &clock, TimePoint sent, TimePoint received);
+
 /// The proof as a peer passes it on, received after @p callTime.
 FreshnessProof proofFromAge(uint64_t version, Duration age, Duration callTime, TimePoint now);
 
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -36,3 +36,4 @@
 #include "policy/stream_ledger.h"
 #include "policy/tenure.h"
 #include "policy/turn_queue.h"
+#include "policy/watch_duty.h"
--- a/policy/pool_split.cpp
+++ b/policy/pool_split.cpp
@@ -35,14 +35,15 @@
 
 /// Engines for strict streams. What neither side needs goes to the long prompts, which get shorter
 /// parts by it; if both need more than there is, they share in proportion.
-size_t strictShare(const PoolSplitSettings &settings, const Demand &demand, size_t engines)
+size_t strictShare(const PoolSplitSettings &settings, const Demand &demand, double slots,
+                   size_t engines)
 {
     if (engines < 2)
         return engines;
     const auto all = static_cast<double>(engines);
-    double strict = std::max(demand.m_strictStreams / settings.m_strictPerEngine, 1.0);
+    double strict = std::max(demand.m_strictStreams / (settings.m_strictPerSlot * slots), 1.0);
     strict = std::min(strict, std::max(1.0, all * settings.m_strictShare));
-    strict = std::max(strict, demand.m_strictStreams / settings.m_strictPerFullEngine);
+    strict = std::max(strict, demand.m_strictStreams / (settings.m_strictPerFullSlot * slots));
     const double wanted = strict + demand.m_longEngines;
     const double share = wanted <= all ? std::ceil(strict) : std::round(all * strict / wanted);
     return std::clamp<size_t>(static_cast<size_t>(share), 1, engines - 1);
@@ -56,7 +57,8 @@
                                              TimePoint now)
 {
     const PoolSplitSettings &settings = split.m_settings;
-    size_t needed = strictShare(settings, demandOf(settings, pool, uses, strict), pool.size());
+    size_t needed =
+        strictShare(settings, demandOf(settings, pool, uses, strict), strict.m_slots, pool.size());
     if (strict.m_blind)
         needed = std::max(needed, pool.size() / 2);
 
--- a/policy/pool_split.h
+++ b/policy/pool_split.h
@@ -16,13 +16,13 @@
 namespace stackquay {
 
 struct PoolSplitSettings {
-    /// Strict streams that an engine is meant to have at once: with ten, a pass takes about 60 ms,
-    /// and reads of newcomers double it at most.
-    double m_strictPerEngine = 10;
+    /// Part of an engine's slots that strict streams are meant to have at once: with ten of
+    /// sixteen, a pass takes about 60 ms, and reads of newcomers double it at most.
+    double m_strictPerSlot = 10.0 / 16;
     /// More engines than this part of the pool are given to strict streams only if these have so
     /// many an engine that they fill it: a burst of long prompts needs engines from its first.
     double m_strictShare = 0.85;
-    double m_strictPerFullEngine = 11;
+    double m_strictPerFullSlot = 11.0 / 16;
     /// Part of its time that an engine for long prompts is meant to read.
     double m_longUtilization = 0.75;
     /// The strict part shrinks only to what was needed in this time: bursts come in clumps, and an
@@ -41,6 +41,7 @@
     uint32_t m_waiting = 0; ///< For a slot, at all VMs.
     uint32_t m_arrivals = 0; ///< Within StrictRateWindow.
     FloatMillis m_streamTime{ 0 }; ///< That one takes, at least.
+    uint32_t m_slots = 16; ///< Of one engine.
     /// This VM cannot know yet what the others do: it began a moment ago.
     bool m_blind = false;
 };
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -23,13 +23,20 @@
 constexpr Seconds ListPeriod{ 30 };
 constexpr Millis ListRetry{ 1'000 };
 constexpr Millis AskTimeout{ 400 };
-/// A peer's news are asked for only if the store has not brought them after this.
-constexpr Millis AskDelay{ 120 };
-/// One way; the age of a proof in a beat grows by it.
+/// A VM on duty asks for a peer's news only if the store has not brought them after this.
+constexpr Millis DutyAskDelay{ 120 };
+/// The others ask at once, but not all in the same moment.
+constexpr Millis AskJitter{ 30 };
+/// One way, of the quickest; the age of a proof in a beat grows by it.
 constexpr Millis BeatTravel{ 50 };
+/// A VM on duty beats with each proof, about once a second: two may be lost.
+constexpr Millis DutySilence{ 3'200 };
+/// Duty that another takes over is kept for so long, until the other has begun.
+constexpr Millis DutyHandover{ 1'500 };
 
 struct Peer {
     Beat m_beat;
+    ArrivalClock m_clock;
     TimePoint m_heard{};
     bool m_live = false;
 };
@@ -66,7 +73,9 @@
     uint32_t m_mostVms = 1;
     bool m_leaving = false;
     bool m_asking = false;
-    TimePoint m_newsSince{}; ///< When a peer first had what this VM lacks.
+    bool m_onDuty = true; ///< Until others are known, this VM serves alone.
+    TimePoint m_firstOnDuty{}; ///< When it last came first for it.
+    RandomEngine m_random{ std::random_device{}() };
 
     void beatLoop();
     void registerLoop();
@@ -78,7 +87,9 @@
     void expire();
     void publish();
     void askIfBehind();
+    const Peer *peerWithNews();
     void ask(const Address &peer);
+    void updateDuty();
     Duration period() const;
 };
 
@@ -92,18 +103,18 @@
     const auto endpoint = toUdp(to);
     if (!endpoint)
         return;
-    const Beliefs own = m_hooks.m_own();
-    Beat beat{ m_settings.m_vm,
-               m_origin,
-               m_settings.m_peerCalls,
-               m_settings.m_loads,
-               own.m_routesVersion,
-               own.m_proofAgeMs,
-               own.m_directoryRevision,
-               m_leaving,
-               answer };
-    if (!own.m_proved)
-        beat.m_routesVersion = 0;
+    const auto sinceEpoch = Clock::now().time_since_epoch();
+    const auto sentUs = std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
+    const Beat beat{ m_settings.m_vm,
+                     m_settings.m_dataCentre,
+                     m_origin,
+                     static_cast<uint64_t>(sentUs),
+                     m_settings.m_peerCalls,
+                     m_settings.m_loads,
+                     m_hooks.m_own(),
+                     m_onDuty,
+                     m_leaving,
+                     answer };
     m_socket.send(*endpoint, encodeMessage(beat));
 }
 
@@ -118,6 +129,7 @@
 void FleetLink::State::beatLoop()
 {
     do {
+        updateDuty();
         beat(m_beats++ % GreetEveryBeats == 0);
         expire();
         askIfBehind();
@@ -129,26 +141,38 @@
     const Result<Beat> beat = decodeMessage<Beat>(bytes);
     if (!beat || beat->m_origin == m_origin)
         return;
+    const bool wasAlone = std::none_of(m_peers.begin(), m_peers.end(),
+                                       [](const auto &entry) { return entry.second.m_live; });
     Peer &peer = m_peers[from];
     const bool restarted = peer.m_beat.m_origin != beat->m_origin;
     const bool changed = !peer.m_live || restarted || beat->m_leaving;
-    if (restarted && peer.m_beat.m_origin != 0)
-        m_hooks.m_gone(peer.m_beat.m_origin);
+    if (restarted) {
+        peer.m_clock = {};
+        if (peer.m_beat.m_origin != 0)
+            m_hooks.m_gone(peer.m_beat.m_origin);
+    }
     peer.m_beat = *beat;
     peer.m_heard = Clock::now();
     peer.m_live = !beat->m_leaving;
+    const TimePoint sent = TimePoint{} + std::chrono::microseconds(beat->m_sentUs);
+    const Duration delay = delayOf(peer.m_clock, sent, peer.m_heard);
+    updateDuty();
     if (changed) {
         DecisionLine("peers", beat->m_leaving ? "peer leaves" : "peer heard")
             .text("vm", beat->m_vm.str())
             .text("address", toString(from))
             .write();
         publish();
-        if (!beat->m_answer && peer.m_live)
+        // A cut that has ended for one has mostly ended for all.
+        if (wasAlone && peer.m_live)
+            this->beat(true);
+        else if (!beat->m_answer && peer.m_live)
             sendBeat(from, true);
     }
-    if (beat->m_routesVersion != 0) {
-        m_hooks.m_proof(proofFromAge(beat->m_routesVersion, Millis(beat->m_proofAgeMs), BeatTravel,
-                                     peer.m_heard));
+    const BeliefSummary &beliefs = beat->m_beliefs;
+    if (beliefs.m_proved) {
+        m_hooks.m_proof(proofFromAge(beliefs.m_routesVersion, Millis(beliefs.m_proofAgeMs),
+                                     BeatTravel + delay, peer.m_heard));
     }
     askIfBehind();
 }
@@ -184,39 +208,53 @@
     m_hooks.m_peers(loads, m_mostVms);
 }
 
-void FleetLink::State::askIfBehind()
+/// A live peer that knows more than this VM; one of the same data centre, if there is one. Any of
+/// them, so that not all VMs ask the same.
+const Peer *FleetLink::State::peerWithNews()
 {
-    if (m_asking)
-        return;
-    const Beliefs own = m_hooks.m_own();
-    const Peer *ahead = nullptr;
+    const BeliefSummary own = m_hooks.m_own();
+    const auto hasNews = [&own](const BeliefSummary &its) {
+        const bool settles = !own.m_directorySure && its.m_directorySure
+                             && its.m_directoryRevision >= own.m_sureRevision;
+        return its.m_routesVersion > own.m_routesVersion
+               || its.m_directoryRevision > own.m_directoryRevision || settles;
+    };
+    std::vector<const Peer *> near;
+    std::vector<const Peer *> far;
     for (const auto &[address, peer] : m_peers) {
-        const bool news = peer.m_beat.m_routesVersion > own.m_routesVersion
-                          || peer.m_beat.m_directoryRevision > own.m_directoryRevision;
-        if (peer.m_live && news)
-            ahead = &peer;
+        if (peer.m_live && hasNews(peer.m_beat.m_beliefs)) {
+            const bool isNear = peer.m_beat.m_dataCentre == m_settings.m_dataCentre;
+            (isNear ? near : far).push_back(&peer);
+        }
     }
-    const TimePoint now = Clock::now();
-    if (!ahead) {
-        m_newsSince = {};
+    const auto &peers = near.empty() ? far : near;
+    if (peers.empty())
+        return nullptr;
+    return peers[std::uniform_int_distribution<size_t>(0, peers.size() - 1)(m_random)];
+}
+
+void FleetLink::State::askIfBehind()
+{
+    if (m_asking || !peerWithNews())
         return;
-    }
-    if (m_newsSince == TimePoint{})
-        m_newsSince = now;
     m_asking = true;
-    spawnFiber([self = shared_from_this(), calls = ahead->m_beat.m_calls] {
-        if (sleepFor(self->m_thread.context(), AskDelay))
-            self->ask(calls);
+    std::uniform_int_distribution<Millis::rep> jitter(0, AskJitter.count());
+    const Millis delay = m_onDuty ? DutyAskDelay : Millis(jitter(m_random));
+    spawnFiber([self = shared_from_this(), delay] {
+        if (sleepFor(self->m_thread.context(), delay)) {
+            if (const Peer *peer = self->peerWithNews())
+                self->ask(Address(peer->m_beat.m_calls));
+        }
         self->m_asking = false;
     });
 }
 
 void FleetLink::State::ask(const Address &peer)
 {
-    const Beliefs own = m_hooks.m_own();
+    const BeliefSummary own = m_hooks.m_own();
+    const AskBeliefs question{ own.m_routesVersion, own.m_directoryRevision, !own.m_directorySure };
     const TimePoint begun = Clock::now();
-    const auto reply =
-        m_client.call(peer, AskBeliefs{ own.m_routesVersion, own.m_directoryRevision }, AskTimeout);
+    const auto reply = m_client.call(peer, question, AskTimeout);
     if (!reply) {
         DecisionLine("peers", "peer did not tell its beliefs")
             .text("peer", toString(peer))
@@ -227,6 +265,24 @@
     m_hooks.m_heard(*reply, Clock::now() - begun);
 }
 
+void FleetLink::State::updateDuty()
+{
+    const TimePoint now = Clock::now();
+    std::vector<DutyCandidate> candidates;
+    for (const auto &[address, peer] : m_peers) {
+        if (!peer.m_live)
+            continue;
+        const bool silent = peer.m_beat.m_onDuty && now - peer.m_heard > DutySilence;
+        candidates.push_back({ peer.m_beat.m_vm, peer.m_beat.m_dataCentre,
+                               peer.m_beat.m_beliefs.m_reachesStore && !silent });
+    }
+    const DutyCandidate self{ m_settings.m_vm, m_settings.m_dataCentre,
+                              m_hooks.m_own().m_reachesStore };
+    if (!m_leaving && hasWatchDuty(self, candidates))
+        m_firstOnDuty = now;
+    m_onDuty = now - m_firstOnDuty < DutyHandover;
+}
+
 bool FleetLink::State::writeObject()
 {
     const SpecJson spec = { { "beats", toString(m_settings.m_beats) } };
@@ -264,7 +320,7 @@
     for (;;) {
         if (!written && !m_leaving)
             written = writeObject();
-        if (written)
+        if (written && (m_onDuty || !read))
             read = readObjects();
         const Duration wait = written && read ? Duration(ListPeriod) : Duration(ListRetry);
         if (!sleepFor(m_thread.context(), wait))
@@ -301,6 +357,7 @@
 
 void FleetLink::start()
 {
+    m_state->m_firstOnDuty = Clock::now();
     spawnFiber([state = m_state] { state->beatLoop(); });
     spawnFiber([state = m_state] { state->registerLoop(); });
 }
@@ -308,6 +365,7 @@
 void FleetLink::leave()
 {
     m_state->m_leaving = true;
+    m_state->updateDuty();
     m_state->beat(true);
     spawnFiber([state = m_state] {
         const Status removed = state->m_store.remove(state->m_source.m_vmsKind,
@@ -324,4 +382,9 @@
     m_state->beat(false);
 }
 
+bool FleetLink::onDuty() const
+{
+    return m_state->m_onDuty;
+}
+
 } // namespace stackquay
--- a/relay/fleet_link.h
+++ b/relay/fleet_link.h
@@ -17,8 +17,8 @@
 namespace stackquay {
 
 struct FleetHooks {
-    /// This VM's versions and proof, without routes and endpoints.
-    std::function<Beliefs()> m_own;
+    /// What this VM knows.
+    std::function<BeliefSummary()> m_own;
     /// The same, with what the asker lacks.
     std::function<Beliefs(const AskBeliefs &question)> m_answer;
     /// A peer's beliefs came, in answer to a question; @p callTime is how long it took.
@@ -48,8 +48,10 @@
     void start();
     /// Tells the peers that this VM goes, and removes its object. On the thread.
     void leave();
-    /// Tells the peers at once, as something has changed. On the thread.
+    /// Tells the live peers at once, as there are news. On the thread.
     void beatNow();
+    /// Whether this VM is to follow the store for the others of its data centre. On the thread.
+    bool onDuty() const;
 
 private:
     struct State;
--- a/relay/fleet_messages.h
+++ b/relay/fleet_messages.h
@@ -6,33 +6,47 @@
 
 namespace stackquay {
 
-/// Sent to each peer by UDP some times a second.
+/// What a VM knows, without the content.
+struct BeliefSummary {
+    uint64_t m_routesVersion = 0; ///< Zero: none.
+    bool m_proved = false;
+    uint32_t m_proofAgeMs = 0; ///< Of that version, if proved.
+    uint64_t m_directoryRevision = 0; ///< Zero: none.
+    bool m_directorySure = false; ///< Nothing in that directory is in doubt.
+    uint64_t m_sureRevision = 0; ///< The last one at which nothing was in doubt.
+    bool m_reachesStore = true; ///< As far as the VM has tried lately.
+
+    MSGPACK_DEFINE(m_routesVersion, m_proved, m_proofAgeMs, m_directoryRevision, m_directorySure,
+                   m_sureRevision, m_reachesStore)
+};
+
+/// Sent to each peer by UDP some times a second, and when there are news.
 struct Beat {
     VmId m_vm;
+    DataCentreId m_dataCentre;
     uint64_t m_origin = 0; ///< One process of the VM.
+    uint64_t m_sentUs = 0; ///< By the sender's steady clock, which starts anywhere.
     Address m_calls; ///< TCP.
     Address m_loads; ///< UDP.
-    uint64_t m_routesVersion = 0; ///< Zero: none.
-    uint32_t m_proofAgeMs = 0; ///< Of that version; meaningless without one.
-    uint64_t m_directoryRevision = 0;
+    BeliefSummary m_beliefs;
+    bool m_onDuty = false; ///< Follows the store for others.
     bool m_leaving = false;
     bool m_answer = false; ///< Sent only because the receiver had greeted.
 
-    MSGPACK_DEFINE(m_vm, m_origin, m_calls, m_loads, m_routesVersion, m_proofAgeMs,
-                   m_directoryRevision, m_leaving, m_answer)
+    MSGPACK_DEFINE(m_vm, m_dataCentre, m_origin, m_sentUs, m_calls, m_loads, m_beliefs, m_onDuty,
+                   m_leaving, m_answer)
 };
 
 /// A peer's routes and endpoints, with how old its proof of them is.
 struct Beliefs {
-    std::string m_routesSpec; ///< Empty if the asker's version is as high.
-    uint64_t m_routesVersion = 0;
-    uint32_t m_proofAgeMs = 0;
-    bool m_proved = false;
-    uint64_t m_directoryRevision = 0;
-    std::vector<EndpointRecord> m_endpoints; ///< Empty if the asker's revision is as high.
-
-    MSGPACK_DEFINE(m_routesSpec, m_routesVersion, m_proofAgeMs, m_proved, m_directoryRevision,
-                   m_endpoints)
+    BeliefSummary m_summary;
+    std::string m_routesSpec; ///< As packText() makes it; empty if the asker's version is as high.
+    bool m_hasEndpoints = false; ///< False: the endpoints tell the asker nothing.
+    std::vector<EndpointRecord> m_endpoints;
+    std::vector<EndpointId> m_doubtful; ///< Of these.
+    bool m_whole = false; ///< No living endpoint is missing.
+
+    MSGPACK_DEFINE(m_summary, m_routesSpec, m_hasEndpoints, m_endpoints, m_doubtful, m_whole)
 };
 
 struct AskBeliefs {
@@ -41,8 +55,9 @@
 
     uint64_t m_routesVersion = 0; ///< That the asker has.
     uint64_t m_directoryRevision = 0;
+    bool m_inDoubt = false; ///< Asks for the endpoints in any case.
 
-    MSGPACK_DEFINE(m_routesVersion, m_directoryRevision)
+    MSGPACK_DEFINE(m_routesVersion, m_directoryRevision, m_inDoubt)
 };
 
 } // namespace stackquay
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -144,29 +144,54 @@
 {
     FollowerHooks hooks;
     hooks.m_routes = [this](const RouteTablePtr &routes, const std::string &spec) {
-        m_routesSpec = spec;
+        packRoutes(spec);
         changeView([&](RelayView &view) {
             view.m_routes = routes;
             view.m_proof = proofFor(routes->m_version, m_proof);
         });
         m_clients->setLimits(serverLimits(routes->m_limits, m_settings.m_connections));
+        tellNews();
+    };
+    hooks.m_proof = [this](const FreshnessProof &proof) {
+        takeProof(proof);
+        tellNews();
     };
-    hooks.m_proof = [this](const FreshnessProof &proof) { takeProof(proof); };
     hooks.m_directory = [this](const EndpointDirectoryPtr &directory) {
         changeView([&](RelayView &view) {
             view.m_directory = directory;
             view.m_pools = poolsOf(*directory);
         });
+        tellNews();
     };
     hooks.m_bestProof = [this] { return m_proof; };
+    hooks.m_onDuty = [this] { return m_fleet->onDuty(); };
     return hooks;
 }
 
+/// Peers without duty hear of the store only in this way.
+void RelayDaemon::tellNews()
+{
+    if (m_fleet->onDuty())
+        m_fleet->beatNow();
+}
+
+void RelayDaemon::packRoutes(const std::string &spec)
+{
+    auto packed = packText(spec);
+    if (!packed)
+        DecisionLine("main", "routes not packed for peers")
+            .text("error", packed.error().m_message)
+            .write();
+    m_packedRoutes = packed.value_or("");
+}
+
 void RelayDaemon::takeProof(const FreshnessProof &proof)
 {
     const FreshnessProof joined = joinProofs(m_proof, proof);
     if (joined.m_version == m_proof.m_version && joined.m_provedAt == m_proof.m_provedAt)
         return;
+    if (m_proof.known())
+        m_follower->noteProofGap(joined.m_provedAt - m_proof.m_provedAt);
     m_proof = joined;
     const RelayViewPtr view = m_node->m_view.load();
     if (!view->m_routes)
@@ -177,32 +202,46 @@
         changeView([&](RelayView &changed) { changed.m_proof = holds; });
 }
 
-Beliefs RelayDaemon::ownBeliefs() const
+BeliefSummary RelayDaemon::ownBeliefs() const
 {
     const RelayViewPtr view = m_node->m_view.load();
-    Beliefs own;
+    BeliefSummary own;
     own.m_routesVersion = view->m_routes ? view->m_routes->m_version : 0;
     own.m_proved = view->m_proof.known();
     own.m_proofAgeMs = own.m_proved ? ageMs(view->m_proof) : 0;
-    own.m_directoryRevision = view->m_directory ? view->m_directory->m_revision : 0;
+    if (view->m_directory) {
+        own.m_directoryRevision = view->m_directory->m_revision;
+        own.m_directorySure = view->m_directory->sure();
+        own.m_sureRevision = view->m_directory->m_sureRevision;
+    }
+    own.m_reachesStore = m_follower->reachesStore();
     return own;
 }
 
+Beliefs RelayDaemon::answerPeer(const AskBeliefs &question) const
+{
+    const RelayViewPtr view = m_node->m_view.load();
+    Beliefs beliefs;
+    beliefs.m_summary = ownBeliefs();
+    if (beliefs.m_summary.m_routesVersion > question.m_routesVersion)
+        beliefs.m_routesSpec = m_packedRoutes;
+    const bool later = beliefs.m_summary.m_directoryRevision > question.m_directoryRevision;
+    if (!view->m_directory || !(later || question.m_inDoubt))
+        return beliefs;
+    beliefs.m_hasEndpoints = true;
+    for (const auto &[id, endpoint] : view->m_directory->m_endpoints)
+        beliefs.m_endpoints.push_back(endpoint);
+    const auto &doubtful = view->m_directory->m_doubtful;
+    beliefs.m_doubtful.assign(doubtful.begin(), doubtful.end());
+    beliefs.m_whole = view->m_directory->m_whole;
+    return beliefs;
+}
+
 FleetHooks RelayDaemon::fleetHooks()
 {
     FleetHooks hooks;
     hooks.m_own = [this] { return ownBeliefs(); };
-    hooks.m_answer = [this](const AskBeliefs &question) {
-        Beliefs own = ownBeliefs();
-        if (own.m_routesVersion > question.m_routesVersion)
-            own.m_routesSpec = m_routesSpec;
-        const RelayViewPtr view = m_node->m_view.load();
-        if (view->m_directory && own.m_directoryRevision > question.m_directoryRevision) {
-            for (const auto &[id, endpoint] : view->m_directory->m_endpoints)
-                own.m_endpoints.push_back(endpoint);
-        }
-        return own;
-    };
+    hooks.m_answer = [this](const AskBeliefs &question) { return answerPeer(question); };
     hooks.m_heard = [this](const Beliefs &beliefs, Duration callTime) {
         takeBeliefs(beliefs, callTime);
     };
@@ -219,15 +258,25 @@
 
 void RelayDaemon::takeBeliefs(const Beliefs &beliefs, Duration callTime)
 {
-    if (!beliefs.m_routesSpec.empty())
-        m_follower->offerRoutes(beliefs.m_routesSpec);
-    if (beliefs.m_proved)
-        takeProof(proofFromAge(beliefs.m_routesVersion, Millis(beliefs.m_proofAgeMs), callTime,
+    if (!beliefs.m_routesSpec.empty()) {
+        const auto spec = unpackText(beliefs.m_routesSpec);
+        if (spec)
+            m_follower->offerRoutes(*spec);
+        else
+            DecisionLine("peers", "routes of a peer not understood")
+                .text("error", spec.error().m_message)
+                .write();
+    }
+    const BeliefSummary &summary = beliefs.m_summary;
+    if (summary.m_proved)
+        takeProof(proofFromAge(summary.m_routesVersion, Millis(summary.m_proofAgeMs), callTime,
                                Clock::now()));
-    if (beliefs.m_endpoints.empty())
+    if (!beliefs.m_hasEndpoints)
         return;
     EndpointDirectory directory;
-    directory.m_revision = beliefs.m_directoryRevision;
+    directory.m_revision = summary.m_directoryRevision;
+    directory.m_whole = beliefs.m_whole;
+    directory.m_doubtful.insert(beliefs.m_doubtful.begin(), beliefs.m_doubtful.end());
     for (const EndpointRecord &endpoint : beliefs.m_endpoints)
         directory.m_endpoints[endpoint.m_id] = endpoint;
     m_follower->offerDirectory(directory);
--- a/relay/relay_daemon.h
+++ b/relay/relay_daemon.h
@@ -44,7 +44,10 @@
     Status listen();
     FollowerHooks followerHooks();
     FleetHooks fleetHooks();
-    Beliefs ownBeliefs() const;
+    BeliefSummary ownBeliefs() const;
+    Beliefs answerPeer(const AskBeliefs &question) const;
+    void tellNews();
+    void packRoutes(const std::string &spec);
     void takeBeliefs(const Beliefs &beliefs, Duration callTime);
     void takeProof(const FreshnessProof &proof);
     void changeView(const std::function<void(RelayView &)> &change);
@@ -63,7 +66,7 @@
     std::unique_ptr<FleetLink> m_fleet;
     Address m_clientsAddress;
     Address m_readyAddress;
-    std::string m_routesSpec; ///< As in the store, for peers. Control thread.
+    std::string m_packedRoutes; ///< As in the store, packed for peers. Control thread.
     FreshnessProof m_proof; ///< The best known, also of a version not yet here. Control thread.
     std::atomic<bool> m_drainBegun{ false };
     std::promise<void> m_drained;
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -91,6 +91,7 @@
     demand.m_waiting = static_cast<uint32_t>(m_strictQueue.size());
     demand.m_arrivals = m_ledger.recentStrict(now);
     demand.m_streamTime = costs.m_step * static_cast<double>(costs.m_usualAnswerTokens);
+    demand.m_slots = costs.m_slots;
     demand.m_blind = now - m_readySince < BlindTime;
     return strictEngines(m_splits[service], pool, uses, demand, now);
 }
--- a/relay/store_follower.cpp
+++ b/relay/store_follower.cpp
@@ -6,20 +6,28 @@
 
 namespace {
 
-/// A waiting watch is one call; a longer wait makes fewer, and a cut that is silent is noticed
-/// later.
-constexpr Millis WatchWait{ 8'000 };
-/// Proofs older than this are renewed, plus up to the jitter, so that mostly one VM of the fleet
-/// reads and the others hear of it.
-constexpr Millis ProofAge{ 900 };
-constexpr Millis ProofJitter{ 900 };
-constexpr Millis ProofPoll{ 100 };
+/// A waiting watch is one call; a longer wait makes fewer, and a connection that fell silent is
+/// noticed later. Routes are read for their proofs besides.
+constexpr Millis EndpointsWait{ 2'500 };
+constexpr Millis RoutesWait{ 8'000 };
+/// Proofs older than this are renewed, plus up to the jitter, so that mostly one VM of those on
+/// duty reads and the others hear of it.
+constexpr Millis DutyProofAge{ 900 };
+constexpr Millis DutyProofJitter{ 400 };
+/// VMs without duty read only if those on duty fail to tell for longer than one takes to lose it.
+constexpr Millis OtherProofAge{ 2'000 };
+constexpr Millis OtherProofJitter{ 900 };
+constexpr Millis Poll{ 100 };
 /// After failures; a store that is back has to be noticed within a second.
 constexpr BackoffSettings Backoff{ Millis(100), Millis(800) };
 /// After an outage, endpoints that the store lost are back within two seconds, if they live.
 constexpr Millis ReturnGrace{ 2'000 };
-/// Failures in a row for this long are an outage.
+/// Failures in a row for this long are an outage, and so is a gap between proofs: entries of
+/// endpoints lapse after three heartbeats, 3.6 s, of which one may have passed before.
 constexpr Millis OutageAfter{ 1'000 };
+constexpr Millis OutageGap{ 2'500 };
+/// A VM whose calls failed so short ago is not the one to follow the store for others.
+constexpr Millis UnableAfterFailure{ 5'000 };
 
 } // namespace
 
@@ -32,6 +40,14 @@
         , m_random(std::random_device{}())
     { }
 
+    /// One kind of objects that is followed: how it is listed, and how its events are taken.
+    struct Followed {
+        std::string m_kind;
+        Millis m_wait;
+        bool (State::*m_list)(uint64_t &revision);
+        void (State::*m_take)(const KindEvents &events);
+    };
+
     FiberThread &m_thread;
     KindStore &m_store;
     const RelaySource &m_source;
@@ -40,32 +56,50 @@
     RouteTablePtr m_routes;
     std::string m_routesSpec; ///< As last decoded, so that an unchanged one is not decoded again.
     EndpointDirectory m_directory;
-    std::unordered_map<EndpointId, TimePoint> m_removals; ///< Due at these times.
-    TimePoint m_directoryHeard{};
+    std::unordered_map<EndpointId, TimePoint> m_removals; ///< Doubtful ones, gone at these times.
     TimePoint m_failingSince{}; ///< First of the calls that failed in a row.
-    TimePoint m_returnedAt{}; ///< End of the last outage.
-    uint64_t m_generation = 1; ///< Watches of an earlier one end.
+    TimePoint m_lastFailure{};
+    TimePoint m_returnedAt{}; ///< End of the last outage, or the first list.
+    uint64_t m_generation = 0; ///< Watches of an earlier one end.
+    bool m_watching = false;
 
     bool takeRoutes(const std::string &spec);
+    void followDuty();
     void startWatches();
-    void watchRoutes(uint64_t generation);
+    void watch(const Followed &followed, uint64_t generation);
     void proveRoutes();
+    Millis proofDue();
     bool readRoutes();
-    void watchEndpoints(uint64_t generation);
+    bool listRoutes(uint64_t &revision);
+    void takeRouteEvents(const KindEvents &events);
     bool listEndpoints(uint64_t &revision);
+    void takeEndpointEvents(const KindEvents &events);
     void takeEndpoint(const KindObject &object);
-    void takeEvent(const KindEvent &event);
     void removeEndpoint(const EndpointId &endpoint);
-    void removeDue();
+    void endDoubts();
+    void noteDoubts();
     void publishDirectory(uint64_t revision);
     void noteAlive();
     bool backOff(unsigned failures);
+    bool pause(unsigned failures);
+    bool inReturnGrace(TimePoint now) const;
 };
 
+bool StoreFollower::State::inReturnGrace(TimePoint now) const
+{
+    return m_returnedAt != TimePoint{} && now - m_returnedAt < ReturnGrace;
+}
+
 bool StoreFollower::State::backOff(unsigned failures)
 {
+    m_lastFailure = Clock::now();
     if (m_failingSince == TimePoint{})
-        m_failingSince = Clock::now();
+        m_failingSince = m_lastFailure;
+    return pause(failures);
+}
+
+bool StoreFollower::State::pause(unsigned failures)
+{
     return sleepFor(m_thread.context(), backoffDelay(Backoff, failures, m_random) + Millis(20));
 }
 
@@ -81,14 +115,73 @@
         return;
     m_returnedAt = now;
     DecisionLine("store", "store regained").write();
-    startWatches();
+    if (m_watching)
+        startWatches();
+}
+
+/// Begins and ends to follow the store, as the VM takes and loses the duty.
+void StoreFollower::State::followDuty()
+{
+    do {
+        const bool onDuty = m_hooks.m_onDuty();
+        if (onDuty != m_watching) {
+            m_watching = onDuty;
+            DecisionLine("store", onDuty ? "follows the store" : "hears of the store from peers")
+                .write();
+            if (onDuty) {
+                startWatches();
+            } else {
+                ++m_generation;
+                m_failingSince = {};
+            }
+        }
+        endDoubts();
+    } while (sleepFor(m_thread.context(), Poll));
 }
 
 void StoreFollower::State::startWatches()
 {
     const uint64_t generation = ++m_generation;
-    spawnFiber([self = shared_from_this(), generation] { self->watchRoutes(generation); });
-    spawnFiber([self = shared_from_this(), generation] { self->watchEndpoints(generation); });
+    const Followed routes{ m_source.m_routesKind, RoutesWait, &State::listRoutes,
+                           &State::takeRouteEvents };
+    const Followed endpoints{ m_source.m_endpointsKind, EndpointsWait, &State::listEndpoints,
+                              &State::takeEndpointEvents };
+    for (const Followed &followed : { routes, endpoints }) {
+        spawnFiber([self = shared_from_this(), followed, generation] {
+            self->watch(followed, generation);
+        });
+    }
+}
+
+/// Lists, then watches from there, until a later generation takes over.
+void StoreFollower::State::watch(const Followed &followed, uint64_t generation)
+{
+    unsigned failures = 0;
+    uint64_t revision = 0;
+    while (generation == m_generation) {
+        if (revision == 0 && !(this->*followed.m_list)(revision)) {
+            if (!backOff(failures++))
+                return;
+            continue;
+        }
+        const auto events = m_store.watch(followed.m_kind, revision, followed.m_wait);
+        if (generation != m_generation)
+            return;
+        if (!events) {
+            const bool historyGone = events.error().m_code == ErrorCode::NotFound;
+            if (historyGone)
+                revision = 0;
+            if (!(historyGone ? pause(failures++) : backOff(failures++)))
+                return;
+            continue;
+        }
+        failures = 0;
+        noteAlive();
+        if (generation != m_generation)
+            return;
+        revision = events->m_revision;
+        (this->*followed.m_take)(*events);
+    }
 }
 
 bool StoreFollower::State::takeRoutes(const std::string &spec)
@@ -128,21 +221,33 @@
     return true;
 }
 
+Millis StoreFollower::State::proofDue()
+{
+    const Millis age = m_watching ? DutyProofAge : OtherProofAge;
+    const Millis most = m_watching ? DutyProofJitter : OtherProofJitter;
+    std::uniform_int_distribution<Millis::rep> jitter(0, most.count());
+    return age + Millis(jitter(m_random));
+}
+
 void StoreFollower::State::proveRoutes()
 {
     unsigned failures = 0;
-    std::uniform_int_distribution<Millis::rep> jitter(0, ProofJitter.count());
-    Millis due = ProofAge + Millis(jitter(m_random));
+    Millis due = proofDue();
+    bool wasWatching = m_watching;
     for (;;) {
+        if (wasWatching != m_watching) {
+            wasWatching = m_watching;
+            due = proofDue();
+        }
         const FreshnessProof best = m_hooks.m_bestProof();
         const bool young = m_routes && best.m_version == m_routes->m_version
                            && Clock::now() - best.m_provedAt < due;
         if (young) {
-            if (!sleepFor(m_thread.context(), ProofPoll))
+            if (!sleepFor(m_thread.context(), Poll))
                 return;
             continue;
         }
-        due = ProofAge + Millis(jitter(m_random));
+        due = proofDue();
         if (readRoutes()) {
             failures = 0;
             continue;
@@ -152,44 +257,26 @@
     }
 }
 
-void StoreFollower::State::watchRoutes(uint64_t generation)
+bool StoreFollower::State::listRoutes(uint64_t &revision)
 {
-    unsigned failures = 0;
-    uint64_t revision = 0;
-    while (generation == m_generation) {
-        if (revision == 0) {
-            const TimePoint begun = Clock::now();
-            const auto page = m_store.list(m_source.m_routesKind);
-            if (!page) {
-                if (!backOff(failures++))
-                    return;
-                continue;
-            }
-            for (const KindObject &object : page->m_objects) {
-                if (object.m_name == m_source.m_routesName && takeRoutes(object.m_spec))
-                    m_hooks.m_proof({ m_routes->m_version, begun });
-            }
-            revision = page->m_revision;
-        }
-        const auto events = m_store.watch(m_source.m_routesKind, revision, WatchWait);
-        if (generation != m_generation)
-            return;
-        if (!events) {
-            if (events.error().m_code == ErrorCode::NotFound)
-                revision = 0;
-            if (!backOff(failures++))
-                return;
-            continue;
-        }
-        failures = 0;
-        noteAlive();
-        if (generation != m_generation)
-            return;
-        revision = events->m_revision;
-        for (const KindEvent &event : events->m_events) {
-            if (!event.m_removed && event.m_object.m_name == m_source.m_routesName)
-                takeRoutes(event.m_object.m_spec);
-        }
+    const TimePoint begun = Clock::now();
+    const auto page = m_store.list(m_source.m_routesKind);
+    if (!page)
+        return false;
+    noteAlive();
+    for (const KindObject &object : page->m_objects) {
+        if (object.m_name == m_source.m_routesName && takeRoutes(object.m_spec))
+            m_hooks.m_proof({ m_routes->m_version, begun });
+    }
+    revision = page->m_revision;
+    return true;
+}
+
+void StoreFollower::State::takeRouteEvents(const KindEvents &events)
+{
+    for (const KindEvent &event : events.m_events) {
+        if (!event.m_removed && event.m_object.m_name == m_source.m_routesName)
+            takeRoutes(event.m_object.m_spec);
     }
 }
 
@@ -203,7 +290,7 @@
             .write();
         return;
     }
-    m_removals.erase(endpoint->m_id);
+    m_directory.m_doubtful.erase(endpoint->m_id);
     EndpointRecord &known = m_directory.m_endpoints[endpoint->m_id];
     if (known == *endpoint)
         return;
@@ -218,43 +305,60 @@
 
 void StoreFollower::State::removeEndpoint(const EndpointId &endpoint)
 {
-    const TimePoint now = Clock::now();
-    if (m_returnedAt != TimePoint{} && now - m_returnedAt < ReturnGrace) {
-        m_removals.emplace(endpoint, m_returnedAt + ReturnGrace);
+    if (m_directory.m_endpoints.count(endpoint) == 0)
+        return;
+    if (inReturnGrace(Clock::now())) {
+        m_directory.m_doubtful.insert(endpoint);
         return;
     }
-    if (m_directory.m_endpoints.erase(endpoint) > 0)
-        DecisionLine("store", "endpoint gone").text("endpoint", endpoint.str()).write();
+    m_directory.m_endpoints.erase(endpoint);
+    m_directory.m_doubtful.erase(endpoint);
+    DecisionLine("store", "endpoint gone").text("endpoint", endpoint.str()).write();
 }
 
-void StoreFollower::State::removeDue()
+/// Gives each doubtful endpoint its time to come back.
+void StoreFollower::State::noteDoubts()
 {
     const TimePoint now = Clock::now();
-    std::vector<EndpointId> due;
-    for (const auto &[endpoint, when] : m_removals) {
-        if (when <= now)
-            due.push_back(endpoint);
-    }
-    for (const EndpointId &endpoint : due) {
-        m_removals.erase(endpoint);
-        if (m_directory.m_endpoints.erase(endpoint) > 0)
-            DecisionLine("store", "endpoint gone").text("endpoint", endpoint.str()).write();
-    }
-    if (!due.empty())
-        publishDirectory(m_directory.m_revision);
+    const TimePoint due = inReturnGrace(now) ? m_returnedAt + ReturnGrace : now + ReturnGrace;
+    std::erase_if(m_removals, [this](const auto &entry) {
+        return m_directory.m_doubtful.count(entry.first) == 0;
+    });
+    for (const EndpointId &endpoint : m_directory.m_doubtful)
+        m_removals.emplace(endpoint, due);
 }
 
-void StoreFollower::State::takeEvent(const KindEvent &event)
+void StoreFollower::State::endDoubts()
 {
-    if (event.m_removed)
-        removeEndpoint(EndpointId(event.m_object.m_name));
-    else
-        takeEndpoint(event.m_object);
+    const TimePoint now = Clock::now();
+    bool changed = false;
+    for (const auto &[endpoint, due] : m_removals) {
+        if (due > now)
+            continue;
+        changed = true;
+        m_directory.m_doubtful.erase(endpoint);
+        m_directory.m_endpoints.erase(endpoint);
+        DecisionLine("store", "endpoint gone")
+            .text("endpoint", endpoint.str())
+            .flag("doubtful", true)
+            .write();
+    }
+    // Who has followed the store for the whole time misses nothing.
+    const bool followed = m_watching && m_failingSince == TimePoint{} && !inReturnGrace(now);
+    if (!m_directory.m_whole && m_directory.m_revision > 0 && followed) {
+        m_directory.m_whole = true;
+        changed = true;
+    }
+    if (changed)
+        publishDirectory(m_directory.m_revision);
 }
 
 void StoreFollower::State::publishDirectory(uint64_t revision)
 {
     m_directory.m_revision = std::max(m_directory.m_revision, revision);
+    if (m_directory.sure())
+        m_directory.m_sureRevision = m_directory.m_revision;
+    noteDoubts();
     m_hooks.m_directory(std::make_shared<const EndpointDirectory>(m_directory));
 }
 
@@ -264,10 +368,13 @@
     if (!page)
         return false;
     noteAlive();
-    m_directoryHeard = Clock::now();
-    std::unordered_map<EndpointId, bool> listed;
+    if (m_directory.m_revision == 0) {
+        m_returnedAt = Clock::now();
+        m_directory.m_whole = false;
+    }
+    std::unordered_set<EndpointId> listed;
     for (const KindObject &object : page->m_objects) {
-        listed[EndpointId(object.m_name)] = true;
+        listed.insert(EndpointId(object.m_name));
         takeEndpoint(object);
     }
     std::vector<EndpointId> missing;
@@ -282,37 +389,16 @@
     return true;
 }
 
-void StoreFollower::State::watchEndpoints(uint64_t generation)
+void StoreFollower::State::takeEndpointEvents(const KindEvents &events)
 {
-    unsigned failures = 0;
-    uint64_t revision = 0;
-    while (generation == m_generation) {
-        if (revision == 0 && !listEndpoints(revision)) {
-            if (!backOff(failures++))
-                return;
-            continue;
-        }
-        const auto events = m_store.watch(m_source.m_endpointsKind, revision, WatchWait);
-        if (generation != m_generation)
-            return;
-        if (!events) {
-            if (events.error().m_code == ErrorCode::NotFound)
-                revision = 0;
-            if (!backOff(failures++))
-                return;
-            continue;
-        }
-        failures = 0;
-        noteAlive();
-        if (generation != m_generation)
-            return;
-        m_directoryHeard = Clock::now();
-        revision = events->m_revision;
-        for (const KindEvent &event : events->m_events)
-            takeEvent(event);
-        if (!events->m_events.empty())
-            publishDirectory(revision);
+    for (const KindEvent &event : events.m_events) {
+        if (event.m_removed)
+            removeEndpoint(EndpointId(event.m_object.m_name));
+        else
+            takeEndpoint(event.m_object);
     }
+    if (!events.m_events.empty())
+        publishDirectory(events.m_revision);
 }
 
 StoreFollower::StoreFollower(FiberThread &thread, KindStore &store, const RelaySource &source,
@@ -324,13 +410,8 @@
 
 void StoreFollower::start()
 {
-    m_state->startWatches();
+    spawnFiber([state = m_state] { state->followDuty(); });
     spawnFiber([state = m_state] { state->proveRoutes(); });
-    spawnFiber([state = m_state] {
-        do {
-            state->removeDue();
-        } while (sleepFor(state->m_thread.context(), ProofPoll));
-    });
 }
 
 void StoreFollower::offerRoutes(const std::string &spec)
@@ -340,15 +421,20 @@
 
 void StoreFollower::offerDirectory(const EndpointDirectory &directory)
 {
-    if (directory.m_revision <= m_state->m_directory.m_revision)
-        return;
-    m_state->m_directory = directory;
-    m_state->publishDirectory(directory.m_revision);
+    if (joinDirectory(m_state->m_directory, directory))
+        m_state->publishDirectory(m_state->m_directory.m_revision);
+}
+
+void StoreFollower::noteProofGap(Duration gap)
+{
+    if (gap > OutageGap)
+        m_state->m_returnedAt = Clock::now();
 }
 
-TimePoint StoreFollower::directoryHeard() const
+bool StoreFollower::reachesStore() const
 {
-    return m_state->m_directoryHeard;
+    return m_state->m_lastFailure == TimePoint{}
+           || Clock::now() - m_state->m_lastFailure > UnableAfterFailure;
 }
 
 } // namespace stackquay
--- a/relay/store_follower.h
+++ b/relay/store_follower.h
@@ -1,7 +1,8 @@
 /// Follows the declared routes and the endpoints in the platform's store, for the control thread.
 ///
-/// Changes come by watches. That nothing has changed is proved by reading the object of the routes:
-/// a watch that stays silent proves nothing. A VM whose peers hold a young proof does not read.
+/// VMs on duty watch the store; the others hear of changes from them, and read only if they hear
+/// nothing. That nothing has changed is proved by reading the object of the routes: a watch that
+/// stays silent proves nothing. A VM whose peers hold a young proof does not read.
 #pragma once
 
 #include <functional>
@@ -19,6 +20,8 @@
     std::function<void(const EndpointDirectoryPtr &directory)> m_directory;
     /// The best proof that is known, of this VM or its peers.
     std::function<FreshnessProof()> m_bestProof;
+    /// Whether this VM is to follow the store for others, or has no others.
+    std::function<bool()> m_onDuty;
 };
 
 class StoreFollower
@@ -35,10 +38,13 @@
     void start();
     /// Takes routes that a peer has. Ignored unless their version is higher. On the thread.
     void offerRoutes(const std::string &spec);
-    /// Takes a peer's directory. Ignored unless it is of a later revision. On the thread.
+    /// Takes what a peer's directory tells better. On the thread.
     void offerDirectory(const EndpointDirectory &directory);
-    /// When the store was last heard of with its endpoints. On the thread.
-    TimePoint directoryHeard() const;
+    /// The best proof is so much later than the one before: a long gap is an outage of the store,
+    /// or of this VM's ways to all others. On the thread.
+    void noteProofGap(Duration gap);
+    /// Whether no call failed for some seconds. On the thread.
+    bool reachesStore() const;
 
 private:
     struct State;
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -26,13 +26,16 @@
         m_relayThread.join();
     }
 
-    /// The second daemon reaches the store through the relay.
-    void start()
+    /// The daemon at @p relayed reaches the store through the relay. The first one follows the
+    /// store for the others.
+    void start(size_t relayed = 1, size_t daemons = 2)
     {
         m_deployment.declare(1);
         m_deployment.addWorker("plain");
-        m_deployment.addDaemon();
-        m_deployment.addDaemon(m_relayedStore);
+        for (size_t i = 0; i < daemons; ++i) {
+            m_deployment.addDaemon(i == relayed ? std::optional<Address>(m_relayedStore)
+                                                : std::nullopt);
+        }
         ASSERT_TRUE(m_deployment.awaitReady());
         ASSERT_TRUE(m_deployment.awaitPeers());
     }
@@ -49,6 +52,16 @@
         return m_deployment.m_daemons[daemon]->node().m_view.load();
     }
 
+    /// Whether all VMs have this version and no endpoint that takes work.
+    bool allKnow(uint64_t version)
+    {
+        for (size_t i = 0; i < m_deployment.m_daemons.size(); ++i) {
+            if (view(i)->m_routes->m_version != version || !view(i)->m_pools.empty())
+                return false;
+        }
+        return true;
+    }
+
     FiberThread m_relayThread;
     standin::FaultRelay m_relay;
     Address m_relayedStore;
@@ -184,5 +197,36 @@
     EXPECT_LE(calls, uint64_t(Span) * 2 * 1); // One a VM and second.
 }
 
+TEST_F(FleetTest, StoreCallsDoNotGrowWithTheVms)
+{
+    start(1, 5);
+    std::this_thread::sleep_for(Millis(3'000));
+    const uint64_t before = m_deployment.m_store->calls();
+    constexpr int Span = 5;
+    std::this_thread::sleep_for(Seconds(Span));
+    EXPECT_LE(m_deployment.m_store->calls() - before, uint64_t(Span) * 2);
+}
+
+// The VM that followed the store for all is turned away: another one takes its place.
+TEST_F(FleetTest, DutyPassesOnWhenItsHolderLosesTheStore)
+{
+    start(0, 3);
+    std::this_thread::sleep_for(Millis(2'500));
+    setStoreFault(standin::RelayMode::HalfOpen);
+    m_deployment.declare(2, "", R"(["key-of-two"])");
+    m_deployment.describe(*m_deployment.m_workers[0], "plain", "draining");
+    EXPECT_TRUE(eventually([&] { return allKnow(2); }, Millis(4'500)));
+}
+
+// Changes reach VMs that do not follow the store as fast as the news travel.
+TEST_F(FleetTest, NewsReachAllAtOnce)
+{
+    start(1, 4);
+    std::this_thread::sleep_for(Millis(2'500));
+    m_deployment.declare(2);
+    m_deployment.describe(*m_deployment.m_workers[0], "plain", "draining");
+    EXPECT_TRUE(eventually([&] { return allKnow(2); }, Millis(500)));
+}
+
 } // namespace
 } // namespace stackquay::platform
--- /dev/null
+++ b/tests/policy/endpoint_directory_test.cpp
@@ -0,0 +1,80 @@
+#include <gtest/gtest.h>
+
+#include "policy/policy.h"
+
+namespace stackquay {
+namespace {
+
+EndpointDirectory directory(uint64_t revision, const std::vector<std::string> &ids,
+                            const std::vector<std::string> &doubtful = {})
+{
+    EndpointDirectory made;
+    made.m_revision = revision;
+    for (const std::string &id : ids)
+        made.m_endpoints[EndpointId(id)].m_id = EndpointId(id);
+    for (const std::string &id : doubtful)
+        made.m_doubtful.insert(EndpointId(id));
+    return made;
+}
+
+bool has(const EndpointDirectory &directory, const std::string &id)
+{
+    return directory.m_endpoints.count(EndpointId(id)) > 0;
+}
+
+TEST(EndpointDirectoryTest, LaterRevisionReplaces)
+{
+    EndpointDirectory own = directory(5, { "a", "b" });
+    EXPECT_TRUE(joinDirectory(own, directory(6, { "b", "c" })));
+    EXPECT_FALSE(has(own, "a"));
+    EXPECT_TRUE(has(own, "c"));
+    EXPECT_EQ(own.m_sureRevision, 6u);
+    EXPECT_FALSE(joinDirectory(own, directory(6, { "a" })));
+    EXPECT_FALSE(has(own, "a"));
+}
+
+// A VM that was cut off lists, and keeps what is missing for a while: the store may have lost it.
+// Peers that never lost the store know better.
+TEST(EndpointDirectoryTest, SurePeerEndsDoubts)
+{
+    EndpointDirectory own = directory(20, { "a", "b" }, { "a" });
+    own.m_sureRevision = 10;
+    EXPECT_FALSE(joinDirectory(own, directory(9, { "b" }))); // From before "a" came, perhaps.
+    EXPECT_TRUE(joinDirectory(own, directory(15, { "b" })));
+    EXPECT_FALSE(has(own, "a"));
+    EXPECT_TRUE(own.sure());
+    EXPECT_EQ(own.m_sureRevision, 20u);
+}
+
+TEST(EndpointDirectoryTest, PeerThatMayMissEndpointsEndsNoDoubt)
+{
+    EndpointDirectory own = directory(20, { "a", "b" }, { "a" });
+    EndpointDirectory started = directory(20, { "b" });
+    started.m_whole = false;
+    EXPECT_FALSE(joinDirectory(own, started));
+    EXPECT_TRUE(has(own, "a"));
+    started.m_revision = 21;
+    EXPECT_TRUE(joinDirectory(own, started));
+    EXPECT_TRUE(has(own, "a"));
+    EXPECT_FALSE(own.sure());
+}
+
+TEST(EndpointDirectoryTest, DoubtsTravelWithTheDirectory)
+{
+    EndpointDirectory own = directory(5, { "a", "b" });
+    EXPECT_TRUE(joinDirectory(own, directory(20, { "a", "b" }, { "a" })));
+    EXPECT_FALSE(own.sure());
+    EXPECT_EQ(own.m_sureRevision, 0u); // It was never told to be sure of the first.
+}
+
+TEST(EndpointDirectoryTest, FirstPictureThatMayMissEndpointsIsNotWhole)
+{
+    EndpointDirectory own;
+    EndpointDirectory started = directory(3, { "a" });
+    started.m_whole = false;
+    EXPECT_TRUE(joinDirectory(own, started));
+    EXPECT_FALSE(own.m_whole);
+}
+
+} // namespace
+} // namespace stackquay
--- a/tests/policy/freshness_test.cpp
+++ b/tests/policy/freshness_test.cpp
@@ -37,5 +37,16 @@
     EXPECT_EQ(proof.m_provedAt, Start - Millis(450));
 }
 
+// A beat that lay in the buffer of a VM that stood still for four seconds is four seconds older.
+TEST(FreshnessTest, MessagesThatWaitedAreKnownByTheQuickestOne)
+{
+    const TimePoint theirs = TimePoint{} + Seconds(77'000);
+    ArrivalClock clock;
+    EXPECT_EQ(delayOf(clock, theirs, Start), Duration::zero());
+    EXPECT_EQ(delayOf(clock, theirs + Seconds(1), Start + Seconds(1) - Millis(3)),
+              Duration::zero());
+    EXPECT_EQ(delayOf(clock, theirs + Seconds(2), Start + Seconds(6)), Seconds(4) + Millis(3));
+}
+
 } // namespace
 } // namespace stackquay
--- a/tests/policy/gang_plan_test.cpp
+++ b/tests/policy/gang_plan_test.cpp
@@ -236,6 +236,17 @@
     EXPECT_GE(strictEngines(arriving, pool, {}, demand, Start).size(), 13u);
 }
 
+// Engines with twelve slots fill up with fewer streams than those with sixteen.
+TEST(PoolSplitTest, FollowsTheSlotsOfAnEngine)
+{
+    const auto pool = engines(0, 18);
+    PoolSplit split;
+    StrictDemand demand;
+    demand.m_waiting = 60;
+    demand.m_slots = 12;
+    EXPECT_EQ(strictEngines(split, pool, {}, demand, Start).size(), 8u);
+}
+
 // VMs that begin at once, as after a loss of power, know nothing of each other.
 TEST(PoolSplitTest, BlindVmGivesStrictStreamsHalf)
 {
