Large pools read more prompts at once; strict streams fill their engines when both sides lack some

The test that asked for the proportion is replaced by two with exact figures: the policy has changed. Tests: TurnQueueTest.LargePoolsRead..., PoolSplitTest.StrictStreamsFill..., LongPromptsKeep...

--- a/policy/pool_split.cpp
+++ b/policy/pool_split.cpp
@@ -45,7 +45,12 @@
     strict = std::min(strict, std::max(1.0, all * settings.m_strictShare));
     strict = std::max(strict, demand.m_strictStreams / (settings.m_strictPerFullSlot * slots));
     const double wanted = strict + demand.m_longEngines;
-    const double share = wanted <= all ? std::ceil(strict) : std::round(all * strict / wanted);
+    double share = std::ceil(strict);
+    if (wanted > all) {
+        const double crowded = demand.m_strictStreams / (settings.m_strictPerCrowdedSlot * slots);
+        const double most = std::max(1.0, all * settings.m_strictShare);
+        share = std::max(std::round(all * strict / wanted), std::min(std::ceil(crowded), most));
+    }
     return std::clamp<size_t>(static_cast<size_t>(share), 1, engines - 1);
 }
 
--- a/policy/pool_split.h
+++ b/policy/pool_split.h
@@ -23,6 +23,10 @@
     /// many an engine that they fill it: a burst of long prompts needs engines from its first.
     double m_strictShare = 0.85;
     double m_strictPerFullSlot = 11.0 / 16;
+    /// If both sides need more than there is, strict streams fill engines up to this part of their
+    /// slots, and get as many: for its time of an engine, one in time is worth about twice as much
+    /// as a long prompt (the users' sheets), and late ones crowd out those that follow.
+    double m_strictPerCrowdedSlot = 0.85;
     /// Part of its time that an engine for long prompts is meant to read.
     double m_longUtilization = 0.75;
     /// The strict part shrinks only to what was needed in this time: bursts come in clumps, and an
--- a/policy/turn_queue.h
+++ b/policy/turn_queue.h
@@ -32,8 +32,10 @@
     /// Long prompts that may read at any load: the next one's parts fill the gap between the last
     /// part's end and the news of it.
     uint32_t m_leastReading = 4;
-    /// More may begin while an engine of their side has less than this to read.
-    FloatMillis m_readBacklog{ 220 };
+    /// More may begin while an engine of their side has less than this to read, counting parts whole
+    /// until the first event. A first event takes about half a second however many engines read, so
+    /// that less leaves them idle.
+    FloatMillis m_readBacklog{ 550 };
     /// Passes and others that read at once come on top of a prompt's own reading.
     double m_readFactor = 1.5;
     FloatMillis m_readOverhead{ 250 };
