Endpoints taken from a peer are logged: VMs without duty said nothing of them

Cause: read in the diff. Before, each VM watched, and its own events were logged; now most hear of endpoints from peers, so that a leaving endpoint left no line there.

--- a/relay/store_follower.cpp
+++ b/relay/store_follower.cpp
@@ -29,6 +29,29 @@
 /// A VM whose calls failed so short ago is not the one to follow the store for others.
 constexpr Millis UnableAfterFailure{ 5'000 };
 
+/// One line for all that a peer's directory changed here.
+void logTaken(const EndpointMap &before, const EndpointDirectory &now)
+{
+    std::string gone;
+    for (const auto &[id, endpoint] : before) {
+        if (now.m_endpoints.count(id) == 0)
+            gone += (gone.empty() ? "" : " ") + id.str();
+    }
+    std::string changed;
+    for (const auto &[id, endpoint] : now.m_endpoints) {
+        const auto known = before.find(id);
+        if (known == before.end() || known->second != endpoint)
+            changed += (changed.empty() ? "" : " ") + id.str() + (endpoint.m_draining ? "-" : "");
+    }
+    DecisionLine("store", "endpoints taken from a peer")
+        .number("revision", static_cast<int64_t>(now.m_revision))
+        .number("endpoints", static_cast<int64_t>(now.m_endpoints.size()))
+        .number("doubtful", static_cast<int64_t>(now.m_doubtful.size()))
+        .text("gone", gone)
+        .text("changed", changed)
+        .write();
+}
+
 } // namespace
 
 struct StoreFollower::State : std::enable_shared_from_this<StoreFollower::State> {
@@ -308,7 +331,8 @@
     if (m_directory.m_endpoints.count(endpoint) == 0)
         return;
     if (inReturnGrace(Clock::now())) {
-        m_directory.m_doubtful.insert(endpoint);
+        if (m_directory.m_doubtful.insert(endpoint).second)
+            DecisionLine("store", "endpoint in doubt").text("endpoint", endpoint.str()).write();
         return;
     }
     m_directory.m_endpoints.erase(endpoint);
@@ -421,8 +445,11 @@
 
 void StoreFollower::offerDirectory(const EndpointDirectory &directory)
 {
-    if (joinDirectory(m_state->m_directory, directory))
-        m_state->publishDirectory(m_state->m_directory.m_revision);
+    const EndpointMap before = m_state->m_directory.m_endpoints;
+    if (!joinDirectory(m_state->m_directory, directory))
+        return;
+    logTaken(before, m_state->m_directory);
+    m_state->publishDirectory(m_state->m_directory.m_revision);
 }
 
 void StoreFollower::noteProofGap(Duration gap)
