--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -114,7 +114,7 @@
     return eventually([this] {
         for (size_t i = 0; i < m_daemons.size(); ++i) {
             const RelayViewPtr view = m_daemons[i]->node().m_view.load();
-            if (readyStatus(i) != 200 || !view->m_proof.known()
+            if (readyStatus(i) != 200 || !view->complete() || !view->m_proof.known()
                 || view->m_directory->m_endpoints.size() < m_workers.size())
                 return false;
         }
