Logs say which requests the end of a daemon leaves, and how late in its drain each came

Ruled out: metrics, as single requests are asked for. Before: nothing between 'draining' and 'drained'.

--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -314,12 +314,20 @@
         .number("requests", int64_t(m_clients->activeRequests()))
         .write();
     m_node->m_draining = true;
+    m_node->m_drainingSince = begun;
     m_clients->closeAfterAnswers();
     m_fleet->leave();
     while (Clock::now() < begun + BalancerLag && sleepFor(m_control.context(), DrainPoll)) { }
     m_clients->drain();
     while (m_clients->activeRequests() > 0 && Clock::now() < end
            && sleepFor(m_control.context(), DrainPoll)) { }
+    if (m_clients->activeRequests() > 0) {
+        m_traffic.post([this] {
+            for (const RelayRun *run : m_node->m_runs)
+                run->logLeft();
+        });
+        (void)sleepFor(m_control.context(), DrainPoll);
+    }
     DecisionLine("main", "drained")
         .number("requests", int64_t(m_clients->activeRequests()))
         .write();
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <unordered_set>
 
 #include "relay/dialect.h"
 #include "relay/load_exchange.h"
@@ -10,6 +11,8 @@
 
 namespace stackquay {
 
+class RelayRun;
+
 /// All but the atomics is used on the traffic thread only.
 struct RelayNode {
     /// @p thread is the traffic thread; it must be stopped before the node is destroyed.
@@ -18,6 +21,7 @@
     // Any thread.
     std::atomic<RelayViewPtr> m_view;
     std::atomic<bool> m_draining{ false };
+    std::atomic<TimePoint> m_drainingSince{}; ///< Not set: it is not.
 
     const RelaySettings m_settings;
     const RelayDialect &m_dialect;
@@ -37,6 +41,7 @@
     TurnQueue m_longQueue; ///< Long prompts that wait to be read.
     std::unordered_map<ServiceId, PoolSplit> m_splits;
     LoadExchange m_loads;
+    std::unordered_set<RelayRun *> m_runs; ///< Requests in progress.
 
     /// A name for the next attempt.
     LoadKey nextKey() { return { m_origin, ++m_sequence }; }
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -50,7 +50,14 @@
     , m_head(node.m_dialect.m_readRequest(exchange.request()))
     , m_view(node.m_view.load())
     , m_lastEvent(m_head.m_lastEvent)
-{ }
+{
+    m_node.m_runs.insert(this);
+}
+
+RelayRun::~RelayRun()
+{
+    m_node.m_runs.erase(this);
+}
 
 void RelayRun::run()
 {
@@ -235,8 +242,29 @@
         .number("arrivals", m_arrivals)
         .number("first_ms", std::chrono::duration_cast<Millis>(m_firstAfter).count())
         .number("longest_gap_ms", std::chrono::duration_cast<Millis>(m_longestGap).count())
+        .number("drain_ms", arrivedInDrainMs())
         .number("ms", std::chrono::duration_cast<Millis>(now - m_arrival).count())
         .write();
 }
 
+int64_t RelayRun::arrivedInDrainMs() const
+{
+    const TimePoint since = m_node.m_drainingSince;
+    if (since == TimePoint{})
+        return -1;
+    return std::chrono::duration_cast<Millis>(m_arrival - since).count();
+}
+
+void RelayRun::logLeft() const
+{
+    DecisionLine("relay", "request left at the end")
+        .text("request", m_head.m_id.str())
+        .text("route", m_route ? std::string_view(m_route->m_name) : std::string_view())
+        .flag("streaming", m_streaming)
+        .number("may_have_run", m_mayHaveRun)
+        .number("drain_ms", arrivedInDrainMs())
+        .number("ms", std::chrono::duration_cast<Millis>(Clock::now() - m_arrival).count())
+        .write();
+}
+
 } // namespace stackquay
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -19,11 +19,14 @@
 {
 public:
     RelayRun(RelayNode &node, HttpExchange &exchange);
+    ~RelayRun();
     RelayRun(const RelayRun &) = delete;
     RelayRun &operator=(const RelayRun &) = delete;
 
     /// Answers the exchange. Blocks its fiber until the end.
     void run();
+    /// Logs that the daemon ends while this request is in progress.
+    void logLeft() const;
 
 private:
     /// How one attempt ended.
@@ -85,6 +88,8 @@
     void refuse(unsigned status, std::string_view why, Millis retryAfter);
     void passOn(const HttpResponse &response);
     void logEnd(RelayOutcome outcome, unsigned status, std::string_view why);
+    /// How long the daemon had been draining when the request came; below zero: it was not.
+    int64_t arrivedInDrainMs() const;
 
     bool strict() const { return !m_route->repeatable(); }
 
