--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -143,6 +143,11 @@
 }
 
 ClientAnswer Deployment::call(const ClientRequest &request, size_t daemon)
+{
+    return begin(request, daemon).get();
+}
+
+std::future<ClientAnswer> Deployment::begin(const ClientRequest &request, size_t daemon)
 {
     auto done = std::make_shared<std::promise<ClientAnswer>>();
     HttpRequest message{ request.m_method, request.m_path, request.m_headers, request.m_body };
@@ -166,7 +171,10 @@
                     connection.cancel();
             });
         }
-        if (connection.connect(address, Patience) && connection.send(message, Patience)) {
+        const bool open = connection.connect(address, Patience)
+                          && (request.m_sendAfter == Millis(0)
+                              || sleepFor(m_clients.context(), request.m_sendAfter));
+        if (open && connection.send(message, Patience)) {
             const auto head = connection.readHeader(Patience);
             if (head) {
                 answer.m_status = head->m_status;
@@ -189,7 +197,7 @@
             return;
         done->set_value(answer);
     });
-    return done->get_future().get();
+    return done->get_future();
 }
 
 } // namespace stackquay::platform
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -1,6 +1,7 @@
 /// A deployment inside a test process: a store, endpoints and daemons, on loopback.
 #pragma once
 
+#include <future>
 #include <memory>
 
 #include "platform/platform.h"
@@ -37,6 +38,7 @@
     std::string m_id = "request-1";
     uint64_t m_promptTokens = 0; ///< Zero: no model request.
     Millis m_leaveAfter{ 0 }; ///< Zero: waits for the answer.
+    Millis m_sendAfter{ 0 }; ///< From the opening of the connection to the first byte.
 };
 
 class Deployment
@@ -59,6 +61,8 @@
     /// Waits until all daemons know all others.
     bool awaitPeers();
     ClientAnswer call(const ClientRequest &request, size_t daemon = 0);
+    /// The same, without waiting for the answer.
+    std::future<ClientAnswer> begin(const ClientRequest &request, size_t daemon = 0);
     unsigned readyStatus(size_t daemon = 0);
 
     HostedStore m_store;
