--- a/store/json_fields.cpp
+++ b/core/json_fields.cpp
@@ -1,4 +1,4 @@
-#include "store/json_fields.h"
+#include "core/json_fields.h"
 
 namespace stackquay {
 
--- a/store/json_fields.h
+++ b/core/json_fields.h
@@ -1,4 +1,5 @@
-/// Fields of JSON from outside, read without exceptions. Internal to the library.
+/// Fields of JSON from outside, read without exceptions. For the files that decode; not in core.h,
+/// so that the others do not pay for the JSON library.
 #pragma once
 
 #include <optional>
@@ -6,7 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "core/core.h"
+#include "core/error.h"
 
 namespace stackquay {
 
--- a/net/datagrams.cpp
+++ b/net/datagrams.cpp
@@ -56,21 +56,33 @@
 
 DatagramSocket::~DatagramSocket() = default;
 
-Result<Address> DatagramSocket::listen(const Address &address, Receiver receiver)
+Result<Address> DatagramSocket::bind(const Address &address)
 {
     const auto endpoint = toUdp(address);
     if (!endpoint)
         return tl::unexpected(endpoint.error());
     boost::system::error_code error;
     udp::socket &socket = m_state->m_socket;
-    if (socket.open(udp::v4(), error) || socket.bind(*endpoint, error)
+    if (socket.open(endpoint->protocol(), error) || socket.bind(*endpoint, error)
         || socket.non_blocking(true, error)) {
         return makeError(ErrorCode::Unavailable, fmt::format("cannot listen on {}: {}",
                                                              toString(address), error.message()));
     }
+    return fromUdp(socket.local_endpoint());
+}
+
+void DatagramSocket::receive(Receiver receiver)
+{
     m_state->m_receiver = std::move(receiver);
     m_state->m_thread.post([state = m_state] { state->receiveLoop(); });
-    return fromUdp(socket.local_endpoint());
+}
+
+Result<Address> DatagramSocket::listen(const Address &address, Receiver receiver)
+{
+    auto bound = bind(address);
+    if (bound)
+        receive(std::move(receiver));
+    return bound;
 }
 
 bool DatagramSocket::send(const udp::endpoint &to, std::string_view bytes)
--- a/net/datagrams.h
+++ b/net/datagrams.h
@@ -23,8 +23,11 @@
     DatagramSocket(const DatagramSocket &) = delete;
     DatagramSocket &operator=(const DatagramSocket &) = delete;
 
-    /// Binds, and calls @p receiver for each datagram on the thread. Before the thread starts or on
-    /// it. Port 0 takes one from the kernel.
+    /// Binds, and tells the address. Port 0 takes one from the kernel.
+    Result<Address> bind(const Address &address);
+    /// Calls @p receiver for each datagram on the thread. Once, after bind().
+    void receive(Receiver receiver);
+    /// Both.
     Result<Address> listen(const Address &address, Receiver receiver);
     /// Does not wait: what the socket cannot take now is lost, as any datagram may be. On the
     /// thread. False if it was lost here.
--- a/peers/membership.cpp
+++ b/peers/membership.cpp
@@ -1,21 +1,13 @@
 #include "peers/membership.h"
 
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/ip/udp.hpp>
-#include <fmt/format.h>
-
+#include "net/datagrams.h"
 #include "peers/codec.h"
 
 namespace stackquay {
 
 namespace {
 
-namespace asio = boost::asio;
-using udp = asio::ip::udp;
-
-constexpr size_t ReceiveBytes = 2048;
 constexpr int TicksPerProbe = 2;
-constexpr Millis ReceiveRetryDelay{ 20 };
 
 } // namespace
 
@@ -25,22 +17,21 @@
         : m_thread(thread)
         , m_options(options)
         , m_traffic(std::move(traffic))
-        , m_socket(thread.context())
+        , m_socket(thread)
         , m_self(std::move(self))
     { }
 
     FiberThread &m_thread;
     MembershipOptions m_options;
     std::shared_ptr<PeerTraffic> m_traffic;
-    udp::socket m_socket;
+    DatagramSocket m_socket;
     VmInfo m_self; ///< Until start().
     std::optional<MembershipState> m_state;
     ChangeCallback m_callback;
     std::atomic<MemberListPtr> m_list;
 
-    void receiveLoop();
     void tickLoop();
-    void receive(const udp::endpoint &from, std::string_view bytes);
+    void receive(const Address &from, std::string_view bytes);
     void send(const Outbox &outbox);
     void publishIfChanged();
 
@@ -55,27 +46,7 @@
     }
 };
 
-void Membership::Driver::receiveLoop()
-{
-    std::array<char, ReceiveBytes> buffer;
-    for (;;) {
-        udp::endpoint from;
-        boost::system::error_code error;
-        const size_t size = m_socket.async_receive_from(asio::buffer(buffer), from, Yield{ error });
-        if (error == asio::error::operation_aborted || !m_socket.is_open())
-            return;
-        // A peer's closed port shows here as a refused connection.
-        if (error) {
-            if (!sleepFor(m_thread.context(), ReceiveRetryDelay))
-                return;
-            continue;
-        }
-        receive(from, { buffer.data(), size });
-        publishIfChanged();
-    }
-}
-
-void Membership::Driver::receive(const udp::endpoint &from, std::string_view bytes)
+void Membership::Driver::receive(const Address &from, std::string_view bytes)
 {
     ++m_traffic->m_datagramsIn;
     m_traffic->m_datagramBytesIn += bytes.size();
@@ -84,7 +55,7 @@
         ++m_traffic->m_datagramsRefused;
         return;
     }
-    send(m_state->receive(fromUdp(from), *message, Clock::now()));
+    send(m_state->receive(from, *message, Clock::now()));
 }
 
 void Membership::Driver::tickLoop()
@@ -105,10 +76,7 @@
                 .warn("Datagram not sent. to={} bytes={}", toString(outgoing.m_to), bytes.size());
             continue;
         }
-        boost::system::error_code error;
-        // Does not wait: what the socket cannot take now is lost, as any datagram may be.
-        m_socket.send_to(asio::buffer(bytes), *to, 0, error);
-        if (error)
+        if (!m_socket.send(*to, bytes))
             continue;
         ++m_traffic->m_datagramsOut;
         m_traffic->m_datagramBytesOut += bytes.size();
@@ -147,28 +115,26 @@
 
 Result<Address> Membership::start(const Address &bind)
 {
-    const auto endpoint = toUdp(bind);
-    if (!endpoint)
-        return tl::unexpected(endpoint.error());
-    udp::socket &socket = m_driver->m_socket;
-    boost::system::error_code error;
-    socket.open(endpoint->protocol(), error);
-    if (!error)
-        socket.bind(*endpoint, error);
-    if (!error)
-        socket.non_blocking(true, error);
-    if (error)
-        return makeError(ErrorCode::Unavailable,
-                         fmt::format("cannot bind {}: {}", toString(bind), error.message()));
+    const auto listening = m_driver->m_socket.bind(bind);
+    if (!listening)
+        return tl::unexpected(listening.error());
     Address bound = bind;
-    bound.m_port = socket.local_endpoint().port();
+    bound.m_port = listening->m_port;
     VmInfo &self = m_driver->m_self;
     if (self.m_udp.m_port == 0)
         self.m_udp.m_port = bound.m_port;
     const uint64_t seed = stableHash(self.m_id.str(), self.m_incarnation);
     m_driver->m_state.emplace(self, m_driver->m_options, seed, Clock::now());
     m_driver->publishIfChanged();
-    m_driver->m_thread.post([driver = m_driver] { driver->receiveLoop(); });
+    // The driver owns the socket, so that the receiver must not own the driver.
+    m_driver->m_socket.receive(
+        [weak = std::weak_ptr(m_driver)](const Address &from, std::string_view bytes) {
+            const auto driver = weak.lock();
+            if (!driver)
+                return;
+            driver->receive(from, bytes);
+            driver->publishIfChanged();
+        });
     m_driver->m_thread.post([driver = m_driver] { driver->tickLoop(); });
     return bound;
 }
--- a/policy/endpoint_directory.cpp
+++ b/policy/endpoint_directory.cpp
@@ -4,14 +4,8 @@
 
 namespace {
 
-void noteSure(EndpointDirectory &directory)
-{
-    if (directory.sure())
-        directory.m_sureRevision = directory.m_revision;
-}
-
 /// The directory of a later revision, in which endpoints of @p own may be missing.
-bool replace(EndpointDirectory &own, const EndpointDirectory &offered)
+void replace(EndpointDirectory &own, const EndpointDirectory &offered)
 {
     EndpointDirectory joined = offered;
     joined.m_sureRevision = own.m_sureRevision;
@@ -25,7 +19,6 @@
     }
     own = std::move(joined);
     noteSure(own);
-    return true;
 }
 
 bool dropDoubtful(EndpointDirectory &own, const EndpointDirectory &offered)
@@ -42,9 +35,18 @@
 
 } // namespace
 
+void noteSure(EndpointDirectory &directory)
+{
+    if (directory.sure())
+        directory.m_sureRevision = directory.m_revision;
+}
+
 bool joinDirectory(EndpointDirectory &own, const EndpointDirectory &offered)
 {
-    return offered.m_revision > own.m_revision ? replace(own, offered) : dropDoubtful(own, offered);
+    if (offered.m_revision <= own.m_revision)
+        return dropDoubtful(own, offered);
+    replace(own, offered);
+    return true;
 }
 
 } // namespace stackquay
--- a/policy/endpoint_directory.h
+++ b/policy/endpoint_directory.h
@@ -41,6 +41,9 @@
     bool sure() const { return m_whole && m_doubtful.empty(); }
 };
 
+/// To be called with each new revision: remembers it if nothing is in doubt at it.
+void noteSure(EndpointDirectory &directory);
+
 /// Takes what @p offered, a peer's directory, tells better than @p own: all of it if it is of a
 /// later revision; else only which doubtful endpoints are gone, if the peer is sure. Returns
 /// whether anything changed.
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "core/json_fields.h"
 #include "peers/codec.h"
 
 namespace stackquay {
@@ -41,8 +42,6 @@
     bool m_live = false;
 };
 
-using SpecJson = nlohmann::json;
-
 } // namespace
 
 struct FleetLink::State : std::enable_shared_from_this<FleetLink::State> {
@@ -285,7 +284,7 @@
 
 bool FleetLink::State::writeObject()
 {
-    const SpecJson spec = { { "beats", toString(m_settings.m_beats) } };
+    const Json spec = { { "beats", toString(m_settings.m_beats) } };
     const KindObject object{ m_settings.m_vm.str(), 0, spec.dump() };
     const Status created = m_store.create(m_source.m_vmsKind, object);
     if (created)
@@ -301,10 +300,11 @@
     if (!page)
         return false;
     for (const KindObject &object : page->m_objects) {
-        const SpecJson spec = SpecJson::parse(object.m_spec, nullptr, false);
-        if (!spec.is_object() || !spec.contains("beats") || !spec["beats"].is_string())
+        const auto spec = parseJsonObject(object.m_spec);
+        const auto beats = spec ? stringField(*spec, "beats") : std::nullopt;
+        if (!beats)
             continue;
-        const auto address = parseAddress(spec["beats"].get<std::string>());
+        const auto address = parseAddress(*beats);
         if (!address || *address == m_settings.m_beats || m_peers.count(*address) > 0)
             continue;
         m_peers[*address].m_heard = Clock::now();
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -23,8 +23,8 @@
 struct LoadMessage {
     LoadChange m_change = LoadChange::Placed;
     LoadKey m_key;
-    std::vector<LoadPart> m_parts; ///< Placed; ejected: the endpoint.
-    DataCentreId m_dataCentre; ///< Ejected only: of the sender.
+    std::vector<LoadPart> m_parts{}; ///< Placed; ejected: the endpoint.
+    DataCentreId m_dataCentre{}; ///< Ejected only: of the sender.
     uint32_t m_gapLimitMs = 0; ///< Placed and waiting.
     uint32_t m_expiresMs = 0; ///< Placed and waiting: from now.
     uint32_t m_aimMs = 0; ///< Waiting only: when the first event is wanted, from now.
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -53,8 +53,7 @@
     std::vector<LoadPart> parts;
     for (const GangMember &member : plan.m_members)
         parts.push_back({ member.m_endpoint.m_id, member.m_readMs, member.m_tokens });
-    m_node.place(m_load, std::move(parts), static_cast<uint32_t>(m_route->m_gapAim.count()),
-                 left() + LedgerSlack);
+    m_node.place(m_load, std::move(parts), gapLimitMs(), left() + LedgerSlack);
     logPlacement(plan);
     const AttemptEnd end = attemptPlaced(plan, tickets);
     m_node.end(m_load);
@@ -150,18 +149,21 @@
     return AttemptEnd::Failed;
 }
 
+RelayRun::AttemptEnd RelayRun::failRead(const EndpointRecord &endpoint, const Error &error)
+{
+    const bool silent = error.m_code == ErrorCode::DeadlineExceeded;
+    // Out of time: that says nothing of the endpoint.
+    if (silent && Clock::now() >= m_deadline)
+        return AttemptEnd::Failed;
+    return failAttempt(endpoint, FailureWeight::Chance, silent ? "silent" : error.m_message);
+}
+
 RelayRun::AttemptEnd RelayRun::converse(HttpConnection &connection, const EndpointRecord &endpoint,
                                         bool reused, TimePoint firstBy)
 {
     auto response = connection.readHeader(std::max<Duration>(firstBy - Clock::now(), Millis(1)));
-    if (!response) {
-        // One that is silent past its time may only be slow; one that resets is failing.
-        const bool silent = response.error().m_code == ErrorCode::DeadlineExceeded;
-        if (silent && Clock::now() >= m_deadline)
-            return AttemptEnd::Failed;
-        return failAttempt(endpoint, FailureWeight::Chance,
-                           silent ? "silent" : response.error().m_message);
-    }
+    if (!response)
+        return failRead(endpoint, response.error());
     const AnswerHead head = m_node.m_dialect.m_readAnswer(*response);
     const bool ours = head.m_id == m_head.m_id || (head.m_id.empty() && !reused);
     if (!ours)
@@ -255,13 +257,8 @@
         const TimePoint until = first ? firstBy : silentUntil;
         const Status read =
             connection.readBody(piece, std::max<Duration>(until - Clock::now(), Millis(1)));
-        if (!read) {
-            const bool silent = read.error().m_code == ErrorCode::DeadlineExceeded;
-            if (silent && Clock::now() >= m_deadline)
-                return AttemptEnd::Failed;
-            return failAttempt(endpoint, FailureWeight::Chance,
-                               silent ? "silent" : read.error().m_message);
-        }
+        if (!read)
+            return failRead(endpoint, read.error());
         if (piece.empty()) {
             if (!events.empty())
                 return failAttempt(endpoint, FailureWeight::Chance,
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -44,14 +44,12 @@
         const auto count = std::chrono::duration_cast<Millis>(duration).count();
         return static_cast<uint32_t>(std::max<Millis::rep>(count, 0));
     };
-    m_loads.send({ LoadChange::Waiting,
-                   key,
-                   {},
-                   {},
-                   gapLimitMs,
-                   millis(turn.m_expiresAt - now),
-                   millis(turn.m_aimAt - now),
-                   millis(turn.m_needed) });
+    LoadMessage message{ LoadChange::Waiting, key };
+    message.m_gapLimitMs = gapLimitMs;
+    message.m_expiresMs = millis(turn.m_expiresAt - now);
+    message.m_aimMs = millis(turn.m_aimAt - now);
+    message.m_neededMs = millis(turn.m_needed);
+    m_loads.send(message);
     queueOf(gapLimitMs)[key] = turn;
 }
 
@@ -60,8 +58,11 @@
 {
     const TimePoint now = Clock::now();
     const auto millis = std::chrono::duration_cast<Millis>(lifetime).count();
-    m_loads.send(
-        { LoadChange::Placed, key, parts, {}, gapLimitMs, static_cast<uint32_t>(millis), 0, 0 });
+    LoadMessage message{ LoadChange::Placed, key };
+    message.m_parts = parts;
+    message.m_gapLimitMs = gapLimitMs;
+    message.m_expiresMs = static_cast<uint32_t>(millis);
+    m_loads.send(message);
     leaveQueues(key);
     m_ledger.place(key, { std::move(parts), gapLimitMs, false, now, now + lifetime });
 }
@@ -69,14 +70,14 @@
 void RelayNode::startWriting(const LoadKey &key)
 {
     m_ledger.startWriting(key);
-    m_loads.send({ LoadChange::FirstEvent, key, {}, {}, 0, 0, 0, 0 });
+    m_loads.send(LoadMessage{ LoadChange::FirstEvent, key });
 }
 
 void RelayNode::end(const LoadKey &key)
 {
     m_ledger.end(key);
     leaveQueues(key);
-    m_loads.send({ LoadChange::Ended, key, {}, {}, 0, 0, 0, 0 });
+    m_loads.send(LoadMessage{ LoadChange::Ended, key });
 }
 
 std::unordered_set<EndpointId> RelayNode::strictSide(const ServiceId &service,
@@ -111,14 +112,10 @@
         return;
     m_metrics.m_ejections.add();
     if (weight == FailureWeight::Telling) {
-        m_loads.send({ LoadChange::Ejected,
-                       nextKey(),
-                       { { endpoint, 0, 0 } },
-                       m_settings.m_dataCentre,
-                       0,
-                       0,
-                       0,
-                       0 });
+        LoadMessage message{ LoadChange::Ejected, nextKey() };
+        message.m_parts = { { endpoint, 0, 0 } };
+        message.m_dataCentre = m_settings.m_dataCentre;
+        m_loads.send(message);
     }
     DecisionLine("relay", "endpoint ejected")
         .text("endpoint", endpoint.str())
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -16,11 +16,11 @@
 {
     // The newest list: endpoints may have left since the request arrived.
     const RelayViewPtr view = m_node.m_view.load();
-    const auto pool = view->m_pools.find(m_serviceId);
-    if (pool == view->m_pools.end())
+    const auto *pool = poolOf(*view, m_serviceId);
+    if (!pool)
         return {};
     std::vector<EndpointRecord> untried;
-    for (const EndpointRecord &endpoint : pool->second) {
+    for (const EndpointRecord &endpoint : *pool) {
         if (m_tried.count(endpoint.m_id) == 0)
             untried.push_back(endpoint);
     }
@@ -31,11 +31,10 @@
                             bool strictStream) const
 {
     const RelayViewPtr view = m_node.m_view.load();
-    const auto whole = view->m_pools.find(m_serviceId);
-    if (whole == view->m_pools.end())
+    const auto *whole = poolOf(*view, m_serviceId);
+    if (!whole)
         return { pool, {} };
-    const auto strictSide =
-        m_node.strictSide(m_serviceId, *m_service->m_engine, whole->second, uses);
+    const auto strictSide = m_node.strictSide(m_serviceId, *m_service->m_engine, *whole, uses);
     GangSides sides;
     for (const EndpointRecord &endpoint : pool) {
         const bool own = (strictSide.count(endpoint.m_id) > 0) == strictStream;
@@ -77,19 +76,18 @@
 uint32_t RelayRun::roomNow() const
 {
     const RelayViewPtr view = m_node.m_view.load();
-    const auto pool = view->m_pools.find(m_serviceId);
-    if (pool == view->m_pools.end())
+    const auto *pool = poolOf(*view, m_serviceId);
+    if (!pool)
         return 1;
     const EndpointUses uses = m_node.m_ledger.uses(Clock::now());
-    const auto strictSide =
-        m_node.strictSide(m_serviceId, *m_service->m_engine, pool->second, uses);
+    const auto strictSide = m_node.strictSide(m_serviceId, *m_service->m_engine, *pool, uses);
     const bool strictStream = isStrictGap(gapLimitMs());
     SideLoad load;
     load.m_reading = m_node.m_ledger.readingLong();
-    load.m_engines = strictStream ? strictSide.size() : pool->second.size() - strictSide.size();
+    load.m_engines = strictStream ? strictSide.size() : pool->size() - strictSide.size();
     load.m_engines = std::max<size_t>(load.m_engines, 1);
     load.m_slots = static_cast<uint32_t>(load.m_engines) * m_service->m_engine->m_slots;
-    for (const EndpointRecord &endpoint : pool->second) {
+    for (const EndpointRecord &endpoint : *pool) {
         const auto use = uses.find(endpoint.m_id);
         if (use != uses.end())
             load.m_strictStreams += use->second.m_strictWriters;
@@ -101,8 +99,8 @@
 {
     const TurnSettings &turns = m_node.m_turns;
     const RelayViewPtr view = m_node.m_view.load();
-    const auto pool = view->m_pools.find(m_serviceId);
-    const size_t engines = pool == view->m_pools.end() ? 1 : pool->second.size();
+    const auto *pool = poolOf(*view, m_serviceId);
+    const size_t engines = pool ? pool->size() : 1;
     const auto tokens = static_cast<double>(m_head.m_promptTokens);
     const EngineCosts &costs = *m_service->m_engine;
     const FloatMillis needed = isStrictGap(gapLimitMs())
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -71,6 +71,8 @@
                           const AnswerHead &head, const HttpResponse &response, TimePoint firstBy);
     AttemptEnd failAttempt(const EndpointRecord &endpoint, FailureWeight weight,
                            std::string_view why);
+    /// The endpoint did not answer, or stopped in its answer.
+    AttemptEnd failRead(const EndpointRecord &endpoint, const Error &error);
     bool takeEvents(EventSplitter &events, std::string &batch);
     void passOnEvents(const AnswerHead &head, unsigned status, const std::string &batch);
     HttpRequest upstreamRequest(const GangPlan &plan, const MemoryTickets &tickets) const;
--- a/relay/relay_view.cpp
+++ b/relay/relay_view.cpp
@@ -4,6 +4,12 @@
 
 namespace stackquay {
 
+const std::vector<EndpointRecord> *poolOf(const RelayView &view, const ServiceId &service)
+{
+    const auto found = view.m_pools.find(service);
+    return found == view.m_pools.end() ? nullptr : &found->second;
+}
+
 std::unordered_map<ServiceId, std::vector<EndpointRecord>>
 poolsOf(const EndpointDirectory &directory)
 {
--- a/relay/relay_view.h
+++ b/relay/relay_view.h
@@ -24,6 +24,9 @@
 
 using RelayViewPtr = std::shared_ptr<const RelayView>;
 
+/// The endpoints of @p service that take new work, or null if there are none.
+const std::vector<EndpointRecord> *poolOf(const RelayView &view, const ServiceId &service);
+
 /// The pools of @p directory: all endpoints that are not draining, sorted by id.
 std::unordered_map<ServiceId, std::vector<EndpointRecord>>
 poolsOf(const EndpointDirectory &directory);
--- a/relay/store_follower.cpp
+++ b/relay/store_follower.cpp
@@ -380,8 +380,7 @@
 void StoreFollower::State::publishDirectory(uint64_t revision)
 {
     m_directory.m_revision = std::max(m_directory.m_revision, revision);
-    if (m_directory.sure())
-        m_directory.m_sureRevision = m_directory.m_revision;
+    noteSure(m_directory);
     noteDoubts();
     m_hooks.m_directory(std::make_shared<const EndpointDirectory>(m_directory));
 }
--- a/store/claim.cpp
+++ b/store/claim.cpp
@@ -5,7 +5,7 @@
 #include <fmt/format.h>
 #include <openssl/evp.h>
 
-#include "store/json_fields.h"
+#include "core/json_fields.h"
 
 namespace stackquay {
 
--- a/store/lease.cpp
+++ b/store/lease.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "store/json_fields.h"
+#include "core/json_fields.h"
 
 namespace stackquay {
 
--- a/store/store_client.cpp
+++ b/store/store_client.cpp
@@ -4,7 +4,7 @@
 
 #include <fmt/format.h>
 
-#include "store/json_fields.h"
+#include "core/json_fields.h"
 #include "store/store_channel.h"
 
 namespace stackquay {
