A request of which a part has come is refused at the end of a drain, not called malformed

Ruled out: waiting for the rest, as a client may send it at any pace. Mend: HttpServer::refuseUnread() ends such reads with 503, Retry-After 0 and Connection: close; nobody has seen the request. Before: by reading, 400 or no answer. Conclusion: true also for other reads that this side breaks off.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -28,6 +28,7 @@
 using Acceptor = asio::basic_socket_acceptor<tcp, FiberSocket::Executor>;
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+constexpr unsigned StatusUnavailable = 503;
 constexpr int ListenBacklog = 1024;
 constexpr Millis AcceptRetryDelay{ 20 };
 
@@ -67,6 +68,8 @@
         return 431;
     if (error == beast::error::timeout)
         return 408;
+    if (error == asio::error::operation_aborted)
+        return StatusUnavailable;
     return 400;
 }
 
@@ -91,6 +94,7 @@
     HttpServerLimits m_limits;
     Acceptor m_acceptor;
     std::set<FiberSocket *> m_idle; ///< Waiting for a next request.
+    std::set<FiberSocket *> m_reading; ///< Of whose request a part has come.
     std::atomic<bool> m_draining{ false };
     std::atomic<bool> m_closing{ false }; ///< Each answer is the last of its connection.
     std::atomic<size_t> m_activeRequests{ 0 };
@@ -332,6 +336,8 @@
     message.result(status);
     message.version(11);
     message.set(http::field::content_type, "application/json");
+    if (status == StatusUnavailable)
+        message.set(http::field::retry_after, "0");
     message.keep_alive(false);
     message.body() = errorBody(status, error.message());
     message.prepare_payload();
@@ -379,7 +385,9 @@
             break;
         ++m_activeRequests;
         http::request_parser<http::string_body> parser;
+        m_reading.insert(&stream);
         error = readRequest(stream, buffer, parser, m_limits);
+        m_reading.erase(&stream);
         if (error) {
             refuseMalformed(stream, error, m_limits);
             --m_activeRequests;
@@ -454,6 +462,14 @@
     });
 }
 
+void HttpServer::refuseUnread()
+{
+    m_state->m_thread.post([state = m_state] {
+        for (FiberSocket *stream : state->m_reading)
+            stream->cancel();
+    });
+}
+
 size_t HttpServer::activeRequests() const
 {
     return m_state->m_activeRequests;
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -70,6 +70,9 @@
     void closeAfterAnswers();
     /// Accepts no more, and closes each connection after its present request. Any thread.
     void drain();
+    /// Ends the reading of requests of which only a part has come: 503, as nobody has seen them.
+    /// For the end of a drain. Any thread.
+    void refuseUnread();
     /// Requests in progress now. Any thread.
     size_t activeRequests() const;
     size_t connections() const;
