The relay process ends without destroying what its threads still use

Ruled out: joining the signal thread, which waits up to a second for its poll. Mend: the logger stays and its queue is emptied, at most 200 ms; the process ends by quick_exit with its threads, once all requests have ended.

--- a/core/decision_log.cpp
+++ b/core/decision_log.cpp
@@ -2,7 +2,9 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdio>
 #include <memory>
+#include <thread>
 
 #include <fmt/format.h>
 #include <spdlog/async.h>
@@ -15,6 +17,9 @@
 
 constexpr size_t QueueLines = 4'096;
 constexpr size_t QueueThreads = 1;
+/// A reader that takes nothing does not hold the process for longer.
+constexpr std::chrono::milliseconds FlushTime{ 200 };
+constexpr std::chrono::milliseconds FlushPoll{ 5 };
 constexpr unsigned char FirstPrintable = 0x20;
 
 struct Output {
@@ -115,10 +120,15 @@
 
 void closeDecisionLog()
 {
-    if (output().m_logger)
-        output().m_logger->flush();
-    output().m_logger.reset();
-    output().m_pool.reset();
+    // Threads may still write lines: the logger stays. Its queue is drained in order, and the flush
+    // has come to its end once the queue is empty again.
+    if (!output().m_logger)
+        return;
+    output().m_logger->flush();
+    const auto until = std::chrono::steady_clock::now() + FlushTime;
+    while (output().m_pool->queue_size() > 0 && std::chrono::steady_clock::now() < until)
+        std::this_thread::sleep_for(FlushPoll);
+    std::fflush(stdout);
 }
 
 } // namespace stackquay
--- a/core/decision_log.h
+++ b/core/decision_log.h
@@ -33,7 +33,8 @@
 void openDecisionLog();
 /// Lines dropped because the reader of standard output was too slow.
 uint64_t droppedDecisionLines();
-/// Writes what is queued, as far as standard output takes it. At the end of the process.
+/// Writes what is queued, as far as standard output takes it. At the end of the process; lines of
+/// threads that still run may be lost.
 void closeDecisionLog();
 
 } // namespace stackquay
--- a/main/stackquayd.cpp
+++ b/main/stackquayd.cpp
@@ -92,6 +92,13 @@
     }
 }
 
+/// Nothing is kept on this VM: the process may end with its threads.
+[[noreturn]] void endProcess(int status)
+{
+    std::fflush(stdout);
+    std::quick_exit(status);
+}
+
 int runRelay(const DaemonSettings &settings)
 {
     std::string text = readFile(settings.m_config);
@@ -115,7 +122,8 @@
     std::thread([&] { serveSignals(signals, **daemon, watch); }).detach();
     (*daemon)->wait();
     closeDecisionLog();
-    return 0;
+    // All requests have ended. The threads run until the process is gone, and use the daemon.
+    endProcess(0);
 }
 
 int runNative(const DaemonSettings &settings)
@@ -156,7 +164,5 @@
         return ExitUsage;
     }
     const int status = settings.m_config.empty() ? runNative(settings) : runRelay(settings);
-    // Nothing is kept on this VM: the process may end with its threads.
-    std::fflush(stdout);
-    std::quick_exit(status);
+    endProcess(status);
 }
