Drain: what may have run goes on, the time needed counts the request's own limit, nothing begins after the end

Mend: only a request of which nothing may have run is sent away; silence ends no answer that may not be repeated now; one check right before the send; time counts the answer's limit of tokens; after the notice a request is taken if its deadline lies in the grace.

--- a/policy/drain.cpp
+++ b/policy/drain.cpp
@@ -9,14 +9,14 @@
 
 bool canEnd(const DrainPlan &plan, TimePoint now, Duration expected)
 {
-    return !isDraining(plan) || now + expected <= plan.m_begunAt + plan.m_grace;
+    return !isDraining(plan) || expected <= plan.m_begunAt + plan.m_grace - now;
 }
 
-bool mayTake(const DrainPlan &plan, TimePoint now, Duration expected)
+bool mayTake(const DrainPlan &plan, TimePoint now, const RequestTime &time)
 {
-    if (!isDraining(plan))
+    if (canEnd(plan, now, time.m_most))
         return true;
-    return now < plan.m_begunAt + plan.m_notice && canEnd(plan, now, expected);
+    return now < plan.m_begunAt + plan.m_notice && canEnd(plan, now, time.m_expected);
 }
 
 bool endsNow(const DrainPlan &plan, TimePoint now, size_t inProgress)
--- a/policy/engine_costs.cpp
+++ b/policy/engine_costs.cpp
@@ -18,11 +18,10 @@
     return step * costs.m_stride;
 }
 
-FloatMillis usualWriteTime(const EngineCosts &costs)
+FloatMillis writeTime(const EngineCosts &costs, double answerTokens)
 {
     const double context = static_cast<double>(costs.m_memoryTokens) / 2;
-    const double passes = static_cast<double>(costs.m_usualAnswerTokens) / costs.m_stride;
-    return passTime(costs, costs.m_slots, context) * passes;
+    return passTime(costs, costs.m_slots, context) * (answerTokens / costs.m_stride);
 }
 
 } // namespace stackquay
--- a/policy/engine_costs.h
+++ b/policy/engine_costs.h
@@ -33,8 +33,8 @@
 /// nothing.
 FloatMillis passTime(const EngineCosts &costs, uint32_t writers, double contextTokens);
 
-/// Time to write an answer of the usual length on an engine whose slots are all taken and whose
-/// memory is half full.
-FloatMillis usualWriteTime(const EngineCosts &costs);
+/// Time to write @p answerTokens on an engine whose slots are all taken and whose memory is half
+/// full.
+FloatMillis writeTime(const EngineCosts &costs, double answerTokens);
 
 } // namespace stackquay
--- a/policy/retry_window.cpp
+++ b/policy/retry_window.cpp
@@ -21,7 +21,7 @@
     window.m_requests.push_back(now);
 }
 
-bool takeRepeat(RetryWindows &windows, const ServiceId &service, TimePoint now)
+bool repeatsLeft(RetryWindows &windows, const ServiceId &service, TimePoint now)
 {
     const RetryWindowSettings &settings = windows.m_settings;
     RetryWindow &window = windows.m_services[service];
@@ -31,9 +31,14 @@
     const double allowed =
         settings.m_safety
         * (settings.m_ratio * static_cast<double>(window.m_requests.size()) + slack);
-    if (static_cast<double>(window.m_repeats.size()) + 1 > allowed)
+    return static_cast<double>(window.m_repeats.size()) + 1 <= allowed;
+}
+
+bool takeRepeat(RetryWindows &windows, const ServiceId &service, TimePoint now)
+{
+    if (!repeatsLeft(windows, service, now))
         return false;
-    window.m_repeats.push_back(now);
+    windows.m_services[service].m_repeats.push_back(now);
     return true;
 }
 
--- a/policy/retry_window.h
+++ b/policy/retry_window.h
@@ -35,6 +35,8 @@
 /// A client's request for @p service arrived.
 void countArrival(RetryWindows &windows, const ServiceId &service, TimePoint now);
 
+/// Whether the budget holds a repeated send to @p service.
+bool repeatsLeft(RetryWindows &windows, const ServiceId &service, TimePoint now);
 /// Takes one repeated send to @p service out of the budget; false if none is left.
 bool takeRepeat(RetryWindows &windows, const ServiceId &service, TimePoint now);
 
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -67,7 +67,9 @@
 
 bool RelayRun::mayRepeat() const
 {
-    return !strict() && m_mayHaveRun < m_route->m_maxAttempts;
+    // An answer that is slow is better than one broken off for a repeat that the budget refuses.
+    return !strict() && m_mayHaveRun < m_route->m_maxAttempts
+           && m_node.mayRepeat(m_serviceId, *m_view);
 }
 
 Duration RelayRun::firstPatience(const GangPlan &plan) const
@@ -110,7 +112,8 @@
         failAttempt(endpoint, FailureWeight::Telling, connection.error().m_message);
         return AttemptEnd::NotSent;
     }
-    if (m_hungUp || left() <= Duration::zero())
+    // Nothing waits from here to the send, so that giveUp() comes before this or finds it.
+    if (m_hungUp || m_node.m_ending || left() <= Duration::zero() || betterElsewhere())
         return AttemptEnd::NotSent;
     const bool reused = (*connection)->reused();
     m_connection = connection->get();
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -311,12 +311,12 @@
 void RelayDaemon::drain()
 {
     if (!m_drainBegun.exchange(true))
-        m_control.post([this] { drainFiber(); });
+        m_control.post([this, begun = Clock::now()] { drainFiber(begun); });
 }
 
-void RelayDaemon::drainFiber()
+void RelayDaemon::drainFiber(TimePoint begun)
 {
-    const DrainPlan plan{ Clock::now(), BalancerNotice, DrainLinger,
+    const DrainPlan plan{ begun, BalancerNotice, DrainLinger,
                           m_node->m_view.load()->m_bounds.m_grace - GraceReserve };
     changeView([&plan](RelayView &view) { view.m_drain = plan; });
     DecisionLine("main", "draining")
@@ -340,6 +340,7 @@
     const TimePoint until = Clock::now() + EndingTime;
     m_node->m_ending = true;
     m_clients->drain();
+    m_clients->refuseUnread();
     m_traffic.post([this] {
         for (RelayRun *run : m_node->m_runs)
             run->giveUp();
--- a/relay/relay_daemon.h
+++ b/relay/relay_daemon.h
@@ -52,7 +52,8 @@
     void takeProof(const FreshnessProof &proof);
     void changeView(const std::function<void(RelayView &)> &change);
     void answerReady(HttpExchange &exchange);
-    void drainFiber();
+    /// @p begun is when the daemon was told to stop: the grace is counted from then.
+    void drainFiber(TimePoint begun);
     void endRequests();
 
     const RelaySettings m_settings;
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -108,7 +108,8 @@
 
 void RelayNode::noteFailure(const EndpointId &endpoint, FailureWeight weight, std::string_view why)
 {
-    if (!recordFailure(m_ejections, endpoint, weight, Clock::now()))
+    // The end of this process breaks off waits; that says nothing of an endpoint.
+    if (m_ending || !recordFailure(m_ejections, endpoint, weight, Clock::now()))
         return;
     m_metrics.m_ejections.add();
     if (weight == FailureWeight::Telling) {
@@ -123,12 +124,23 @@
         .write();
 }
 
-bool RelayNode::takeRepeat(const ServiceId &service, const RelayView &view)
+void RelayNode::setRetryBounds(const RelayView &view)
 {
     m_retries.m_settings.m_ratio = view.m_bounds.m_retryRatio;
     m_retries.m_settings.m_slack = view.m_bounds.m_retrySlack;
     m_retries.m_settings.m_window = view.m_bounds.m_retryWindow;
     m_retries.m_settings.m_sharers = static_cast<uint32_t>(view.m_vms * SharerMargin) + 1;
+}
+
+bool RelayNode::mayRepeat(const ServiceId &service, const RelayView &view)
+{
+    setRetryBounds(view);
+    return repeatsLeft(m_retries, service, Clock::now());
+}
+
+bool RelayNode::takeRepeat(const ServiceId &service, const RelayView &view)
+{
+    setRetryBounds(view);
     const bool taken = ::stackquay::takeRepeat(m_retries, service, Clock::now());
     (taken ? m_metrics.m_repeats : m_metrics.m_repeatsRefused).add();
     return taken;
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -63,12 +63,15 @@
     void noteFailure(const EndpointId &endpoint, FailureWeight weight, std::string_view why);
     /// Takes one repeated send to @p service out of the budget of the present view.
     bool takeRepeat(const ServiceId &service, const RelayView &view);
+    /// Whether takeRepeat() would be granted now.
+    bool mayRepeat(const ServiceId &service, const RelayView &view);
 
 private:
     TimePoint m_readySince{}; ///< First placement: before, nothing was heard of.
 
     void receive(const LoadMessage &message);
     void leaveQueues(const LoadKey &key);
+    void setRetryBounds(const RelayView &view);
 };
 
 } // namespace stackquay
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -10,12 +10,10 @@
 /// Between looks whether a request may begin: a tenth of a long prompt's usual part.
 constexpr Millis TurnPoll{ 12 };
 
-/// Answers vary in length, and engines pause for other prompts: on a day with four of six VMs
-/// stopping, nine in ten strict streams and half of the long prompts ended within 1.75 times this
-/// arithmetic (1,245 and 39 requests).
+/// Whether a request is taken: answers vary in length, and engines pause for other prompts: on a
+/// day with four of six VMs stopping, nine in ten strict streams and half of the long prompts ended
+/// within 1.75 times this arithmetic (1,245 and 39 requests).
 constexpr double ExpectedSlack = 2;
-/// Plain services answer within so many aims, if they answer in time at all.
-constexpr int PlainAims = 2;
 
 } // namespace
 
@@ -114,17 +112,33 @@
     return neededToRead(turns, costs, tokens, pool ? pool->size() : 1);
 }
 
-Duration RelayRun::expectedTime() const
+Duration RelayRun::timeToEnd(double slack) const
 {
     if (!isModelRequest())
-        return std::min<Duration>(m_route->m_aim * PlainAims, m_deadline - m_arrival);
-    const FloatMillis writing = usualWriteTime(*m_service->m_engine);
-    return std::chrono::duration_cast<Duration>((neededToBegin() + writing) * ExpectedSlack);
+        return std::chrono::duration_cast<Duration>(m_route->m_aim * slack);
+    const EngineCosts &costs = *m_service->m_engine;
+    double answer = static_cast<double>(costs.m_usualAnswerTokens) * slack;
+    if (m_head.m_answerTokens > 0)
+        answer = std::min(answer, static_cast<double>(m_head.m_answerTokens));
+    return std::chrono::duration_cast<Duration>(neededToBegin() * slack + writeTime(costs, answer));
 }
 
-bool RelayRun::canStillEnd() const
+RequestTime RelayRun::timeNeeded() const
 {
-    return canEnd(m_node.m_view.load()->m_drain, Clock::now(), expectedTime());
+    const Duration most = m_deadline - m_arrival;
+    return { std::min(timeToEnd(ExpectedSlack), most), most };
+}
+
+bool RelayRun::betterElsewhere() const
+{
+    // What may have run is tried here to the end: only this VM can still answer it.
+    if (m_mayHaveRun > 0 || m_streaming)
+        return false;
+    const RelayViewPtr view = m_node.m_view.load();
+    if (!isDraining(view->m_drain))
+        return false;
+    constexpr double NoSlack = 1;
+    return !canEnd(view->m_drain, Clock::now(), std::min(timeToEnd(NoSlack), left()));
 }
 
 WaitingTurn RelayRun::turnWanted() const
@@ -148,15 +162,15 @@
     queue[m_load] = turn;
     bool told = false;
     for (;;) {
+        // Known not to end in time, it is refused now: another VM may still serve it.
+        const bool hopeless = m_node.m_ending || betterElsewhere();
         const TimePoint now = Clock::now();
         const bool impatient = now >= turn.m_expiresAt;
-        if (impatient || mayBegin(queue, m_load, roomNow(), now))
+        if (!hopeless && (impatient || mayBegin(queue, m_load, roomNow(), now)))
             return true;
         if (!told)
             m_node.wait(m_load, gapLimitMs(), turn);
         told = true;
-        // Known not to end in time, it is refused now: another VM may still serve it.
-        const bool hopeless = m_node.m_ending || !canStillEnd();
         if (hopeless || !sleepFor(m_node.m_thread.context(), TurnPoll) || m_hungUp
             || left() <= TurnPoll) {
             m_why = "waited for its turn";
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -107,7 +107,8 @@
 bool RelayRun::admitDrain()
 {
     const RelayViewPtr view = m_node.m_view.load();
-    if (!m_node.m_ending && mayTake(view->m_drain, m_arrival, expectedTime()))
+    if (!m_node.m_ending
+        && (!isDraining(view->m_drain) || mayTake(view->m_drain, m_arrival, timeNeeded())))
         return true;
     refuse(StatusUnavailable, "this VM is stopping", RetryElsewhere);
     return false;
@@ -171,7 +172,7 @@
 {
     if (m_hungUp || m_node.m_ending || left() <= Duration::zero() || m_placements >= MostPlacements)
         return false;
-    if (m_placements > 0 && !canStillEnd())
+    if (betterElsewhere())
         return false;
     if (m_mayHaveRun > 0 && (strict() || m_mayHaveRun >= m_route->m_maxAttempts))
         return false;
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -60,10 +60,12 @@
     WaitingTurn turnWanted() const;
     /// From the beginning of an attempt to its first event, at least, in a model request.
     FloatMillis neededToBegin() const;
-    /// From the beginning of an attempt to its end, on engines that are full.
-    Duration expectedTime() const;
-    /// Whether an attempt that begins now ends before the daemon does.
-    bool canStillEnd() const;
+    /// From the beginning of an attempt to its end, on engines that are full; @p slack is by how
+    /// much its parts may become longer than the declared costs say.
+    Duration timeToEnd(double slack) const;
+    RequestTime timeNeeded() const;
+    /// Whether nothing has run, and an attempt that begins now cannot end before the daemon does.
+    bool betterElsewhere() const;
     std::vector<EndpointRecord> candidates() const;
     /// @p pool divided into those for this request's kind of stream, and the others.
     GangSides sidesOf(const std::vector<EndpointRecord> &pool, const EndpointUses &uses,
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -1,7 +1,13 @@
 #include "deployment.h"
 
+#include <array>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include "net/fiber_socket.h"
+
 namespace stackquay::platform {
 
 namespace {
@@ -12,6 +18,9 @@
     {"name":"plain","maxConns":100},
     {"name":"model","maxConns":100,"engine":{"slots":8,"kvCapacity":100000,"stride":10,
      "step_ms":0.1,"per_seq_ms":0.001,"context_per_k":0.001,"read_per_s":1000000.0,
+     "pairs_per_m":0.01,"chunk":2048,"usual":{"prompt":5000,"answer":100},"hopMs":0.01}},
+    {"name":"heavy","maxConns":100,"engine":{"slots":8,"kvCapacity":100000,"stride":10,
+     "step_ms":20.0,"per_seq_ms":0.001,"context_per_k":0.001,"read_per_s":1000000.0,
      "pairs_per_m":0.01,"chunk":2048,"usual":{"prompt":5000,"answer":100},"hopMs":0.01}}])";
 
 std::string route(const char *name, const char *kind, const char *service, const char *more)
@@ -131,6 +140,26 @@
     });
 }
 
+std::future<std::string> Deployment::beginRaw(const std::string &bytes, size_t daemon)
+{
+    auto done = std::make_shared<std::promise<std::string>>();
+    m_clients.post([this, done, bytes, address = m_daemons[daemon]->clientsAddress()] {
+        FiberSocket socket{ FiberSocket::Socket(m_clients.context()) };
+        socket.expiresAfter(Seconds(10));
+        std::string text;
+        boost::system::error_code error = socket.connect(*toTcp(address));
+        if (!error)
+            boost::asio::write(socket, boost::asio::buffer(bytes), error);
+        std::array<char, 1024> piece;
+        while (!error) {
+            const size_t size = socket.read_some(boost::asio::buffer(piece), error);
+            text.append(piece.data(), size);
+        }
+        done->set_value(text);
+    });
+    return done->get_future();
+}
+
 unsigned Deployment::readyStatus(size_t daemon)
 {
     auto status = std::make_shared<std::promise<unsigned>>();
@@ -174,6 +203,7 @@
         const bool open = connection.connect(address, Patience)
                           && (request.m_sendAfter == Millis(0)
                               || sleepFor(m_clients.context(), request.m_sendAfter));
+        const TimePoint sentAt = Clock::now();
         if (open && connection.send(message, Patience)) {
             const auto head = connection.readHeader(Patience);
             if (head) {
@@ -192,6 +222,7 @@
                 }
             }
         }
+        answer.m_took = Clock::now() - sentAt;
         if (request.m_leaveAfter > Millis(0)
             && !sleepFor(m_clients.context(), request.m_leaveAfter))
             return;
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -21,6 +21,7 @@
     HttpHeaders m_headers;
     std::string m_body; ///< As far as it came.
     bool m_whole = false;
+    Duration m_took{}; ///< From the first byte sent to the end.
 
     std::string header(std::string_view name) const
     {
@@ -63,6 +64,8 @@
     ClientAnswer call(const ClientRequest &request, size_t daemon = 0);
     /// The same, without waiting for the answer.
     std::future<ClientAnswer> begin(const ClientRequest &request, size_t daemon = 0);
+    /// Sends bytes as they are; what came back until the connection closed.
+    std::future<std::string> beginRaw(const std::string &bytes, size_t daemon = 0);
     unsigned readyStatus(size_t daemon = 0);
 
     HostedStore m_store;
--- a/tests/platform/drain_test.cpp
+++ b/tests/platform/drain_test.cpp
@@ -10,17 +10,28 @@
 class DrainTest : public testing::Test
 {
 protected:
-    void start(size_t plain, size_t models)
+    static void declareWithSlowRoutes(Deployment &deployment)
     {
-        // A stream that outlasts any grace of these tests.
-        m_deployment.declare(1, R"(,{"name":"slow","host":"host.example","pathPrefix":"/slow/",)"
-                                R"("kind":"stream","timeoutMs":20000,"aimMs":200,"maxAttempts":2,)"
-                                R"("priority":1,"service":"model","resumable":true,)"
-                                R"("gapAimMs":100})");
+        // Streams that may outlast any grace of these tests.
+        deployment.declare(1, R"(,{"name":"slow","host":"host.example","pathPrefix":"/slow/",)"
+                              R"("kind":"stream","timeoutMs":20000,"aimMs":200,"maxAttempts":2,)"
+                              R"("priority":1,"service":"model","resumable":true,)"
+                              R"("gapAimMs":100},)"
+                              R"({"name":"heavy","host":"host.example","pathPrefix":"/heavy/",)"
+                              R"("kind":"stream","timeoutMs":20000,"aimMs":200,"maxAttempts":2,)"
+                              R"("priority":1,"service":"heavy","resumable":true,)"
+                              R"("gapAimMs":100})");
+    }
+
+    void start(size_t plain, size_t models, size_t heavy = 0)
+    {
+        declareWithSlowRoutes(m_deployment);
         for (size_t i = 0; i < plain; ++i)
             m_deployment.addWorker("plain");
         for (size_t i = 0; i < models; ++i)
             m_deployment.addWorker("model");
+        for (size_t i = 0; i < heavy; ++i)
+            m_deployment.addWorker("heavy");
         m_deployment.addDaemon();
         ASSERT_TRUE(m_deployment.awaitReady());
     }
@@ -96,13 +107,14 @@
             continue;
         }
         EXPECT_EQ(runs, 0u);
+        EXPECT_LT(answer.m_took, Millis(200));
         if (answer.m_status == 0)
             continue; // The connection was closed before the request was read.
         EXPECT_EQ(answer.m_status, 503u);
         EXPECT_NE(answer.header("Retry-After"), "");
         EXPECT_EQ(answer.header("Connection"), "close");
     }
-    EXPECT_GT(whole, 15u); // The balancer still sends some for two seconds.
+    EXPECT_GT(whole, 20u); // The balancer still sends some for two seconds.
 }
 
 TEST_F(DrainTest, RequestAfterTheBalancersNoticeIsRefusedAtOnce)
@@ -158,7 +170,11 @@
         worker(full).setMode(WorkerMode::Serve);
     }
     const size_t warm = arrivals();
-    endDaemon();
+    daemon().wait();
+    // Both have heard how it ended, while the threads still run.
+    EXPECT_EQ(stream.wait_for(Millis(100)), std::future_status::ready);
+    EXPECT_EQ(unanswered.wait_for(Millis(100)), std::future_status::ready);
+    m_deployment.m_daemons.clear();
     const ClientAnswer cut = stream.get();
     EXPECT_EQ(cut.m_status, 200u);
     EXPECT_FALSE(cut.m_whole);
@@ -166,5 +182,87 @@
     EXPECT_EQ(arrivals(), warm);
 }
 
+// An answer of 100 tokens is declared to take 2 s there, and may take twice that.
+TEST_F(DrainTest, RequestThatCannotEndInTheGraceIsRefusedAtOnce)
+{
+    m_deployment.m_bounds.m_grace = Seconds(4);
+    start(0, 0, 1);
+    daemon().drain();
+    ASSERT_TRUE(eventually([&] { return m_deployment.readyStatus() == 503; }));
+    const TimePoint begun = Clock::now();
+    ClientRequest request = streamRequest("/heavy/x");
+    request.m_deadline = Seconds(20);
+    const ClientAnswer answer = m_deployment.call(request);
+    EXPECT_LT(Clock::now() - begun, Millis(200));
+    EXPECT_EQ(answer.m_status, 503u);
+    EXPECT_NE(answer.header("Retry-After"), "");
+    EXPECT_EQ(arrivals(), 0u);
+    endDaemon();
+}
+
+// From a day of rolling stops: an engine fell silent 3 s after SIGTERM, and the stream was cut
+// though another engine could have gone on with it.
+TEST_F(DrainTest, StreamThatItsEndpointLeavesIsResumedElsewhere)
+{
+    for (const WorkerMode mode : { WorkerMode::CutMidway, WorkerMode::SilentMidway }) {
+        SCOPED_TRACE(static_cast<int>(mode));
+        Deployment deployment;
+        deployment.m_bounds.m_grace = Seconds(6);
+        declareWithSlowRoutes(deployment);
+        for (int i = 0; i < 2; ++i) {
+            deployment.addWorker("heavy")->setEvents(60, Millis(40));
+            (**deployment.m_workers.back()).setMode(mode);
+        }
+        deployment.addDaemon();
+        ASSERT_TRUE(deployment.awaitReady());
+        ClientRequest request = streamRequest("/heavy/x");
+        request.m_deadline = Seconds(20);
+        auto answer = deployment.begin(request);
+        const auto arrived = [&] {
+            return (**deployment.m_workers[0]).arrivals() + (**deployment.m_workers[1]).arrivals()
+                   == 1;
+        };
+        ASSERT_TRUE(eventually(arrived));
+        for (const auto &one : deployment.m_workers)
+            (**one).setMode(WorkerMode::Serve);
+        deployment.m_daemons[0]->drain();
+        const ClientAnswer whole = answer.get();
+        EXPECT_EQ(whole.m_status, 200u);
+        EXPECT_TRUE(whole.m_whole);
+        EXPECT_EQ(whole.m_body, eventsText(1, 60));
+        deployment.m_daemons[0]->wait();
+    }
+}
+
+// A slow answer is better than one that is broken off for a repeat that the budget refuses.
+TEST_F(DrainTest, SilenceEndsNoStreamThatMayNotBeRepeated)
+{
+    m_deployment.m_bounds.m_retrySlack = 0;
+    m_deployment.m_bounds.m_retryRatio = 0;
+    start(0, 1);
+    worker(0).setEvents(3, Millis(1'200));
+    ClientRequest request = streamRequest("/slow/x");
+    request.m_deadline = Seconds(20);
+    const ClientAnswer answer = m_deployment.call(request);
+    EXPECT_TRUE(answer.m_whole);
+    EXPECT_EQ(answer.m_body, eventsText(1, 3));
+}
+
+// Nobody has seen it, so "not run" is true; a client never repeats what is called malformed.
+TEST_F(DrainTest, RequestOfWhichAPartHasComeIsRefusedAtTheEnd)
+{
+    m_deployment.m_bounds.m_grace = Seconds(4);
+    start(1, 0);
+    auto answer = m_deployment.beginRaw("POST /unsafe/x HTTP/1.1\r\nHost: host.example\r\n"
+                                        "Content-Length: 100\r\n\r\nhalf");
+    std::this_thread::sleep_for(Millis(100));
+    daemon().drain();
+    endDaemon();
+    const std::string text = answer.get();
+    EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 503");
+    EXPECT_NE(text.find("Connection: close"), std::string::npos);
+    EXPECT_EQ(arrivals(), 0u);
+}
+
 } // namespace
 } // namespace stackquay::platform
