A VM that drains stays known, and each tells a new one what it has in flight

Cause: a VM that drains removed its object and counted as not live at once, though it takes and places requests for seconds. A VM that started then did not find it; its peers told it no more of their placements, and sent it no more beats, so that it forgot theirs after 2 s; and one that started heard only of placements made after its start. Ruled out: lost datagrams (all tests are on loopback); the division of the pool, which is right for what the ledger holds.

'peer gone' is new in the logs: the last beat of a process.

--- a/policy/stream_ledger.cpp
+++ b/policy/stream_ledger.cpp
@@ -28,16 +28,27 @@
     return isStrictGap(m_gapLimitMs);
 }
 
-void StreamLedger::place(const LoadKey &key, AttemptLoad load)
+/// Placements that are told later have their place among those heard of at once.
+void StreamLedger::countDemand(const AttemptLoad &load)
 {
+    const TimePoint at = load.m_placedAt;
     if (load.strict()) {
-        m_strictPlaced.push_back(load.m_placedAt);
-    } else {
-        for (const LoadPart &part : load.m_parts) {
-            if (part.m_readMs > 0)
-                m_longReads.push_back({ load.m_placedAt, part.m_endpoint, part.m_readMs });
-        }
+        m_strictPlaced.insert(std::upper_bound(m_strictPlaced.begin(), m_strictPlaced.end(), at),
+                              at);
+        return;
     }
+    const auto before = [](TimePoint time, const LongRead &read) { return time < read.m_at; };
+    for (const LoadPart &part : load.m_parts) {
+        if (part.m_readMs > 0)
+            m_longReads.insert(std::upper_bound(m_longReads.begin(), m_longReads.end(), at, before),
+                               { at, part.m_endpoint, part.m_readMs });
+    }
+}
+
+void StreamLedger::place(const LoadKey &key, AttemptLoad load)
+{
+    if (m_loads.count(key) == 0)
+        countDemand(load);
     m_loads[key] = std::move(load);
 }
 
--- a/policy/stream_ledger.h
+++ b/policy/stream_ledger.h
@@ -55,6 +55,8 @@
     bool strict() const;
 };
 
+using AttemptLoads = std::unordered_map<LoadKey, AttemptLoad, LoadKeyHash>;
+
 /// What the ledger sums up for one endpoint.
 struct EndpointUse {
     uint32_t m_attempts = 0; ///< That it answers, reading or writing.
@@ -77,6 +79,8 @@
 class StreamLedger
 {
 public:
+    /// A second time for the same attempt, @p load takes the place of the first; its demand is not
+    /// counted again.
     void place(const LoadKey &key, AttemptLoad load);
     /// The first event of @p key came.
     void startWriting(const LoadKey &key);
@@ -90,6 +94,8 @@
     ReadingNow readingLong() const;
     /// Sums at @p now, without expired entries, which are dropped.
     EndpointUses uses(TimePoint now);
+    /// All, also those that have expired since the last sums.
+    const AttemptLoads &loads() const { return m_loads; }
     size_t size() const { return m_loads.size(); }
 
 private:
@@ -99,7 +105,9 @@
         double m_readMs = 0;
     };
 
-    std::unordered_map<LoadKey, AttemptLoad, LoadKeyHash> m_loads;
+    void countDemand(const AttemptLoad &load);
+
+    AttemptLoads m_loads;
     std::deque<TimePoint> m_strictPlaced; ///< Of the last window.
     std::deque<LongRead> m_longReads; ///< Of the last window, by time of placement.
 };
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -34,12 +35,17 @@
 constexpr Millis DutySilence{ 3'200 };
 /// Duty that another takes over is kept for so long, until the other has begun.
 constexpr Millis DutyHandover{ 1'500 };
+constexpr Millis RemovePoll{ 5 };
 
 struct Peer {
-    Beat m_beat;
+    Beat m_beat; ///< The last one heard.
     ArrivalClock m_clock;
     TimePoint m_heard{};
-    bool m_live = false;
+    bool m_present = false; ///< Its process is there, as far as is known.
+    bool m_askLoads = false; ///< The next beat to it asks what it has in flight.
+
+    /// Whether duties and questions may be given to it.
+    bool live() const { return m_present && !m_beat.m_leaving; }
 };
 
 } // namespace
@@ -71,6 +77,7 @@
     uint64_t m_beats = 0;
     uint32_t m_mostVms = 1;
     bool m_leaving = false;
+    bool m_gone = false; ///< Says and hears nothing more.
     bool m_asking = false;
     bool m_onDuty = true; ///< Until others are known, this VM serves alone.
     TimePoint m_firstOnDuty{}; ///< When it last came first for it.
@@ -80,9 +87,14 @@
     void registerLoop();
     bool writeObject();
     bool readObjects();
+    void removeObject(Duration most);
     void beat(bool all);
-    void sendBeat(const Address &to, bool answer);
+    void sendBeat(const Address &to, Peer &peer, bool answer);
     void receive(const Address &from, std::string_view bytes);
+    void hear(const Address &from, Peer &peer, const Beat &beat);
+    void greet(const Address &from, Peer &peer, bool wasAlone);
+    void takeProof(Peer &peer);
+    bool alone() const;
     void expire();
     void publish();
     void askIfBehind();
@@ -97,13 +109,14 @@
     return std::max<Duration>(BeatPeriod, BeatPeriodPerPeer * m_peers.size());
 }
 
-void FleetLink::State::sendBeat(const Address &to, bool answer)
+void FleetLink::State::sendBeat(const Address &to, Peer &peer, bool answer)
 {
     const auto endpoint = toUdp(to);
     if (!endpoint)
         return;
     const auto sinceEpoch = Clock::now().time_since_epoch();
     const auto sentUs = std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
+    const bool asksLoads = !peer.m_present || std::exchange(peer.m_askLoads, false);
     const Beat beat{ m_settings.m_vm,
                      m_settings.m_dataCentre,
                      m_origin,
@@ -113,18 +126,26 @@
                      m_hooks.m_own(),
                      m_onDuty,
                      m_leaving,
-                     answer };
+                     m_gone,
+                     answer,
+                     asksLoads };
     m_socket.send(*endpoint, encodeMessage(beat));
 }
 
 void FleetLink::State::beat(bool all)
 {
-    for (const auto &[address, peer] : m_peers) {
-        if (peer.m_live || all)
-            sendBeat(address, false);
+    for (auto &[address, peer] : m_peers) {
+        if (peer.m_present || all)
+            sendBeat(address, peer, false);
     }
 }
 
+bool FleetLink::State::alone() const
+{
+    return std::none_of(m_peers.begin(), m_peers.end(),
+                        [](const auto &entry) { return entry.second.m_present; });
+}
+
 void FleetLink::State::beatLoop()
 {
     do {
@@ -132,48 +153,76 @@
         beat(m_beats++ % GreetEveryBeats == 0);
         expire();
         askIfBehind();
-    } while (sleepFor(m_thread.context(), period()));
+    } while (sleepFor(m_thread.context(), period()) && !m_gone);
 }
 
 void FleetLink::State::receive(const Address &from, std::string_view bytes)
 {
     const Result<Beat> beat = decodeMessage<Beat>(bytes);
-    if (!beat || beat->m_origin == m_origin)
+    if (!beat || beat->m_origin == m_origin || m_gone)
         return;
-    const bool wasAlone = std::none_of(m_peers.begin(), m_peers.end(),
-                                       [](const auto &entry) { return entry.second.m_live; });
     Peer &peer = m_peers[from];
-    const bool restarted = peer.m_beat.m_origin != beat->m_origin;
-    const bool changed = !peer.m_live || restarted || beat->m_leaving;
-    if (restarted) {
+    const bool overtaken = peer.m_beat.m_gone && peer.m_beat.m_origin == beat->m_origin;
+    if (!overtaken)
+        hear(from, peer, *beat);
+}
+
+void FleetLink::State::hear(const Address &from, Peer &peer, const Beat &beat)
+{
+    const bool wasAlone = alone();
+    const uint64_t before = peer.m_beat.m_origin;
+    const bool restarted = before != beat.m_origin;
+    const bool begins = !peer.m_present || restarted;
+    const bool leaves = beat.m_leaving && (restarted || !peer.m_beat.m_leaving);
+    if (restarted)
         peer.m_clock = {};
-        if (peer.m_beat.m_origin != 0)
-            m_hooks.m_gone(peer.m_beat.m_origin);
-    }
-    peer.m_beat = *beat;
+    if (restarted && before != 0)
+        m_hooks.m_gone(before);
+    if (beat.m_gone)
+        m_hooks.m_gone(beat.m_origin);
+    peer.m_beat = beat;
     peer.m_heard = Clock::now();
-    peer.m_live = !beat->m_leaving;
-    const TimePoint sent = TimePoint{} + std::chrono::microseconds(beat->m_sentUs);
-    const Duration delay = delayOf(peer.m_clock, sent, peer.m_heard);
+    peer.m_present = !beat.m_gone;
     updateDuty();
-    if (changed) {
-        DecisionLine("peers", beat->m_leaving ? "peer leaves" : "peer heard")
-            .text("vm", beat->m_vm.str())
+    if (begins || leaves || beat.m_gone) {
+        const char *event = leaves ? "peer leaves" : "peer heard";
+        DecisionLine("peers", beat.m_gone ? "peer gone" : event)
+            .text("vm", beat.m_vm.str())
             .text("address", toString(from))
             .write();
         publish();
-        // A cut that has ended for one has mostly ended for all.
-        if (wasAlone && peer.m_live)
-            this->beat(true);
-        else if (!beat->m_answer && peer.m_live)
-            sendBeat(from, true);
     }
-    const BeliefSummary &beliefs = beat->m_beliefs;
+    if (beat.m_gone)
+        return;
+    if (begins || beat.m_asksLoads)
+        m_hooks.m_tellLoads(beat.m_loads);
+    if (begins)
+        greet(from, peer, wasAlone);
+    takeProof(peer);
+    askIfBehind();
+}
+
+/// Says to a peer that is new here, or is heard again, that this VM is there.
+void FleetLink::State::greet(const Address &from, Peer &peer, bool wasAlone)
+{
+    peer.m_askLoads = true;
+    // A cut that has ended for one has mostly ended for all.
+    if (wasAlone)
+        beat(true);
+    else if (!peer.m_beat.m_answer)
+        sendBeat(from, peer, true);
+}
+
+/// The proof that the peer's last beat carries, if it does.
+void FleetLink::State::takeProof(Peer &peer)
+{
+    const TimePoint sent = TimePoint{} + std::chrono::microseconds(peer.m_beat.m_sentUs);
+    const Duration delay = delayOf(peer.m_clock, sent, peer.m_heard);
+    const BeliefSummary &beliefs = peer.m_beat.m_beliefs;
     if (beliefs.m_proved) {
         m_hooks.m_proof(proofFromAge(beliefs.m_routesVersion, Millis(beliefs.m_proofAgeMs),
                                      BeatTravel + delay, peer.m_heard));
     }
-    askIfBehind();
 }
 
 void FleetLink::State::expire()
@@ -181,16 +230,16 @@
     const TimePoint now = Clock::now();
     bool changed = false;
     for (auto &[address, peer] : m_peers) {
-        if (!peer.m_live || now - peer.m_heard <= period() * DeadAfterBeats)
+        if (!peer.m_present || now - peer.m_heard <= period() * DeadAfterBeats)
             continue;
-        peer.m_live = false;
+        peer.m_present = false;
         changed = true;
         m_hooks.m_gone(peer.m_beat.m_origin);
         DecisionLine("peers", "peer lost").text("vm", peer.m_beat.m_vm.str()).write();
     }
     std::erase_if(m_peers, [now](const auto &entry) {
         const Peer &peer = entry.second;
-        return !peer.m_live && now - peer.m_heard > ForgetAfter;
+        return !peer.m_present && now - peer.m_heard > ForgetAfter;
     });
     if (changed)
         publish();
@@ -200,7 +249,7 @@
 {
     std::vector<Address> loads;
     for (const auto &[address, peer] : m_peers) {
-        if (peer.m_live)
+        if (peer.m_present)
             loads.push_back(peer.m_beat.m_loads);
     }
     m_mostVms = std::max(m_mostVms, static_cast<uint32_t>(loads.size()) + 1);
@@ -221,7 +270,7 @@
     std::vector<const Peer *> near;
     std::vector<const Peer *> far;
     for (const auto &[address, peer] : m_peers) {
-        if (peer.m_live && hasNews(peer.m_beat.m_beliefs)) {
+        if (peer.live() && hasNews(peer.m_beat.m_beliefs)) {
             const bool isNear = peer.m_beat.m_dataCentre == m_settings.m_dataCentre;
             (isNear ? near : far).push_back(&peer);
         }
@@ -269,7 +318,7 @@
     const TimePoint now = Clock::now();
     std::vector<DutyCandidate> candidates;
     for (const auto &[address, peer] : m_peers) {
-        if (!peer.m_live)
+        if (!peer.live())
             continue;
         const bool silent = peer.m_beat.m_onDuty && now - peer.m_heard > DutySilence;
         candidates.push_back({ peer.m_beat.m_vm, peer.m_beat.m_dataCentre,
@@ -294,6 +343,27 @@
     return false;
 }
 
+/// Others that start later look for this VM in vain if its object stays; that does no harm.
+void FleetLink::State::removeObject(Duration most)
+{
+    if (!m_hooks.m_own().m_reachesStore) {
+        DecisionLine("peers", "own object not removed").text("error", "store away").write();
+        return;
+    }
+    const auto done = std::make_shared<bool>(false);
+    spawnFiber([self = shared_from_this(), done] {
+        const Status removed =
+            self->m_store.remove(self->m_source.m_vmsKind, { self->m_settings.m_vm.str(), 0, "" });
+        if (!removed)
+            DecisionLine("peers", "own object not removed")
+                .text("error", removed.error().m_message)
+                .write();
+        *done = true;
+    });
+    const TimePoint end = Clock::now() + most;
+    while (!*done && Clock::now() < end && sleepFor(m_thread.context(), RemovePoll)) { }
+}
+
 bool FleetLink::State::readObjects()
 {
     const auto page = m_store.list(m_source.m_vmsKind);
@@ -307,8 +377,9 @@
         const auto address = parseAddress(*beats);
         if (!address || *address == m_settings.m_beats || m_peers.count(*address) > 0)
             continue;
-        m_peers[*address].m_heard = Clock::now();
-        sendBeat(*address, false);
+        Peer &peer = m_peers[*address];
+        peer.m_heard = Clock::now();
+        sendBeat(*address, peer, false);
     }
     return true;
 }
@@ -367,14 +438,13 @@
     m_state->m_leaving = true;
     m_state->updateDuty();
     m_state->beat(true);
-    spawnFiber([state = m_state] {
-        const Status removed = state->m_store.remove(state->m_source.m_vmsKind,
-                                                     { state->m_settings.m_vm.str(), 0, "" });
-        if (!removed)
-            DecisionLine("peers", "own object not removed")
-                .text("error", removed.error().m_message)
-                .write();
-    });
+}
+
+void FleetLink::goodbye(Duration most)
+{
+    m_state->removeObject(most);
+    m_state->m_gone = true;
+    m_state->beat(false);
 }
 
 void FleetLink::beatNow()
--- a/relay/fleet_link.h
+++ b/relay/fleet_link.h
@@ -3,7 +3,11 @@
 ///
 /// A VM writes one small object into the store at its start, and reads those of the others then and
 /// once in a while. From there on VMs know each other by beats: whoever hears an unknown VM answers
-/// it. A VM without peers serves alone.
+/// it, and tells it what it has in flight. A VM without peers serves alone.
+///
+/// A VM that drains still takes and places requests for some seconds. So it keeps its object, and
+/// stays a partner in all that is told of loads and news, until its process goes; but it takes no
+/// duty, and nobody turns to it with questions.
 #pragma once
 
 #include <functional>
@@ -27,8 +31,11 @@
     std::function<void(const FreshnessProof &proof)> m_proof;
     /// A process of a peer is gone, or cannot be heard: what it placed is not known any more.
     std::function<void(uint64_t origin)> m_gone;
-    /// The set of live peers changed: their addresses for loads, and the most VMs ever known.
+    /// The set of VMs that place requests changed: their addresses for loads, and the most VMs
+    /// ever known.
     std::function<void(const std::vector<Address> &loads, uint32_t vms)> m_peers;
+    /// The VM at this address for loads lacks what this one has in flight.
+    std::function<void(const Address &loads)> m_tellLoads;
 };
 
 class FleetLink
@@ -46,8 +53,11 @@
     Status listen(const Address &loads);
     /// Starts the fibers. On the thread.
     void start();
-    /// Tells the peers that this VM goes, and removes its object. On the thread.
+    /// Tells the peers that this VM drains. On the thread.
     void leave();
+    /// Removes the object of this VM, waiting for the store at most @p most, and tells the peers
+    /// that nothing more comes from it. Once, after leave(). On the thread.
+    void goodbye(Duration most);
     /// Tells the live peers at once, as there are news. On the thread.
     void beatNow();
     /// Whether this VM is to follow the store for the others of its data centre. On the thread.
--- a/relay/fleet_messages.h
+++ b/relay/fleet_messages.h
@@ -30,11 +30,13 @@
     Address m_loads; ///< UDP.
     BeliefSummary m_beliefs;
     bool m_onDuty = false; ///< Follows the store for others.
-    bool m_leaving = false;
+    bool m_leaving = false; ///< Drains: takes no duty, and still serves for some seconds.
+    bool m_gone = false; ///< The last beat of this process.
     bool m_answer = false; ///< Sent only because the receiver had greeted.
+    bool m_asksLoads = false; ///< The sender does not know what the receiver has in flight.
 
     MSGPACK_DEFINE(m_vm, m_dataCentre, m_origin, m_sentUs, m_calls, m_loads, m_beliefs, m_onDuty,
-                   m_leaving, m_answer)
+                   m_leaving, m_gone, m_answer, m_asksLoads)
 };
 
 /// A peer's routes and endpoints, with how old its proof of them is.
--- a/relay/load_exchange.cpp
+++ b/relay/load_exchange.cpp
@@ -4,6 +4,40 @@
 
 namespace stackquay {
 
+namespace {
+
+/// Fits into a packet of any network in use.
+constexpr size_t DatagramBytes = 1'200;
+/// A datagram is an array of messages: the most that its head takes.
+constexpr size_t ArrayHeadBytes = 5;
+/// At most this is told to a new peer: some 250 streams, or some thirty long prompts that seventeen
+/// engines each read. It bounds what a VM sends when many others start at once.
+constexpr size_t MostDatagrams = 16;
+
+} // namespace
+
+std::vector<std::string> packLoads(const std::vector<LoadMessage> &messages)
+{
+    std::vector<std::string> datagrams;
+    std::vector<LoadMessage> together;
+    size_t size = ArrayHeadBytes;
+    for (const LoadMessage &message : messages) {
+        const size_t more = encodeMessage(message).size();
+        if (!together.empty() && size + more > DatagramBytes) {
+            datagrams.push_back(encodeMessage(together));
+            together.clear();
+            size = ArrayHeadBytes;
+        }
+        if (datagrams.size() == MostDatagrams)
+            return datagrams;
+        together.push_back(message);
+        size += more;
+    }
+    if (!together.empty())
+        datagrams.push_back(encodeMessage(together));
+    return datagrams;
+}
+
 struct LoadExchange::State {
     State(FiberThread &thread, Receiver receiver)
         : m_socket(thread)
@@ -26,9 +60,10 @@
 {
     return m_state->m_socket.listen(
         address, [state = m_state.get()](const Address &from, auto bytes) {
-            const Result<LoadMessage> message = decodeMessage<LoadMessage>(bytes);
-            if (message) {
-                state->m_receiver(*message);
+            const auto messages = decodeMessage<std::vector<LoadMessage>>(bytes);
+            if (messages) {
+                for (const LoadMessage &message : *messages)
+                    state->m_receiver(message);
                 return;
             }
             // Whoever sends garbage may send a lot of it: the first says enough.
@@ -50,9 +85,18 @@
 {
     if (m_state->m_peers.empty())
         return;
-    const std::string bytes = encodeMessage(message);
+    const std::string bytes = encodeMessage(std::vector<LoadMessage>{ message });
     for (const auto &peer : m_state->m_peers)
         m_state->m_socket.send(peer, bytes);
 }
 
+void LoadExchange::tell(const Address &peer, const std::vector<LoadMessage> &messages)
+{
+    const auto endpoint = toUdp(peer);
+    if (!endpoint)
+        return;
+    for (const std::string &datagram : packLoads(messages))
+        m_state->m_socket.send(*endpoint, datagram);
+}
+
 } // namespace stackquay
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -1,7 +1,7 @@
 /// Tells the other VMs what this one places at endpoints, and hears the same from them, over UDP.
 ///
-/// One datagram to each peer for a placement, a first event and an end. Nothing is acknowledged:
-/// the ledger is a hint, and its entries expire.
+/// One datagram to each peer for a placement, a first event and an end; some with many messages to
+/// a peer that is new. Nothing is acknowledged: the ledger is a hint, and its entries expire.
 #pragma once
 
 #include <memory>
@@ -27,13 +27,19 @@
     DataCentreId m_dataCentre{}; ///< Ejected only: of the sender.
     uint32_t m_gapLimitMs = 0; ///< Placed and waiting.
     uint32_t m_expiresMs = 0; ///< Placed and waiting: from now.
+    uint32_t m_ageMs = 0; ///< Placed, if told later: how long ago.
+    bool m_writing = false; ///< Placed, if told later: the first event came.
     uint32_t m_aimMs = 0; ///< Waiting only: when the first event is wanted, from now.
     uint32_t m_neededMs = 0; ///< Waiting only: as WaitingTurn.
 
-    MSGPACK_DEFINE(m_change, m_key, m_parts, m_dataCentre, m_gapLimitMs, m_expiresMs, m_aimMs,
-                   m_neededMs)
+    MSGPACK_DEFINE(m_change, m_key, m_parts, m_dataCentre, m_gapLimitMs, m_expiresMs, m_ageMs,
+                   m_writing, m_aimMs, m_neededMs)
 };
 
+/// The messages of @p messages as datagrams that no network splits; those after the bound of what
+/// one peer is told are left out.
+std::vector<std::string> packLoads(const std::vector<LoadMessage> &messages);
+
 /// Used on the traffic thread only.
 class LoadExchange
 {
@@ -51,6 +57,8 @@
     Result<Address> listen(const Address &address);
     void setPeers(const std::vector<Address> &peers);
     void send(const LoadMessage &message);
+    /// Sends @p messages to one peer, packed.
+    void tell(const Address &peer, const std::vector<LoadMessage> &messages);
 
 private:
     struct State;
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -1,5 +1,7 @@
 #include "relay/relay_daemon.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "relay/relay_run.h"
@@ -14,6 +16,9 @@
 /// Left of the grace when the daemon gives up waiting for requests in progress.
 constexpr Millis GraceReserve{ 700 };
 constexpr Millis DrainPoll{ 20 };
+/// For the goodbye to the store: at least, and at most if there is time.
+constexpr Duration LeastGoodbye = Millis(300);
+constexpr Duration MostGoodbye = Millis(1'200);
 /// Calls that the store answers at all come within some hundred ms, also when it is slow.
 constexpr Duration StoreTryTimeout = Millis(1'200);
 constexpr Duration StoreCallTimeout = Millis(2'500);
@@ -253,6 +258,9 @@
         changeView([vms](RelayView &view) { view.m_vms = vms; });
         m_traffic.post([this, loads] { m_node->m_loads.setPeers(loads); });
     };
+    hooks.m_tellLoads = [this](const Address &loads) {
+        m_traffic.post([this, loads] { m_node->tellAll(loads); });
+    };
     return hooks;
 }
 
@@ -328,6 +336,7 @@
         });
         (void)sleepFor(m_control.context(), DrainPoll);
     }
+    m_fleet->goodbye(std::clamp<Duration>(end - Clock::now(), LeastGoodbye, MostGoodbye));
     DecisionLine("main", "drained")
         .number("requests", int64_t(m_clients->activeRequests()))
         .write();
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -1,5 +1,7 @@
 #include "relay/relay_node.h"
 
+#include <algorithm>
+
 namespace stackquay {
 
 namespace {
@@ -12,6 +14,34 @@
 /// VMs may be added: the slack is divided by this many times those known.
 constexpr double SharerMargin = 1.5;
 
+uint32_t millisOf(Duration duration)
+{
+    const auto count = std::chrono::duration_cast<Millis>(duration).count();
+    return static_cast<uint32_t>(std::max<Millis::rep>(count, 0));
+}
+
+LoadMessage waitingMessage(const LoadKey &key, uint32_t gapLimitMs, const WaitingTurn &turn,
+                           TimePoint now)
+{
+    LoadMessage message{ LoadChange::Waiting, key };
+    message.m_gapLimitMs = gapLimitMs;
+    message.m_expiresMs = millisOf(turn.m_expiresAt - now);
+    message.m_aimMs = millisOf(turn.m_aimAt - now);
+    message.m_neededMs = millisOf(turn.m_needed);
+    return message;
+}
+
+LoadMessage placedMessage(const LoadKey &key, const AttemptLoad &load, TimePoint now)
+{
+    LoadMessage message{ LoadChange::Placed, key };
+    message.m_parts = load.m_parts;
+    message.m_gapLimitMs = load.m_gapLimitMs;
+    message.m_expiresMs = millisOf(load.m_expiresAt - now);
+    message.m_ageMs = millisOf(now - load.m_placedAt);
+    message.m_writing = load.m_writing;
+    return message;
+}
+
 } // namespace
 
 RelayNode::RelayNode(FiberThread &thread, RelaySettings settings, const RelayDialect &dialect)
@@ -39,17 +69,7 @@
 
 void RelayNode::wait(const LoadKey &key, uint32_t gapLimitMs, const WaitingTurn &turn)
 {
-    const TimePoint now = Clock::now();
-    const auto millis = [](Duration duration) {
-        const auto count = std::chrono::duration_cast<Millis>(duration).count();
-        return static_cast<uint32_t>(std::max<Millis::rep>(count, 0));
-    };
-    LoadMessage message{ LoadChange::Waiting, key };
-    message.m_gapLimitMs = gapLimitMs;
-    message.m_expiresMs = millis(turn.m_expiresAt - now);
-    message.m_aimMs = millis(turn.m_aimAt - now);
-    message.m_neededMs = millis(turn.m_needed);
-    m_loads.send(message);
+    m_loads.send(waitingMessage(key, gapLimitMs, turn, Clock::now()));
     queueOf(gapLimitMs)[key] = turn;
 }
 
@@ -57,14 +77,10 @@
                       Duration lifetime)
 {
     const TimePoint now = Clock::now();
-    const auto millis = std::chrono::duration_cast<Millis>(lifetime).count();
-    LoadMessage message{ LoadChange::Placed, key };
-    message.m_parts = parts;
-    message.m_gapLimitMs = gapLimitMs;
-    message.m_expiresMs = static_cast<uint32_t>(millis);
-    m_loads.send(message);
+    AttemptLoad load{ std::move(parts), gapLimitMs, false, now, now + lifetime };
+    m_loads.send(placedMessage(key, load, now));
     leaveQueues(key);
-    m_ledger.place(key, { std::move(parts), gapLimitMs, false, now, now + lifetime });
+    m_ledger.place(key, std::move(load));
 }
 
 void RelayNode::startWriting(const LoadKey &key)
@@ -106,6 +122,45 @@
     }
 }
 
+std::vector<LoadMessage> RelayNode::ownLoads(TimePoint now) const
+{
+    std::vector<LoadMessage> messages;
+    for (const auto &[key, load] : m_ledger.loads()) {
+        if (key.m_origin == m_origin && load.m_expiresAt > now)
+            messages.push_back(placedMessage(key, load, now));
+    }
+    // If there are too many, those that last longest are known.
+    std::sort(messages.begin(), messages.end(),
+              [](const LoadMessage &left, const LoadMessage &right) {
+                  return left.m_expiresMs > right.m_expiresMs;
+              });
+    return messages;
+}
+
+std::vector<LoadMessage> RelayNode::ownTurns(TimePoint now) const
+{
+    std::vector<LoadMessage> messages;
+    const auto add = [&](const TurnQueue &queue, uint32_t gapLimitMs) {
+        for (const auto &[key, turn] : queue) {
+            if (key.m_origin == m_origin && turn.m_expiresAt > now)
+                messages.push_back(waitingMessage(key, gapLimitMs, turn, now));
+        }
+    };
+    add(m_strictQueue, StrictGapMs);
+    add(m_longQueue, 0);
+    return messages;
+}
+
+void RelayNode::tellAll(const Address &peer)
+{
+    const TimePoint now = Clock::now();
+    std::vector<LoadMessage> messages = ownLoads(now);
+    const std::vector<LoadMessage> turns = ownTurns(now);
+    messages.insert(messages.end(), turns.begin(), turns.end());
+    if (!messages.empty())
+        m_loads.tell(peer, messages);
+}
+
 void RelayNode::noteFailure(const EndpointId &endpoint, FailureWeight weight, std::string_view why)
 {
     if (!recordFailure(m_ejections, endpoint, weight, Clock::now()))
@@ -151,8 +206,9 @@
         return;
     case LoadChange::Placed:
         leaveQueues(message.m_key);
-        m_ledger.place(message.m_key, { message.m_parts, message.m_gapLimitMs, false, now,
-                                        now + Millis(message.m_expiresMs) });
+        m_ledger.place(message.m_key,
+                       { message.m_parts, message.m_gapLimitMs, message.m_writing,
+                         now - Millis(message.m_ageMs), now + Millis(message.m_expiresMs) });
         return;
     case LoadChange::FirstEvent:
         m_ledger.startWriting(message.m_key);
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -55,6 +55,8 @@
     void end(const LoadKey &key);
     /// Forgets what a VM's process that is gone had placed or waited for.
     void forget(uint64_t origin);
+    /// Tells a VM that is new here what this one has in flight, and what waits for its turn.
+    void tellAll(const Address &peer);
     /// The engines of @p pool that are for strict streams now.
     std::unordered_set<EndpointId> strictSide(const ServiceId &service, const EngineCosts &costs,
                                               const std::vector<EndpointRecord> &pool,
@@ -68,6 +70,8 @@
     TimePoint m_readySince{}; ///< First placement: before, nothing was heard of.
 
     void receive(const LoadMessage &message);
+    std::vector<LoadMessage> ownLoads(TimePoint now) const;
+    std::vector<LoadMessage> ownTurns(TimePoint now) const;
     void leaveQueues(const LoadKey &key);
 };
 
--- a/tests/policy/gang_plan_test.cpp
+++ b/tests/policy/gang_plan_test.cpp
@@ -108,6 +108,39 @@
     EXPECT_EQ(ledger.size(), 0u);
 }
 
+TEST(StreamLedgerTest, PlacementsToldLaterCountWhereTheyBelong)
+{
+    StreamLedger ledger;
+    const auto pool = engines(0, 1);
+    const auto placedAt = [](AttemptLoad load, TimePoint at) {
+        load.m_placedAt = at;
+        return load;
+    };
+    const TimePoint now = Start + Seconds(3);
+    ledger.place({ 1, 1 }, placedAt(load({ part(pool[0], 100) }, 1'000), now));
+    ledger.place({ 2, 1 }, placedAt(load({ part(pool[0], 30) }, 1'000), now - Millis(1'000)));
+    ledger.place({ 2, 2 }, placedAt(load({ part(pool[0], 7) }, 1'000), now - LongReadWindow));
+    ledger.place({ 2, 3 }, placedAt(load({ part(pool[0], 10) }, 250), now - StrictRateWindow));
+    ledger.place({ 2, 4 }, placedAt(load({ part(pool[0], 10) }, 250), now - Millis(100)));
+    EXPECT_DOUBLE_EQ(ledger.uses(now)[pool[0].m_id].m_recentLongMs, 130);
+    EXPECT_EQ(ledger.recentStrict(now), 1u);
+    const TimePoint later = now - Millis(1'000) + LongReadWindow;
+    EXPECT_DOUBLE_EQ(ledger.uses(later)[pool[0].m_id].m_recentLongMs, 100);
+}
+
+TEST(StreamLedgerTest, PlacementToldTwiceIsCountedOnce)
+{
+    StreamLedger ledger;
+    const auto pool = engines(0, 1);
+    for (int i = 0; i < 2; ++i) {
+        ledger.place({ 1, 1 }, load({ part(pool[0], 100) }, 1'000));
+        ledger.place({ 1, 2 }, load({ part(pool[0], 20) }, 250));
+    }
+    EXPECT_EQ(ledger.size(), 2u);
+    EXPECT_DOUBLE_EQ(ledger.uses(Start)[pool[0].m_id].m_recentLongMs, 100);
+    EXPECT_EQ(ledger.recentStrict(Start), 1u);
+}
+
 TEST(GangPlanTest, ShortPromptGoesToTheLeastLoadedEngine)
 {
     const auto pool = engines(0, 4);
