--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -77,6 +77,7 @@
     uint64_t m_beats = 0;
     uint32_t m_mostVms = 1;
     bool m_leaving = false;
+    bool m_removing = false; ///< Waits for the store to remove its object.
     bool m_gone = false; ///< Says and hears nothing more.
     bool m_asking = false;
     bool m_onDuty = true; ///< Until others are known, this VM serves alone.
@@ -87,7 +88,7 @@
     void registerLoop();
     bool writeObject();
     bool readObjects();
-    void removeObject(Duration most);
+    void removeObject();
     void beat(bool all);
     void sendBeat(const Address &to, Peer &peer, bool answer);
     void receive(const Address &from, std::string_view bytes);
@@ -343,25 +344,18 @@
     return false;
 }
 
-/// Others that start later look for this VM in vain if its object stays; that does no harm.
-void FleetLink::State::removeObject(Duration most)
+/// If the object stays, VMs that start later greet this one in vain; that does no harm.
+void FleetLink::State::removeObject()
 {
-    if (!m_hooks.m_own().m_reachesStore) {
-        DecisionLine("peers", "own object not removed").text("error", "store away").write();
-        return;
-    }
-    const auto done = std::make_shared<bool>(false);
-    spawnFiber([self = shared_from_this(), done] {
-        const Status removed =
-            self->m_store.remove(self->m_source.m_vmsKind, { self->m_settings.m_vm.str(), 0, "" });
-        if (!removed)
-            DecisionLine("peers", "own object not removed")
-                .text("error", removed.error().m_message)
-                .write();
-        *done = true;
-    });
-    const TimePoint end = Clock::now() + most;
-    while (!*done && Clock::now() < end && sleepFor(m_thread.context(), RemovePoll)) { }
+    const Status removed =
+        m_hooks.m_own().m_reachesStore
+            ? m_store.remove(m_source.m_vmsKind, { m_settings.m_vm.str(), 0, "" })
+            : Status(makeError(ErrorCode::Unavailable, "the store is away"));
+    if (!removed)
+        DecisionLine("peers", "own object not removed")
+            .text("error", removed.error().m_message)
+            .write();
+    m_removing = false;
 }
 
 bool FleetLink::State::readObjects()
@@ -440,11 +434,19 @@
     m_state->beat(true);
 }
 
-void FleetLink::goodbye(Duration most)
+void FleetLink::removeObject()
 {
-    m_state->removeObject(most);
-    m_state->m_gone = true;
-    m_state->beat(false);
+    m_state->m_removing = true;
+    spawnFiber([state = m_state] { state->removeObject(); });
+}
+
+void FleetLink::goodbye(TimePoint by)
+{
+    State &state = *m_state;
+    while (state.m_removing && Clock::now() < by
+           && sleepFor(state.m_thread.context(), RemovePoll)) { }
+    state.m_gone = true;
+    state.beat(false);
 }
 
 void FleetLink::beatNow()
--- a/relay/fleet_link.h
+++ b/relay/fleet_link.h
@@ -55,9 +55,12 @@
     void start();
     /// Tells the peers that this VM drains. On the thread.
     void leave();
-    /// Removes the object of this VM, waiting for the store at most @p most, and tells the peers
-    /// that nothing more comes from it. Once, after leave(). On the thread.
-    void goodbye(Duration most);
+    /// Begins to remove the object of this VM, unless the store is away. Once, after leave(). On
+    /// the thread.
+    void removeObject();
+    /// Tells the peers that nothing more comes from this VM, once the object is removed or it is
+    /// @p by. On the thread.
+    void goodbye(TimePoint by);
     /// Tells the live peers at once, as there are news. On the thread.
     void beatNow();
     /// Whether this VM is to follow the store for the others of its data centre. On the thread.
