Names in join_test.cpp as clang-tidy wants them

Cause: two constants were made plain variables for a capture, and kept their names. Before: clang-tidy failed on the file. After: the six tests of JoinTest pass again; clang-tidy was not run again on this file. Conclusion: no change of conduct.

--- a/tests/platform/join_test.cpp
+++ b/tests/platform/join_test.cpp
@@ -126,10 +126,10 @@
 TEST_F(JoinTest, MoreThanADatagramHoldsIsToldWithTurnsAndWhatIsLeftOfEach)
 {
     start(1, 1);
-    const size_t Gangs = 20;
-    const size_t Width = 17;
-    for (size_t i = 0; i < Gangs; ++i)
-        place(0, Width);
+    const size_t gangs = 20;
+    const size_t width = 17;
+    for (size_t i = 0; i < gangs; ++i)
+        place(0, width);
     place(0, 1, Millis(1'500));
     onTraffic(0, [](RelayNode &node) {
         const TimePoint now = Clock::now();
@@ -144,15 +144,15 @@
         return ours.m_loads == theirs.m_loads && ours.m_waiting == theirs.m_waiting;
     };
     EXPECT_TRUE(eventually(same, Millis(1'000)))
-        << "knows " << knownLoads(1) << " of " << Gangs + 1;
+        << "knows " << knownLoads(1) << " of " << gangs + 1;
     onTraffic(1, [&](RelayNode &node) {
         const TimePoint now = Clock::now();
         // Parts of 100 ms each, of which 400 ms are over; and the one whose life ends first.
         const EndpointUses uses = node.m_ledger.uses(now);
         ASSERT_EQ(uses.count(EndpointId("i-engine-1")), 1u);
-        EXPECT_LT(uses.at(EndpointId("i-engine-1")).m_readBacklogMs, Gangs * 100.0 - 350);
+        EXPECT_LT(uses.at(EndpointId("i-engine-1")).m_readBacklogMs, gangs * 100.0 - 350);
         const EndpointUses later = node.m_ledger.uses(now + Millis(1'150));
-        EXPECT_EQ(later.at(EndpointId("i-engine-0")).m_attempts, Gangs);
+        EXPECT_EQ(later.at(EndpointId("i-engine-0")).m_attempts, gangs);
         ASSERT_EQ(node.m_longQueue.size(), 1u);
         const WaitingTurn &turn = node.m_longQueue.begin()->second;
         EXPECT_EQ(turn.m_needed, Duration(Millis(700)));
