--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -1,5 +1,7 @@
 #include "relay/relay_daemon.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "relay/relay_run.h"
@@ -20,6 +22,9 @@
 /// For the answers to what is given up, and for the ends of open connections.
 constexpr Millis EndingTime{ 300 };
 constexpr Millis DrainPoll{ 20 };
+/// For the store to remove this VM's object, if the grace leaves it: a call that it answers at all
+/// takes no longer.
+constexpr Millis MostRemoval{ 1'200 };
 /// Calls that the store answers at all come within some hundred ms, also when it is slow.
 constexpr Duration StoreTryTimeout = Millis(1'200);
 constexpr Duration StoreCallTimeout = Millis(2'500);
@@ -260,6 +265,9 @@
         changeView([vms](RelayView &view) { view.m_vms = vms; });
         m_traffic.post([this, loads] { m_node->m_loads.setPeers(loads); });
     };
+    hooks.m_tellLoads = [this](const Address &loads) {
+        m_traffic.post([this, loads] { m_node->tellAll(loads); });
+    };
     return hooks;
 }
 
@@ -326,7 +334,12 @@
     m_fleet->leave();
     while (!endsNow(plan, Clock::now(), m_clients->activeRequests())
            && sleepFor(m_control.context(), DrainPoll)) { }
+    m_fleet->removeObject();
+    const TimePoint now = Clock::now();
+    const TimePoint goneBy =
+        std::clamp(plan.m_begunAt + plan.m_grace, now + EndingTime, now + MostRemoval);
     endRequests();
+    m_fleet->goodbye(goneBy);
     DecisionLine("main", "drained")
         .number("requests", int64_t(m_clients->activeRequests()))
         .write();
