Connections that fall silent for good are replaced within a bound of their own

Cause: a connection can lose its way without a reset while new ones work. What bounded that before, by kind: - to endpoints: a request that may run once waited for its whole time on an idle connection (relay_attempt.cpp firstPatience: left()); one that may be repeated gave the endpoint up, counted a failure against it, and could meet another silent connection with its last attempt; orders of memory waited for 400 ms each, and then failed (memory_tickets.cpp OrderTimeout); - to the store: reads 1.2 s for each idle connection in turn, watches their wait and 1.2 s (relay_daemon.cpp StoreTryTimeout, store_follower.cpp); - to peers: 60 s after the last frame, whatever calls were lost (rpc_channel.h m_clientIdle); the server's end 180 s; - from clients: the idle time-out between requests, else 30 s for a write that blocks (http_server.h), which a stream smaller than the socket's buffer never does.

Now: one bound, a quarter of the deployment's contact bound (750 ms of 3 s), after which unacknowledged bytes end a connection (TCP_USER_TIMEOUT), with probes of the system once a second for watches and peers; the whole contact bound for clients. What may run once, and each repeat, goes on a connection that carried an answer within a twelfth of it (250 ms), or on a new one. Kept connections are dropped with the one that fell silent: those to its address, and to all if two addresses fell silent together. That is no failure of the endpoint. Calls that may be repeated are replaced once. A peer's channel on which a call waited 300 ms and nothing came takes no further call; that a peer lives is told by its beats only, as before.

Ruled out: probes on connections to endpoints (a request that waits would not outlast a pause of the endpoint's machine, nor one lost probe; what may be repeated has its own patience); shorter waits of watches (each is a priced call); dropping all kept connections whenever one endpoint is slow.

The fault relay has a mode for it: the kernel drops all that comes for the open connections, so that not even acknowledgements leave (SO_ATTACH_FILTER).

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -24,6 +24,10 @@
 constexpr uint64_t BodyLimit = uint64_t(1) << 40;
 /// A peer that states no idle timeout is trusted for this long.
 constexpr Duration UnstatedIdleLimit = Seconds(3);
+/// Silent connections to two addresses within this time are one event, that may have met all.
+constexpr Duration SilenceSpan = Seconds(1);
+/// A replacement is connected at once, or the peer is away.
+constexpr Duration ReplaceTimeout = Seconds(1);
 /// Of a stated timeout, this part is used: the rest covers both ways and a slow peer.
 constexpr double IdleLimitShare = 0.6;
 
@@ -109,11 +113,18 @@
     size_t m_bytesSent = 0;
     bool m_open = false;
     bool m_reusable = false;
+    bool m_silent = false;
+    TimePoint m_sentAt{};
     Duration m_idleLimit = UnstatedIdleLimit; ///< How long the peer surely keeps it open.
     TimePoint m_idleSince{};
 
     tl::unexpected<Error> fail(const boost::system::error_code &error, std::string_view step)
     {
+        const bool waited = error == beast::error::timeout;
+        if (m_open) {
+            m_silent = error == asio::error::timed_out
+                       || (waited && unacknowledgedBytes(m_stream.socket().native_handle()) > 0);
+        }
         m_reusable = false;
         m_open = false;
         m_stream.close();
@@ -156,7 +167,8 @@
 
 HttpConnection::~HttpConnection() = default;
 
-Status HttpConnection::connect(const Address &address, Duration timeout)
+Status HttpConnection::connect(const Address &address, Duration timeout,
+                               const SilenceBounds &silence)
 {
     const auto endpoint = toTcp(address);
     if (!endpoint)
@@ -167,6 +179,7 @@
     if (error)
         return state->fail(error, "connect to " + toString(address));
     state->m_stream.socket().set_option(tcp::no_delay(true), error);
+    boundSilence(state->m_stream.socket().native_handle(), silence);
     state->m_host = toString(address);
     state->m_open = true;
     return {};
@@ -194,6 +207,7 @@
     state->m_parser->header_limit(HeaderLimit);
     state->m_parser->body_limit(BodyLimit);
     boost::system::error_code error;
+    state->m_sentAt = Clock::now();
     state->m_stream.expiresAfter(timeout);
     state->m_bytesSent = http::write(state->m_stream, message, error);
     if (error)
@@ -288,28 +302,45 @@
     return m_state->m_idleSince != TimePoint{};
 }
 
+Duration HttpConnection::idleFor() const
+{
+    return Clock::now() - m_state->m_idleSince;
+}
+
+bool HttpConnection::silent() const
+{
+    return m_state->m_silent;
+}
+
+TimePoint HttpConnection::sentAt() const
+{
+    return m_state->m_sentAt;
+}
+
 void HttpConnection::beginIdle()
 {
     m_state->m_idleSince = Clock::now();
 }
 
-HttpPool::HttpPool(asio::io_context &context, size_t idlePerAddress)
+HttpPool::HttpPool(asio::io_context &context, size_t idlePerAddress, const SilenceBounds &silence)
     : m_context(context)
     , m_idlePerAddress(idlePerAddress)
+    , m_silence(silence)
 { }
 
 Result<std::unique_ptr<HttpConnection>> HttpPool::acquire(const Address &address, Duration timeout,
-                                                          bool fresh)
+                                                          bool fresh, Duration longestIdle)
 {
     auto &idle = m_idle[toString(address)];
-    while (!fresh && !idle.empty()) {
+    // The last one was used last.
+    while (!fresh && !idle.empty() && idle.back()->idleFor() <= longestIdle) {
         auto connection = std::move(idle.back());
         idle.pop_back();
         if (connection->alive())
             return connection;
     }
     auto connection = std::make_unique<HttpConnection>(m_context);
-    const Status status = connection->connect(address, timeout);
+    const Status status = connection->connect(address, timeout, m_silence);
     if (!status)
         return tl::unexpected(status.error());
     return connection;
@@ -324,16 +355,39 @@
     idle.push_back(std::move(connection));
 }
 
+void HttpPool::dropIdle(std::vector<std::unique_ptr<HttpConnection>> &idle, TimePoint unusedSince)
+{
+    const Duration longest = Clock::now() - unusedSince;
+    std::erase_if(idle,
+                  [longest](const auto &connection) { return connection->idleFor() > longest; });
+}
+
+void HttpPool::noteSilent(const Address &address, const HttpConnection &connection)
+{
+    const TimePoint now = Clock::now();
+    const std::string name = toString(address);
+    const bool together = m_silentAt != TimePoint{} && now - m_silentAt < SilenceSpan;
+    if (together && m_silentAddress != name) {
+        for (auto &[other, idle] : m_idle)
+            dropIdle(idle, connection.sentAt());
+    } else {
+        dropIdle(m_idle[name], connection.sentAt());
+    }
+    m_silentAddress = name;
+    m_silentAt = now;
+}
+
 namespace {
 
 Result<HttpResponse> callOnce(HttpConnection &connection, const HttpRequest &request,
-                              TimePoint deadline)
+                              TimePoint deadline, TimePoint firstBy)
 {
     const auto left = [&] { return std::max<Duration>(deadline - Clock::now(), Millis(1)); };
     const Status sent = connection.send(request, left());
     if (!sent)
         return tl::unexpected(sent.error());
-    auto response = connection.readHeader(left());
+    auto response = connection.readHeader(
+        std::min<Duration>(left(), std::max<Duration>(firstBy - Clock::now(), Millis(1))));
     if (!response)
         return response;
     auto body = connection.readWhole(left());
@@ -348,17 +402,29 @@
 Result<HttpResponse> HttpPool::call(const Address &address, const HttpRequest &request,
                                     HttpCallOptions options, bool repeatable)
 {
-    const TimePoint deadline = Clock::now() + options.m_timeout;
-    const bool reused = !m_idle[toString(address)].empty() && repeatable;
+    TimePoint deadline = Clock::now() + options.m_timeout;
     auto connection = acquire(address, options.m_timeout, !repeatable);
     if (!connection)
         return tl::unexpected(connection.error());
-    auto response = callOnce(**connection, request, deadline);
-    if (!response && reused && response.error().m_code == ErrorCode::Unavailable) {
-        connection = acquire(address, deadline - Clock::now(), true);
+    const bool reused = (*connection)->reused();
+    const bool bounded = reused && options.m_replaceAfter > Duration::zero();
+    const TimePoint firstBy = bounded ? Clock::now() + options.m_replaceAfter : TimePoint(deadline);
+    auto response = callOnce(**connection, request, deadline, firstBy);
+    if (!response) {
+        const ErrorCode code = response.error().m_code;
+        const bool silent = (*connection)->silent() || code == ErrorCode::DeadlineExceeded;
+        if (silent)
+            noteSilent(address, **connection);
+        const bool closed = reused && code == ErrorCode::Unavailable;
+        if (!repeatable || !(silent || closed) || Clock::now() >= deadline)
+            return response;
+        if (options.m_anew)
+            deadline = Clock::now() + options.m_timeout;
+        connection =
+            acquire(address, std::min<Duration>(deadline - Clock::now(), ReplaceTimeout), true);
         if (!connection)
             return tl::unexpected(connection.error());
-        response = callOnce(**connection, request, deadline);
+        response = callOnce(**connection, request, deadline, deadline);
     }
     if (response)
         release(address, std::move(*connection));
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -8,6 +8,7 @@
 #include "net/address.h"
 #include "net/fiber_thread.h"
 #include "net/http_message.h"
+#include "net/silence.h"
 
 namespace stackquay {
 
@@ -20,7 +21,7 @@
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
 
-    Status connect(const Address &address, Duration timeout);
+    Status connect(const Address &address, Duration timeout, const SilenceBounds &silence = {});
     /// Sends a request. An error says whether any byte may have left in bytesSent().
     Status send(const HttpRequest &request, Duration timeout);
     /// Reads status and headers; the body is left for readBody() or readWhole().
@@ -42,6 +43,12 @@
     void beginIdle();
     /// Whether it carried a request before the present one.
     bool reused() const;
+    /// Since it was last proved to carry bytes both ways, by a whole answer.
+    Duration idleFor() const;
+    /// Whether it failed because the peer's system, not only its program, answered nothing.
+    bool silent() const;
+    /// When the last request was sent.
+    TimePoint sentAt() const;
 
 private:
     struct State;
@@ -51,27 +58,43 @@
 struct HttpCallOptions {
     Duration m_timeout = Seconds(10); ///< For the whole call.
     size_t m_bodyLimit = 64 * 1024 * 1024;
+    /// A kept connection that brings nothing for so long is replaced by a new one, once, if the
+    /// call is repeatable; zero: only one that the system ends.
+    Duration m_replaceAfter{ 0 };
+    /// Whether a call on a replaced connection has its whole time again: for those that wait.
+    bool m_anew = false;
 };
 
 /// Kept-alive connections of one FiberThread. Not shared between threads.
 class HttpPool
 {
 public:
-    explicit HttpPool(boost::asio::io_context &context, size_t idlePerAddress = 64);
+    explicit HttpPool(boost::asio::io_context &context, size_t idlePerAddress = 64,
+                      const SilenceBounds &silence = {});
 
-    /// An open connection to @p address, reused or fresh.
+    /// An open connection to @p address: a new one if @p fresh, or if none was used within
+    /// @p longestIdle.
     Result<std::unique_ptr<HttpConnection>> acquire(const Address &address, Duration timeout,
-                                                    bool fresh = false);
+                                                    bool fresh = false,
+                                                    Duration longestIdle = Duration::max());
+    /// Takes note that a connection to @p address fell silent. Those that were not used since its
+    /// request was sent are dropped; those to all addresses, if two fall silent together.
+    void noteSilent(const Address &address, const HttpConnection &connection);
     /// Keeps the connection for later if it can be reused.
     void release(const Address &address, std::unique_ptr<HttpConnection> connection);
-    /// One whole call. A reused connection that the peer had closed is replaced once, but only if
-    /// @p repeatable.
+    /// One whole call. A reused connection that the peer had closed, or any that fell silent, is
+    /// replaced once, but only if @p repeatable.
     Result<HttpResponse> call(const Address &address, const HttpRequest &request,
                               HttpCallOptions options = {}, bool repeatable = true);
 
 private:
+    void dropIdle(std::vector<std::unique_ptr<HttpConnection>> &idle, TimePoint unusedSince);
+
     boost::asio::io_context &m_context;
     size_t m_idlePerAddress;
+    SilenceBounds m_silence;
+    std::string m_silentAddress; ///< Where a connection last fell silent.
+    TimePoint m_silentAt{};
     std::unordered_map<std::string, std::vector<std::unique_ptr<HttpConnection>>> m_idle;
 };
 
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -424,6 +424,7 @@
     acceptor.set_option(ReusePort(true), error);
     if (acceptor.bind(*endpoint, error))
         return failed();
+    boundSilence(acceptor.native_handle(), m_state->m_limits.m_silence);
     if (acceptor.listen(ListenBacklog, error))
         return failed();
     Address bound = address;
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -7,6 +7,7 @@
 #include "net/address.h"
 #include "net/fiber_thread.h"
 #include "net/http_message.h"
+#include "net/silence.h"
 
 namespace stackquay {
 
@@ -19,6 +20,7 @@
     Millis m_idleTimeout{ 75'000 }; ///< Between requests of a kept-alive connection.
     Millis m_writeTimeout{ 30'000 }; ///< A reader that takes nothing for this long is cut.
     size_t m_connections = 20'000;
+    SilenceBounds m_silence; ///< Of the connections; set before listen().
 };
 
 /// One request being answered. Valid until the handler returns; used only on its thread.
--- a/net/net.h
+++ b/net/net.h
@@ -11,4 +11,5 @@
 #include "net/process_stats.h"
 #include "net/run_on.h"
 #include "net/signals.h"
+#include "net/silence.h"
 #include "net/yield.h"
--- a/peers/rpc_channel.cpp
+++ b/peers/rpc_channel.cpp
@@ -27,8 +27,10 @@
     , m_traffic(std::move(traffic))
 {
     boost::system::error_code ignored;
-    if (m_socket.is_open())
-        m_socket.set_option(tcp::no_delay(true), ignored);
+    if (!m_socket.is_open())
+        return;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    boundSilence(m_socket.native_handle(), m_limits.m_silence);
 }
 
 Status RpcChannel::connect(const Address &address, Duration timeout)
@@ -46,6 +48,7 @@
                          fmt::format("connect to {}: {}", toString(address), error.message()));
     }
     m_socket.set_option(tcp::no_delay(true), error);
+    boundSilence(m_socket.native_handle(), m_limits.m_silence);
     return {};
 }
 
--- a/peers/rpc_channel.h
+++ b/peers/rpc_channel.h
@@ -23,6 +23,11 @@
     size_t m_connections = 4096;
     Millis m_clientIdle{ 60'000 }; ///< The client closes first, so that no call meets a close.
     Millis m_serverIdle{ 180'000 };
+    /// A connection that brought nothing while a call waited so long for its answer takes no
+    /// further call; the next opens another. A connection within a data centre takes a few ms, and
+    /// a lost packet is sent again after 200.
+    Millis m_replaceAfter{ 300 };
+    SilenceBounds m_silence;
 };
 
 enum class RpcKind : uint8_t {
--- a/peers/rpc_client.cpp
+++ b/peers/rpc_client.cpp
@@ -57,8 +57,10 @@
     std::shared_ptr<RpcChannel> m_channel;
     std::unordered_map<uint64_t, PendingCall *> m_pending;
     std::vector<RpcFrame> m_beforeConnect; ///< Frames that wait for the connection.
+    TimePoint m_heardAt{}; ///< When the last frame came.
     bool m_connected = false;
     bool m_closed = false;
+    bool m_retired = false; ///< Ends with its last call.
 
     Status send(const RpcFrame &frame)
     {
@@ -85,6 +87,7 @@
                 fail({ ErrorCode::OutcomeUnknown, frame.error().m_message });
                 return;
             }
+            m_heardAt = Clock::now();
             const auto call = m_pending.find(frame->m_callId);
             if (call != m_pending.end())
                 call->second->complete(toReply(std::move(*frame)));
@@ -131,6 +134,16 @@
         });
         return slot;
     }
+
+    /// Lets the next call open another connection; those in flight may still be answered on this
+    /// one.
+    void retire(const Address &address, const std::shared_ptr<Connection> &connection)
+    {
+        connection->m_retired = true;
+        const auto present = m_connections.find(address);
+        if (present != m_connections.end() && present->second == connection)
+            m_connections.erase(present);
+    }
 };
 
 PeerClient::PeerClient(asio::io_context &context, RpcLimits limits,
@@ -160,6 +173,7 @@
     frame.m_callId = ++state->m_lastCallId;
     frame.m_method = std::string(name);
     frame.m_payload = std::move(payload);
+    const TimePoint begun = Clock::now();
     const auto connection = state->connectionTo(address);
     PendingCall call(state->m_context);
     connection->m_pending.emplace(frame.m_callId, &call);
@@ -169,6 +183,14 @@
     if (!call.m_done)
         call.wait(timeout);
     connection->m_pending.erase(frame.m_callId);
+    const bool unanswered =
+        !call.m_reply && call.m_reply.error().m_code == ErrorCode::DeadlineExceeded;
+    const bool silent =
+        connection->m_heardAt < begun && Clock::now() - begun >= state->m_limits.m_replaceAfter;
+    if (unanswered && silent)
+        state->retire(address, connection);
+    if (connection->m_retired && connection->m_pending.empty())
+        connection->m_channel->close();
     if (!call.m_reply)
         ++state->m_traffic->m_rpcFailed;
     return std::move(call.m_reply);
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -24,6 +24,8 @@
 constexpr Seconds ListPeriod{ 30 };
 constexpr Millis ListRetry{ 1'000 };
 constexpr Millis AskTimeout{ 400 };
+/// The first may meet a connection that fell silent; the second opens another.
+constexpr int AskTries = 2;
 /// A VM on duty asks for a peer's news only if the store has not brought them after this.
 constexpr Millis DutyAskDelay{ 120 };
 /// The others ask at once, but not all in the same moment.
@@ -42,6 +44,13 @@
     bool m_live = false;
 };
 
+RpcLimits rpcLimits(const RelaySettings &settings)
+{
+    RpcLimits limits;
+    limits.m_silence = { silenceBound(settings.m_bounds), true };
+    return limits;
+}
+
 } // namespace
 
 struct FleetLink::State : std::enable_shared_from_this<FleetLink::State> {
@@ -54,8 +63,8 @@
         , m_source(source)
         , m_hooks(std::move(hooks))
         , m_socket(thread)
-        , m_server(thread)
-        , m_client(thread.context())
+        , m_server(thread, rpcLimits(m_settings))
+        , m_client(thread.context(), rpcLimits(m_settings))
     { }
 
     FiberThread &m_thread;
@@ -87,7 +96,7 @@
     void publish();
     void askIfBehind();
     const Peer *peerWithNews();
-    void ask(const Address &peer);
+    bool ask(const Address &peer);
     void updateDuty();
     Duration period() const;
 };
@@ -241,14 +250,17 @@
     const Millis delay = m_onDuty ? DutyAskDelay : Millis(jitter(m_random));
     spawnFiber([self = shared_from_this(), delay] {
         if (sleepFor(self->m_thread.context(), delay)) {
-            if (const Peer *peer = self->peerWithNews())
-                self->ask(Address(peer->m_beat.m_calls));
+            for (int tries = 0; tries < AskTries; ++tries) {
+                const Peer *peer = self->peerWithNews();
+                if (!peer || self->ask(Address(peer->m_beat.m_calls)))
+                    break;
+            }
         }
         self->m_asking = false;
     });
 }
 
-void FleetLink::State::ask(const Address &peer)
+bool FleetLink::State::ask(const Address &peer)
 {
     const BeliefSummary own = m_hooks.m_own();
     const AskBeliefs question{ own.m_routesVersion, own.m_directoryRevision, !own.m_directorySure };
@@ -259,9 +271,10 @@
             .text("peer", toString(peer))
             .text("error", reply.error().m_message)
             .write();
-        return;
+        return false;
     }
     m_hooks.m_heard(*reply, Clock::now() - begun);
+    return true;
 }
 
 void FleetLink::State::updateDuty()
--- a/relay/memory_tickets.cpp
+++ b/relay/memory_tickets.cpp
@@ -10,6 +10,8 @@
 
 /// An order is answered in a round trip; one that is not may be carried out late.
 constexpr Duration OrderTimeout = Millis(400);
+/// An order under the same name changes nothing, so that it may be sent again.
+constexpr Duration OrderReplaceAfter = OrderTimeout / 2;
 /// Of the time within which memory must be free, so much is held at once.
 constexpr double HoldShare = 0.75;
 /// Renewed this often in a hold, so that one lost renewal cuts nothing.
@@ -26,6 +28,7 @@
 {
     HttpCallOptions options;
     options.m_timeout = OrderTimeout;
+    options.m_replaceAfter = OrderReplaceAfter;
     return node.m_pool.call(ticket.m_address, order, options);
 }
 
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -15,6 +15,10 @@
 
 /// A data centre away a connection takes a few ms; a lost packet is sent again after a second.
 constexpr Millis ConnectTimeout{ 200 };
+/// What may run only once, and what is sent once more, goes on a connection that carried an answer
+/// within this part of the time in which service must be back after a disturbance (250 ms of 3 s),
+/// or on a new one: idle connections may have fallen silent.
+constexpr int JustUsedShare = 12;
 /// What is left of an answer whose head has come.
 constexpr Millis BodyTimeout{ 1'000 };
 
@@ -105,7 +109,10 @@
     const auto address = parseAddress(endpoint.m_address);
     if (!address)
         return failAttempt(endpoint, FailureWeight::Telling, "no address");
-    auto connection = m_node.m_pool.acquire(*address, std::min<Duration>(left(), ConnectTimeout));
+    const bool proved = strict() || m_arrivals > 0;
+    const Duration justUsed = m_node.m_settings.m_bounds.m_contact / JustUsedShare;
+    auto connection = m_node.m_pool.acquire(*address, std::min<Duration>(left(), ConnectTimeout),
+                                            false, proved ? justUsed : Duration::max());
     if (!connection) {
         failAttempt(endpoint, FailureWeight::Telling, connection.error().m_message);
         return AttemptEnd::NotSent;
@@ -124,7 +131,7 @@
         end = converse(**connection, endpoint, reused,
                        std::min(Clock::now() + firstPatience(plan), m_deadline));
     } else {
-        failAttempt(endpoint, FailureWeight::Chance, sent.error().m_message);
+        failRead(**connection, endpoint, sent.error());
     }
     m_connection = nullptr;
     if (end == AttemptEnd::Answered || end == AttemptEnd::NotRun)
@@ -149,8 +156,27 @@
     return AttemptEnd::Failed;
 }
 
-RelayRun::AttemptEnd RelayRun::failRead(const EndpointRecord &endpoint, const Error &error)
+RelayRun::AttemptEnd RelayRun::failSilent(const HttpConnection &connection,
+                                          const EndpointRecord &endpoint)
 {
+    m_why = "the connection fell silent";
+    const auto address = parseAddress(endpoint.m_address);
+    if (address)
+        m_node.m_pool.noteSilent(*address, connection);
+    DecisionLine("relay", "connection fell silent")
+        .text("request", m_head.m_id.str())
+        .text("endpoint", endpoint.m_id.str())
+        .number("ms", std::chrono::duration_cast<Millis>(Clock::now() - m_arrival).count())
+        .write();
+    return AttemptEnd::Failed;
+}
+
+RelayRun::AttemptEnd RelayRun::failRead(const HttpConnection &connection,
+                                        const EndpointRecord &endpoint, const Error &error)
+{
+    // Not the endpoint's failure: it can be reached, or a new connection tells otherwise.
+    if (connection.silent())
+        return failSilent(connection, endpoint);
     const bool silent = error.m_code == ErrorCode::DeadlineExceeded;
     // Out of time: that says nothing of the endpoint.
     if (silent && Clock::now() >= m_deadline)
@@ -163,7 +189,7 @@
 {
     auto response = connection.readHeader(std::max<Duration>(firstBy - Clock::now(), Millis(1)));
     if (!response)
-        return failRead(endpoint, response.error());
+        return failRead(connection, endpoint, response.error());
     const AnswerHead head = m_node.m_dialect.m_readAnswer(*response);
     const bool ours = head.m_id == m_head.m_id || (head.m_id.empty() && !reused);
     if (!ours)
@@ -258,7 +284,7 @@
         const Status read =
             connection.readBody(piece, std::max<Duration>(until - Clock::now(), Millis(1)));
         if (!read)
-            return failRead(endpoint, read.error());
+            return failRead(connection, endpoint, read.error());
         if (piece.empty()) {
             if (!events.empty())
                 return failAttempt(endpoint, FailureWeight::Chance,
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -17,6 +17,9 @@
 /// Calls that the store answers at all come within some hundred ms, also when it is slow.
 constexpr Duration StoreTryTimeout = Millis(1'200);
 constexpr Duration StoreCallTimeout = Millis(2'500);
+/// A kept connection to the store that is silent for half a try's time leaves the other half for a
+/// new one.
+constexpr Duration StoreReplaceAfter = StoreTryTimeout / 2;
 constexpr double StoreReadsPerSecond = 20;
 constexpr double StoreWritesPerSecond = 5;
 /// The follower's own loops back off; the store's outage mode would notice a return later.
@@ -35,17 +38,21 @@
     store.m_writesPerSecond = StoreWritesPerSecond;
     store.m_outageAfter = NoOutageMode;
     store.m_retry = false;
+    store.m_silence = { silenceBound(settings.m_bounds), true };
+    store.m_replaceAfter = StoreReplaceAfter;
     return store;
 }
 
-HttpServerLimits serverLimits(const ClientLimits &limits, uint32_t connections)
+HttpServerLimits serverLimits(const ClientLimits &limits, const RelaySettings &settings)
 {
     HttpServerLimits server;
     server.m_headerBytes = limits.m_headerBytes;
     server.m_bodyBytes = limits.m_bodyBytes;
     server.m_headerTimeout = limits.m_headerTimeout;
     server.m_idleTimeout = limits.m_idleTimeout;
-    server.m_connections = connections;
+    server.m_connections = settings.m_connections;
+    // Clients are far, and nothing waits for a new connection of theirs: two probes may be lost.
+    server.m_silence = { settings.m_bounds.m_contact, true };
     return server;
 }
 
@@ -96,7 +103,7 @@
 {
     m_clients = std::make_unique<HttpServer>(
         m_traffic, [this](HttpExchange &exchange) { RelayRun(*m_node, exchange).run(); },
-        serverLimits({}, m_settings.m_connections));
+        serverLimits({}, m_settings));
     m_ready = std::make_unique<HttpServer>(
         m_traffic, [this](HttpExchange &exchange) { answerReady(exchange); });
     const auto clients = m_clients->listen(m_settings.m_clients);
@@ -149,7 +156,7 @@
             view.m_routes = routes;
             view.m_proof = proofFor(routes->m_version, m_proof);
         });
-        m_clients->setLimits(serverLimits(routes->m_limits, m_settings.m_connections));
+        m_clients->setLimits(serverLimits(routes->m_limits, m_settings));
         tellNews();
     };
     hooks.m_proof = [this](const FreshnessProof &proof) {
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -20,7 +20,9 @@
     , m_thread(thread)
     , m_random(std::random_device{}())
     , m_origin(m_random())
-    , m_pool(thread.context(), IdleConnections)
+    // Not probed: a request that waits at an endpoint has its own bounds, and may outlast a pause
+    // of the endpoint's machine.
+    , m_pool(thread.context(), IdleConnections, { silenceBound(m_settings.m_bounds), false })
     , m_loads(thread, [this](const LoadMessage &message) { receive(message); })
 {
     m_view.store(std::make_shared<const RelayView>());
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -75,7 +75,9 @@
     AttemptEnd failAttempt(const EndpointRecord &endpoint, FailureWeight weight,
                            std::string_view why);
     /// The endpoint did not answer, or stopped in its answer.
-    AttemptEnd failRead(const EndpointRecord &endpoint, const Error &error);
+    AttemptEnd failRead(const HttpConnection &connection, const EndpointRecord &endpoint,
+                        const Error &error);
+    AttemptEnd failSilent(const HttpConnection &connection, const EndpointRecord &endpoint);
     bool takeEvents(EventSplitter &events, std::string &batch);
     void passOnEvents(const AnswerHead &head, unsigned status, const std::string &batch);
     HttpRequest upstreamRequest(const GangPlan &plan, const MemoryTickets &tickets) const;
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -13,12 +13,22 @@
     double m_retrySlack = 10;
     Seconds m_retryWindow{ 10 };
     Seconds m_grace{ 8 }; ///< From SIGTERM to SIGKILL.
+    Millis m_contact{ 3'000 }; ///< So long after a disturbance all has to be as before.
     Millis m_longestHold{ 20'000 }; ///< Of reserved memory.
     Millis m_freeMemory{ 4'000 }; ///< Memory must be free so long after its last use.
 
     bool operator==(const RelayBounds &) const = default;
 };
 
+/// Bytes that nobody acknowledges for so long: their connection is dead. With the 200 ms before the
+/// system counts, and the way to a new connection, service is back within a third of the time in
+/// which it must be: 750 ms where that is 3 s.
+inline Millis silenceBound(const RelayBounds &bounds)
+{
+    constexpr int Share = 4;
+    return bounds.m_contact / Share;
+}
+
 struct RelaySettings {
     VmId m_vm;
     DataCentreId m_dataCentre;
--- a/standin/fault_relay.cpp
+++ b/standin/fault_relay.cpp
@@ -119,8 +119,12 @@
         if (m_datagrams)
             return;
         const auto connections = m_connections;
-        for (const auto &connection : connections)
-            connection->faultChanged();
+        for (const auto &connection : connections) {
+            if (fault.m_mode == RelayMode::Silence)
+                connection->silence();
+            else
+                connection->faultChanged();
+        }
         if (fault.m_mode == RelayMode::Cut) {
             boost::system::error_code ignored;
             m_acceptor.close(ignored);
--- a/standin/relay_connection.cpp
+++ b/standin/relay_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <linux/filter.h>
+#include <sys/socket.h>
 
 namespace stackquay::standin {
 
@@ -23,7 +25,7 @@
     ModeName{ "pass", RelayMode::Pass },          ModeName{ "cut", RelayMode::Cut },
     ModeName{ "delay", RelayMode::Delay },        ModeName{ "reset", RelayMode::Reset },
     ModeName{ "half_open", RelayMode::HalfOpen }, ModeName{ "lose_answer", RelayMode::LoseAnswer },
-    ModeName{ "pause", RelayMode::Pause },
+    ModeName{ "pause", RelayMode::Pause },        ModeName{ "silence", RelayMode::Silence },
 };
 
 struct WayName {
@@ -37,6 +39,17 @@
     WayName{ "from_target", RelayWay::FromTarget },
 };
 
+/// Makes the kernel drop whatever comes for @p socket, so that its peer hears nothing of it again.
+void dropAllThatComes(tcp::socket &socket)
+{
+    sock_filter dropAll = BPF_STMT(BPF_RET | BPF_K, 0);
+    const sock_fprog program{ 1, &dropAll };
+    if (::setsockopt(socket.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                     sizeof(program))
+        != 0)
+        log(LogPart::Standin).error("Cannot silence a connection. errno={}", errno);
+}
+
 } // namespace
 
 Result<RelayMode> parseRelayMode(std::string_view name)
@@ -115,6 +128,19 @@
     m_changed.notifyAll();
 }
 
+void RelayConnection::silence()
+{
+    if (m_closed || m_silent)
+        return;
+    m_silent = true;
+    ++m_shared->m_struck;
+    for (tcp::socket *socket : { &m_client, &m_server }) {
+        if (socket->is_open())
+            dropAllThatComes(*socket);
+    }
+    m_changed.notifyAll();
+}
+
 void RelayConnection::strike()
 {
     if (m_closed)
@@ -149,7 +175,7 @@
             break;
         if (strikesAnswer(pipe))
             return strike();
-        if (passes(pipe))
+        if (!m_silent && passes(pipe))
             enqueue(pipe, buffer.substr(0, size));
         while (pipe.m_bytes > PipeBytesLimit && !m_closed) {
             if (!m_changed.wait())
@@ -190,6 +216,11 @@
 bool RelayConnection::awaitPiece(Pipe &pipe)
 {
     while (!m_closed) {
+        if (m_silent) {
+            if (!m_changed.wait())
+                return false;
+            continue;
+        }
         const TimePoint now = Clock::now();
         const bool held = mode(RelayMode::Pause);
         if (!held && !pipe.m_pieces.empty() && pipe.m_pieces.front().m_due <= now)
--- a/standin/relay_connection.h
+++ b/standin/relay_connection.h
@@ -19,6 +19,7 @@
     HalfOpen, ///< Accepts connections and swallows the bytes.
     LoseAnswer, ///< Passes requests, and cuts when the first bytes of an answer come.
     Pause, ///< Holds bytes until another mode; nothing is lost.
+    Silence, ///< Silences the open connections for good, without an end; new ones pass.
 };
 
 /// Which way HalfOpen swallows; the other way passes.
@@ -61,6 +62,8 @@
     void run();
     /// Takes note of a change of the fault.
     void faultChanged();
+    /// From now on not even the acknowledgements of TCP leave it, whatever the mode.
+    void silence();
 
 private:
     using Socket = boost::asio::ip::tcp::socket;
@@ -103,6 +106,7 @@
     Pipe m_toTarget;
     Pipe m_fromTarget;
     bool m_closed = false;
+    bool m_silent = false;
 };
 
 } // namespace stackquay::standin
--- a/store/store_channel.cpp
+++ b/store/store_channel.cpp
@@ -56,7 +56,7 @@
     : m_context(context)
     , m_settings(std::move(settings))
     , m_random(random)
-    , m_pool(context, IdleConnections)
+    , m_pool(context, IdleConnections, m_settings.m_silence)
     , m_reads(makeCallBudget(m_settings.m_readsPerSecond, m_settings.m_burst, Clock::now()))
     , m_writes(makeCallBudget(m_settings.m_writesPerSecond, m_settings.m_burst, Clock::now()))
 {
@@ -130,6 +130,11 @@
         return makeError(ErrorCode::Unavailable, "no address of the store is set");
     HttpCallOptions options;
     options.m_timeout = timeout;
+    // A watch rightly brings nothing for long: its connection is probed. It goes on from the same
+    // revision, so that it loses nothing, and for its whole wait.
+    options.m_anew = call.m_kind == StoreCount::Watches;
+    if (!options.m_anew)
+        options.m_replaceAfter = m_settings.m_replaceAfter;
     auto response = m_pool.call(m_settings.m_addresses[m_address], call.m_request, options);
     if (!response)
         return tl::unexpected(lostAnswer(response.error(), call.m_kind));
--- a/store/store_client.h
+++ b/store/store_client.h
@@ -25,6 +25,10 @@
     /// Whether a call is tried again here; a caller with a loop of its own wants to see each
     /// failure.
     bool m_retry = true;
+    SilenceBounds m_silence; ///< Of the connections.
+    /// A kept connection that brings nothing for so long, where the answer does not wait for a
+    /// change, is replaced; zero: only one that the system ends.
+    Duration m_replaceAfter{ 0 };
     BackoffSettings m_probe{ Millis(500), Seconds(5) };
 };
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -16,7 +16,7 @@
   "listen": {"front": "10.1.0.40:8227", "ready": "10.1.0.40:8220"},
   "portRange": [7340, 7355], "limits": {"maxFds": 4200},
   "bounds": {"strictRevoke": true, "revokeMs": 5000, "retryRatio": 0.2, "retrySlack": 100,
-             "retryWindowS": 10, "graceS": 8, "holdMaxMs": 20000, "freeMs": 4000},
+             "retryWindowS": 10, "graceS": 8, "contactMs": 2400, "holdMaxMs": 20000, "freeMs": 4000},
   "platform": {"address": "10.200.1.7:8223"}})";
 
 TEST(SettingsCodecTest, TakesThePlatformsFile)
@@ -31,6 +31,7 @@
     EXPECT_EQ(toString(settings->m_store), "10.200.1.7:8223");
     EXPECT_EQ(settings->m_connections, 2'000u);
     EXPECT_EQ(settings->m_bounds.m_revoke, Millis(5'000));
+    EXPECT_EQ(settings->m_bounds.m_contact, Millis(2'400));
     EXPECT_DOUBLE_EQ(settings->m_bounds.m_retrySlack, 100);
 }
 
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -84,13 +84,13 @@
 }
 
 void Deployment::describe(const HostedWorker &worker, const std::string &service,
-                          const std::string &state)
+                          const std::string &state, std::optional<Address> address)
 {
     auto &hosted = const_cast<HostedWorker &>(worker);
     m_store->put("servers", hosted->id(),
                  fmt::format(R"({{"service":"{}","address":"{}","zone":"here","version":"v1",)"
                              R"("slots":8,"state":"{}","coldLeftMs":0,"seq":1}})",
-                             service, toString(worker.address()), state));
+                             service, toString(address.value_or(worker.address())), state));
 }
 
 RelayDaemon &Deployment::addDaemon(std::optional<Address> store)
@@ -100,6 +100,7 @@
     settings.m_dataCentre = DataCentreId("here");
     settings.m_store = store.value_or(m_store.address());
     settings.m_bounds = m_bounds;
+    settings.m_connections = m_connections;
     auto daemon = RelayDaemon::start(settings, { relayDialect(), kindDialect(), relaySource() });
     if (!daemon) {
         log(LogPart::Main).critical("Cannot start. error={}", daemon.error().m_message);
@@ -161,7 +162,8 @@
         message.m_headers.push_back(
             { "X-Token-Counts", fmt::format("{},200", request.m_promptTokens) });
     }
-    m_clients.post([this, done, message, request, address = m_daemons[daemon]->clientsAddress()] {
+    const Address address = request.m_via.value_or(m_daemons[daemon]->clientsAddress());
+    m_clients.post([this, done, message, request, address] {
         ClientAnswer answer;
         HttpConnection connection(m_clients.context());
         constexpr Duration Patience = Seconds(6);
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -39,6 +39,7 @@
     uint64_t m_promptTokens = 0; ///< Zero: no model request.
     Millis m_leaveAfter{ 0 }; ///< Zero: waits for the answer.
     Millis m_sendAfter{ 0 }; ///< From the opening of the connection to the first byte.
+    std::optional<Address> m_via; ///< Connects there, not to the daemon.
 };
 
 class Deployment
@@ -52,8 +53,10 @@
     void declare(uint64_t version, const std::string &extraRoutes = "",
                  const std::string &keys = R"(["key-of-one"])");
     HostedWorker &addWorker(const std::string &service);
+    /// @p address stands in the worker's place, if given.
     void describe(const HostedWorker &worker, const std::string &service,
-                  const std::string &state = "ready");
+                  const std::string &state = "ready",
+                  std::optional<Address> address = std::nullopt);
     /// @p store stands in the store's place, if given.
     RelayDaemon &addDaemon(std::optional<Address> store = std::nullopt);
     /// Waits until each daemon says that it is ready; false after some seconds.
@@ -69,6 +72,7 @@
     std::vector<std::unique_ptr<HostedWorker>> m_workers;
     std::vector<std::unique_ptr<RelayDaemon>> m_daemons;
     RelayBounds m_bounds;
+    uint32_t m_connections = 1'000; ///< Clients' connections that a daemon takes.
 
 private:
     FiberThread m_clients{ "clients" };
