--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <map>
 #include <optional>
+#include <set>
 
 #include <boost/asio/basic_socket_acceptor.hpp>
 #include <boost/asio/buffer.hpp>
@@ -28,6 +29,7 @@
 using Acceptor = asio::basic_socket_acceptor<tcp, FiberSocket::Executor>;
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+constexpr unsigned StatusUnavailable = 503;
 constexpr int ListenBacklog = 1024;
 constexpr Millis AcceptRetryDelay{ 20 };
 /// Readiness is asked for once a second: a refusal must still be known then.
@@ -69,6 +71,8 @@
         return 431;
     if (error == beast::error::timeout)
         return 408;
+    if (error == asio::error::operation_aborted)
+        return StatusUnavailable;
     return 400;
 }
 
@@ -95,6 +99,7 @@
     std::map<uint64_t, FiberSocket *> m_idle; ///< Waiting for a next request, longest first.
     uint64_t m_lastIdle = 0;
     std::atomic<TimePoint> m_refusedAt{}; ///< When a connection was last not to be taken.
+    std::set<FiberSocket *> m_reading; ///< Of whose request a part has come.
     std::atomic<bool> m_draining{ false };
     std::atomic<bool> m_closing{ false }; ///< Each answer is the last of its connection.
     std::atomic<size_t> m_activeRequests{ 0 };
@@ -347,6 +352,8 @@
     message.result(status);
     message.version(11);
     message.set(http::field::content_type, "application/json");
+    if (status == StatusUnavailable)
+        message.set(http::field::retry_after, "0");
     message.keep_alive(false);
     message.body() = errorBody(status, error.message());
     message.prepare_payload();
@@ -420,7 +427,9 @@
             break;
         ++m_activeRequests;
         http::request_parser<http::string_body> parser;
+        m_reading.insert(&stream);
         error = readRequest(stream, buffer, parser, m_limits);
+        m_reading.erase(&stream);
         if (error) {
             refuseMalformed(stream, error, m_limits);
             --m_activeRequests;
@@ -496,6 +505,14 @@
     });
 }
 
+void HttpServer::refuseUnread()
+{
+    m_state->m_thread.post([state = m_state] {
+        for (FiberSocket *stream : state->m_reading)
+            stream->cancel();
+    });
+}
+
 size_t HttpServer::activeRequests() const
 {
     return m_state->m_activeRequests;
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -71,7 +71,9 @@
 
 bool RelayRun::mayRepeat() const
 {
-    return !strict() && m_mayHaveRun < m_route->m_maxAttempts;
+    // An answer that is slow is better than one broken off for a repeat that the budget refuses.
+    return !strict() && m_mayHaveRun < m_route->m_maxAttempts
+           && m_node.mayRepeat(m_serviceId, *m_view);
 }
 
 Duration RelayRun::firstPatience(const GangPlan &plan) const
@@ -119,7 +121,8 @@
     }
     // It may have left before it was read, or while this waited, with the news still to be heard.
     m_hungUp = m_hungUp || m_exchange.callerLeft();
-    if (m_hungUp || left() <= Duration::zero())
+    // Nothing waits from here to the send, so that giveUp() comes before this or finds it.
+    if (m_hungUp || m_node.m_ending || left() <= Duration::zero() || betterElsewhere())
         return AttemptEnd::NotSent;
     const bool reused = (*connection)->reused();
     m_connection = connection->get();
