--- a/net/http_server.h
+++ b/net/http_server.h
@@ -7,6 +7,7 @@
 #include "net/address.h"
 #include "net/fiber_thread.h"
 #include "net/http_message.h"
+#include "net/silence.h"
 
 namespace stackquay {
 
@@ -19,6 +20,7 @@
     Millis m_idleTimeout{ 75'000 }; ///< Between requests of a kept-alive connection.
     Millis m_writeTimeout{ 30'000 }; ///< A reader that takes nothing for this long is cut.
     size_t m_connections = 20'000;
+    SilenceBounds m_silence; ///< Of the connections; set before listen().
 };
 
 /// One request being answered. Valid until the handler returns; used only on its thread.
@@ -47,6 +49,8 @@
     virtual void abort() = 0;
     /// Runs @p callback once on the exchange's thread if the caller hangs up before the end.
     virtual void onHangup(std::function<void()> callback) = 0;
+    /// Whether the caller has hung up by now, also before a watch could tell. One system call.
+    virtual bool callerLeft() const = 0;
     virtual bool started() const = 0;
 };
 
@@ -76,6 +80,9 @@
     /// Requests in progress now. Any thread.
     size_t activeRequests() const;
     size_t connections() const;
+    /// Whether new connections are taken, and were for the last second. False while all that it may
+    /// have are busy with requests, or the process is out of descriptors. On its thread.
+    bool accepting() const;
 
 private:
     struct State;
--- a/relay/memory_tickets.cpp
+++ b/relay/memory_tickets.cpp
@@ -10,6 +10,8 @@
 
 /// An order is answered in a round trip; one that is not may be carried out late.
 constexpr Duration OrderTimeout = Millis(400);
+/// An order under the same name changes nothing, so that it may be sent again.
+constexpr Duration OrderReplaceAfter = OrderTimeout / 2;
 /// Of the time within which memory must be free, so much is held at once.
 constexpr double HoldShare = 0.75;
 /// Renewed this often in a hold, so that one lost renewal cuts nothing.
@@ -26,6 +28,7 @@
 {
     HttpCallOptions options;
     options.m_timeout = OrderTimeout;
+    options.m_replaceAfter = OrderReplaceAfter;
     return node.m_pool.call(ticket.m_address, order, options);
 }
 
@@ -71,7 +74,16 @@
     spawnFiber([&node = m_node, held = m_held] { release(node, held->m_tickets); });
 }
 
-Status MemoryTickets::reserve(const std::vector<GangMember> &members)
+void MemoryTickets::giveBack()
+{
+    if (m_held->m_tickets.empty())
+        return;
+    spawnFiber(
+        [&node = m_node, tickets = std::move(m_held->m_tickets)] { release(node, tickets); });
+    m_held->m_tickets.clear();
+}
+
+Status MemoryTickets::reserve(const std::vector<GangMember> &members, const bool &abandoned)
 {
     std::vector<GangMember> wanted;
     std::copy_if(members.begin(), members.end(), std::back_inserter(wanted),
@@ -81,6 +93,10 @@
     });
     const Millis hold = holdOf(m_node.m_view.load()->m_bounds);
     for (const GangMember &member : wanted) {
+        if (abandoned) {
+            giveBack();
+            return makeError(ErrorCode::Cancelled, "the caller left");
+        }
         const auto address = parseAddress(member.m_endpoint.m_address);
         if (!address)
             return tl::unexpected(address.error());
@@ -96,9 +112,7 @@
         }
         m_node.m_metrics.m_ticketsRefused.add();
         m_refusedBy = member.m_endpoint.m_id;
-        spawnFiber(
-            [&node = m_node, tickets = std::move(m_held->m_tickets)] { release(node, tickets); });
-        m_held->m_tickets.clear();
+        giveBack();
         return makeError(answer ? ErrorCode::ResourceExhausted : ErrorCode::OutcomeUnknown,
                          answer ? fmt::format("status {}", answer->m_status)
                                 : answer.error().m_message);
