The native daemon takes only what it can end, and gives every request its end before its threads stop

The native daemon took requests for the whole drain lag, whatever their deadline, and what crossed the lag's end too. At the end of the drain time-out it stopped its threads with requests in progress: every wait ended with operation_aborted, which counted as the failure of an engine, of a service or of a steward. A request that waited for a steward was then placed without one and sent to an engine on an idle connection in the process's last millisecond. A call that waited for the control thread, as each keyed submission does, waited for ever: what is posted to a stopped thread neither ran nor was destroyed, so the process did not end.

Ruled out: a further attempt after a broken-off stream; mayRetry's sleep already says that the thread stops, in the completion and in the service handler. A repeat inside HttpPool::call; it looks for Unavailable, an abort is Cancelled.

After: policy/drain.h decides for the native daemon too, with a request's deadline as its expected end. A refusal is 503, not run, Retry-After, Connection: close. At the end of the drain each request is failed explicitly, service calls and waiting ones included, and 2 s are left for the answers; only then do threads stop. A pool gives no connection on a stopping thread. A stopped thread destroys what is posted to it. A draining server answers what has arrived on idle connections and in the accept queue. The process no longer destroys the daemon, whose signal thread could still use it.

By the way: hang-ups and shutdowns now also break off a chunk of a prompt, cancel it under its own attempt id, and count a broken-off chunk as one that may have run.

Conclusion: drain-timeout counts from SIGTERM now, as its help says; it counted from the end of the lag.

--- a/control/daemon.cpp
+++ b/control/daemon.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Millis DrainPoll{ 20 };
+/// For the answers of the requests that are failed at the end.
 constexpr Millis EndTimeout{ 2'000 };
 
 Result<std::vector<Address>> parseAddresses(const std::vector<std::string> &texts)
@@ -31,6 +32,9 @@
     node.m_dataCentre = DataCentreId(settings.m_dataCentre);
     node.m_policy = settings.m_policy;
     node.m_streamIdleTimeout = settings.m_streamIdleTimeout;
+    node.m_drain.m_notice = settings.m_drainLag;
+    node.m_drain.m_linger = settings.m_drainLag;
+    node.m_drain.m_grace = settings.m_drainTimeout;
     return node;
 }
 
@@ -116,37 +120,61 @@
         m_control.post([this] { drainFiber(); });
     if (drains == 2) {
         log(LogPart::Main).warn("Ending at once.");
-        for (const auto &worker : m_workers)
-            worker->failRequests();
+        endRequests();
     }
 }
 
-bool Daemon::requestsInProgress() const
+size_t Daemon::activeRequests() const
+{
+    size_t active = 0;
+    for (const auto &server : m_servers)
+        active += server->activeRequests();
+    return active;
+}
+
+bool Daemon::connected() const
 {
     return std::any_of(m_servers.begin(), m_servers.end(),
-                       [](const auto &server) { return server->activeRequests() > 0; });
+                       [](const auto &server) { return server->connections() > 0; });
 }
 
 void Daemon::drainFiber()
 {
-    log(LogPart::Main).info("Draining.");
-    m_node->m_draining = true;
-    m_state->leave();
-    const TimePoint acceptUntil = Clock::now() + m_settings.m_drainLag;
-    while (Clock::now() < acceptUntil && m_drains < 2 && sleepFor(m_control.context(), DrainPoll)) {
-    }
+    beginDrain();
+    const DrainPlan plan = m_node->drainPlan();
+    while (!m_node->m_ending && !endsNow(plan, Clock::now(), activeRequests())
+           && sleepFor(m_control.context(), DrainPoll)) { }
+    // A request that was just being read may have been taken, so that there is still work.
     for (const auto &server : m_servers)
         server->drain();
-    TimePoint until = Clock::now() + m_settings.m_drainTimeout;
-    while (requestsInProgress() && Clock::now() < until
-           && sleepFor(m_control.context(), DrainPoll)) {
-        if (m_drains >= 2)
-            until = std::min(until, Clock::now() + EndTimeout);
-    }
-    log(LogPart::Main).info("Drained. in_progress={}", requestsInProgress());
+    const TimePoint giveUp = plan.m_begunAt + plan.m_grace;
+    while (connected() && !m_node->m_ending && Clock::now() < giveUp
+           && sleepFor(m_control.context(), DrainPoll)) { }
+    endRequests();
+    const TimePoint end = Clock::now() + EndTimeout;
+    while (connected() && Clock::now() < end && sleepFor(m_control.context(), DrainPoll)) { }
+    log(LogPart::Main).info("Drained. in_progress={}", activeRequests());
     m_drained.set_value();
 }
 
+void Daemon::beginDrain()
+{
+    log(LogPart::Main).info("Draining. in_progress={}", activeRequests());
+    m_node->m_drainBegun = Clock::now();
+    for (const auto &server : m_servers)
+        server->closeAfterAnswers();
+    m_state->leave();
+}
+
+/// Gives each request its end while the threads can still send it: once they stop, a wait that
+/// breaks off looks like the failure of whoever was waited for.
+void Daemon::endRequests()
+{
+    m_node->m_ending = true;
+    for (const auto &worker : m_workers)
+        worker->failRequests();
+}
+
 void Daemon::wait()
 {
     m_drained.get_future().wait();
--- a/control/daemon.h
+++ b/control/daemon.h
@@ -15,8 +15,9 @@
     static Result<std::unique_ptr<Daemon>> start(const DaemonSettings &settings);
     ~Daemon();
 
-    /// Begins to drain: not ready, accepts for the drain lag, finishes what is in progress.
-    /// A second call ends at once, with truthful failures. Any thread.
+    /// Begins to drain: not ready, takes for the drain lag what can end within the drain timeout,
+    /// refuses what comes later, and finishes what is in progress. A second call ends at once, with
+    /// truthful failures. Any thread.
     void drain();
     /// Returns once drained.
     void wait();
@@ -24,7 +25,7 @@
     Address httpAddress() const { return m_http; }
     Address udpAddress() const { return m_state->udpAddress(); }
     /// Whether any request is being answered. Any thread.
-    bool requestsInProgress() const;
+    bool requestsInProgress() const { return activeRequests() > 0; }
     Node &node() { return *m_node; }
 
 private:
@@ -33,7 +34,11 @@
     Status init();
     Status listen();
     std::vector<ExtraRoute> operatorRoutes();
+    size_t activeRequests() const;
+    bool connected() const;
     void drainFiber();
+    void beginDrain();
+    void endRequests();
 
     DaemonSettings m_settings;
     std::unique_ptr<Node> m_node;
--- a/endpoint/service_call.cpp
+++ b/endpoint/service_call.cpp
@@ -12,27 +12,48 @@
     return tl::unexpected(ServiceFailure{ notRun, std::move(error) });
 }
 
-} // namespace
-
-tl::expected<HttpResponse, ServiceFailure> callService(HttpPool &pool, const Address &address,
-                                                       ServiceCall call)
+/// Sends the call and reads its whole answer.
+tl::expected<HttpResponse, ServiceFailure> exchange(HttpConnection &connection,
+                                                    const HttpRequest &request, TimePoint deadline)
 {
-    const TimePoint deadline = Clock::now() + call.m_timeout;
     const auto left = [&] { return std::max<Duration>(deadline - Clock::now(), Millis(1)); };
-    call.m_request.m_headers.push_back({ std::string(AttemptHeader), call.m_attempt.str() });
-    auto connection = pool.acquire(address, left(), !call.m_repeatable);
-    if (!connection)
-        return fail(true, connection.error());
-    const Status sent = (*connection)->send(call.m_request, left());
+    const Status sent = connection.send(request, left());
     if (!sent)
-        return fail((*connection)->bytesSent() == 0, sent.error());
-    auto response = (*connection)->readHeader(left());
+        return fail(connection.bytesSent() == 0, sent.error());
+    auto response = connection.readHeader(left());
     if (!response)
         return fail(false, response.error());
-    auto body = (*connection)->readWhole(left());
+    auto body = connection.readWhole(left());
     if (!body)
         return fail(false, body.error());
     response->m_body = std::move(*body);
+    return std::move(*response);
+}
+
+} // namespace
+
+void ServiceCallBreaker::cancel()
+{
+    m_cancelled = true;
+    if (m_connection)
+        m_connection->cancel();
+}
+
+tl::expected<HttpResponse, ServiceFailure>
+callService(HttpPool &pool, const Address &address, ServiceCall call, ServiceCallBreaker &breaker)
+{
+    const TimePoint deadline = Clock::now() + call.m_timeout;
+    call.m_request.m_headers.push_back({ std::string(AttemptHeader), call.m_attempt.str() });
+    auto connection = pool.acquire(address, call.m_timeout, !call.m_repeatable);
+    if (!connection)
+        return fail(true, connection.error());
+    if (breaker.cancelled())
+        return fail(true, { ErrorCode::Cancelled, "cancelled" });
+    breaker.setConnection(connection->get());
+    auto response = exchange(**connection, call.m_request, deadline);
+    breaker.setConnection(nullptr);
+    if (!response)
+        return response;
     pool.release(address, std::move(*connection));
     if (findHeader(response->m_headers, NotRunHeader) == "yes")
         return fail(true, { ErrorCode::Unavailable, "service says that it did not run the call" });
--- a/entry/completion_handler.cpp
+++ b/entry/completion_handler.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "entry/completion_run.h"
+#include "entry/ending.h"
 
 namespace stackquay {
 
@@ -53,6 +54,8 @@
     admitted.m_length = lengthClass(admitted.m_promptTokens);
     admitted.m_deadline = requestDeadline(settings.m_deadlines, context->m_wishedDeadline,
                                           admitted.m_length, arrived);
+    if (auto ending = refuseIfEnding(worker.node(), admitted.m_deadline))
+        return tl::unexpected(std::move(*ending));
     admitted.m_context = std::move(*context);
     admitted.m_request = std::move(*request);
     return admitted;
--- a/entry/completion_run.cpp
+++ b/entry/completion_run.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include "entry/ending.h"
+
 namespace stackquay {
 
 namespace {
@@ -114,8 +116,16 @@
 {
     m_expiry = RequestError::ShuttingDown;
     m_admitted.m_deadline = Clock::now();
-    if (m_stream)
-        m_stream->cancel();
+    breakOff();
+}
+
+void CompletionRun::breakOff()
+{
+    cancelPlacement(m_worker, m_admitted.m_context.m_id, m_wait);
+    for (const auto &stream : { m_stream.get(), m_chunk.get() }) {
+        if (stream)
+            stream->cancel();
+    }
 }
 
 RequestEvent CompletionRun::place()
@@ -136,6 +146,8 @@
     auto placement = stackquay::place(m_worker, *m_route, request, m_wait);
     if (m_hungUp && !placement)
         return RequestEvent::HungUp;
+    if (!placement && m_expiry == RequestError::ShuttingDown)
+        return expired();
     if (!placement) {
         m_refusal = placement.error();
         return RequestEvent::NoEndpoint;
@@ -154,17 +166,18 @@
     attempt.m_prefillOnly = true;
     attempt.m_prefillLimit = m_placement->m_chunkTokens;
     attempt.m_attempt = AttemptId(randomToken());
-    EngineStream chunk(m_worker.pool(), m_placement->m_address);
-    m_running = true;
-    const auto started = chunk.start(attempt, timeout());
+    m_chunk = std::make_unique<EngineStream>(m_worker.pool(), m_placement->m_address);
+    noteRunning(attempt.m_attempt);
+    const auto started = m_chunk->start(attempt, timeout());
     if (!started)
         return startFailed(started.error());
-    const auto frame = chunk.next(timeout());
+    const auto frame = m_chunk->next(timeout());
     const auto *prefilled = frame ? std::get_if<PrefillFrame>(&*frame) : nullptr;
     if (!prefilled)
         return streamFailed(frame ? Error{ ErrorCode::ProtocolError, "no prefill frame" }
                                   : frame.error());
-    chunk.release();
+    m_chunk->release();
+    m_chunk.reset();
     m_running = false;
     if (prefilled->m_prefilled == 0)
         return RequestEvent::Prefilled; // The cache takes no more: the rest goes at once.
@@ -177,7 +190,7 @@
 {
     m_worker.node().m_entryMetrics.countAttempt();
     m_stream = std::make_unique<EngineStream>(m_worker.pool(), m_placement->m_address);
-    m_running = true;
+    noteRunning(m_attempt);
     const auto started = m_stream->start(makeAttempt(), timeout());
     if (!started)
         return startFailed(started.error());
@@ -195,6 +208,8 @@
     facts.m_reply = failure.m_notRun ? EndpointReply::NotRun : EndpointReply::Nothing;
     facts.m_replyIsOurs = true;
     m_attempts.push_back(facts);
+    if (endedWith(failure.m_error))
+        return expired();
     m_report.m_end = attemptEndFor(failure.m_reason);
     if (failure.m_error.m_code == ErrorCode::InvalidArgument) {
         fail(RequestError::PromptTooLong, failure.m_error.m_message);
@@ -230,7 +245,9 @@
 {
     if (m_hungUp)
         return RequestEvent::HungUp;
-    if (late())
+    if (!m_stream)
+        m_attempts.push_back({ 1, EndpointReply::Nothing, true });
+    if (endedWith(error) || late())
         return expired();
     log(LogPart::Entry)
         .info("Stream was cut. request={} engine={} at={} error={}",
@@ -238,13 +255,26 @@
               toString(error));
     fail(RequestError::AnswerCut, error.m_message);
     if (!m_stream) {
-        m_attempts.push_back({ 1, EndpointReply::Nothing, true });
         m_excluded.push_back(m_placement->m_endpoint);
         return RequestEvent::Lost;
     }
     return RequestEvent::Cut;
 }
 
+/// Whether @p error is no failure of the engine: the process ends, and the wait was broken off.
+bool CompletionRun::endedWith(const Error &error)
+{
+    if (error.m_code == ErrorCode::Cancelled)
+        m_expiry = RequestError::ShuttingDown;
+    return error.m_code == ErrorCode::Cancelled;
+}
+
+void CompletionRun::noteRunning(const AttemptId &attempt)
+{
+    m_runningAttempt = attempt;
+    m_running = true;
+}
+
 bool CompletionRun::passOn(const TokenFrame &frame)
 {
     noteFirstToken();
@@ -286,6 +316,10 @@
         const Status resumed = m_stream->resume(timeout(node.m_settings.m_connectTimeout));
         if (resumed)
             return RequestEvent::Resumed;
+        if (m_hungUp)
+            return RequestEvent::HungUp;
+        if (endedWith(resumed.error()))
+            return expired();
         if (resumed.error().m_code == ErrorCode::NotFound) {
             m_running = false;
             return excludeEngine();
@@ -339,7 +373,7 @@
     if (!m_running || !m_placement)
         return;
     m_running = false;
-    spawnFiber([&worker = m_worker, address = m_placement->m_address, attempt = m_attempt] {
+    spawnFiber([&worker = m_worker, address = m_placement->m_address, attempt = m_runningAttempt] {
         cancelAtEngine(worker, address, attempt);
     });
 }
@@ -357,6 +391,8 @@
 void CompletionRun::answerFailure()
 {
     m_refusal.m_outcome = requestOutcome(m_attempts);
+    if (m_refusal.m_error == RequestError::ShuttingDown)
+        m_refusal = endingRefusal(m_refusal.m_outcome);
     log(LogPart::Entry)
         .info("Request failed. request={} outcome={} error={} message={}",
               m_admitted.m_context.m_id.str(), outcomeName(m_refusal.m_outcome),
@@ -385,6 +421,7 @@
 {
     m_attempt = AttemptId(randomToken());
     m_stream.reset();
+    m_chunk.reset();
     m_prefilled = 0;
     m_resumes = 0;
 }
@@ -411,9 +448,7 @@
 void CompletionRun::onHangup()
 {
     m_hungUp = true;
-    cancelPlacement(m_worker, m_admitted.m_context.m_id, m_wait);
-    if (m_stream)
-        m_stream->cancel();
+    breakOff();
 }
 
 Duration CompletionRun::timeout(Duration limit) const
--- a/entry/completion_run.h
+++ b/entry/completion_run.h
@@ -20,15 +20,14 @@
     TimePoint m_deadline;
 };
 
-class CompletionRun
+class CompletionRun : public ActiveRequest
 {
 public:
     CompletionRun(TrafficWorker &worker, HttpExchange &exchange, AdmittedCompletion admitted);
 
     /// Runs to the end; the caller has its answer when it returns.
     Outcome execute();
-    /// Fails the request at once and truthfully, as the process ends. On the run's thread.
-    void shutDown();
+    void shutDown() override;
     /// Tokens passed on to the caller.
     uint64_t tokens() const { return m_position; }
 
@@ -57,8 +56,11 @@
     bool passOn(const TokenFrame &frame);
     RequestEvent finish(const FinalFrame &frame);
     void noteFirstToken();
+    bool endedWith(const Error &error);
+    void noteRunning(const AttemptId &attempt);
     void fail(RequestError error, std::string message);
     void onHangup();
+    void breakOff();
     bool late() const { return Clock::now() >= m_admitted.m_deadline; }
     /// Time to the deadline, but no more than @p limit.
     Duration timeout(Duration limit) const;
@@ -77,7 +79,9 @@
     AttemptReport m_report; ///< Of the present attempt.
     TimePoint m_firstTokenAt;
     AttemptId m_attempt;
+    AttemptId m_runningAttempt; ///< As the engine knows it: of the answer, or of a chunk.
     std::unique_ptr<EngineStream> m_stream;
+    std::unique_ptr<EngineStream> m_chunk; ///< Of the prompt, in progress.
     Refusal m_refusal; ///< Why the request fails, if it does.
     uint64_t m_position = 0; ///< Tokens that the caller has, or will have with the next flush.
     uint64_t m_prefilled = 0; ///< Prompt tokens put into the engine's cache by chunks.
--- a/entry/http_routes.cpp
+++ b/entry/http_routes.cpp
@@ -4,6 +4,7 @@
 
 #include "entry/completion_answer.h"
 #include "entry/completion_handler.h"
+#include "entry/ending.h"
 #include "entry/request_context.h"
 #include "entry/service_handler.h"
 
@@ -23,7 +24,7 @@
 
 void respondReady(const Node &node, HttpExchange &exchange)
 {
-    if (node.m_draining)
+    if (isDraining(node.drainPlan()))
         return respondText(exchange, 503, "draining\n");
     if (!node.m_view.get())
         return respondText(exchange, 503, "no configuration yet\n");
@@ -35,6 +36,14 @@
     respondRefusal(exchange, RequestId(randomToken()), refuseNotRun(error, std::move(message)));
 }
 
+void handleExtra(const Node &node, const ExtraRoute &route, HttpExchange &exchange)
+{
+    const auto refusal = refuseIfEnding(node, Clock::now());
+    if (refusal)
+        return respondRefusal(exchange, RequestId(randomToken()), *refusal);
+    route.m_handler(exchange);
+}
+
 void dispatch(TrafficWorker &worker, const std::vector<ExtraRoute> &extra, HttpExchange &exchange)
 {
     const HttpRequest &request = exchange.request();
@@ -57,7 +66,7 @@
         return respondText(exchange, 200, worker.node().m_metrics.exposition());
     for (const ExtraRoute &route : extra) {
         if (route.m_path == path)
-            return route.m_handler(exchange);
+            return handleExtra(worker.node(), route, exchange);
     }
     refuseRoute(exchange, RequestError::ServiceNotFound, fmt::format("no route '{}'", path));
 }
--- a/entry/node.h
+++ b/entry/node.h
@@ -21,6 +21,7 @@
     Millis m_streamIdleTimeout{ 10'000 };
     Millis m_connectTimeout{ 2'000 };
     uint32_t m_resumeTries = 2; ///< Before another attempt is made elsewhere.
+    DrainPlan m_drain; ///< Its durations; when it began is in Node.
 };
 
 struct Node {
@@ -32,6 +33,14 @@
     /// Who holds an engine's memory: "vm:incarnation".
     std::string owner() const { return m_settings.m_vm.str() + ":" + m_settings.m_incarnation; }
 
+    /// With its beginning, if the node has been told to stop.
+    DrainPlan drainPlan() const
+    {
+        DrainPlan plan = m_settings.m_drain;
+        plan.m_begunAt = m_drainBegun;
+        return plan;
+    }
+
     NodeSettings m_settings;
     RequestChart m_requestChart;
     MetricsRegistry m_metrics;
@@ -41,7 +50,8 @@
     AdmissionGate m_admission;
     ClaimGate m_claims;
     std::shared_ptr<PeerTraffic> m_peerTraffic = std::make_shared<PeerTraffic>();
-    std::atomic<bool> m_draining{ false };
+    std::atomic<TimePoint> m_drainBegun{ TimePoint{} };
+    std::atomic<bool> m_ending{ false }; ///< No request is begun any more, nor goes on.
 };
 
 } // namespace stackquay
--- a/entry/placement.cpp
+++ b/entry/placement.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include "entry/ending.h"
 #include "entry/shards.h"
 
 namespace stackquay {
@@ -148,6 +149,8 @@
     wait.m_steward = steward.m_address;
     while (!wait.m_cancelled && Clock::now() < request.m_deadline) {
         const auto reply = askSteward(worker, request, steward, true);
+        if (wait.m_cancelled || threadStopping())
+            break;
         if (!reply) {
             log(LogPart::Entry)
                 .debug("Steward does not answer. steward={} error={}", toString(steward.m_address),
@@ -159,6 +162,8 @@
         if (static_cast<GrantAnswer>(reply->m_answer) != GrantAnswer::Waiting)
             return tl::unexpected(toRefusal(*reply));
     }
+    if (threadStopping())
+        return tl::unexpected(endingRefusal(Outcome::RefusedNotRun));
     return tl::unexpected(
         refuseNotRun(RequestError::DeadlineExceeded, "no endpoint was free before the deadline"));
 }
@@ -169,8 +174,8 @@
 {
     const RoutingViewPtr view = worker.node().m_view.get();
     auto stewards = stewardsFor(*view, route, request, worker.random()());
-    if (stewards.empty())
-        return tl::unexpected(noEndpoint(request));
+    if (stewards.empty()) // No VM of the data centre stays.
+        return placeWithoutSteward(worker, route, request);
     if (stewards.size() == 1)
         return waitAtSteward(worker, route, request, stewards.front(), wait);
     // The shard with the prompt's prefix first; a busy one is passed over.
--- a/entry/service_handler.cpp
+++ b/entry/service_handler.cpp
@@ -6,6 +6,7 @@
 
 #include "endpoint/endpoint.h"
 #include "entry/completion_answer.h"
+#include "entry/ending.h"
 #include "entry/placement.h"
 #include "entry/recorded_outcome.h"
 #include "entry/request_context.h"
@@ -60,7 +61,21 @@
 }
 
 /// One call with its attempts.
-struct ServiceRun {
+struct ServiceRun : ActiveRequest {
+    ServiceRun(TrafficWorker &worker, const RequestContext &context, const ServiceRoute &route)
+        : m_worker(worker)
+        , m_context(context)
+        , m_route(route)
+    {
+        m_worker.runs().insert(this);
+    }
+
+    ~ServiceRun() override { m_worker.runs().erase(this); }
+    ServiceRun(const ServiceRun &) = delete;
+    ServiceRun &operator=(const ServiceRun &) = delete;
+
+    void shutDown() override { m_breaker.cancel(); }
+
     TrafficWorker &m_worker;
     const RequestContext &m_context;
     const ServiceRoute &m_route;
@@ -69,6 +84,7 @@
     TimePoint m_deadline;
     std::vector<AttemptFacts> m_attempts;
     std::vector<EndpointId> m_excluded;
+    ServiceCallBreaker m_breaker;
 };
 
 std::optional<size_t> chooseEndpoint(ServiceRun &run)
@@ -77,6 +93,12 @@
     return chooseRoundRobin(run.m_worker.roundRobin(), views, run.m_excluded, Clock::now());
 }
 
+/// Whether a call was ended by this process, which says nothing about the endpoint.
+bool brokenOff(const Error &error)
+{
+    return error.m_code == ErrorCode::Cancelled;
+}
+
 tl::expected<HttpResponse, ServiceFailure> attempt(ServiceRun &run, const EndpointRoute &endpoint)
 {
     EndpointTable &endpoints = run.m_worker.node().m_endpoints;
@@ -87,11 +109,12 @@
     call.m_timeout = timeLeft(run.m_deadline, Clock::now());
     run.m_worker.node().m_entryMetrics.countAttempt();
     endpoints.noteStarted(endpoint.m_id);
-    auto response = callService(run.m_worker.pool(), endpoint.m_address, std::move(call));
+    auto response =
+        callService(run.m_worker.pool(), endpoint.m_address, std::move(call), run.m_breaker);
     endpoints.noteEnded(endpoint.m_id);
     if (response)
         endpoints.noteSuccess(endpoint.m_id);
-    else
+    else if (!brokenOff(response.error().m_error))
         endpoints.noteFailure(endpoint.m_id, Clock::now());
     return response;
 }
@@ -128,6 +151,8 @@
 tl::expected<HttpResponse, Refusal> execute(ServiceRun &run)
 {
     for (;;) {
+        if (run.m_breaker.cancelled() || threadStopping())
+            return tl::unexpected(endingRefusal(requestOutcome(run.m_attempts)));
         const auto index = chooseEndpoint(run);
         if (!index) {
             Refusal refusal =
@@ -143,6 +168,8 @@
         run.m_excluded.push_back(endpoint.m_id);
         const size_t sent = failure.m_notRun ? 0 : 1;
         run.m_attempts.push_back({ sent, EndpointReply::Nothing, false });
+        if (brokenOff(failure.m_error))
+            return tl::unexpected(endingRefusal(requestOutcome(run.m_attempts)));
         if (!mayRetry(run, failure.m_notRun))
             return tl::unexpected(failureOf(run, failure.m_error));
     }
@@ -215,13 +242,18 @@
     if (!route)
         return tl::unexpected(refuseNotRun(RequestError::ServiceNotFound, "no such service"));
     const bool repeatable = route->m_service.m_repeatable && context->m_repeatable;
-    ServiceRun run{ worker, *context, *route, {}, repeatable, {}, {}, {} };
+    const TimePoint deadline =
+        requestDeadline(worker.node().m_settings.m_deadlines, context->m_wishedDeadline,
+                        LengthClass::Short, arrived);
+    if (auto ending = refuseIfEnding(worker.node(), deadline))
+        return tl::unexpected(std::move(*ending));
+    ServiceRun run(worker, *context, *route);
+    run.m_repeatable = repeatable;
+    run.m_deadline = deadline;
     run.m_request.m_method = http.m_method;
     run.m_request.m_target = target->m_rest;
     run.m_request.m_headers = endToEndHeaders(http.m_headers);
     run.m_request.m_body = std::move(http.m_body);
-    run.m_deadline = requestDeadline(worker.node().m_settings.m_deadlines,
-                                     context->m_wishedDeadline, LengthClass::Short, arrived);
     if (!repeatable && !context->m_idempotencyKey.empty())
         return executeClaimed(run);
     return execute(run);
--- a/entry/steward_service.cpp
+++ b/entry/steward_service.cpp
@@ -221,6 +221,8 @@
         break;
     case GrantStep::NotWaiting:
         cancelWaiting(m_steward, message.m_request);
+        if (const auto waiter = m_waiters.find(message.m_request); waiter != m_waiters.end())
+            waiter->second->m_timer.cancel();
         break;
     }
     return noted;
--- a/entry/traffic_worker.cpp
+++ b/entry/traffic_worker.cpp
@@ -1,7 +1,5 @@
 #include "entry/traffic_worker.h"
 
-#include "entry/completion_run.h"
-
 namespace stackquay {
 
 TrafficWorker::TrafficWorker(Node &node, const std::string &name)
@@ -15,7 +13,7 @@
 void TrafficWorker::failRequests()
 {
     m_thread.post([this] {
-        for (CompletionRun *run : m_runs)
+        for (ActiveRequest *run : m_runs)
             run->shutDown();
     });
 }
--- a/entry/traffic_worker.h
+++ b/entry/traffic_worker.h
@@ -9,6 +9,16 @@
 
 namespace stackquay {
 
+/// A request in progress. Used on its thread.
+class ActiveRequest
+{
+public:
+    virtual ~ActiveRequest() = default;
+
+    /// Fails the request at once and truthfully, as the process ends.
+    virtual void shutDown() = 0;
+};
+
 class TrafficWorker
 {
 public:
@@ -20,8 +30,8 @@
     PeerClient &peers() { return m_peers; }
     RandomEngine &random() { return m_random; }
     RoundRobinState &roundRobin() { return m_roundRobin; }
-    /// The runs in progress. On the thread.
-    std::unordered_set<CompletionRun *> &runs() { return m_runs; }
+    /// The requests in progress. On the thread.
+    std::unordered_set<ActiveRequest *> &runs() { return m_runs; }
     /// Fails all requests in progress at once and truthfully. Any thread.
     void failRequests();
 
@@ -32,7 +42,7 @@
     PeerClient m_peers;
     RandomEngine m_random;
     RoundRobinState m_roundRobin;
-    std::unordered_set<CompletionRun *> m_runs;
+    std::unordered_set<ActiveRequest *> m_runs;
 };
 
 } // namespace stackquay
--- a/main/stackquayd.cpp
+++ b/main/stackquayd.cpp
@@ -129,13 +129,16 @@
     std::printf("ready address=%s udp=%s\n", toString((*daemon)->httpAddress()).c_str(),
                 toString((*daemon)->udpAddress()).c_str());
     std::fflush(stdout);
-    std::thread([&signals, &daemon] {
+    std::thread([signals, running = daemon->get()] {
         for (int signal = 0; sigwait(&signals, &signal) == 0;) {
             if (signal != SIGHUP)
-                (*daemon)->drain();
+                running->drain();
         }
     }).detach();
     (*daemon)->wait();
+    // Never destroyed: until the process is gone, late requests are refused by threads that still
+    // run, and a further signal finds the daemon.
+    (void)daemon->release();
     return 0;
 }
 
--- a/net/fiber_thread.cpp
+++ b/net/fiber_thread.cpp
@@ -1,7 +1,6 @@
 #include "net/fiber_thread.h"
 
 #include <condition_variable>
-#include <mutex>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -101,8 +100,33 @@
 
 void FiberThread::post(Function function)
 {
-    boost::asio::post(
-        m_context, [function = std::move(function)]() mutable { spawnFiber(std::move(function)); });
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_stopped)
+            return;
+        m_posted.push_back(std::move(function));
+    }
+    boost::asio::post(m_context, [this] { spawnPosted(); });
+}
+
+void FiberThread::spawnPosted()
+{
+    Function function;
+    {
+        const std::lock_guard lock(m_mutex);
+        function = std::move(m_posted.front());
+        m_posted.pop_front();
+    }
+    spawnFiber(std::move(function));
+}
+
+// Destroyed without the lock: a destructor may post.
+void FiberThread::dropPosted()
+{
+    std::deque<Function> dropped;
+    const std::lock_guard lock(m_mutex);
+    m_stopped = true;
+    dropped.swap(m_posted);
 }
 
 void FiberThread::stop()
@@ -128,6 +152,7 @@
             m_context.run_one();
     }
     detail::YieldWait::stopThread();
+    dropPosted();
     while (liveFibers > 0)
         boost::this_fiber::yield();
 }
@@ -145,12 +170,17 @@
         .detach();
 }
 
+bool threadStopping()
+{
+    return detail::YieldWait::threadStopping();
+}
+
 bool sleepFor(boost::asio::io_context &context, Duration duration)
 {
     boost::asio::steady_timer timer(context, duration);
     boost::system::error_code ignored;
     timer.async_wait(Yield{ ignored });
-    return !detail::YieldWait::threadStopping();
+    return !threadStopping();
 }
 
 } // namespace stackquay
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -301,6 +301,8 @@
 Result<std::unique_ptr<HttpConnection>> HttpPool::acquire(const Address &address, Duration timeout,
                                                           bool fresh)
 {
+    if (threadStopping())
+        return makeError(ErrorCode::Cancelled, "the thread is stopping");
     auto &idle = m_idle[toString(address)];
     while (!fresh && !idle.empty()) {
         auto connection = std::move(idle.back());
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -59,7 +59,8 @@
 public:
     explicit HttpPool(boost::asio::io_context &context, size_t idlePerAddress = 64);
 
-    /// An open connection to @p address, reused or fresh.
+    /// An open connection to @p address, reused or fresh. Cancelled if the thread is stopping: an
+    /// idle connection would else still take a request, whose answer nobody reads.
     Result<std::unique_ptr<HttpConnection>> acquire(const Address &address, Duration timeout,
                                                     bool fresh = false);
     /// Keeps the connection for later if it can be reused.
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -67,6 +67,8 @@
         return 431;
     if (error == beast::error::timeout)
         return 408;
+    if (error == asio::error::operation_aborted)
+        return 503;
     return 400;
 }
 
@@ -97,7 +99,10 @@
     std::atomic<size_t> m_connections{ 0 };
 
     void acceptLoop();
+    void acceptArrived();
+    void spawnServe(Socket socket);
     void serve(Socket socket);
+    bool awaitNext(FiberSocket &stream, beast::flat_buffer &buffer);
 };
 
 namespace {
@@ -332,6 +337,8 @@
     message.result(status);
     message.version(11);
     message.set(http::field::content_type, "application/json");
+    if (error == asio::error::operation_aborted) // The server stops; the request has not run.
+        message.set(http::field::retry_after, "1");
     message.keep_alive(false);
     message.body() = errorBody(status, error.message());
     message.prepare_payload();
@@ -348,7 +355,7 @@
         boost::system::error_code error;
         Socket socket(m_thread.context());
         m_acceptor.async_accept(socket, Yield{ error });
-        if (m_draining || error == asio::error::operation_aborted)
+        if (error == asio::error::operation_aborted)
             return;
         if (error || m_connections >= m_limits.m_connections) {
             // Out of descriptors or connections: let some end before the next try.
@@ -356,27 +363,53 @@
                 return;
             continue;
         }
-        ++m_connections;
-        spawnFiber(
-            [self = shared_from_this(), shared = std::make_shared<Socket>(std::move(socket))] {
-                self->serve(std::move(*shared));
-                --self->m_connections;
-            });
+        spawnServe(std::move(socket));
+    }
+}
+
+void HttpServer::State::spawnServe(Socket socket)
+{
+    ++m_connections;
+    spawnFiber([self = shared_from_this(), shared = std::make_shared<Socket>(std::move(socket))] {
+        self->serve(std::move(*shared));
+        --self->m_connections;
+    });
+}
+
+/// Takes the connections that wait to be accepted, as closing the acceptor would reset them.
+void HttpServer::State::acceptArrived()
+{
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error && m_connections < m_limits.m_connections) {
+        Socket socket(m_thread.context());
+        m_acceptor.accept(socket, error);
+        if (!error)
+            spawnServe(std::move(socket));
     }
 }
 
+/// Waits for a request on a connection. False if none comes; during a drain, if none is here.
+bool HttpServer::State::awaitNext(FiberSocket &stream, beast::flat_buffer &buffer)
+{
+    if (!m_draining) {
+        m_idle.insert(&stream);
+        const auto error = awaitRequest(stream, buffer, m_limits.m_idleTimeout);
+        m_idle.erase(&stream);
+        if (!error)
+            return true;
+    }
+    boost::system::error_code ignored;
+    return m_draining && (buffer.size() > 0 || stream.socket().available(ignored) > 0);
+}
+
 void HttpServer::State::serve(Socket socket)
 {
     boost::system::error_code error;
     socket.set_option(tcp::no_delay(true), error);
     FiberSocket stream(std::move(socket));
     beast::flat_buffer buffer;
-    while (!m_draining) {
-        m_idle.insert(&stream);
-        error = awaitRequest(stream, buffer, m_limits.m_idleTimeout);
-        m_idle.erase(&stream);
-        if (error)
-            break;
+    while (awaitNext(stream, buffer)) {
         ++m_activeRequests;
         http::request_parser<http::string_body> parser;
         error = readRequest(stream, buffer, parser, m_limits);
@@ -448,6 +481,7 @@
     m_state->m_draining = true;
     m_state->m_thread.post([state = m_state] {
         boost::system::error_code ignored;
+        state->acceptArrived();
         state->m_acceptor.close(ignored);
         for (FiberSocket *stream : state->m_idle)
             stream->cancel();
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -68,7 +68,8 @@
     void setLimits(const HttpServerLimits &limits);
     /// Announces in each answer that its connection closes, and goes on accepting. Any thread.
     void closeAfterAnswers();
-    /// Accepts no more, and closes each connection after its present request. Any thread.
+    /// Accepts no more, and closes each connection after its present request. A request that has
+    /// arrived by then is answered. Any thread.
     void drain();
     /// Requests in progress now. Any thread.
     size_t activeRequests() const;
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -370,5 +370,95 @@
     });
 }
 
+// A drain closes idle connections; a request may just be arriving on one.
+TEST_F(HttpTest, RequestThatArrivesWhileIdleConnectionsAreClosedIsAnswered)
+{
+    serve([](HttpExchange &exchange) { exchange.respond({ 200, {}, "ok" }); });
+    HttpConnection connection(m_clientThread.context());
+    onClient([&] {
+        ASSERT_TRUE(connection.connect(m_address, Seconds(5)));
+        ASSERT_TRUE(connection.send({ "GET", "/", {}, "" }, Seconds(5)));
+        ASSERT_TRUE(connection.readHeader(Seconds(5)));
+        ASSERT_EQ(connection.readWhole(Seconds(5)).value_or(""), "ok");
+    });
+    // The request comes in just before the server closes the connection, and is not read before.
+    std::promise<void> queued;
+    std::promise<void> serverWaits;
+    std::promise<void> arrived;
+    m_serverThread.post([&] { queued.get_future().wait(); });
+    m_serverThread.post([&] {
+        serverWaits.set_value();
+        arrived.get_future().wait();
+    });
+    m_server->drain();
+    queued.set_value();
+    serverWaits.get_future().wait();
+    onClient([&] { ASSERT_TRUE(connection.send({ "GET", "/", {}, "" }, Seconds(5))); });
+    arrived.set_value();
+    onClient([&] {
+        const auto header = connection.readHeader(Seconds(5));
+        ASSERT_TRUE(header) << toString(header.error());
+        EXPECT_EQ(findHeader(header->m_headers, "Connection"), "close");
+        EXPECT_EQ(connection.readWhole(Seconds(5)).value_or(""), "ok");
+        connection.cancel();
+    });
+}
+
+TEST_F(HttpTest, StoppingThreadSendsNothing)
+{
+    std::atomic<int> calls{ 0 };
+    serve([&](HttpExchange &exchange) {
+        ++calls;
+        exchange.respond({ 200, {}, "ok" });
+    });
+    std::promise<void> begun;
+    std::promise<Result<HttpResponse>> answer;
+    m_clientThread.post([&] {
+        HttpPool pool(m_clientThread.context());
+        ASSERT_TRUE(pool.call(m_address, { "GET", "/", {}, "" })); // Leaves an idle connection.
+        begun.set_value();
+        EXPECT_FALSE(sleepFor(m_clientThread.context(), Seconds(60)));
+        answer.set_value(pool.call(m_address, { "GET", "/", {}, "" }));
+    });
+    begun.get_future().wait();
+    m_clientThread.stop();
+    m_clientThread.join();
+    const auto late = answer.get_future().get();
+    ASSERT_FALSE(late);
+    EXPECT_EQ(late.error().m_code, ErrorCode::Cancelled);
+    // A later connection is served after what came on an earlier one.
+    FiberThread other("other");
+    other.start();
+    std::promise<void> done;
+    other.post([&] {
+        HttpPool pool(other.context());
+        EXPECT_TRUE(pool.call(m_address, { "GET", "/", {}, "" }));
+        done.set_value();
+    });
+    done.get_future().wait();
+    other.stop();
+    other.join();
+    EXPECT_EQ(calls, 2);
+}
+
+TEST(FiberThreadTest, CallToAStoppedThreadEndsInsteadOfWaitingForEver)
+{
+    FiberThread caller("caller");
+    FiberThread called("called");
+    caller.start();
+    called.start();
+    called.stop();
+    called.join();
+    const auto result = std::make_shared<std::promise<Result<int>>>();
+    auto future = result->get_future();
+    caller.post([&called, result] { result->set_value(runOn<int>(called, [] { return 1; })); });
+    ASSERT_EQ(future.wait_for(Seconds(10)), std::future_status::ready);
+    const Result<int> answer = future.get();
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().m_code, ErrorCode::Unavailable);
+    caller.stop();
+    caller.join();
+}
+
 } // namespace
 } // namespace stackquay
