--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -331,6 +331,8 @@
 Result<std::unique_ptr<HttpConnection>> HttpPool::acquire(const Address &address, Duration timeout,
                                                           bool fresh, Duration longestIdle)
 {
+    if (threadStopping())
+        return makeError(ErrorCode::Cancelled, "the thread is stopping");
     auto &idle = m_idle[toString(address)];
     // The last one was used last.
     while (!fresh && !idle.empty() && idle.back()->idleFor() <= longestIdle) {
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -73,7 +73,8 @@
                       const SilenceBounds &silence = {});
 
     /// An open connection to @p address: a new one if @p fresh, or if none was used within
-    /// @p longestIdle.
+    /// @p longestIdle. Cancelled if the thread is stopping: an idle connection would else still
+    /// take a request, whose answer nobody reads.
     Result<std::unique_ptr<HttpConnection>> acquire(const Address &address, Duration timeout,
                                                     bool fresh = false,
                                                     Duration longestIdle = Duration::max());
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -109,7 +109,10 @@
     bool hasRoom() const { return m_connections < m_limits.m_connections || !m_idle.empty(); }
     bool closeLongestIdle();
     bool awaitRoom();
+    void acceptArrived();
+    void spawnServe(Socket socket);
     void serve(Socket socket);
+    bool awaitNext(FiberSocket &stream, beast::flat_buffer &buffer);
 };
 
 namespace {
@@ -391,7 +394,7 @@
         boost::system::error_code error;
         Socket socket(m_thread.context());
         m_acceptor.async_accept(socket, Yield{ error });
-        if (m_draining || error == asio::error::operation_aborted)
+        if (error == asio::error::operation_aborted)
             return;
         if (error) {
             // Out of descriptors: let some end before the next try.
@@ -403,13 +406,45 @@
         }
         if (!awaitRoom())
             return;
-        ++m_connections;
-        spawnFiber(
-            [self = shared_from_this(), shared = std::make_shared<Socket>(std::move(socket))] {
-                self->serve(std::move(*shared));
-                --self->m_connections;
-            });
+        spawnServe(std::move(socket));
+    }
+}
+
+void HttpServer::State::spawnServe(Socket socket)
+{
+    ++m_connections;
+    spawnFiber([self = shared_from_this(), shared = std::make_shared<Socket>(std::move(socket))] {
+        self->serve(std::move(*shared));
+        --self->m_connections;
+    });
+}
+
+/// Takes the connections that wait to be accepted, as closing the acceptor would reset them.
+void HttpServer::State::acceptArrived()
+{
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error && m_connections < m_limits.m_connections) {
+        Socket socket(m_thread.context());
+        m_acceptor.accept(socket, error);
+        if (!error)
+            spawnServe(std::move(socket));
+    }
+}
+
+/// Waits for a request on a connection. False if none comes; during a drain, if none is here.
+bool HttpServer::State::awaitNext(FiberSocket &stream, beast::flat_buffer &buffer)
+{
+    if (!m_draining) {
+        const uint64_t place = ++m_lastIdle;
+        m_idle.emplace(place, &stream);
+        const auto error = awaitRequest(stream, buffer, m_limits.m_idleTimeout);
+        m_idle.erase(place);
+        if (!error)
+            return true;
     }
+    boost::system::error_code ignored;
+    return m_draining && (buffer.size() > 0 || stream.socket().available(ignored) > 0);
 }
 
 void HttpServer::State::serve(Socket socket)
@@ -418,13 +453,7 @@
     socket.set_option(tcp::no_delay(true), error);
     FiberSocket stream(std::move(socket));
     beast::flat_buffer buffer;
-    while (!m_draining) {
-        const uint64_t place = ++m_lastIdle;
-        m_idle.emplace(place, &stream);
-        error = awaitRequest(stream, buffer, m_limits.m_idleTimeout);
-        m_idle.erase(place);
-        if (error)
-            break;
+    while (awaitNext(stream, buffer)) {
         ++m_activeRequests;
         http::request_parser<http::string_body> parser;
         m_reading.insert(&stream);
@@ -499,6 +528,7 @@
     m_state->m_draining = true;
     m_state->m_thread.post([state = m_state] {
         boost::system::error_code ignored;
+        state->acceptArrived();
         state->m_acceptor.close(ignored);
         for (const auto &[place, stream] : state->m_idle)
             stream->cancel();
