--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -417,8 +417,20 @@
         target = clientsTarget(fault.m_subject);
     }
     disrupt(place, fault.m_subject, fault);
-    m_relay.setFault(fault.m_link, target);
-    later(fault.m_length, [this, target] { m_relay.setFault(RelayFault{}, target); });
+    setLink(target, fault.m_link);
+    later(fault.m_length, [this, target] { setLink(target, RelayFault{}); });
+}
+
+void Fleet::setLink(size_t target, const RelayFault &fault)
+{
+    // No network gives the bytes of a connection with a hole in them: what has lost some is over.
+    RelayFault reset;
+    reset.m_mode = standin::RelayMode::Reset;
+    if (m_swallowing.erase(target) > 0)
+        m_relay.setFault(reset, target);
+    if (fault.m_mode == standin::RelayMode::HalfOpen)
+        m_swallowing.insert(target);
+    m_relay.setFault(fault, target);
 }
 
 void Fleet::applyStore(const Fault &fault)
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 #include "platform/standin/store_standin.h"
 #include "platform/standin/worker_standin.h"
@@ -54,6 +55,7 @@
     void removeEntry(const std::string &worker);
     void collectRuns(const Slot &slot, std::optional<TimePoint> cut);
     void applyLink(const Fault &fault);
+    void setLink(size_t target, const standin::RelayFault &fault);
     void applyStore(const Fault &fault);
     void applyWorker(const Fault &fault);
     void crash(const Fault &fault, Slot &slot, const std::string &serviceAfter);
@@ -83,6 +85,7 @@
     standin::Hosted<platform::StoreStandin> m_store;
     std::vector<std::unique_ptr<Vm>> m_vms;
     std::vector<std::unique_ptr<Slot>> m_slots;
+    std::set<size_t> m_swallowing; ///< Targets of the relay whose connections lose bytes.
     std::multimap<Millis, std::function<void()>> m_due;
     Observations m_seen;
     uint64_t m_version = 0;
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -137,7 +137,7 @@
 {
     constexpr uint64_t PlannedOnlyOneIn = 3;
     constexpr uint64_t HeavyOneIn = 4;
-    constexpr size_t FewKeepers = 12;
+    constexpr size_t FewKeepers = 16;
     constexpr size_t ManyKeepers = 24; ///< Their streams take over half of the engines' places.
     RandomEngine random(seed);
     Schedule schedule;
--- a/tests/soak/traffic.cpp
+++ b/tests/soak/traffic.cpp
@@ -29,9 +29,9 @@
 };
 
 constexpr TrafficRow Rows[] = {
-    { Traffic::Safe, "safe", 30 },     { Traffic::Unsafe, "unsafe", 22 },
-    { Traffic::Moving, "moving", 12 }, { Traffic::Stream, "stream", 18 },
-    { Traffic::Once, "once", 15 },     { Traffic::Long, "long", 3 },
+    { Traffic::Safe, "safe", 20 },     { Traffic::Unsafe, "unsafe", 20 },
+    { Traffic::Moving, "moving", 12 }, { Traffic::Stream, "stream", 25 },
+    { Traffic::Once, "once", 20 },     { Traffic::Long, "long", 3 },
 };
 
 uint64_t drawUpTo(RandomEngine &random, uint64_t most)
@@ -63,7 +63,7 @@
         work.m_delay = Millis(10 + drawUpTo(random, 500));
         return work;
     }
-    work.m_events = static_cast<uint32_t>(10 + drawUpTo(random, 40));
+    work.m_events = static_cast<uint32_t>(20 + drawUpTo(random, 40));
     work.m_gap = Millis(50 + drawUpTo(random, 50));
     return work;
 }
@@ -145,21 +145,23 @@
         m_thread.post([this, random = RandomEngine(++seed)] { openForEach(random); });
 }
 
-bool TrafficSource::pause(RandomEngine &random, Millis most)
+bool TrafficSource::pause(RandomEngine &random, Millis most, Millis least)
 {
-    return sleepFor(m_thread.context(), Millis(drawUpTo(random, uint64_t(most.count()))))
-           && m_sending;
+    const Millis drawn(drawUpTo(random, static_cast<uint64_t>((most - least).count())));
+    return sleepFor(m_thread.context(), least + drawn) && m_sending;
 }
 
 void TrafficSource::keepUsing(size_t vm, RandomEngine random)
 {
+    // Half of them come back late, also to a VM that was told to stop long before.
+    const Millis least = drawUpTo(random, 1) == 0 ? LongestIdle / 2 : Millis(0);
     while (pause(random, ReopenPause)) {
         if (!m_rotation[vm]->m_ready)
             continue;
         HttpConnection connection(m_thread.context());
         if (!connection.connect(m_doors[vm].m_front, ConnectPatience))
             continue;
-        while (pause(random, LongestIdle) && exchange(connection, vm, random)) { }
+        while (pause(random, LongestIdle, least) && exchange(connection, vm, random)) { }
     }
 }
 
--- a/tests/soak/traffic.h
+++ b/tests/soak/traffic.h
@@ -54,7 +54,7 @@
     void pollReadiness(size_t vm);
     void keepUsing(size_t vm, RandomEngine random);
     void openForEach(RandomEngine random);
-    bool pause(RandomEngine &random, Millis most);
+    bool pause(RandomEngine &random, Millis most, Millis least = Millis(0));
     /// Whether the connection can be used for another request.
     bool exchange(HttpConnection &connection, size_t vm, RandomEngine &random);
     SentRequest draw(size_t vm, RandomEngine &random);
