Soak: connections are shared among the VMs; a run says how often it saw reserved memory

Cause: with more daemons than three the same connections to each would have asked more of the workers than they have places for, and RECOVER would blame the daemons. Before: schedules of three daemons; they stay as they are.

--- a/tests/soak/program/stackquay_soak.cpp
+++ b/tests/soak/program/stackquay_soak.cpp
@@ -186,8 +186,9 @@
         const size_t whole = std::count_if(
             seen.m_requests.begin(), seen.m_requests.end(),
             [](const SentRequest &one) { return one.m_whole && one.m_status == 200; });
-        std::printf("soak: served=%zu runs=%zu versions=%zu exits=%zu\n", whole, seen.m_runs.size(),
-                    seen.m_versions.size(), seen.m_exits.size());
+        std::printf("soak: served=%zu runs=%zu versions=%zu exits=%zu memory_samples=%zu\n", whole,
+                    seen.m_runs.size(), seen.m_versions.size(), seen.m_exits.size(),
+                    seen.m_memory.size());
         std::printf("soak: seed=%llu requests=%zu faults=%zu violations=%zu\n",
                     static_cast<unsigned long long>(m_schedule.m_seed), seen.m_requests.size(),
                     m_schedule.m_faults.size(), violations.size());
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -137,6 +137,7 @@
 {
     constexpr uint64_t PlannedOnlyOneIn = 3;
     constexpr uint64_t HeavyOneIn = 4;
+    constexpr size_t UsualVms = 3; ///< With more, each has fewer connections: the workers stay.
     constexpr size_t FewKeepers = 16;
     constexpr size_t ManyKeepers = 24; ///< Their streams take over half of the engines' places.
     RandomEngine random(seed);
@@ -146,7 +147,8 @@
     schedule.m_length = length;
     schedule.m_calmFrom = length - Bounds().m_recovery - Measured;
     schedule.m_plannedOnly = drawUpTo(random, PlannedOnlyOneIn - 1) == 0;
-    schedule.m_keepers = drawUpTo(random, HeavyOneIn - 1) == 0 ? ManyKeepers : FewKeepers;
+    const size_t keepers = drawUpTo(random, HeavyOneIn - 1) == 0 ? ManyKeepers : FewKeepers;
+    schedule.m_keepers = std::max<size_t>(keepers * UsualVms / vms, 1);
     const Millis lastRestart = schedule.m_calmFrom - RestartTime;
     // Whatever else is drawn, each run stops a VM.
     schedule.m_faults.push_back(
