A steward keeps the grants of a VM that leaves until that VM is gone

Cause: a steward took every VM that holds no role for dead, and a VM that was told to stop holds none. Its grants ended with its SIGTERM, though its requests went on for up to the drain timeout: the steward then gave the same memory and slots away a second time.

Ruled out: the members' list; it drops dead VMs only, and shows leaving ones with their state.

Before: StewardServiceTest.GrantsOfALeavingVmHoldUntilItIsGone, with the old set of live VMs put back for the run: "Which is: 0, 1u" grants while vm-2 leaves. After: passes; once vm-2 is no longer in the list its grants end.

--- a/control/control_state.cpp
+++ b/control/control_state.cpp
@@ -268,7 +268,10 @@
         m_node.m_admission.setSlice(customer.m_id, slice, now);
     }
     m_node.m_view.publish(view);
-    m_stewards.update(*view);
+    std::set<VmId> serving;
+    for (const VmInfo &vm : m_members->m_vms)
+        serving.insert(vm.m_id);
+    m_stewards.update(*view, serving);
 }
 
 void ControlState::pollLoads()
--- a/entry/steward_service.cpp
+++ b/entry/steward_service.cpp
@@ -94,7 +94,7 @@
     spawnFiber([this] { pollLoop(); });
 }
 
-void StewardService::update(const RoutingView &view)
+void StewardService::update(const RoutingView &view, const std::set<VmId> &serving)
 {
     m_shards.clear();
     std::map<EndpointId, std::vector<ModelId>> models;
@@ -121,7 +121,7 @@
     }
     for (const EndpointId &id : lost)
         giveUp(id);
-    releaseOfDeadVms(view);
+    releaseOfDeadVms(serving);
 }
 
 void StewardService::takeOver(const EndpointRoute &endpoint, const std::vector<ModelId> &models,
@@ -142,15 +142,12 @@
     deliver(endpointLeft(m_steward, endpoint, Clock::now()).m_decisions);
 }
 
-void StewardService::releaseOfDeadVms(const RoutingView &view)
+void StewardService::releaseOfDeadVms(const std::set<VmId> &serving)
 {
-    std::set<VmId> live;
-    for (const PeerRoute &peer : view.m_peers)
-        live.insert(peer.m_id);
     std::vector<GrantId> orphans;
     for (const auto &[id, endpoint] : m_steward.m_endpoints) {
         for (const auto &[grantId, grant] : endpoint.m_ledger.m_grants) {
-            if (live.find(grant.m_holder) == live.end())
+            if (serving.find(grant.m_holder) == serving.end())
                 orphans.push_back(grantId);
         }
     }
--- a/entry/steward_service.h
+++ b/entry/steward_service.h
@@ -23,8 +23,9 @@
 
     /// Starts the fibers that expire grants and ask the engines. On the thread.
     void start();
-    /// Takes over and gives up shards as view and members say.
-    void update(const RoutingView &view);
+    /// Takes over and gives up shards as the view says. Grants of VMs that are not @p serving end;
+    /// one that leaves is still serving.
+    void update(const RoutingView &view, const std::set<VmId> &serving);
     /// Endpoints that have announced that they are leaving, as asked by this steward.
     std::function<void(const EndpointId &, bool leaving)> m_onLeaving;
 
@@ -41,7 +42,7 @@
     void takeOver(const EndpointRoute &endpoint, const std::vector<ModelId> &models,
                   const std::string &version);
     void giveUp(const EndpointId &endpoint);
-    void releaseOfDeadVms(const RoutingView &view);
+    void releaseOfDeadVms(const std::set<VmId> &serving);
     void expireLoop();
     void pollLoop();
     void pollState(const EndpointId &id, const Address &address);
--- a/tests/integration/drain_process_test.cpp
+++ b/tests/integration/drain_process_test.cpp
@@ -13,7 +13,6 @@
 namespace stackquay {
 namespace {
 
-using standin::EngineSettings;
 using standin::EngineStandin;
 using standin::Hosted;
 using standin::PlatformStandin;
