--- a/entry/ending.cpp
+++ b/entry/ending.cpp
@@ -12,7 +12,7 @@
 std::optional<Refusal> refuseIfEnding(const Node &node, TimePoint deadline)
 {
     const TimePoint now = Clock::now();
-    if (!node.m_ending && mayTake(node.drainPlan(), now, deadline - now))
+    if (!node.m_ending && mayTake(node.drainPlan(), now, { deadline - now }))
         return std::nullopt;
     return endingRefusal(Outcome::RefusedNotRun);
 }
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -117,9 +117,12 @@
     if (!isModelRequest())
         return std::chrono::duration_cast<Duration>(m_route->m_aim * slack);
     const EngineCosts &costs = *m_service->m_engine;
-    double answer = static_cast<double>(costs.m_usualAnswerTokens) * slack;
-    if (m_head.m_answerTokens > 0)
-        answer = std::min(answer, static_cast<double>(m_head.m_answerTokens));
+    const auto usual = static_cast<double>(costs.m_usualAnswerTokens);
+    const auto limit = static_cast<double>(m_head.m_answerTokens);
+    // With slack it may write all that it may; without, what such answers usually are.
+    double answer = usual * slack;
+    if (limit > 0)
+        answer = slack > 1 ? limit : std::min(usual, limit);
     return std::chrono::duration_cast<Duration>(neededToBegin() * slack + writeTime(costs, answer));
 }
 
