--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -111,7 +111,10 @@
     const auto address = parseAddress(endpoint.m_address);
     if (!address)
         return failAttempt(endpoint, FailureWeight::Telling, "no address");
-    const bool proved = strict() || m_arrivals > 0;
+    // Memory that waits at other endpoints makes a silent connection dear, too.
+    const bool holdsMemory = std::any_of(plan.m_members.begin(), plan.m_members.end(),
+                                         [](const GangMember &member) { return member.m_reserve; });
+    const bool proved = strict() || m_arrivals > 0 || holdsMemory;
     const Duration justUsed = m_node.m_settings.m_bounds.m_contact / JustUsedShare;
     auto connection = m_node.m_pool.acquire(*address, std::min<Duration>(left(), ConnectTimeout),
                                             false, proved ? justUsed : Duration::max());
