--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -52,6 +52,16 @@
     return text;
 }
 
+ClientRequest streamRequest(const std::string &path, uint64_t promptTokens)
+{
+    ClientRequest request;
+    request.m_method = "POST";
+    request.m_path = path;
+    request.m_body = "prompt";
+    request.m_promptTokens = promptTokens;
+    return request;
+}
+
 Deployment::Deployment()
 {
     // Tests of refusals and repeats are few requests: the slack alone has to pay for them.
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -43,6 +43,9 @@
     std::optional<Address> m_via; ///< Connects there, not to the daemon.
 };
 
+/// A model request on the route of @p path.
+ClientRequest streamRequest(const std::string &path = "/stream/x", uint64_t promptTokens = 2'000);
+
 class Deployment
 {
 public:
--- a/tests/platform/drain_test.cpp
+++ b/tests/platform/drain_test.cpp
@@ -64,16 +64,6 @@
         return arrivals;
     }
 
-    static ClientRequest streamRequest(const std::string &path = "/stream/x")
-    {
-        ClientRequest request;
-        request.m_method = "POST";
-        request.m_path = path;
-        request.m_body = "prompt";
-        request.m_promptTokens = 2'000;
-        return request;
-    }
-
     Deployment m_deployment;
 };
 
--- a/tests/platform/gone_test.cpp
+++ b/tests/platform/gone_test.cpp
@@ -2,36 +2,14 @@
 
 #include <gtest/gtest.h>
 
-#include "deployment.h"
-#include "standin/fault_relay.h"
+#include "relayed_test.h"
 
 namespace stackquay::platform {
 namespace {
 
-class GoneTest : public testing::Test
+class GoneTest : public RelayedTest
 {
 protected:
-    GoneTest()
-        : m_relayThread("relay")
-        , m_relay(m_relayThread)
-    {
-        m_relayThread.start();
-    }
-
-    ~GoneTest() override
-    {
-        m_deployment.m_daemons.clear();
-        m_relayThread.stop();
-        m_relayThread.join();
-    }
-
-    Address relayed(const Address &target)
-    {
-        std::promise<Address> address;
-        m_relayThread.post([&] { address.set_value(*m_relay.addTarget(target)); });
-        return address.get_future().get();
-    }
-
     void start(size_t workers, const std::string &service, bool behindRelay = false)
     {
         m_deployment.declare(1);
@@ -68,10 +46,6 @@
             arrivals += (**one).arrivals();
         return arrivals;
     }
-
-    FiberThread m_relayThread;
-    standin::FaultRelay m_relay;
-    Deployment m_deployment;
 };
 
 TEST_F(GoneTest, RequestThatWaitedToBeReadReachesNoEndpoint)
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -32,17 +32,6 @@
         return runs;
     }
 
-    static ClientRequest streamRequest(const std::string &path = "/stream/x",
-                                       uint64_t promptTokens = 2'000)
-    {
-        ClientRequest request;
-        request.m_method = "POST";
-        request.m_path = path;
-        request.m_body = "prompt";
-        request.m_promptTokens = promptTokens;
-        return request;
-    }
-
     static ClientRequest unsafeRequest()
     {
         ClientRequest request;
--- a/tests/platform/silence_test.cpp
+++ b/tests/platform/silence_test.cpp
@@ -2,9 +2,8 @@
 
 #include <gtest/gtest.h>
 
-#include "deployment.h"
 #include "peers/peers.h"
-#include "standin/fault_relay.h"
+#include "relayed_test.h"
 
 namespace stackquay::platform {
 namespace {
@@ -24,30 +23,9 @@
     MSGPACK_DEFINE(m_number)
 };
 
-class SilenceTest : public testing::Test
+class SilenceTest : public RelayedTest
 {
 protected:
-    SilenceTest()
-        : m_relayThread("relay")
-        , m_relay(m_relayThread)
-    {
-        m_relayThread.start();
-    }
-
-    ~SilenceTest() override
-    {
-        m_deployment.m_daemons.clear();
-        m_relayThread.stop();
-        m_relayThread.join();
-    }
-
-    Address relayed(const Address &target)
-    {
-        std::promise<Address> address;
-        m_relayThread.post([&] { address.set_value(*m_relay.addTarget(target)); });
-        return address.get_future().get();
-    }
-
     /// Workers behind the relay, and one daemon.
     void startWorkers(size_t workers, const std::string &service = "plain")
     {
@@ -117,24 +95,11 @@
         return request;
     }
 
-    static ClientRequest streamRequest(const std::string &path = "/stream/x")
-    {
-        ClientRequest request;
-        request.m_method = "POST";
-        request.m_path = path;
-        request.m_body = "prompt";
-        request.m_promptTokens = 2'000;
-        return request;
-    }
-
     RelayViewPtr view(size_t daemon = 0)
     {
         return m_deployment.m_daemons[daemon]->node().m_view.load();
     }
 
-    FiberThread m_relayThread;
-    standin::FaultRelay m_relay;
-    Deployment m_deployment;
     TimePoint m_silentSince{};
 };
 
