Tests that pause a process wait until all its threads have stopped

Ruled out: the product, as the request was answered before SIGTERM; and a missing member, as the test waits for two. The test is stricter in its set-up and asks the same; the pause of the fault matrix waits likewise.

--- a/tests/integration/drain_process_test.cpp
+++ b/tests/integration/drain_process_test.cpp
@@ -265,7 +265,7 @@
     };
     awaitEvent([&] { return ask().get().m_whole; }); // Leaves an idle connection to the engine.
     const uint64_t before = m_engine->stats().m_accepted;
-    steward->signal(SIGSTOP);
+    ASSERT_TRUE(steward->pause());
     auto waiting = ask();
     std::this_thread::sleep_for(Millis(200));
     entry->signal(SIGTERM);
--- a/tests/integration/fault_matrix_test.cpp
+++ b/tests/integration/fault_matrix_test.cpp
@@ -264,7 +264,7 @@
             EXPECT_TRUE(m_steward->awaitExit());
             break;
         case Fault::StewardPaused:
-            m_steward->signal(SIGSTOP);
+            EXPECT_TRUE(m_steward->pause());
             break;
         case Fault::EngineDead:
             m_engines[0]->setFault({ EngineFaultMode::Die, 1, 0, "" });
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -1,7 +1,10 @@
 #include "process.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstring>
+#include <filesystem>
+#include <fstream>
 #include <sstream>
 
 #include <fcntl.h>
@@ -14,6 +17,8 @@
 
 namespace {
 
+constexpr Millis StopPoll{ 1 };
+
 constexpr int ErrorFileMode = 0644;
 
 std::string programPath(const std::string &program)
@@ -205,6 +210,28 @@
     return m_lines;
 }
 
+bool Process::pause(Duration timeout)
+{
+    signal(SIGSTOP);
+    const auto stopped = [](const std::filesystem::directory_entry &task) {
+        std::ifstream stat(task.path() / "stat");
+        const std::string text{ std::istreambuf_iterator<char>(stat), {} };
+        // The state follows the name, which is in brackets and may hold any character.
+        const size_t name = text.rfind(')');
+        return name == std::string::npos || text.compare(name, 3, ") T") == 0;
+    };
+    const std::string tasks = fmt::format("/proc/{}/task", m_pid);
+    const TimePoint until = Clock::now() + timeout;
+    do {
+        std::error_code error;
+        const std::filesystem::directory_iterator entries(tasks, error);
+        if (!error && std::all_of(begin(entries), end(entries), stopped))
+            return true;
+        std::this_thread::sleep_for(StopPoll);
+    } while (Clock::now() < until);
+    return false;
+}
+
 void Process::signal(int number)
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -46,6 +46,9 @@
     std::vector<std::string> lines() const;
     /// Sends a signal, unless the process has ended.
     void signal(int number);
+    /// Sends SIGSTOP, and waits until all threads have stopped: on a busy machine they run on for
+    /// some milliseconds. False if they have not.
+    bool pause(Duration timeout = Seconds(10));
     Result<ProcessExit> awaitExit(Duration timeout = Seconds(60));
     pid_t pid() const { return m_pid; }
 
