--- a/policy/long_readers.cpp
+++ b/policy/long_readers.cpp
@@ -21,13 +21,6 @@
     return rank(left) < rank(right);
 }
 
-/// Engines read parts for others before their own prompts: one that has yet to read a long prompt
-/// that it answers helps nobody.
-bool isFreeToHelp(const EngineRoom &engine)
-{
-    return engine.m_use.m_unreadLong == 0;
-}
-
 double freeTokens(const std::vector<EngineRoom> &engines)
 {
     double tokens = 0;
@@ -61,9 +54,6 @@
             return answersBetter(left, right, prompt.m_tokens, costs.m_slots);
         });
     std::rotate(members.begin(), first, first + 1);
-    members.erase(std::remove_if(members.begin() + 1, members.end(),
-                                 [](const EngineRoom &engine) { return !isFreeToHelp(engine); }),
-                  members.end());
     return members;
 }
 
--- a/policy/stream_ledger.cpp
+++ b/policy/stream_ledger.cpp
@@ -129,8 +129,6 @@
                 use.m_tightestGapMs = load.m_gapLimitMs;
             if (load.m_writing)
                 ++use.m_writers;
-            else if (!load.strict() && part.m_readMs > 0)
-                ++use.m_unreadLong;
             if (load.strict())
                 ++use.m_strictWriters;
         }
--- a/policy/stream_ledger.h
+++ b/policy/stream_ledger.h
@@ -68,7 +68,6 @@
     uint64_t m_tokens = 0; ///< Memory in use or promised.
     /// Shortest pause that a stream bears which it answers; zero: no stream has a limit.
     uint32_t m_tightestGapMs = 0;
-    uint32_t m_unreadLong = 0; ///< Long prompts that it will answer, and has not read yet.
 };
 
 /// What reads now, as the ledger knows it.
--- a/scripts/measure/goodput.sh
+++ b/scripts/measure/goodput.sh
@@ -17,6 +17,9 @@
   [ -r "$log" ] || { echo "goodput.sh: cannot read $log" >&2; exit 2; }
 done
 
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+
 # Each file is a day of its own.
 awk '
   function text(key) {
@@ -98,4 +101,4 @@
       (all - spent_all["in_target"] - spent_all["late"]) / all,
       percentile(refusal, refusal_n, 0.5), percentile(wrong, wrong_n, 0.9)
   }
-' refusals="$(mktemp)" errors="$(mktemp)" "$@"
+' refusals="$scratch/refusals" errors="$scratch/errors" "$@"
