Goodput account: intervals are told to the last

Cause: read once more. Its last line, from which all figures so far were taken, was not touched by it. A counter nobody read is gone, the two commands that sort are named once, and the rows need no list of their own.

Before: GoodputTest.IntervalsAreToldToTheLast fails.

--- a/scripts/measure/goodput.sh
+++ b/scripts/measure/goodput.sh
@@ -20,8 +20,11 @@
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
 
-# Each file is a day of its own.
-awk '
+# A request has all its lines in one file; files of different days may name requests alike.
+awk -v refusals="$scratch/refusals" -v errors="$scratch/errors" '
+  BEGIN {
+    sort_refusals = "sort -n > \"" refusals "\""; sort_errors = "sort -n > \"" errors "\""
+  }
   function text(key) {
     return match($0, "\"" key "\":\"[^\"]*\"") ? \
       substr($0, RSTART + length(key) + 4, RLENGTH - length(key) - 5) : ""
@@ -46,7 +49,7 @@
     i = int(n * share); if (i < 1) i = 1
     return values[i]
   }
-  FNR == 1 { day++; split("", attempts) }
+  FNR == 1 { day++ }
   /"event":"placed"/ {
     id = day SUBSEP text("request")
     n = ++attempts[id]
@@ -59,23 +62,24 @@
   /"event":"request ended"/ && !/"tokens":0[,}]/ {
     id = day SUBSEP text("request")
     interval = int((number("time_ms") - number("ms")) / 5000)
-    if (!(interval in known)) { known[interval] = 1; order[++intervals] = interval }
+    if (!first_interval || interval < first_interval) first_interval = interval
+    if (interval > last_interval) last_interval = interval
+    seen[interval] = 1
     class = class_of(number("tokens"))
     fate = fate_of(text("outcome"), number("first_ms"), number("longest_gap_ms"), number("aim_ms"),
                    number("gap_aim_ms"))
     requests[class, fate]++
     for (i = 1; i <= attempts[id]; i++)
       spend(class, i == attempts[id] ? fate : "repeated", interval, read[id, i])
-    if (fate == "refused" && attempts[id] == 0 && text("why") ~ /^too late/) {
-      late_refusals++; print number("ms") | "sort -n > \"" refusals "\""
-    }
+    if (fate == "refused" && attempts[id] == 0 && text("why") ~ /^too late/)
+      print number("ms") | sort_refusals
     if (attempts[id] == 1 && predicted[id] > 0 && number("first_ms") > 0) {
       error = (number("first_ms") - waited[id] - predicted[id]) / predicted[id]
-      print (error < 0 ? -error : error) | "sort -n > \"" errors "\""
+      print (error < 0 ? -error : error) | sort_errors
     }
   }
   END {
-    close("sort -n > \"" refusals "\""); close("sort -n > \"" errors "\"")
+    close(sort_refusals); close(sort_errors)
     while ((getline value < refusals) > 0) refusal[++refusal_n] = value
     while ((getline value < errors) > 0) wrong[++wrong_n] = value
     split("in_target late refused failed left repeated", fates, " ")
@@ -90,8 +94,7 @@
       printf "\n"
     }
     printf "\n%-10s %9s %9s %9s %7s %8s\n", "from_s", "engine_s", "in_target", "late", "silent", "ejected"
-    for (i = 1; i <= intervals; i++) if (!first_interval || order[i] < first_interval) first_interval = order[i]
-    for (k = first_interval; all > 0 && k < first_interval + 100; k++) if (k in known)
+    for (k = first_interval; k <= last_interval; k++) if (k in seen)
       printf "%-10d %9.1f %9.2f %9.2f %7d %8d\n", (k - first_interval) * 5, at_all[k],
         at_all[k] ? at[k, "in_target"] / at_all[k] : 0, at_all[k] ? at[k, "late"] / at_all[k] : 0,
         silent[k], ejected[k]
@@ -101,4 +104,4 @@
       (all - spent_all["in_target"] - spent_all["late"]) / all,
       percentile(refusal, refusal_n, 0.5), percentile(wrong, wrong_n, 0.9)
   }
-' refusals="$scratch/refusals" errors="$scratch/errors" "$@"
+' "$@"
--- a/tests/integration/goodput_test.cpp
+++ b/tests/integration/goodput_test.cpp
@@ -28,9 +28,10 @@
     }
 
     void ended(const std::string &request, const std::string &outcome, int firstMs, int gapMs,
-               int ms = 500, const std::string &why = "")
+               int ms = 500, const std::string &why = "", int64_t timeMs = 20'000)
     {
-        m_log << R"({"time_ms":2000,"part":"relay","event":"request ended","request":")" << request
+        m_log << R"({"time_ms":)" << timeMs
+              << R"(,"part":"relay","event":"request ended","request":")" << request
               << R"(","outcome":")" << outcome << R"(","why":")" << why
               << R"(","tokens":120000,"first_ms":)" << firstMs << R"(,"longest_gap_ms":)" << gapMs
               << R"(,"aim_ms":3000,"gap_aim_ms":1000,"ms":)" << ms << "}\n";
@@ -77,6 +78,20 @@
         << output;
 }
 
+// A log of an hour, or of days that lie apart, is told to its end.
+TEST_F(GoodputTest, IntervalsAreToldToTheLast)
+{
+    openLog();
+    placed("first", 10, 300, 400);
+    ended("first", "complete", 500, 200);
+    placed("last", 10, 300, 400);
+    ended("last", "complete", 500, 200, 500, "", 3'620'000);
+    std::string output;
+    ASSERT_EQ(run(output), 0) << output;
+    EXPECT_NE(output.find("\n0 "), std::string::npos) << output;
+    EXPECT_NE(output.find("\n3600 "), std::string::npos) << output;
+}
+
 TEST_F(GoodputTest, LogsWithoutModelRequestsAreSaidSo)
 {
     openLog();
