Tests of two daemons, and of relayed requests, share what they wrote twice

Cause: read once more. drain_process_test and fault_matrix_test each had the names of the nodes, the wait for an event, the intent, its publication and the start of a daemon; relay_test and silence_test each a request that may run once, and the count of runs.

Now: tests/integration/daemon_pair.h, unsafeRequest() and Deployment::totalRuns(). SilenceTest's requests carry RelayTest's query now, which no test of silence looks at. No assertion changed.

--- a/tests/integration/drain_process_test.cpp
+++ b/tests/integration/drain_process_test.cpp
@@ -5,10 +5,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
-#include "entry/entry.h"
-#include "standin/standin.h"
-#include "store/store.h"
-#include "tests/support/process.h"
+#include "daemon_pair.h"
 
 namespace stackquay {
 namespace {
@@ -18,28 +15,6 @@
 using standin::PlatformStandin;
 using standin::ServiceStandin;
 
-constexpr const char *DataCentreName = "dundee-hall";
-constexpr const char *ModelName = "hint-forge";
-constexpr Millis PollPause{ 5 };
-
-/// Waits for an event; CTest's limit ends a wait in vain.
-template<typename Condition>
-void awaitEvent(Condition condition)
-{
-    while (!condition())
-        std::this_thread::sleep_for(PollPause);
-}
-
-/// Names for the entry node and the steward, so that the second holds the engine's shard.
-std::pair<std::string, std::string> nodeNames()
-{
-    const std::string shard =
-        shardKey(DataCentreId(std::string(DataCentreName) + "/" + ModelName), 0);
-    if (rendezvousScore(shard, "vm-1") < rendezvousScore(shard, "vm-2"))
-        return { "vm-1", "vm-2" };
-    return { "vm-2", "vm-1" };
-}
-
 /// What became of one request; status 0: the connection ended without an answer.
 struct Exchange {
     std::string m_key;
@@ -63,58 +38,18 @@
         m_client.join();
     }
 
-    static Endpoint endpoint(const std::string &name, const Address &address)
-    {
-        Endpoint endpoint;
-        endpoint.m_id = EndpointId(name);
-        endpoint.m_address = toString(address);
-        endpoint.m_dataCentre = DataCentreId(DataCentreName);
-        return endpoint;
-    }
-
     void declareIntent()
     {
-        Intent intent;
-        intent.m_revision = 1;
-        intent.m_dataCentres = { { DataCentreId(DataCentreName), {}, {} } };
-        Model model;
-        model.m_id = ModelId(ModelName);
-        intent.m_models = { model };
+        Intent intent = oneModelIntent();
         Service service;
         service.m_id = ServiceId("entry-desk");
         intent.m_services = { service };
-        intent.m_endpoints = { endpoint("e1", m_engine.address()),
-                               endpoint("s1", m_service.address()) };
-        intent.m_endpoints[0].m_models = { model.m_id };
+        intent.m_endpoints = { engineAt("e1", m_engine.address()),
+                               engineAt("s1", m_service.address()) };
+        intent.m_endpoints[1].m_models = {};
         intent.m_endpoints[1].m_kind = EndpointKind::Service;
         intent.m_endpoints[1].m_service = service.m_id;
-        Customer customer;
-        customer.m_id = CustomerId("solver-app");
-        customer.m_keyHashes = { hashKey("key") };
-        intent.m_customers = { customer };
-        IntentHead head;
-        head.m_revision = intent.m_revision;
-        head.m_snapshot = std::string(IntentSnapshotPrefix) + "1";
-        m_platform->put(head.m_snapshot, encodeIntent(intent));
-        m_platform->put(IntentHeadKey, formatIntentHead(head));
-    }
-
-    std::unique_ptr<Process> startDaemon(const std::string &name, const std::string &seed,
-                                         std::vector<std::string> drain)
-    {
-        ProcessOptions options;
-        options.m_program = "stackquayd";
-        options.m_arguments = { "--vm",          name,
-                                "--data-centre", DataCentreName,
-                                "--platform",    toString(m_platform.address()),
-                                "--charts",      STACKQUAY_SOURCE_DIR "/charts",
-                                "--threads",     "1",
-                                "--log-level",   "error",
-                                "--seeds",       seed };
-        options.m_arguments.insert(options.m_arguments.end(), drain.begin(), drain.end());
-        auto process = Process::start(options);
-        EXPECT_TRUE(process) << toString(process.error());
-        return std::move(*process);
+        publish(m_platform, intent);
     }
 
     HttpResponse get(const Address &daemon, const std::string &path)
@@ -195,7 +130,7 @@
 
 TEST_F(DrainProcessTest, CallsUntilTheProcessIsGoneAreAnsweredOrNotRun)
 {
-    const auto daemon = startDaemon("vm-1", {}, { "--drain-lag", "400ms" });
+    const auto daemon = startDaemon(m_platform, "vm-1", {}, { "--drain-lag", "400ms" });
     const Address address = *parseAddress(*daemon->awaitReady("address"));
     awaitReady(address, "1");
     // Keeps the daemon for a while after the balancer's notice.
@@ -246,8 +181,8 @@
 TEST_F(DrainProcessTest, RequestThatWaitsForAStewardIsNotSentByTheEndingProcess)
 {
     const auto [entryName, stewardName] = nodeNames();
-    const auto steward = startDaemon(stewardName, {}, {});
-    const auto entry = startDaemon(entryName, *steward->awaitReady("udp"),
+    const auto steward = startDaemon(m_platform, stewardName, {}, {});
+    const auto entry = startDaemon(m_platform, entryName, *steward->awaitReady("udp"),
                                    { "--drain-lag", "0ms", "--drain-timeout", "300ms" });
     const Address address = *parseAddress(*entry->awaitReady("address"));
     awaitReady(address, "2");
--- a/tests/integration/fault_matrix_test.cpp
+++ b/tests/integration/fault_matrix_test.cpp
@@ -9,10 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <pugixml.hpp>
 
-#include "entry/entry.h"
-#include "standin/standin.h"
-#include "store/store.h"
-#include "tests/support/process.h"
+#include "daemon_pair.h"
 
 namespace stackquay {
 namespace {
@@ -47,21 +44,10 @@
     { Fault::NodeKilled, "NodeKilled" },
 };
 
-constexpr const char *DataCentreName = "dundee-hall";
-constexpr const char *ModelName = "hint-forge";
 constexpr uint64_t AnswerTokens = 60;
 constexpr uint64_t LongPromptTokens = 20'000;
-constexpr Millis PollPause{ 5 };
 constexpr Millis LinkDelay{ 20 };
 
-/// Waits for an event; CTest's limit ends a wait in vain.
-template<typename Condition>
-void awaitEvent(Condition condition)
-{
-    while (!condition())
-        std::this_thread::sleep_for(PollPause);
-}
-
 /// States of the chart that are not final.
 std::vector<std::string> chartStates()
 {
@@ -73,16 +59,6 @@
     return states;
 }
 
-/// Names for the entry node and the steward, so that the second holds the engines' shard.
-std::pair<std::string, std::string> nodeNames()
-{
-    const std::string shard =
-        shardKey(DataCentreId(std::string(DataCentreName) + "/" + ModelName), 0);
-    if (rendezvousScore(shard, "vm-1") < rendezvousScore(shard, "vm-2"))
-        return { "vm-1", "vm-2" };
-    return { "vm-2", "vm-1" };
-}
-
 struct Case {
     std::string m_state;
     Fault m_fault = Fault::None;
@@ -118,8 +94,9 @@
         m_client.start();
         declareIntent();
         const auto [entry, steward] = nodeNames();
-        m_steward = startDaemon(steward, {});
-        m_entry = startDaemon(entry, *m_steward->awaitReady("udp"));
+        m_steward = startDaemon(m_platform, steward, {}, { "--drain-lag", "0ms" });
+        m_entry =
+            startDaemon(m_platform, entry, *m_steward->awaitReady("udp"), { "--drain-lag", "0ms" });
         m_entryAddress = *parseAddress(*m_entry->awaitReady("address"));
         const Address other = *parseAddress(*m_steward->awaitReady("address"));
         for (const Address &address : { m_entryAddress, other })
@@ -138,46 +115,10 @@
 
     void declareIntent()
     {
-        Intent intent;
-        intent.m_revision = 1;
-        intent.m_dataCentres = { { DataCentreId(DataCentreName), {}, {} } };
-        Model model;
-        model.m_id = ModelId(ModelName);
-        intent.m_models = { model };
-        for (size_t i = 0; i < m_links.size(); ++i) {
-            Endpoint endpoint;
-            endpoint.m_id = EndpointId("e" + std::to_string(i));
-            endpoint.m_address = toString(m_links[i]);
-            endpoint.m_dataCentre = DataCentreId(DataCentreName);
-            endpoint.m_models = { model.m_id };
-            intent.m_endpoints.push_back(endpoint);
-        }
-        Customer customer;
-        customer.m_id = CustomerId("solver-app");
-        customer.m_keyHashes = { hashKey("key") };
-        intent.m_customers = { customer };
-        IntentHead head;
-        head.m_revision = intent.m_revision;
-        head.m_snapshot = std::string(IntentSnapshotPrefix) + "1";
-        m_platform->put(head.m_snapshot, encodeIntent(intent));
-        m_platform->put(IntentHeadKey, formatIntentHead(head));
-    }
-
-    std::unique_ptr<Process> startDaemon(const std::string &name, const std::string &seed)
-    {
-        ProcessOptions options;
-        options.m_program = "stackquayd";
-        options.m_arguments = { "--vm",          name,
-                                "--data-centre", DataCentreName,
-                                "--platform",    toString(m_platform.address()),
-                                "--charts",      STACKQUAY_SOURCE_DIR "/charts",
-                                "--drain-lag",   "0ms",
-                                "--threads",     "1",
-                                "--log-level",   "error",
-                                "--seeds",       seed };
-        auto process = Process::start(options);
-        EXPECT_TRUE(process) << toString(process.error());
-        return std::move(*process);
+        Intent intent = oneModelIntent();
+        for (size_t i = 0; i < m_links.size(); ++i)
+            intent.m_endpoints.push_back(engineAt("e" + std::to_string(i), m_links[i]));
+        publish(m_platform, intent);
     }
 
     template<typename T>
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -62,6 +62,23 @@
     return request;
 }
 
+ClientRequest unsafeRequest()
+{
+    ClientRequest request;
+    request.m_method = "POST";
+    request.m_path = "/unsafe/x?y=1";
+    request.m_body = "entry";
+    return request;
+}
+
+size_t Deployment::totalRuns() const
+{
+    size_t runs = 0;
+    for (const auto &worker : m_workers)
+        runs += (**worker).runs().size();
+    return runs;
+}
+
 Deployment::Deployment()
 {
     // Tests of refusals and repeats are few requests: the slack alone has to pay for them.
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -46,6 +46,9 @@
 /// A model request on the route of @p path.
 ClientRequest streamRequest(const std::string &path = "/stream/x", uint64_t promptTokens = 2'000);
 
+/// A request that may run once only.
+ClientRequest unsafeRequest();
+
 class Deployment
 {
 public:
@@ -73,6 +76,8 @@
     /// Sends bytes as they are; what came back until the connection closed.
     std::future<std::string> beginRaw(const std::string &bytes, size_t daemon = 0);
     unsigned readyStatus(size_t daemon = 0);
+    /// Of all workers.
+    size_t totalRuns() const;
 
     HostedStore m_store;
     std::vector<std::unique_ptr<HostedWorker>> m_workers;
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -24,23 +24,6 @@
 
     WorkerStandin &worker(size_t index) { return **m_deployment.m_workers[index]; }
 
-    size_t totalRuns() const
-    {
-        size_t runs = 0;
-        for (const auto &one : m_deployment.m_workers)
-            runs += (**one).runs().size();
-        return runs;
-    }
-
-    static ClientRequest unsafeRequest()
-    {
-        ClientRequest request;
-        request.m_method = "POST";
-        request.m_path = "/unsafe/x?y=1";
-        request.m_body = "entry";
-        return request;
-    }
-
     Deployment m_deployment;
 };
 
@@ -159,10 +142,10 @@
     const ClientAnswer refused = m_deployment.call(unsafeRequest());
     EXPECT_EQ(refused.m_status, 503u);
     EXPECT_NE(refused.header("Retry-After"), "");
-    EXPECT_EQ(totalRuns(), 0u);
+    EXPECT_EQ(m_deployment.totalRuns(), 0u);
     worker(1).setMode(WorkerMode::Serve);
     EXPECT_TRUE(eventually([&] { return m_deployment.call(unsafeRequest()).m_status == 200; }));
-    EXPECT_EQ(totalRuns(), 1u);
+    EXPECT_EQ(m_deployment.totalRuns(), 1u);
 }
 
 // Whichever endpoint is tried first: the other one refuses, but one may have run it.
@@ -172,13 +155,13 @@
     worker(0).setMode(WorkerMode::CutBefore);
     worker(1).setMode(WorkerMode::Full);
     for (int i = 0; i < 6; ++i) {
-        const size_t before = totalRuns();
+        const size_t before = m_deployment.totalRuns();
         const unsigned status = m_deployment.call({}).m_status;
-        const bool ran = totalRuns() > before;
+        const bool ran = m_deployment.totalRuns() > before;
         EXPECT_EQ(status, ran ? 502u : 503u);
         std::this_thread::sleep_for(Millis(300));
     }
-    EXPECT_GT(totalRuns(), 0u);
+    EXPECT_GT(m_deployment.totalRuns(), 0u);
 }
 
 TEST_F(RelayTest, PassesAnEndpointsOwnFailureOn)
@@ -217,7 +200,7 @@
     for (size_t i = 0; i < 4; ++i)
         worker(i).setMode(WorkerMode::CutBefore);
     EXPECT_EQ(m_deployment.call({}).m_status, 502u);
-    EXPECT_EQ(totalRuns(), 2u);
+    EXPECT_EQ(m_deployment.totalRuns(), 2u);
 }
 
 TEST_F(RelayTest, KeepsToTheRetryBudget)
@@ -230,8 +213,8 @@
     constexpr size_t Requests = 50;
     for (size_t i = 0; i < Requests; ++i)
         EXPECT_EQ(m_deployment.call({}).m_status, 500u);
-    EXPECT_GT(totalRuns(), Requests);
-    EXPECT_LE(totalRuns(), Requests + Requests / 5);
+    EXPECT_GT(m_deployment.totalRuns(), Requests);
+    EXPECT_LE(m_deployment.totalRuns(), Requests + Requests / 5);
 }
 
 TEST_F(RelayTest, ResumesCutStreamElsewhere)
@@ -263,7 +246,7 @@
     const ClientAnswer answer = m_deployment.call(streamRequest("/once/x"));
     EXPECT_FALSE(answer.m_whole);
     EXPECT_EQ(eventsText(1, 3).substr(0, answer.m_body.size()), answer.m_body);
-    EXPECT_EQ(totalRuns(), 1u);
+    EXPECT_EQ(m_deployment.totalRuns(), 1u);
 }
 
 TEST_F(RelayTest, ClientsOwnResumptionIsPassedOn)
@@ -340,7 +323,7 @@
         worker(i).setMemory(i < 3 ? 1'000'000 : 10);
     const ClientAnswer answer = m_deployment.call(streamRequest("/long/x", 450'000));
     EXPECT_EQ(answer.m_status, 503u);
-    EXPECT_EQ(totalRuns(), 0u);
+    EXPECT_EQ(m_deployment.totalRuns(), 0u);
     EXPECT_TRUE(eventually(
         [&] {
             for (size_t i = 0; i < 6; ++i) {
--- a/tests/platform/silence_test.cpp
+++ b/tests/platform/silence_test.cpp
@@ -60,14 +60,6 @@
 
     WorkerStandin &worker(size_t index) { return **m_deployment.m_workers[index]; }
 
-    size_t totalRuns() const
-    {
-        size_t runs = 0;
-        for (const auto &one : m_deployment.m_workers)
-            runs += (**one).runs().size();
-        return runs;
-    }
-
     /// Leaves @p connections idle connections to the workers.
     void warm(size_t connections, const std::string &path = "/safe/x")
     {
@@ -86,15 +78,6 @@
             (**one).setDelay(Millis(0));
     }
 
-    static ClientRequest unsafeRequest()
-    {
-        ClientRequest request;
-        request.m_method = "POST";
-        request.m_path = "/unsafe/x";
-        request.m_body = "entry";
-        return request;
-    }
-
     RelayViewPtr view(size_t daemon = 0)
     {
         return m_deployment.m_daemons[daemon]->node().m_view.load();
@@ -113,7 +96,7 @@
     report("worker, request that may run once", sinceSilence());
     EXPECT_EQ(answer.m_status, 200u);
     EXPECT_LT(sinceSilence(), Target);
-    EXPECT_EQ(totalRuns(), 5u);
+    EXPECT_EQ(m_deployment.totalRuns(), 5u);
 }
 
 // It may have run: neither sent again nor said not to have run.
@@ -123,12 +106,12 @@
     for (size_t i = 0; i < 2; ++i)
         worker(i).setDelay(Millis(300));
     auto sent = m_deployment.begin(unsafeRequest());
-    ASSERT_TRUE(eventually([&] { return totalRuns() == 1; }));
+    ASSERT_TRUE(eventually([&] { return m_deployment.totalRuns() == 1; }));
     silence();
     const ClientAnswer answer = sent.get();
     report("worker, answer to a request that was under way", sinceSilence());
     EXPECT_TRUE(answer.m_status == 502 || answer.m_status == 504) << answer.m_status;
-    EXPECT_EQ(totalRuns(), 1u);
+    EXPECT_EQ(m_deployment.totalRuns(), 1u);
 }
 
 TEST_F(SilenceTest, SafeRequestsAreServedOnNewConnectionsToTheSameWorker)
@@ -295,7 +278,7 @@
     request.m_deadline = Seconds(20);
     request.m_via = relayed(m_deployment.m_daemons[0]->clientsAddress());
     auto stream = m_deployment.begin(request);
-    ASSERT_TRUE(eventually([&] { return totalRuns() == 1; }));
+    ASSERT_TRUE(eventually([&] { return m_deployment.totalRuns() == 1; }));
     std::this_thread::sleep_for(Millis(200));
     silence();
     EXPECT_TRUE(eventually([&] { return worker(0).runs().at(0).m_cancelled; }, Seconds(9)));
