--- a/core/core.h
+++ b/core/core.h
@@ -6,6 +6,7 @@
 #include "core/clock.h"
 #include "core/decision_log.h"
 #include "core/error.h"
+#include "core/fingerprint.h"
 #include "core/hash.h"
 #include "core/histogram.h"
 #include "core/ids.h"
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -158,6 +158,7 @@
     m_node.noteFailure(endpoint.m_id, weight, why);
     DecisionLine("relay", "attempt failed")
         .text("request", m_head.m_id.str())
+        .text("print", toString(print()))
         .text("endpoint", endpoint.m_id.str())
         .text("why", why)
         .number("ms", std::chrono::duration_cast<Millis>(Clock::now() - m_arrival).count())
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -141,6 +141,15 @@
     return true;
 }
 
+const Fingerprint &RelayRun::print()
+{
+    const HttpRequest &request = m_exchange.request();
+    if (!m_print)
+        m_print = fingerprintOf(
+            { request.m_method, request.m_target, m_customer.str(), request.m_body });
+    return *m_print;
+}
+
 Duration RelayRun::left() const
 {
     return m_deadline - Clock::now();
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -116,6 +116,8 @@
     int64_t arrivedInDrainMs() const;
 
     bool strict() const { return !m_route->repeatable(); }
+    /// The same for each try of the same request: its method, target, customer and body.
+    const Fingerprint &print();
 
     RelayNode &m_node;
     HttpExchange &m_exchange;
@@ -126,6 +128,7 @@
     const DeclaredService *m_service = nullptr;
     ServiceId m_serviceId;
     CustomerId m_customer;
+    std::optional<Fingerprint> m_print; ///< Once it was needed.
     uint32_t m_urgency = 0;
     TimePoint m_deadline{};
     std::unordered_set<EndpointId> m_tried; ///< Not to be tried again.
