Times count suspension: one clock on CLOCK_BOOTTIME for every age and deadline

Cause: the steady clock stands still while a VM is suspended, so a proof of the configuration looked as young after it as before, and a key that was taken away meanwhile would have been admitted. Change: Clock is a type of our own on CLOCK_BOOTTIME; all timers use it, and a VM that finds that it stood still sets a new timer, so that all that are due fire. A log line says how long it stood still. Ruled out: adding the suspended time to each guard, as each new one would have to remember it.

--- a/entry/steward_service.cpp
+++ b/entry/steward_service.cpp
@@ -1,6 +1,5 @@
 #include "entry/steward_service.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include "entry/shards.h"
@@ -71,7 +70,7 @@
         : m_timer(context)
     { }
 
-    boost::asio::steady_timer m_timer;
+    ClockTimer m_timer;
     std::optional<GrantReply> m_reply;
 };
 
--- a/net/fiber_socket.cpp
+++ b/net/fiber_socket.cpp
@@ -9,7 +9,7 @@
 
 namespace asio = boost::asio;
 
-using SteadyTimer =
+using SocketTimer =
     asio::basic_waitable_timer<Clock, asio::wait_traits<Clock>, FiberSocket::Executor>;
 
 } // namespace
@@ -23,7 +23,7 @@
     { }
 
     FiberSocket *m_owner;
-    SteadyTimer m_timer;
+    SocketTimer m_timer;
     TimePoint m_firesAt = TimePoint::max(); ///< The maximum: not pending.
 
     void fireBy(TimePoint deadline)
--- a/net/fiber_thread.cpp
+++ b/net/fiber_thread.cpp
@@ -3,11 +3,11 @@
 #include <condition_variable>
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/fiber/all.hpp>
 #include <boost/fiber/pooled_fixedsize_stack.hpp>
 #include <pthread.h>
 
+#include "net/clock_timer.h"
 #include "net/yield.h"
 
 namespace stackquay {
@@ -177,7 +177,7 @@
 
 bool sleepFor(boost::asio::io_context &context, Duration duration)
 {
-    boost::asio::steady_timer timer(context, duration);
+    ClockTimer timer(context, duration);
     boost::system::error_code ignored;
     timer.async_wait(Yield{ ignored });
     return !threadStopping();
--- a/net/net.h
+++ b/net/net.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "net/address.h"
+#include "net/clock_timer.h"
 #include "net/datagrams.h"
 #include "net/fiber_socket.h"
 #include "net/fiber_thread.h"
--- a/peers/rpc_channel.h
+++ b/peers/rpc_channel.h
@@ -8,7 +8,6 @@
 #include <memory>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "net/net.h"
 #include "peers/traffic.h"
@@ -72,7 +71,7 @@
     Status readBytes(char *bytes, size_t size);
 
     boost::asio::ip::tcp::socket m_socket;
-    boost::asio::steady_timer m_timer;
+    ClockTimer m_timer;
     const RpcLimits m_limits;
     const Duration m_idleTimeout;
     std::shared_ptr<PeerTraffic> m_traffic;
--- a/peers/rpc_client.cpp
+++ b/peers/rpc_client.cpp
@@ -1,5 +1,3 @@
-#include <boost/asio/steady_timer.hpp>
-
 #include "peers/rpc.h"
 
 namespace stackquay {
@@ -17,7 +15,7 @@
         : m_timer(context)
     { }
 
-    asio::steady_timer m_timer; ///< Ends the wait: at the deadline, or cancelled by the answer.
+    ClockTimer m_timer; ///< Ends the wait: at the deadline, or cancelled by the answer.
     bool m_done = false;
     Result<std::string> m_reply;
 
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -1,6 +1,7 @@
 #include "relay/relay_daemon.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include <fmt/format.h>
 
@@ -201,6 +202,11 @@
     };
     hooks.m_bestProof = [this] { return m_proof; };
     hooks.m_onDuty = [this] { return m_fleet->onDuty(); };
+    // The kernel counts no suspended time for a timer that is set: any new one lets all that are
+    // due by now fire, so that deadlines end what waits past them.
+    hooks.m_stoodStill = [this] {
+        m_traffic.post([this] { std::ignore = sleepFor(m_traffic.context(), Duration::zero()); });
+    };
     return hooks;
 }
 
--- a/relay/store_follower.cpp
+++ b/relay/store_follower.cpp
@@ -18,6 +18,8 @@
 constexpr Millis OtherProofAge{ 2'000 };
 constexpr Millis OtherProofJitter{ 900 };
 constexpr Millis Poll{ 100 };
+/// A poll that is so late means that the VM stood still; one that is busy is late by some 100 ms.
+constexpr Millis StoodStill{ 1'000 };
 /// After a change of endpoints the next ones are taken together: while endpoints register one after
 /// the other, each would be told alone to every VM that watches. Part of the seconds within which
 /// an endpoint that leaves has to be known.
@@ -112,6 +114,7 @@
 
     bool takeRoutes(const std::string &spec);
     void followDuty();
+    void noteStandstill(Duration sincePoll);
     void startWatches();
     void watch(const Followed &followed, uint64_t generation);
     void proveRoutes();
@@ -186,10 +189,22 @@
         startWatches();
 }
 
+void StoreFollower::State::noteStandstill(Duration sincePoll)
+{
+    if (sincePoll < Poll + StoodStill)
+        return;
+    DecisionLine("main", "stood still")
+        .number("ms", std::chrono::duration_cast<Millis>(sincePoll - Poll).count())
+        .write();
+    m_hooks.m_stoodStill();
+}
+
 /// Begins and ends to follow the store, as the VM takes and loses the duty.
 void StoreFollower::State::followDuty()
 {
+    TimePoint polled = Clock::now();
     do {
+        noteStandstill(Clock::now() - std::exchange(polled, Clock::now()));
         const bool onDuty = m_hooks.m_onDuty();
         if (onDuty != m_watching) {
             m_watching = onDuty;
--- a/relay/store_follower.h
+++ b/relay/store_follower.h
@@ -22,6 +22,8 @@
     std::function<FreshnessProof()> m_bestProof;
     /// Whether this VM is to follow the store for others, or has no others.
     std::function<bool()> m_onDuty;
+    /// This VM was frozen or suspended until now.
+    std::function<void()> m_stoodStill;
 };
 
 class StoreFollower
--- a/standin/notifier.cpp
+++ b/standin/notifier.cpp
@@ -14,7 +14,7 @@
 
 bool Notifier::waitUntil(TimePoint until)
 {
-    boost::asio::steady_timer timer(m_context, until);
+    ClockTimer timer(m_context, until);
     const auto place = m_waiting.insert(m_waiting.end(), &timer);
     boost::system::error_code ignored;
     timer.async_wait(Yield{ ignored });
@@ -24,7 +24,7 @@
 
 void Notifier::notifyAll()
 {
-    for (boost::asio::steady_timer *timer : m_waiting)
+    for (ClockTimer *timer : m_waiting)
         timer->cancel();
 }
 
--- a/standin/notifier.h
+++ b/standin/notifier.h
@@ -3,8 +3,6 @@
 
 #include <list>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "net/net.h"
 
 namespace stackquay::standin {
@@ -28,7 +26,7 @@
     bool waitUntil(TimePoint until);
 
     boost::asio::io_context &m_context;
-    std::list<boost::asio::steady_timer *> m_waiting;
+    std::list<ClockTimer *> m_waiting;
 };
 
 } // namespace stackquay::standin
