Ends that come after the connections break; bodies are read only for requests that may be suspects

Cause, from the log: an endpoint's process closes its connections some ms before it stops to listen, so the one check found it alive. Now it is looked at again after 20 and 150 ms, holding nothing. An outline without the body tells most apart; test of the outline, and of the table's counts.

--- a/core/fingerprint.h
+++ b/core/fingerprint.h
@@ -1,7 +1,8 @@
 /// A name for a request by what it says, the same on every VM and for each try.
 ///
 /// 128 bits of SHA-256: whoever chooses the content cannot make two requests share a name, and the
-/// name does not tell the content, which is private.
+/// name does not tell the content, which is private. The outline, which reads no body, tells most
+/// requests apart for less.
 #pragma once
 
 #include <cstdint>
@@ -14,19 +15,25 @@
 namespace stackquay {
 
 struct Fingerprint {
+    uint64_t m_outline = 0;
     uint64_t m_high = 0;
     uint64_t m_low = 0;
 
     bool operator==(const Fingerprint &) const = default;
     auto operator<=>(const Fingerprint &) const = default;
-    MSGPACK_DEFINE(m_high, m_low)
+    MSGPACK_DEFINE(m_outline, m_high, m_low)
 };
 
-/// Of the parts in their order; parts of other lengths give another name, though they join to the
-/// same text. Reads every byte: to be called only where the name is needed.
-Fingerprint fingerprintOf(std::initializer_list<std::string_view> parts);
+/// What a request says but for its body.
+using RequestParts = std::initializer_list<std::string_view>;
 
-/// 32 hex digits.
+/// Of the parts in their order, and the length of the body. Callers can make two share one.
+uint64_t outlineOf(RequestParts parts, size_t bodyBytes);
+/// Of the parts in their order and the body; parts of other lengths give another name, though they
+/// join to the same text. Reads every byte: to be called only where the outline is not enough.
+Fingerprint fingerprintOf(RequestParts parts, std::string_view body);
+
+/// 48 hex digits.
 std::string toString(const Fingerprint &print);
 /// Zero if @p text is not what toString() writes.
 Fingerprint fingerprintFrom(std::string_view text);
--- a/policy/crash_suspects.cpp
+++ b/policy/crash_suspects.cpp
@@ -25,7 +25,8 @@
             const Suspect &b = right.second;
             return std::pair(a.m_ends.size(), a.m_lastAt) < std::pair(b.m_ends.size(), b.m_lastAt);
         });
-    table.m_suspects.erase(least);
+    const Fingerprint print = least->first;
+    clearSuspect(table, print);
 }
 
 Suspect &suspectOf(SuspectTable &table, const Fingerprint &print)
@@ -34,6 +35,7 @@
     if (known != table.m_suspects.end())
         return known->second;
     makeRoom(table);
+    ++table.m_outlines[print.m_outline];
     return table.m_suspects[print];
 }
 
@@ -107,7 +109,14 @@
 
 bool clearSuspect(SuspectTable &table, const Fingerprint &print)
 {
-    return table.m_suspects.erase(print) > 0;
+    const auto suspect = table.m_suspects.find(print);
+    if (suspect == table.m_suspects.end())
+        return false;
+    table.m_suspects.erase(suspect);
+    const auto outline = table.m_outlines.find(print.m_outline);
+    if (--outline->second == 0)
+        table.m_outlines.erase(outline);
+    return true;
 }
 
 SuspectVerdict judge(const SuspectTable &table, const Fingerprint &print, const LoadKey &own,
@@ -177,9 +186,13 @@
 
 void forgetOldSuspects(SuspectTable &table, TimePoint now)
 {
-    std::erase_if(table.m_suspects, [&](const auto &entry) {
-        return now - entry.second.m_lastAt > table.m_settings.m_forgetAfter;
-    });
+    std::vector<Fingerprint> old;
+    for (const auto &[print, suspect] : table.m_suspects) {
+        if (now - suspect.m_lastAt > table.m_settings.m_forgetAfter)
+            old.push_back(print);
+    }
+    for (const Fingerprint &print : old)
+        clearSuspect(table, print);
 }
 
 } // namespace stackquay
--- a/policy/crash_suspects.h
+++ b/policy/crash_suspects.h
@@ -51,8 +51,11 @@
     SuspectSettings m_settings;
     std::unordered_map<Fingerprint, Suspect, FingerprintHash> m_suspects;
     std::unordered_map<LoadKey, SuspectTry, LoadKeyHash> m_tries;
+    std::unordered_map<uint64_t, uint32_t> m_outlines; ///< How many suspects have each.
 
     bool empty() const { return m_suspects.empty(); }
+    /// Whether a request of this outline may be a suspect: only then its body has to be read.
+    bool mayKnow(uint64_t outline) const { return m_outlines.count(outline) > 0; }
 };
 
 /// What VMs tell each other of a suspect, and keep of one that is condemned.
--- a/relay/end_check.cpp
+++ b/relay/end_check.cpp
@@ -7,8 +7,10 @@
 /// A data centre away a connection takes some ms. Whoever waits holds a broken answer back.
 constexpr Millis ProbeTimeout{ 200 };
 constexpr Millis ProbePoll{ 2 };
-/// All streams of an ended process break within some ms, and it starts again after seconds.
-constexpr Millis ProbeHolds{ 500 };
+/// All streams of an ended process break within some ms, and it starts again after seconds; one
+/// that still listens may be about to end.
+constexpr Millis RefusalHolds{ 500 };
+constexpr Millis AcceptanceHolds{ 10 };
 
 } // namespace
 
@@ -36,7 +38,9 @@
 void EndCheck::forgetOld(TimePoint now)
 {
     std::erase_if(m_probes, [now](const auto &entry) {
-        return entry.second->m_done && now - entry.second->m_begun > ProbeHolds;
+        const Probe &probe = *entry.second;
+        const Millis holds = probe.m_refused ? RefusalHolds : AcceptanceHolds;
+        return probe.m_done && now - probe.m_begun > holds;
     });
 }
 
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -530,16 +530,17 @@
 {
     bool written = false;
     bool read = false;
-    for (;;) {
+    TimePoint readAt{};
+    do {
         if (!written && !m_leaving)
             written = writeObject();
-        if (written && (m_onDuty || !read))
+        const TimePoint now = Clock::now();
+        const bool again = m_onDuty && (lacksContacts() || now - readAt >= ListPeriod);
+        if (written && (!read || again)) {
             read = readObjects();
-        const bool done = written && read && !(m_onDuty && lacksContacts());
-        const Duration wait = done ? Duration(ListPeriod) : Duration(ListRetry);
-        if (!sleepFor(m_thread.context(), wait))
-            return;
-    }
+            readAt = now;
+        }
+    } while (sleepFor(m_thread.context(), ListRetry));
 }
 
 FleetLink::FleetLink(FiberThread &thread, const RelaySettings &settings, uint64_t origin,
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -213,7 +213,7 @@
 
 void RelayRun::noteCompleted(unsigned status)
 {
-    if (isSuccess(status) && !m_node.m_suspects.empty())
+    if (isSuccess(status) && maybeSuspect())
         m_node.m_suspects.noteCompleted(print());
 }
 
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -34,12 +34,9 @@
         if (m_tried.count(endpoint.m_id) == 0)
             untried.push_back(endpoint);
     }
-    const TimePoint now = Clock::now();
-    std::vector<EndpointRecord> healthy = healthyOf(m_node.m_ejections, std::move(untried), now);
-    if (m_node.m_suspects.empty())
-        return healthy;
-    return m_node.m_suspects.placesFor(m_care, std::move(healthy), m_node.m_ledger.loads(),
-                                       m_node.m_ledger.uses(now));
+    std::vector<EndpointRecord> healthy =
+        healthyOf(m_node.m_ejections, std::move(untried), Clock::now());
+    return m_node.m_suspects.placesFor(m_care, std::move(healthy), m_node.m_ledger);
 }
 
 GangSides RelayRun::sidesOf(const std::vector<EndpointRecord> &pool, const EndpointUses &uses,
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -120,8 +120,10 @@
 
 bool RelayRun::maySend()
 {
-    if (m_node.m_suspects.empty())
+    if (!maybeSuspect()) {
+        m_care = SuspectCare::None;
         return true;
+    }
     const SuspectVerdict verdict = m_node.m_suspects.judge(print(), m_load);
     m_care = verdict.m_care;
     if (verdict.mayTry())
@@ -166,10 +168,19 @@
     const HttpRequest &request = m_exchange.request();
     if (!m_print)
         m_print =
-            fingerprintOf({ request.m_method, request.m_target, m_customer.str(), request.m_body });
+            fingerprintOf({ request.m_method, request.m_target, m_customer.str() }, request.m_body);
     return *m_print;
 }
 
+bool RelayRun::maybeSuspect() const
+{
+    if (m_node.m_suspects.empty())
+        return false;
+    const HttpRequest &request = m_exchange.request();
+    return m_node.m_suspects.mayKnow(
+        outlineOf({ request.m_method, request.m_target, m_customer.str() }, request.m_body.size()));
+}
+
 Duration RelayRun::left() const
 {
     return m_deadline - Clock::now();
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -124,6 +124,8 @@
     bool strict() const { return !m_route->repeatable(); }
     /// The same for each try of the same request: its method, target, customer and body.
     const Fingerprint &print();
+    /// Whether it may be a suspect. Reads no body.
+    bool maybeSuspect() const;
 
     RelayNode &m_node;
     HttpExchange &m_exchange;
--- a/relay/suspect_watch.cpp
+++ b/relay/suspect_watch.cpp
@@ -1,6 +1,8 @@
 #include "relay/suspect_watch.h"
 
 #include <algorithm>
+#include <array>
+#include <unordered_set>
 
 namespace stackquay {
 
@@ -9,6 +11,9 @@
 /// Datagrams are lost: news of an end are told so often again, within the time in which a request
 /// must be known everywhere.
 constexpr std::array<Millis, 2> RepeatAfter{ Millis(150), Millis(450) };
+/// A process that ends may close its connections some time before it stops to listen, as engines do
+/// that write a dump. The later look is well within the time in which the end must be known.
+constexpr std::array<Millis, 2> CheckAgainAfter{ Millis(20), Millis(150) };
 /// Suspects of one end wait up to this long before they go on, each for itself, so that they hear
 /// where the others go.
 constexpr Millis LeastSpread{ 5 };
@@ -51,6 +56,8 @@
 
     void noteEnd(const Fingerprint &print, const EndpointRecord &endpoint);
     void spread();
+    void checkAgain(const std::vector<EndpointRecord> &endpoints, const Fingerprint &print);
+    bool noteIfEnded(const std::vector<EndpointRecord> &endpoints, const Fingerprint &print);
     void tell(LoadMessage message);
     void pass(const LoadMessage &message);
     void logChange(const Fingerprint &print, SuspectChange change);
@@ -152,6 +159,27 @@
     return changed;
 }
 
+bool SuspectWatch::State::noteIfEnded(const std::vector<EndpointRecord> &endpoints,
+                                      const Fingerprint &print)
+{
+    for (const EndpointRecord &endpoint : endpoints) {
+        if (!m_check.hasEnded(endpoint))
+            continue;
+        noteEnd(print, endpoint);
+        return true;
+    }
+    return false;
+}
+
+void SuspectWatch::State::checkAgain(const std::vector<EndpointRecord> &endpoints,
+                                     const Fingerprint &print)
+{
+    for (const Millis after : CheckAgainAfter) {
+        if (!sleepFor(m_thread.context(), after) || noteIfEnded(endpoints, print))
+            return;
+    }
+}
+
 void SuspectWatch::State::spread()
 {
     std::uniform_int_distribution<Millis::rep> time(LeastSpread.count(), MostSpread.count());
@@ -179,17 +207,20 @@
     return m_state->m_table.empty();
 }
 
+bool SuspectWatch::mayKnow(uint64_t outline) const
+{
+    return m_state->m_table.mayKnow(outline);
+}
+
 bool SuspectWatch::noteBroken(const std::vector<EndpointRecord> &endpoints,
                               const Fingerprint &print)
 {
     const auto state = m_state;
-    for (const EndpointRecord &endpoint : endpoints) {
-        if (!state->m_check.hasEnded(endpoint))
-            continue;
-        state->noteEnd(print, endpoint);
+    if (state->noteIfEnded(endpoints, print)) {
         state->spread();
         return true;
     }
+    spawnFiber([state, endpoints, print] { state->checkAgain(endpoints, print); });
     return false;
 }
 
@@ -234,13 +265,14 @@
 
 std::vector<EndpointRecord> SuspectWatch::placesFor(SuspectCare care,
                                                     std::vector<EndpointRecord> pool,
-                                                    const AttemptLoads &loads,
-                                                    const EndpointUses &uses) const
+                                                    StreamLedger &ledger) const
 {
+    if (care == SuspectCare::None && m_state->m_table.m_tries.empty())
+        return pool;
     std::unordered_set<EndpointId> taken;
     for (const auto &[key, attempt] : m_state->m_table.m_tries) {
-        const auto load = loads.find(key);
-        if (load == loads.end() || load->second.m_parts.empty())
+        const auto load = ledger.loads().find(key);
+        if (load == ledger.loads().end() || load->second.m_parts.empty())
             continue;
         if (care != SuspectCare::None || m_state->careOf(attempt.m_print) == SuspectCare::Alone)
             taken.insert(load->second.m_parts.front().m_endpoint);
@@ -252,7 +284,9 @@
     }
     if (free.empty())
         return pool;
-    return care == SuspectCare::Alone ? quietest(std::move(free), uses) : free;
+    if (care != SuspectCare::Alone)
+        return free;
+    return quietest(std::move(free), ledger.uses(Clock::now()));
 }
 
 void SuspectWatch::receive(const LoadMessage &message)
--- a/relay/suspect_watch.h
+++ b/relay/suspect_watch.h
@@ -34,8 +34,9 @@
     SuspectWatch(const SuspectWatch &) = delete;
     SuspectWatch &operator=(const SuspectWatch &) = delete;
 
-    /// Whether nothing is suspected: then no request needs to be named.
     bool empty() const;
+    /// Whether a request of this outline may be a suspect; else it needs no name.
+    bool mayKnow(uint64_t outline) const;
     /// The answer of @p endpoints to the request broke off. Returns whether the process of one of
     /// them has ended, which makes the request a suspect. Blocks the fiber for a connection's time,
     /// and after an end for some ms more, so that suspects of one end see each other's places.
@@ -52,8 +53,7 @@
     /// Those of @p pool where a try with this care may go; all of them, if none may. Others stay
     /// off engines where a suspect runs alone.
     std::vector<EndpointRecord> placesFor(SuspectCare care, std::vector<EndpointRecord> pool,
-                                          const AttemptLoads &loads,
-                                          const EndpointUses &uses) const;
+                                          StreamLedger &ledger) const;
     void receive(const LoadMessage &message);
     /// Takes what another VM, or one that is gone, had condemned.
     void join(const std::vector<SuspectNews> &news);
--- a/tests/policy/crash_suspects_test.cpp
+++ b/tests/policy/crash_suspects_test.cpp
@@ -6,8 +6,8 @@
 namespace {
 
 constexpr TimePoint Start{ Seconds(1'000) };
-const Fingerprint Culprit{ 1, 2 };
-const Fingerprint Bystander{ 3, 4 };
+const Fingerprint Culprit{ 1, 1, 2 };
+const Fingerprint Bystander{ 1, 3, 4 };
 
 class CrashSuspectsTest : public testing::Test
 {
@@ -71,6 +71,10 @@
     EXPECT_EQ(care(Bystander), SuspectCare::None);
     EXPECT_EQ(care(Culprit), SuspectCare::Condemned);
     EXPECT_FALSE(clearSuspect(m_table, Bystander));
+    EXPECT_TRUE(m_table.mayKnow(Culprit.m_outline)) << "the other one of this outline is left";
+    EXPECT_FALSE(m_table.mayKnow(Culprit.m_outline + 1));
+    clearSuspect(m_table, Culprit);
+    EXPECT_FALSE(m_table.mayKnow(Culprit.m_outline));
 }
 
 TEST_F(CrashSuspectsTest, FewTrialsLongAfterHealAWrongBlame)
@@ -118,11 +122,11 @@
     for (uint64_t process = 1; process <= 3; ++process)
         end(Culprit, process);
     for (uint64_t i = 0; i < 100; ++i)
-        end({ 7, i }, 10 + i, Millis(i + 1));
+        end({ 7, 7, i }, 10 + i, Millis(i + 1));
     EXPECT_EQ(m_table.m_suspects.size(), 8u);
     EXPECT_EQ(care(Culprit), SuspectCare::Condemned);
     EXPECT_EQ(newsOf(m_table, 2, Start + Seconds(1)).front().m_print, Culprit);
-    EXPECT_EQ(care({ 7, 99 }), SuspectCare::Apart) << "the latest are kept";
+    EXPECT_EQ(care({ 7, 7, 99 }), SuspectCare::Apart) << "the latest are kept";
 }
 
 } // namespace
--- a/tests/relay/condemned_record_test.cpp
+++ b/tests/relay/condemned_record_test.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 const WallTime Now{ Seconds(1'700'000'000) };
-const SuspectNews First{ { 1, 2 }, { 10, 11, 12 }, 0, 500 };
+const SuspectNews First{ { 1, 2, 3 }, { 10, 11, 12 }, 0, 500 };
 
 TEST(CondemnedRecordTest, WhatIsWrittenIsReadAndGrowsOlder)
 {
@@ -27,7 +27,8 @@
 
 TEST(CondemnedRecordTest, ContentThatCannotBeReadIsSaid)
 {
-    const std::string entry = R"({"print":"00000000000000010000000000000002","ends":[1],)";
+    const std::string entry =
+        R"({"print":"000000000000000100000000000000020000000000000003","ends":[1],)";
     for (const std::string &spec : std::vector<std::string>{
              "", "[]", "{}", R"({"condemned":3})", R"({"condemned":[3]})", R"({"condemned":[{}]})",
              R"({"condemned":[)" + entry + R"("trials":-1,"at_ms":5}]})",
@@ -52,7 +53,7 @@
 {
     std::vector<SuspectNews> many;
     for (uint64_t i = 0; i < 200; ++i)
-        many.push_back({ { 9, i }, { 1, 2, 3 }, 0, i });
+        many.push_back({ { 0, 9, i }, { 1, 2, 3 }, 0, i });
     const auto joined = joinCondemned({ First }, many);
     EXPECT_EQ(joined.size(), 64u);
     EXPECT_EQ(joined.front().m_ageMs, 0u);
