--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -34,9 +34,7 @@
         if (m_tried.count(endpoint.m_id) == 0)
             untried.push_back(endpoint);
     }
-    std::vector<EndpointRecord> healthy =
-        healthyOf(m_node.m_ejections, std::move(untried), Clock::now());
-    return m_node.m_suspects.placesFor(m_care, std::move(healthy), m_node.m_ledger);
+    return healthyOf(m_node.m_ejections, std::move(untried), Clock::now());
 }
 
 GangSides RelayRun::sidesOf(const std::vector<EndpointRecord> &pool, const EndpointUses &uses,
@@ -58,6 +56,16 @@
 std::optional<GangPlan> RelayRun::choose(StreamCare care)
 {
     const std::vector<EndpointRecord> pool = candidates();
+    const auto places = m_node.m_suspects.placesFor(m_care, pool, m_node.m_ledger);
+    auto plan = planOn(places, care);
+    // Beside other suspects rather than not at all: most of them did nothing.
+    if (!plan && m_care == SuspectCare::Apart && places.size() < pool.size())
+        plan = planOn(pool, care);
+    return plan;
+}
+
+std::optional<GangPlan> RelayRun::planOn(const std::vector<EndpointRecord> &pool, StreamCare care)
+{
     const TimePoint now = Clock::now();
     const EndpointUses uses = m_node.m_ledger.uses(now);
     const DataCentreId &here = m_node.m_settings.m_dataCentre;
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -76,6 +76,8 @@
     /// Whether nothing has run, and an attempt that begins now cannot end before the daemon does.
     bool betterElsewhere() const;
     std::vector<EndpointRecord> candidates() const;
+    /// A plan on engines of @p pool.
+    std::optional<GangPlan> planOn(const std::vector<EndpointRecord> &pool, StreamCare care);
     /// @p pool divided into those for this request's kind of stream, and the others.
     GangSides sidesOf(const std::vector<EndpointRecord> &pool, const EndpointUses &uses,
                       bool strictStream) const;
