A store that comes back older: positions with an era, and what happens at a rise

Cause (read in the code): revisions compared as one line of numbers, so a directory of the former era outranked all that is true after a return; a watch went on silently in the new numbers; an older configuration proved the one that it lacks. Ruled out: forgetting all at a rise, as no VM would serve until the store has all again.

--- a/policy/endpoint_directory.cpp
+++ b/policy/endpoint_directory.cpp
@@ -4,11 +4,11 @@
 
 namespace {
 
-/// The directory of a later revision, in which endpoints of @p own may be missing.
+/// The directory of a later position, in which endpoints of @p own may be missing.
 void replace(EndpointDirectory &own, const EndpointDirectory &offered)
 {
     EndpointDirectory joined = offered;
-    joined.m_sureRevision = own.m_sureRevision;
+    joined.m_surePosition = own.m_surePosition;
     // What an earlier process wrote late may stand in a later revision.
     for (auto &[id, endpoint] : joined.m_endpoints) {
         if (isEarlierProcess(own, endpoint))
@@ -21,7 +21,7 @@
                 joined.m_doubtful.insert(id);
         }
         // What is missing from both stays unknown only if this one's own picture was partial.
-        joined.m_whole = own.m_whole && own.m_revision > 0;
+        joined.m_whole = own.m_whole && own.m_position.known();
     }
     own = std::move(joined);
     noteSure(own);
@@ -30,7 +30,7 @@
 bool dropDoubtful(EndpointDirectory &own, const EndpointDirectory &offered)
 {
     // An older picture may be from before the endpoint came.
-    if (!offered.m_whole || offered.m_revision < own.m_sureRevision)
+    if (!offered.m_whole || offered.m_position < own.m_surePosition)
         return false;
     const size_t dropped = std::erase_if(own.m_doubtful, [&](const EndpointId &id) {
         return offered.m_endpoints.count(id) == 0 && own.m_endpoints.erase(id) > 0;
@@ -61,12 +61,12 @@
 void noteSure(EndpointDirectory &directory)
 {
     if (directory.sure())
-        directory.m_sureRevision = directory.m_revision;
+        directory.m_surePosition = directory.m_position;
 }
 
 bool joinDirectory(EndpointDirectory &own, const EndpointDirectory &offered)
 {
-    if (offered.m_revision <= own.m_revision)
+    if (offered.m_position <= own.m_position)
         return dropDoubtful(own, offered);
     replace(own, offered);
     return true;
--- a/policy/endpoint_directory.h
+++ b/policy/endpoint_directory.h
@@ -10,6 +10,7 @@
 #include <msgpack.hpp>
 
 #include "core/core.h"
+#include "policy/store_position.h"
 
 namespace stackquay {
 
@@ -32,7 +33,7 @@
 
 /// An immutable picture of all endpoints.
 struct EndpointDirectory {
-    uint64_t m_revision = 0; ///< Of the store, when this was read.
+    StorePosition m_position; ///< Of the store, when this was read.
     EndpointMap m_endpoints;
     /// Of these, the ones that a list after an outage of the store lacked: gone, or soon back.
     std::unordered_set<EndpointId> m_doubtful;
@@ -41,7 +42,7 @@
     /// No living endpoint is missing. False for a while after a first list, as there may have been
     /// an outage before it.
     bool m_whole = true;
-    uint64_t m_sureRevision = 0; ///< The last one at which nothing was in doubt.
+    StorePosition m_surePosition; ///< The last one at which nothing was in doubt.
 
     bool sure() const { return m_whole && m_doubtful.empty(); }
 };
@@ -53,11 +54,11 @@
 std::vector<EndpointRecord> restartedSince(const EndpointDirectory &before,
                                            const EndpointDirectory &now);
 
-/// To be called with each new revision: remembers it if nothing is in doubt at it.
+/// To be called with each new position: remembers it if nothing is in doubt at it.
 void noteSure(EndpointDirectory &directory);
 
 /// Takes what @p offered, a peer's directory, tells better than @p own: all of it if it is of a
-/// later revision; else only which doubtful endpoints are gone, if the peer is sure. Returns
+/// later position; else only which doubtful endpoints are gone, if the peer is sure. Returns
 /// whether anything changed.
 bool joinDirectory(EndpointDirectory &own, const EndpointDirectory &offered);
 
--- a/policy/freshness.cpp
+++ b/policy/freshness.cpp
@@ -6,15 +6,21 @@
 
 FreshnessProof joinProofs(const FreshnessProof &left, const FreshnessProof &right)
 {
-    return { std::max(left.m_version, right.m_version),
-             std::max(left.m_provedAt, right.m_provedAt) };
+    const bool leftIsHigher = left.m_version > right.m_version;
+    const FreshnessProof &higher = leftIsHigher ? left : right;
+    const FreshnessProof &lower = leftIsHigher ? right : left;
+    const bool same = lower.m_version == higher.m_version;
+    if (!same && lower.m_era > higher.m_era)
+        return higher;
+    return { higher.m_version, std::max(left.m_provedAt, right.m_provedAt),
+             same ? std::max(left.m_era, right.m_era) : higher.m_era };
 }
 
 FreshnessProof proofFor(uint64_t version, const FreshnessProof &proof)
 {
     if (!proof.known() || proof.m_version > version)
         return {};
-    return { version, proof.m_provedAt };
+    return { version, proof.m_provedAt, proof.m_era };
 }
 
 Duration delayOf(ArrivalClock &clock, TimePoint sent, TimePoint received)
@@ -25,9 +31,10 @@
     return offset - clock.m_leastOffset;
 }
 
-FreshnessProof proofFromAge(uint64_t version, Duration age, Duration callTime, TimePoint now)
+FreshnessProof proofFromAge(uint64_t version, uint64_t era, Duration age, Duration callTime,
+                            TimePoint now)
 {
-    return { version, now - age - callTime };
+    return { version, now - age - callTime, era };
 }
 
 bool freshEnough(const FreshnessProof &proof, uint64_t version, Duration bound, TimePoint now)
--- a/policy/freshness.h
+++ b/policy/freshness.h
@@ -14,12 +14,14 @@
 struct FreshnessProof {
     uint64_t m_version = 0;
     TimePoint m_provedAt{};
+    uint64_t m_era = 0; ///< Of the store that said so.
 
     bool known() const { return m_version != 0; }
 };
 
 /// What two proofs say together: the higher version and the later moment. What was written before
-/// the moment of a lower version's proof is in every higher version too.
+/// the moment of a lower version's proof is in every higher version too; but not if a later era
+/// said so, whose store may have lost versions that took keys away.
 FreshnessProof joinProofs(const FreshnessProof &left, const FreshnessProof &right);
 
 /// The proof that holds for @p version, which was seen but not proved itself: that of a lower
@@ -37,7 +39,8 @@
 Duration delayOf(ArrivalClock &clock, TimePoint sent, TimePoint received);
 
 /// The proof as a peer passes it on, received after @p callTime.
-FreshnessProof proofFromAge(uint64_t version, Duration age, Duration callTime, TimePoint now);
+FreshnessProof proofFromAge(uint64_t version, uint64_t era, Duration age, Duration callTime,
+                            TimePoint now);
 
 /// Whether requests that need a key may still be admitted under @p version.
 bool freshEnough(const FreshnessProof &proof, uint64_t version, Duration bound, TimePoint now);
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -38,6 +38,7 @@
 #include "policy/shard.h"
 #include "policy/span_plan.h"
 #include "policy/steward.h"
+#include "policy/store_position.h"
 #include "policy/stream_ledger.h"
 #include "policy/tenure.h"
 #include "policy/turn_queue.h"
--- a/relay/condemned_record.cpp
+++ b/relay/condemned_record.cpp
@@ -128,7 +128,7 @@
     bool m_loading = false;
     bool m_writing = false;
 
-    /// The object, or one of revision zero if there is none yet.
+    /// The object, or one of no position if there is none yet.
     Result<KindObject> read();
     bool tryLoad();
     bool tryWrite();
@@ -138,7 +138,7 @@
 {
     auto object = m_store.get(m_source.m_condemnedKind, ObjectName);
     if (!object && object.error().m_code == ErrorCode::NotFound)
-        return KindObject{ ObjectName, 0, writeCondemned({}, {}) };
+        return KindObject{ ObjectName, {}, writeCondemned({}, {}) };
     return object;
 }
 
@@ -172,11 +172,11 @@
     const auto known = readCondemned(object->m_spec, now).value_or(std::vector<SuspectNews>{});
     const std::vector<SuspectNews> unsaid = m_unsaid;
     if (!saysAll(known, unsaid)) {
-        const KindObject next{ ObjectName, object->m_revision,
+        const KindObject next{ ObjectName, object->m_position,
                                writeCondemned(joinCondemned(known, unsaid), now) };
-        const Status written = next.m_revision == 0
-                                   ? m_store.create(m_source.m_condemnedKind, next)
-                                   : m_store.replace(m_source.m_condemnedKind, next);
+        const Status written = next.m_position.known()
+                                   ? m_store.replace(m_source.m_condemnedKind, next)
+                                   : m_store.create(m_source.m_condemnedKind, next);
         if (!written)
             return false;
         DecisionLine("store", "condemned requests written")
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -47,6 +47,9 @@
 /// Duty that another takes over is kept for so long, until the other has begun.
 constexpr Millis DutyHandover{ 1'500 };
 constexpr Millis RemovePoll{ 5 };
+/// All VMs write their objects again within this time of a return of the store: 1,200 of them take
+/// some 400 writes a second, and all are there within 5 s.
+constexpr Millis WriteAgainWithin{ 3'000 };
 /// Of each other cell: one may be gone since the list was read.
 constexpr size_t ContactsPerCell = 2;
 
@@ -118,6 +121,7 @@
     void dutyBeatLoop();
     void registerLoop();
     bool writeObject();
+    void writeAgain();
     bool readObjects();
     void chooseContacts(const std::vector<KindObject> &objects);
     bool lacksContacts() const;
@@ -246,6 +250,7 @@
     peer.m_heard = Clock::now();
     peer.m_present = !beat.m_gone;
     updateDuty();
+    m_hooks.m_era(beat.m_beliefs.m_era);
     if (begins || leaves || beat.m_gone) {
         const char *event = leaves ? "peer leaves" : "peer heard";
         DecisionLine("peers", beat.m_gone ? "peer gone" : event)
@@ -282,8 +287,9 @@
     const Duration delay = delayOf(peer.m_clock, sent, peer.m_heard);
     const BeliefSummary &beliefs = peer.m_beat.m_beliefs;
     if (beliefs.m_proved) {
-        m_hooks.m_proof(proofFromAge(beliefs.m_routesVersion, Millis(beliefs.m_proofAgeMs),
-                                     BeatTravel + delay, peer.m_heard));
+        m_hooks.m_proof(proofFromAge(beliefs.m_routesVersion, beliefs.m_proofEra,
+                                     Millis(beliefs.m_proofAgeMs), BeatTravel + delay,
+                                     peer.m_heard));
     }
 }
 
@@ -359,10 +365,10 @@
 {
     const BeliefSummary own = m_hooks.m_own();
     const auto hasNews = [&own](const BeliefSummary &its) {
-        const bool settles = !own.m_directorySure && its.m_directorySure
-                             && its.m_directoryRevision >= own.m_sureRevision;
-        return its.m_routesVersion > own.m_routesVersion
-               || its.m_directoryRevision > own.m_directoryRevision || settles;
+        const bool settles =
+            !own.m_directorySure && its.m_directorySure && its.m_directory >= own.m_sure;
+        return its.m_routesVersion > own.m_routesVersion || its.m_directory > own.m_directory
+               || settles;
     };
     std::vector<const Peer *> near;
     std::vector<const Peer *> far;
@@ -400,7 +406,7 @@
 bool FleetLink::State::ask(const Address &peer)
 {
     const BeliefSummary own = m_hooks.m_own();
-    const AskBeliefs question{ own.m_routesVersion, own.m_directoryRevision, !own.m_directorySure };
+    const AskBeliefs question{ own.m_routesVersion, own.m_directory, !own.m_directorySure };
     const TimePoint begun = Clock::now();
     const auto reply = m_client.call(peer, question, AskTimeout);
     if (!reply) {
@@ -441,7 +447,7 @@
     const Json spec = { { "beats", toString(m_settings.m_beats) },
                         { "loads", toString(m_settings.m_loads) },
                         { "data_centre", m_settings.m_dataCentre.str() } };
-    const KindObject object{ m_settings.m_vm.str(), 0, spec.dump() };
+    const KindObject object{ m_settings.m_vm.str(), {}, spec.dump() };
     const Status created = m_store.create(m_source.m_vmsKind, object);
     if (created)
         return true;
@@ -450,12 +456,23 @@
     return false;
 }
 
+/// The store that came back would meet all VMs at once: a call each, over this time.
+void FleetLink::State::writeAgain()
+{
+    spawnFiber([self = shared_from_this()] {
+        std::uniform_int_distribution<Millis::rep> delay(0, WriteAgainWithin.count());
+        bool wait = sleepFor(self->m_thread.context(), Millis(delay(self->m_random)));
+        while (wait && !self->m_leaving && !self->writeObject())
+            wait = sleepFor(self->m_thread.context(), ListRetry);
+    });
+}
+
 /// If the object stays, VMs that start later greet this one in vain; that does no harm.
 void FleetLink::State::removeObject()
 {
     const Status removed =
         m_hooks.m_own().m_reachesStore
-            ? m_store.remove(m_source.m_vmsKind, { m_settings.m_vm.str(), 0, "" })
+            ? m_store.remove(m_source.m_vmsKind, { m_settings.m_vm.str(), {}, "" })
             : Status(makeError(ErrorCode::Unavailable, "the store is away"));
     if (!removed)
         DecisionLine("peers", "own object not removed")
@@ -600,6 +617,11 @@
     state.beat(false);
 }
 
+void FleetLink::writeAgain()
+{
+    m_state->writeAgain();
+}
+
 void FleetLink::beatNow()
 {
     m_state->beat(false);
--- a/relay/fleet_link.h
+++ b/relay/fleet_link.h
@@ -41,6 +41,8 @@
     std::function<void(const Beliefs &beliefs, Duration callTime)> m_heard;
     /// A peer's proof came with a beat.
     std::function<void(const FreshnessProof &proof)> m_proof;
+    /// A peer knows this era of the store.
+    std::function<void(uint64_t era)> m_era;
     /// A process of a peer is gone, or cannot be heard: what it placed is not known any more.
     std::function<void(uint64_t origin)> m_gone;
     /// The set of VMs that this one plans with changed.
@@ -72,6 +74,8 @@
     /// Tells the peers that nothing more comes from this VM, once the object is removed or it is
     /// @p by. On the thread.
     void goodbye(TimePoint by);
+    /// Writes the object of this VM again soon, as the store may have lost it. On the thread.
+    void writeAgain();
     /// Tells the live peers at once, as there are news. On the thread.
     void beatNow();
     /// Whether this VM is to follow the store for the others of its data centre. On the thread.
--- a/relay/fleet_messages.h
+++ b/relay/fleet_messages.h
@@ -11,13 +11,15 @@
     uint64_t m_routesVersion = 0; ///< Zero: none.
     bool m_proved = false;
     uint32_t m_proofAgeMs = 0; ///< Of that version, if proved.
-    uint64_t m_directoryRevision = 0; ///< Zero: none.
+    uint64_t m_proofEra = 0; ///< Of the store that proved it.
+    uint64_t m_era = 0; ///< The highest of the store that the VM has heard of.
+    StorePosition m_directory; ///< Not known: none.
     bool m_directorySure = false; ///< Nothing in that directory is in doubt.
-    uint64_t m_sureRevision = 0; ///< The last one at which nothing was in doubt.
+    StorePosition m_sure; ///< The last one at which nothing was in doubt.
     bool m_reachesStore = true; ///< As far as the VM has tried lately.
 
-    MSGPACK_DEFINE(m_routesVersion, m_proved, m_proofAgeMs, m_directoryRevision, m_directorySure,
-                   m_sureRevision, m_reachesStore)
+    MSGPACK_DEFINE(m_routesVersion, m_proved, m_proofAgeMs, m_proofEra, m_era, m_directory,
+                   m_directorySure, m_sure, m_reachesStore)
 };
 
 /// Sent to each peer by UDP some times a second, and when there are news.
@@ -60,10 +62,10 @@
     static constexpr std::string_view RpcName = "beliefs";
 
     uint64_t m_routesVersion = 0; ///< That the asker has.
-    uint64_t m_directoryRevision = 0;
+    StorePosition m_directory;
     bool m_inDoubt = false; ///< Asks for the endpoints in any case.
 
-    MSGPACK_DEFINE(m_routesVersion, m_directoryRevision, m_inDoubt)
+    MSGPACK_DEFINE(m_routesVersion, m_directory, m_inDoubt)
 };
 
 } // namespace stackquay
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -91,6 +91,7 @@
     m_record = std::make_unique<CondemnedRecord>(
         m_control, *m_store, adapter.m_source,
         [this](const std::vector<SuspectNews> &condemned) { takeCondemned(condemned); });
+    m_store->onRise([this] { noteEra(m_store->era()); });
     m_node->m_condemned = [this](const std::vector<SuspectNews> &condemned, bool seen) {
         m_control.post([this, condemned, seen] {
             m_condemned = condemned;
@@ -251,15 +252,31 @@
     own.m_routesVersion = view->m_routes ? view->m_routes->m_version : 0;
     own.m_proved = view->m_proof.known();
     own.m_proofAgeMs = own.m_proved ? ageMs(view->m_proof) : 0;
+    own.m_proofEra = view->m_proof.m_era;
+    own.m_era = m_era;
     if (view->m_directory) {
-        own.m_directoryRevision = view->m_directory->m_revision;
+        own.m_directory = view->m_directory->m_position;
         own.m_directorySure = view->m_directory->sure();
-        own.m_sureRevision = view->m_directory->m_sureRevision;
+        own.m_sure = view->m_directory->m_surePosition;
     }
     own.m_reachesStore = m_follower->reachesStore();
     return own;
 }
 
+/// The store came back from a copy: what the system wrote there has to be written again, by those
+/// that hear it from the store or from a peer.
+void RelayDaemon::noteEra(uint64_t era)
+{
+    const uint64_t before = m_era;
+    m_era = std::max(m_era, era);
+    if (before == 0 || m_era == before)
+        return;
+    m_fleet->writeAgain();
+    m_follower->noteReturn();
+    if (m_fleet->onDuty())
+        m_record->keep(m_condemned);
+}
+
 void RelayDaemon::takeCondemned(const std::vector<SuspectNews> &condemned)
 {
     if (!condemned.empty())
@@ -274,7 +291,7 @@
     beliefs.m_condemned = m_condemned;
     if (beliefs.m_summary.m_routesVersion > question.m_routesVersion)
         beliefs.m_routesSpec = m_packedRoutes;
-    const bool later = beliefs.m_summary.m_directoryRevision > question.m_directoryRevision;
+    const bool later = beliefs.m_summary.m_directory > question.m_directory;
     if (!view->m_directory || !(later || question.m_inDoubt))
         return beliefs;
     beliefs.m_hasEndpoints = true;
@@ -297,6 +314,7 @@
         takeBeliefs(beliefs, callTime);
     };
     hooks.m_proof = [this](const FreshnessProof &proof) { takeProof(proof); };
+    hooks.m_era = [this](uint64_t era) { noteEra(era); };
     hooks.m_gone = [this](uint64_t origin) {
         m_traffic.post([this, origin] { m_node->forget(origin); });
     };
@@ -324,8 +342,12 @@
 
 void RelayDaemon::takeBeliefs(const Beliefs &beliefs, Duration callTime)
 {
-    // Before the routes, which make this VM ready.
+    // Before the routes, which make this VM ready, and whose proof this VM's own may not be.
     takeCondemned(beliefs.m_condemned);
+    const BeliefSummary &summary = beliefs.m_summary;
+    if (summary.m_proved)
+        takeProof(proofFromAge(summary.m_routesVersion, summary.m_proofEra,
+                               Millis(summary.m_proofAgeMs), callTime, Clock::now()));
     if (!beliefs.m_routesSpec.empty()) {
         const auto spec = unpackText(beliefs.m_routesSpec);
         if (spec)
@@ -335,14 +357,10 @@
                 .text("error", spec.error().m_message)
                 .write();
     }
-    const BeliefSummary &summary = beliefs.m_summary;
-    if (summary.m_proved)
-        takeProof(proofFromAge(summary.m_routesVersion, Millis(summary.m_proofAgeMs), callTime,
-                               Clock::now()));
     if (!beliefs.m_hasEndpoints)
         return;
     EndpointDirectory directory;
-    directory.m_revision = summary.m_directoryRevision;
+    directory.m_position = summary.m_directory;
     directory.m_whole = beliefs.m_whole;
     directory.m_doubtful.insert(beliefs.m_doubtful.begin(), beliefs.m_doubtful.end());
     directory.m_unreadable.insert(beliefs.m_unreadable.begin(), beliefs.m_unreadable.end());
--- a/relay/relay_daemon.h
+++ b/relay/relay_daemon.h
@@ -51,6 +51,7 @@
     void packRoutes(const std::string &spec);
     void takeBeliefs(const Beliefs &beliefs, Duration callTime);
     void takeProof(const FreshnessProof &proof);
+    void noteEra(uint64_t era);
     void takeCondemned(const std::vector<SuspectNews> &condemned);
     void changeView(const std::function<void(RelayView &)> &change);
     void answerReady(HttpExchange &exchange);
@@ -72,6 +73,7 @@
     Address m_clientsAddress;
     Address m_readyAddress;
     std::vector<SuspectNews> m_condemned; ///< As the traffic thread last said. Control thread.
+    uint64_t m_era = 0; ///< The highest heard of. Control thread.
     std::string m_packedRoutes; ///< As in the store, packed for peers. Control thread.
     FreshnessProof m_proof; ///< The best known, also of a version not yet here. Control thread.
     std::atomic<bool> m_drainBegun{ false };
--- a/relay/store_follower.cpp
+++ b/relay/store_follower.cpp
@@ -38,6 +38,10 @@
 /// endpoints lapse after three heartbeats, 3.6 s, of which one may have passed before.
 constexpr Millis OutageAfter{ 1'000 };
 constexpr Millis OutageGap{ 2'500 };
+/// In a copy from which the store came back, endpoints that left since are there, and those that
+/// drain are ready. What lives writes again within two seconds; the entry of one that is gone is
+/// removed after three heartbeats, 3.6 s.
+constexpr Millis CopyDoubt{ 5'000 };
 /// What an ended process wrote is carried out seconds later at most.
 constexpr Seconds ForgetStartsAfter{ 60 };
 /// A VM that had no answer for so long, one a second being usual, and whose calls failed so short
@@ -60,7 +64,8 @@
             changed += (changed.empty() ? "" : " ") + id.str() + (endpoint.m_draining ? "-" : "");
     }
     DecisionLine("store", "endpoints taken from a peer")
-        .number("revision", static_cast<int64_t>(now.m_revision))
+        .number("era", static_cast<int64_t>(now.m_position.m_era))
+        .number("revision", static_cast<int64_t>(now.m_position.m_revision))
         .number("endpoints", static_cast<int64_t>(now.m_endpoints.size()))
         .number("doubtful", static_cast<int64_t>(now.m_doubtful.size()))
         .text("gone", gone)
@@ -84,7 +89,7 @@
         std::string m_kind;
         Millis m_wait;
         Millis m_join; ///< After a change, until the next ones are asked for.
-        bool (State::*m_list)(uint64_t &revision);
+        bool (State::*m_list)(StorePosition &position);
         void (State::*m_take)(const KindEvents &events);
     };
 
@@ -109,6 +114,8 @@
     TimePoint m_lastAnswer{};
     TimePoint m_unableAt{}; ///< Last failure after a silence of some time.
     TimePoint m_returnedAt{}; ///< End of the last outage, or the first list.
+    TimePoint m_copyReadUntil{}; ///< Lists may tell what was, as the store came back from a copy.
+    std::unordered_map<EndpointId, TimePoint> m_left; ///< Endpoints that are gone, since when.
     uint64_t m_generation = 0; ///< Watches of an earlier one end.
     bool m_watching = false;
 
@@ -120,18 +127,21 @@
     void proveRoutes();
     Millis proofDue();
     bool readRoutes();
-    bool listRoutes(uint64_t &revision);
+    bool listRoutes(StorePosition &position);
     void takeRouteEvents(const KindEvents &events);
-    bool listEndpoints(uint64_t &revision);
+    bool listEndpoints(StorePosition &position);
     void takeEndpointEvents(const KindEvents &events);
     void takeEndpoint(const KindObject &object);
     void dropUnreadable(const KindObject &object, const Error &error);
     void forgetOldStarts();
+    void noteLeft(const EndpointMap &before);
+    bool isFromCopy(const KindObject &object);
+    void endCopyDoubt();
     bool isFromEarlierProcess(const EndpointRecord &endpoint);
     void removeEndpoint(const EndpointId &endpoint);
     void endDoubts();
     void noteDoubts();
-    void publishDirectory(uint64_t revision);
+    void publishDirectory(const StorePosition &position);
     void noteAlive();
     bool backOff(unsigned failures);
     bool pause(unsigned failures);
@@ -218,6 +228,7 @@
             }
         }
         endDoubts();
+        endCopyDoubt();
     } while (sleepFor(m_thread.context(), Poll));
 }
 
@@ -239,20 +250,20 @@
 void StoreFollower::State::watch(const Followed &followed, uint64_t generation)
 {
     unsigned failures = 0;
-    uint64_t revision = 0;
+    StorePosition position;
     while (generation == m_generation) {
-        if (revision == 0 && !(this->*followed.m_list)(revision)) {
+        if (!position.known() && !(this->*followed.m_list)(position)) {
             if (!backOff(failures++) || !awaitAnswer(generation))
                 return;
             continue;
         }
-        const auto events = m_store.watch(followed.m_kind, revision, followed.m_wait);
+        const auto events = m_store.watch(followed.m_kind, position, followed.m_wait);
         if (generation != m_generation)
             return;
         if (!events) {
             const bool historyGone = events.error().m_code == ErrorCode::NotFound;
             if (historyGone)
-                revision = 0;
+                position = {};
             if (historyGone ? !pause(failures++) : !backOff(failures++) || !awaitAnswer(generation))
                 return;
             continue;
@@ -261,7 +272,7 @@
         noteAlive();
         if (generation != m_generation)
             return;
-        revision = events->m_revision;
+        position = events->m_position;
         (this->*followed.m_take)(*events);
         if (!events->m_events.empty() && !sleepFor(m_thread.context(), followed.m_join))
             return;
@@ -301,7 +312,7 @@
     noteAlive();
     if (!takeRoutes(object->m_spec))
         return false;
-    m_hooks.m_proof({ m_routes->m_version, begun });
+    m_hooks.m_proof({ m_routes->m_version, begun, object->m_position.m_era });
     return true;
 }
 
@@ -345,7 +356,7 @@
     }
 }
 
-bool StoreFollower::State::listRoutes(uint64_t &revision)
+bool StoreFollower::State::listRoutes(StorePosition &position)
 {
     const TimePoint begun = Clock::now();
     const auto page = m_store.list(m_source.m_routesKind);
@@ -354,9 +365,9 @@
     noteAlive();
     for (const KindObject &object : page->m_objects) {
         if (object.m_name == m_source.m_routesName && takeRoutes(object.m_spec))
-            m_hooks.m_proof({ m_routes->m_version, begun });
+            m_hooks.m_proof({ m_routes->m_version, begun, page->m_position.m_era });
     }
-    revision = page->m_revision;
+    position = page->m_position;
     return true;
 }
 
@@ -414,6 +425,46 @@
     std::erase_if(m_starts, [now](const auto &entry) {
         return now - entry.second.m_seen > ForgetStartsAfter;
     });
+    std::erase_if(m_left,
+                  [now](const auto &entry) { return now - entry.second > ForgetStartsAfter; });
+}
+
+/// Remembers which endpoints of @p before are gone.
+void StoreFollower::State::noteLeft(const EndpointMap &before)
+{
+    for (const auto &[id, endpoint] : before) {
+        if (m_directory.m_endpoints.count(id) == 0)
+            m_left[id] = Clock::now();
+    }
+}
+
+/// Whether a listed entry may be older than what is known of its endpoint: it is used again once
+/// the endpoint has written itself, or when the copy's time is over.
+bool StoreFollower::State::isFromCopy(const KindObject &object)
+{
+    if (Clock::now() >= m_copyReadUntil)
+        return false;
+    const EndpointId id(object.m_name);
+    const auto known = m_directory.m_endpoints.find(id);
+    const bool leaves = known != m_directory.m_endpoints.end() && known->second.m_draining;
+    if (!leaves && m_left.count(id) == 0)
+        return false;
+    const auto listed = m_source.m_decodeEndpoint(object);
+    if (!listed || listed->m_draining)
+        return false;
+    DecisionLine("store", "entry of the copy ignored").text("endpoint", id.str()).write();
+    return true;
+}
+
+/// Lists once more: what stands there now is true.
+void StoreFollower::State::endCopyDoubt()
+{
+    if (m_copyReadUntil == TimePoint{} || Clock::now() < m_copyReadUntil)
+        return;
+    m_copyReadUntil = {};
+    m_left.clear();
+    if (m_watching)
+        startWatches();
 }
 
 /// Whether @p endpoint was written by a process that a later one under its id has replaced. Notes
@@ -446,6 +497,7 @@
     }
     m_directory.m_endpoints.erase(endpoint);
     m_directory.m_doubtful.erase(endpoint);
+    m_left[endpoint] = Clock::now();
     DecisionLine("store", "endpoint gone").text("endpoint", endpoint.str()).write();
 }
 
@@ -471,6 +523,7 @@
         changed = true;
         m_directory.m_doubtful.erase(endpoint);
         m_directory.m_endpoints.erase(endpoint);
+        m_left[endpoint] = now;
         DecisionLine("store", "endpoint gone")
             .text("endpoint", endpoint.str())
             .flag("doubtful", true)
@@ -478,29 +531,29 @@
     }
     // Who has followed the store for the whole time misses nothing.
     const bool followed = m_watching && m_failingSince == TimePoint{} && !inReturnGrace(now);
-    if (!m_directory.m_whole && m_directory.m_revision > 0 && followed) {
+    if (!m_directory.m_whole && m_directory.m_position.known() && followed) {
         m_directory.m_whole = true;
         changed = true;
     }
     if (changed)
-        publishDirectory(m_directory.m_revision);
+        publishDirectory(m_directory.m_position);
 }
 
-void StoreFollower::State::publishDirectory(uint64_t revision)
+void StoreFollower::State::publishDirectory(const StorePosition &position)
 {
-    m_directory.m_revision = std::max(m_directory.m_revision, revision);
+    m_directory.m_position = std::max(m_directory.m_position, position);
     noteSure(m_directory);
     noteDoubts();
     m_hooks.m_directory(std::make_shared<const EndpointDirectory>(m_directory));
 }
 
-bool StoreFollower::State::listEndpoints(uint64_t &revision)
+bool StoreFollower::State::listEndpoints(StorePosition &position)
 {
     const auto page = m_store.list(m_source.m_endpointsKind);
     if (!page)
         return false;
     noteAlive();
-    if (m_directory.m_revision == 0) {
+    if (!m_directory.m_position.known()) {
         m_returnedAt = Clock::now();
         m_directory.m_whole = false;
     }
@@ -508,7 +561,8 @@
     std::unordered_set<EndpointId> listed;
     for (const KindObject &object : page->m_objects) {
         listed.insert(EndpointId(object.m_name));
-        takeEndpoint(object);
+        if (!isFromCopy(object))
+            takeEndpoint(object);
     }
     std::vector<EndpointId> missing;
     for (const auto &[id, endpoint] : m_directory.m_endpoints) {
@@ -517,8 +571,8 @@
     }
     for (const EndpointId &id : missing)
         removeEndpoint(id);
-    revision = page->m_revision;
-    publishDirectory(revision);
+    position = page->m_position;
+    publishDirectory(position);
     return true;
 }
 
@@ -532,7 +586,7 @@
             takeEndpoint(event.m_object);
     }
     if (!events.m_events.empty())
-        publishDirectory(events.m_revision);
+        publishDirectory(events.m_position);
 }
 
 StoreFollower::StoreFollower(FiberThread &thread, KindStore &store, const RelaySource &source,
@@ -560,7 +614,8 @@
     if (!joinDirectory(m_state->m_directory, directory))
         return;
     logTaken(before, m_state->m_directory);
-    m_state->publishDirectory(m_state->m_directory.m_revision);
+    m_state->noteLeft(before);
+    m_state->publishDirectory(m_state->m_directory.m_position);
 }
 
 void StoreFollower::noteProofGap(Duration gap)
@@ -569,6 +624,14 @@
         m_state->m_returnedAt = Clock::now();
 }
 
+void StoreFollower::noteReturn()
+{
+    m_state->m_returnedAt = Clock::now();
+    m_state->m_copyReadUntil = m_state->m_returnedAt + CopyDoubt;
+    if (m_state->m_watching)
+        m_state->startWatches();
+}
+
 bool StoreFollower::reachesStore() const
 {
     return m_state->m_unableAt == TimePoint{}
--- a/relay/store_follower.h
+++ b/relay/store_follower.h
@@ -45,6 +45,9 @@
     /// The best proof is so much later than the one before: a long gap is an outage of the store,
     /// or of this VM's ways to all others. On the thread.
     void noteProofGap(Duration gap);
+    /// The store came back from a copy: follows it anew, and doubts for a while what it lacks. On
+    /// the thread.
+    void noteReturn();
     /// Whether no call failed for some seconds. On the thread.
     bool reachesStore() const;
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -182,14 +182,14 @@
               "/objects/servers?sinceRev=i-7&staleOk=1");
     EXPECT_EQ(dialect.m_watch("servers", 530, Millis(20'000)).m_target,
               "/objects/servers?watch=530&waitMs=20000");
-    EXPECT_EQ(dialect.m_remove("k", { "n", 5, "" }).m_target, "/objects/k/n?revision=5");
-    EXPECT_NE(dialect.m_replace("k", { "n", 5, "{}" }).m_body.find("\"revision\":5"),
+    EXPECT_EQ(dialect.m_remove("k", { "n", { 1, 5 }, "" }).m_target, "/objects/k/n?revision=5");
+    EXPECT_NE(dialect.m_replace("k", { "n", { 1, 5 }, "{}" }).m_body.find("\"revision\":5"),
               std::string::npos);
     const auto page = dialect.m_readPage(
         R"({"items":[{"metadata":{"name":"n","revision":4},"spec":{"a":1}}],"morePages":true,"currentRev":9})");
     ASSERT_TRUE(page);
     EXPECT_TRUE(page->m_more);
-    EXPECT_EQ(page->m_revision, 9u);
+    EXPECT_EQ(page->m_position.m_revision, 9u);
     EXPECT_EQ(page->m_objects.at(0).m_spec, "{\"a\":1}");
     const auto events = dialect.m_readEvents(
         R"({"events":[{"removed":true,"object":{"metadata":{"name":"n"},"spec":null}}],"currentRev":10})");
@@ -205,7 +205,7 @@
 
 Result<EndpointRecord> decodeEntry(const std::string &spec)
 {
-    return relaySource().m_decodeEndpoint({ "i-1", 1, spec });
+    return relaySource().m_decodeEndpoint({ "i-1", { 1, 1 }, spec });
 }
 
 /// Entry with @p value in place of that of @p field; an empty one takes the field out.
@@ -310,7 +310,7 @@
         refused += !relaySource().m_decodeRoutes(spoil(routes, random));
         refused += !kindDialect().m_readPage(spoil(page, random));
         refused += !kindDialect().m_readEvents(spoil(page, random));
-        refused += !relaySource().m_decodeEndpoint({ "n", 1, spoil(Entry, random) });
+        refused += !relaySource().m_decodeEndpoint({ "n", { 1, 1 }, spoil(Entry, random) });
         refused += !decodeMessage<Beat>(spoil(encodeMessage(beat), random));
         refused += !decodeMessage<LoadMessage>(spoil(encodeMessage(LoadMessage{}), random));
         relayDialect().m_readRequest({ "GET",
--- a/tests/policy/endpoint_directory_test.cpp
+++ b/tests/policy/endpoint_directory_test.cpp
@@ -9,7 +9,7 @@
                             const std::vector<std::string> &doubtful = {})
 {
     EndpointDirectory made;
-    made.m_revision = revision;
+    made.m_position = { 1, revision };
     for (const std::string &id : ids)
         made.m_endpoints[EndpointId(id)].m_id = EndpointId(id);
     for (const std::string &id : doubtful)
@@ -28,7 +28,7 @@
     EXPECT_TRUE(joinDirectory(own, directory(6, { "b", "c" })));
     EXPECT_FALSE(has(own, "a"));
     EXPECT_TRUE(has(own, "c"));
-    EXPECT_EQ(own.m_sureRevision, 6u);
+    EXPECT_EQ(own.m_surePosition.m_revision, 6u);
     EXPECT_FALSE(joinDirectory(own, directory(6, { "a" })));
     EXPECT_FALSE(has(own, "a"));
 }
@@ -38,12 +38,12 @@
 TEST(EndpointDirectoryTest, SurePeerEndsDoubts)
 {
     EndpointDirectory own = directory(20, { "a", "b" }, { "a" });
-    own.m_sureRevision = 10;
+    own.m_surePosition = { 1, 10 };
     EXPECT_FALSE(joinDirectory(own, directory(9, { "b" }))); // From before "a" came, perhaps.
     EXPECT_TRUE(joinDirectory(own, directory(15, { "b" })));
     EXPECT_FALSE(has(own, "a"));
     EXPECT_TRUE(own.sure());
-    EXPECT_EQ(own.m_sureRevision, 20u);
+    EXPECT_EQ(own.m_surePosition.m_revision, 20u);
 }
 
 TEST(EndpointDirectoryTest, PeerThatMayMissEndpointsEndsNoDoubt)
@@ -53,7 +53,7 @@
     started.m_whole = false;
     EXPECT_FALSE(joinDirectory(own, started));
     EXPECT_TRUE(has(own, "a"));
-    started.m_revision = 21;
+    started.m_position = { 1, 21 };
     EXPECT_TRUE(joinDirectory(own, started));
     EXPECT_TRUE(has(own, "a"));
     EXPECT_FALSE(own.sure());
@@ -64,7 +64,7 @@
     EndpointDirectory own = directory(5, { "a", "b" });
     EXPECT_TRUE(joinDirectory(own, directory(20, { "a", "b" }, { "a" })));
     EXPECT_FALSE(own.sure());
-    EXPECT_EQ(own.m_sureRevision, 0u); // It was never told to be sure of the first.
+    EXPECT_EQ(own.m_surePosition.m_revision, 0u); // It was never told to be sure of the first.
 }
 
 TEST(EndpointDirectoryTest, FirstPictureThatMayMissEndpointsIsNotWhole)
@@ -76,6 +76,19 @@
     EXPECT_FALSE(own.m_whole);
 }
 
+// A store that came back from a copy gives revisions out again.
+TEST(EndpointDirectoryTest, LowerRevisionOfALaterEraReplaces)
+{
+    EndpointDirectory own = directory(1'000, { "a", "b" });
+    EndpointDirectory returned = directory(900, { "b", "c" });
+    returned.m_position.m_era = 2;
+    EXPECT_TRUE(joinDirectory(own, returned));
+    EXPECT_TRUE(has(own, "c"));
+    EXPECT_FALSE(has(own, "a"));
+    EXPECT_FALSE(joinDirectory(own, directory(1'001, { "a" })));
+    EXPECT_FALSE(has(own, "a"));
+}
+
 EndpointRecord process(const std::string &id, uint64_t startedMs)
 {
     EndpointRecord record;
@@ -106,7 +119,7 @@
     EXPECT_TRUE(joinDirectory(own, offered));
     EXPECT_EQ(own.m_endpoints.at(EndpointId("a")).m_startedMs, 2'000u);
     EXPECT_TRUE(has(own, "b"));
-    offered.m_revision = 7;
+    offered.m_position = { 1, 7 };
     offered.m_endpoints[EndpointId("a")] = process("a", 3'000);
     EXPECT_TRUE(joinDirectory(own, offered));
     EXPECT_EQ(own.m_endpoints.at(EndpointId("a")).m_startedMs, 3'000u);
--- a/tests/policy/freshness_test.cpp
+++ b/tests/policy/freshness_test.cpp
@@ -31,9 +31,23 @@
     EXPECT_FALSE(proofFor(8, {}).known());
 }
 
+// The store came back from a copy that lacks 8: that 7 is its newest says nothing of 8.
+TEST(FreshnessTest, ProofOfALaterEraHoldsForNoVersionThatItLost)
+{
+    const FreshnessProof lost{ 8, Start, 1 };
+    const FreshnessProof returned{ 7, Start + Seconds(9), 2 };
+    for (const FreshnessProof &joined :
+         { joinProofs(lost, returned), joinProofs(returned, lost) }) {
+        EXPECT_EQ(joined.m_version, 8u);
+        EXPECT_EQ(joined.m_provedAt, Start);
+    }
+    const FreshnessProof writtenAgain{ 8, Start + Seconds(12), 2 };
+    EXPECT_EQ(joinProofs(lost, writtenAgain).m_provedAt, Start + Seconds(12));
+}
+
 TEST(FreshnessTest, AgeGrowsByTheWholeCall)
 {
-    const FreshnessProof proof = proofFromAge(3, Millis(400), Millis(50), Start);
+    const FreshnessProof proof = proofFromAge(3, 1, Millis(400), Millis(50), Start);
     EXPECT_EQ(proof.m_provedAt, Start - Millis(450));
 }
 
