News of an end are told once; only what condemns is repeated

Cause, by counting: each request at an ended engine told its end, and its completion, three times to each VM of the cell: with ten streams there and 75 peers 4,500 datagrams an end. Each news says all ends so far, so a lost one is made up for by the next; what condemns is still told three times. Now 1,500, reckoned from the code, not measured. Ruled out: joining the news of one VM's streams, as they end within some ms of each other and would wait for it.

--- a/relay/suspect_watch.cpp
+++ b/relay/suspect_watch.cpp
@@ -2,14 +2,15 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <unordered_set>
 
 namespace stackquay {
 
 namespace {
 
-/// Datagrams are lost: news of an end are told so often again, within the time in which a request
-/// must be known everywhere.
+/// Datagrams are lost: what condemns is told so often again, within the time in which a request
+/// must be known everywhere. Other news say all ends so far, so that later ones make up for a loss.
 constexpr std::array<Millis, 2> RepeatAfter{ Millis(150), Millis(450) };
 /// A process that ends may close its connections some time before it stops to listen, as engines do
 /// that write a dump. The later look is well within the time in which the end must be known.
@@ -59,6 +60,7 @@
     void checkAgain(const std::vector<EndpointRecord> &endpoints, const Fingerprint &print);
     bool noteIfEnded(const std::vector<EndpointRecord> &endpoints, const Fingerprint &print);
     void tell(LoadMessage message);
+    void tellAgain(const LoadMessage &message);
     void pass(const LoadMessage &message);
     void logChange(const Fingerprint &print, SuspectChange change);
     void reportCondemned(bool seen);
@@ -105,25 +107,27 @@
     const Suspect &suspect = m_table.m_suspects[print];
     LoadMessage message{ LoadChange::Suspected };
     message.m_suspects = { { print, suspect.m_ends, suspect.m_trials, 0 } };
-    tell(std::move(message));
-    if (change == SuspectChange::Condemned)
-        reportCondemned(true);
+    tell(message);
+    if (change != SuspectChange::Condemned)
+        return;
+    tellAgain(message);
+    reportCondemned(true);
 }
 
-/// Now, and some times again for the datagrams that are lost.
 void SuspectWatch::State::tell(LoadMessage message)
 {
     message.m_cell = m_hooks.m_cell().m_cell;
-    const auto send = [self = shared_from_this(), message] {
-        self->m_hooks.m_tellCell(message);
-        self->m_hooks.m_tellOtherCells(message);
-    };
-    send();
-    spawnFiber([self = shared_from_this(), send] {
+    m_hooks.m_tellCell(message);
+    m_hooks.m_tellOtherCells(message);
+}
+
+void SuspectWatch::State::tellAgain(const LoadMessage &message)
+{
+    spawnFiber([self = shared_from_this(), message] {
         for (const Millis after : RepeatAfter) {
             if (!sleepFor(self->m_thread.context(), after))
                 return;
-            send();
+            self->tell(message);
         }
     });
 }
@@ -183,8 +187,7 @@
 void SuspectWatch::State::spread()
 {
     std::uniform_int_distribution<Millis::rep> time(LeastSpread.count(), MostSpread.count());
-    if (!sleepFor(m_thread.context(), Millis(time(m_random))))
-        return;
+    std::ignore = sleepFor(m_thread.context(), Millis(time(m_random)));
 }
 
 SuspectCare SuspectWatch::State::careOf(const Fingerprint &print) const
