Read once more: an end is told once, each VM's object is parsed once, and one rule says where a suspect goes

Cause, found by reading the whole change: after a broken attempt RelayRun::noteBroken() ended its load, and attempt() ended it again, so all peers of the cell were told twice; a list of VMs was parsed by chooseContacts() and again by readObjects(); each attempt copied its plan's endpoints for the rare case that it breaks; SuspectWatch::careOf() repeated the last rule of judge(). Change: RelayNode::end() tells only what was placed or waited, so a second end says nothing; each object is parsed where its cell is known to matter; the endpoints are copied when an answer has broken; placementOf() in policy/ serves both. Ruled out: a flag in the run that remembers whether it has ended, as the ledger knows. Assertions unchanged.

--- a/policy/crash_suspects.cpp
+++ b/policy/crash_suspects.cpp
@@ -119,6 +119,15 @@
     return true;
 }
 
+SuspectCare placementOf(const SuspectTable &table, const Fingerprint &print)
+{
+    const auto suspect = table.m_suspects.find(print);
+    if (suspect == table.m_suspects.end())
+        return SuspectCare::None;
+    const bool alone = suspect->second.m_ends.size() + 1 >= table.m_settings.m_condemnAt;
+    return alone ? SuspectCare::Alone : SuspectCare::Apart;
+}
+
 SuspectVerdict judge(const SuspectTable &table, const Fingerprint &print, const LoadKey &own,
                      TimePoint now)
 {
@@ -137,7 +146,7 @@
     const size_t left = settings.m_condemnAt - suspect.m_ends.size();
     if (tries >= left)
         return { SuspectCare::Busy, BusyComeBack };
-    return { left > 1 ? SuspectCare::Apart : SuspectCare::Alone };
+    return { placementOf(table, print) };
 }
 
 void beginTry(SuspectTable &table, const Fingerprint &print, const LoadKey &key, TimePoint until,
--- a/policy/crash_suspects.h
+++ b/policy/crash_suspects.h
@@ -98,6 +98,8 @@
 /// Of a try of @p print, which is not yet in flight or is @p own.
 SuspectVerdict judge(const SuspectTable &table, const Fingerprint &print, const LoadKey &own,
                      TimePoint now);
+/// Where a try of @p print may go, however many are in flight.
+SuspectCare placementOf(const SuspectTable &table, const Fingerprint &print);
 /// A try of a suspect is in flight until endTry(), @p until at most. Ignored if it is no suspect.
 void beginTry(SuspectTable &table, const Fingerprint &print, const LoadKey &key, TimePoint until,
               TimePoint now);
--- a/policy/stream_ledger.cpp
+++ b/policy/stream_ledger.cpp
@@ -75,9 +75,9 @@
         found->second.m_writing = true;
 }
 
-void StreamLedger::end(const LoadKey &key)
+bool StreamLedger::end(const LoadKey &key)
 {
-    m_loads.erase(key);
+    return m_loads.erase(key) > 0;
 }
 
 void StreamLedger::forgetOrigin(uint64_t origin)
--- a/policy/stream_ledger.h
+++ b/policy/stream_ledger.h
@@ -86,7 +86,8 @@
     void place(const LoadKey &key, AttemptLoad load);
     /// The first event of @p key came.
     void startWriting(const LoadKey &key);
-    void end(const LoadKey &key);
+    /// False if nothing was known of @p key.
+    bool end(const LoadKey &key);
     /// Forgets attempts of a VM's process that is gone.
     void forgetOrigin(uint64_t origin);
     /// Forgets the parts of attempts at an endpoint whose process is gone.
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -491,12 +491,14 @@
     bool hasNeighbours = false;
     Millis patience = FirstPatience;
     for (const KindObject &object : page->m_objects) {
+        if (!inCell(VmId(object.m_name)))
+            continue;
         const auto spec = parseJsonObject(object.m_spec);
         const auto beats = spec ? stringField(*spec, "beats") : std::nullopt;
         if (!beats)
             continue;
         const auto address = parseAddress(*beats);
-        if (!address || *address == m_settings.m_beats || !inCell(VmId(object.m_name)))
+        if (!address || *address == m_settings.m_beats)
             continue;
         if (stringField(*spec, "data_centre") == m_settings.m_dataCentre.str()) {
             hasNeighbours = true;
@@ -520,13 +522,16 @@
 {
     std::map<uint32_t, std::vector<Address>> cells;
     for (const KindObject &object : objects) {
+        const VmId vm(object.m_name);
+        if (inCell(vm))
+            continue;
         const auto spec = parseJsonObject(object.m_spec);
         const auto loads = spec ? stringField(*spec, "loads") : std::nullopt;
-        if (!loads || inCell(VmId(object.m_name)))
+        if (!loads)
             continue;
         const auto address = parseAddress(*loads);
         if (address)
-            cells[cellOf(VmId(object.m_name), m_cell.m_cells)].push_back(*address);
+            cells[cellOf(vm, m_cell.m_cells)].push_back(*address);
     }
     m_contacts.clear();
     for (const auto &[cell, addresses] : cells) {
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -42,9 +42,7 @@
 
 RelayRun::AttemptEnd RelayRun::attempt(const GangPlan &plan)
 {
-    m_members.clear();
-    for (const GangMember &member : plan.m_members)
-        m_members.push_back(member.m_endpoint);
+    m_plan = &plan;
     MemoryTickets tickets(m_node);
     const Status reserved = tickets.reserve(plan.m_members, m_hungUp);
     if (!reserved) {
@@ -207,7 +205,10 @@
         return;
     // The others have to know at once that this attempt is over.
     m_node.end(m_load);
-    if (m_node.m_suspects.noteBroken(m_members, print()))
+    std::vector<EndpointRecord> endpoints;
+    for (const GangMember &member : m_plan->m_members)
+        endpoints.push_back(member.m_endpoint);
+    if (m_node.m_suspects.noteBroken(endpoints, print()))
         m_node.m_metrics.m_ends.add();
 }
 
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -84,10 +84,9 @@
     return isStrictGap(gapLimitMs) ? m_strictQueue : m_longQueue;
 }
 
-void RelayNode::leaveQueues(const LoadKey &key)
+bool RelayNode::leaveQueues(const LoadKey &key)
 {
-    m_strictQueue.erase(key);
-    m_longQueue.erase(key);
+    return m_strictQueue.erase(key) + m_longQueue.erase(key) > 0;
 }
 
 void RelayNode::wait(const LoadKey &key, uint32_t gapLimitMs, const WaitingTurn &turn)
@@ -116,10 +115,11 @@
 
 void RelayNode::end(const LoadKey &key)
 {
-    m_ledger.end(key);
     m_suspects.endTry(key);
-    leaveQueues(key);
-    m_loads.send(LoadMessage{ LoadChange::Ended, key });
+    const bool placed = m_ledger.end(key);
+    const bool waited = leaveQueues(key);
+    if (placed || waited)
+        m_loads.send(LoadMessage{ LoadChange::Ended, key });
 }
 
 std::unordered_set<EndpointId> RelayNode::strictSide(const ServiceId &service,
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -57,6 +57,7 @@
     void place(const LoadKey &key, std::vector<LoadPart> parts, uint32_t gapLimitMs,
                Duration lifetime, const std::optional<Fingerprint> &suspect = std::nullopt);
     void startWriting(const LoadKey &key);
+    /// Tells all VMs that it is over, if it was placed or waited: a second time says nothing more.
     void end(const LoadKey &key);
     /// Forgets what a VM's process that is gone had placed or waited for.
     void forget(uint64_t origin);
@@ -86,7 +87,8 @@
     LoadMessage placedMessage(const LoadKey &key, const AttemptLoad &load, TimePoint now) const;
     std::vector<LoadMessage> ownLoads(TimePoint now) const;
     std::vector<LoadMessage> ownTurns(TimePoint now) const;
-    void leaveQueues(const LoadKey &key);
+    /// False if it waited in none.
+    bool leaveQueues(const LoadKey &key);
     void setRetryBounds(const RelayView &view);
 };
 
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -146,7 +146,7 @@
     uint32_t m_mayHaveRun = 0; ///< Of those, the ones not refused.
     uint32_t m_placements = 0;
     HttpConnection *m_connection = nullptr; ///< Of the attempt in progress.
-    std::vector<EndpointRecord> m_members; ///< Of the attempt in progress.
+    const GangPlan *m_plan = nullptr; ///< Of the attempt in progress.
     LoadKey m_load;
     std::optional<uint64_t> m_lastEvent; ///< That the client has.
     std::optional<HttpResponse> m_failure; ///< An endpoint's own failure, if nothing better comes.
--- a/relay/suspect_watch.cpp
+++ b/relay/suspect_watch.cpp
@@ -65,7 +65,6 @@
     void logChange(const Fingerprint &print, SuspectChange change);
     void reportCondemned(bool seen);
     bool take(const std::vector<SuspectNews> &news);
-    SuspectCare careOf(const Fingerprint &print) const;
 };
 
 void SuspectWatch::State::logChange(const Fingerprint &print, SuspectChange change)
@@ -190,15 +189,6 @@
     std::ignore = sleepFor(m_thread.context(), Millis(time(m_random)));
 }
 
-SuspectCare SuspectWatch::State::careOf(const Fingerprint &print) const
-{
-    const auto suspect = m_table.m_suspects.find(print);
-    if (suspect == m_table.m_suspects.end())
-        return SuspectCare::None;
-    const bool alone = suspect->second.m_ends.size() + 1 >= m_table.m_settings.m_condemnAt;
-    return alone ? SuspectCare::Alone : SuspectCare::Apart;
-}
-
 SuspectWatch::SuspectWatch(FiberThread &thread, SuspectHooks hooks)
     : m_state(std::make_shared<State>(thread, std::move(hooks)))
 { }
@@ -277,7 +267,8 @@
         const auto load = ledger.loads().find(key);
         if (load == ledger.loads().end() || load->second.m_parts.empty())
             continue;
-        if (care != SuspectCare::None || m_state->careOf(attempt.m_print) == SuspectCare::Alone)
+        const SuspectCare theirs = placementOf(m_state->m_table, attempt.m_print);
+        if (care != SuspectCare::None || theirs == SuspectCare::Alone)
             taken.insert(load->second.m_parts.front().m_endpoint);
     }
     std::vector<EndpointRecord> free;
