--- a/policy/turn_plan.cpp
+++ b/policy/turn_plan.cpp
@@ -15,9 +15,9 @@
 }
 
 TurnLook planInTurn(const TurnSettings &settings, const ModelRequest &request,
-                    const WaitingTurn &turn, bool isNext, const GangPlanner &plan, TimePoint now)
+                    const WaitingTurn &turn, bool next, const GangPlanner &plan, TimePoint now)
 {
-    if (!isNext)
+    if (!next)
         return { std::nullopt, TurnObstacle::OthersFirst };
     auto planned = plan(StreamCare::Spare);
     if (!planned)
@@ -61,17 +61,31 @@
 WaitingTurn turnOf(const TurnSettings &settings, const EngineCosts &costs,
                    const ModelRequest &request, size_t engines)
 {
-    const FloatMillis needed = neededToBegin(settings, costs, request, engines);
-    // What takes longer than its aim by itself is wanted as soon as it could be had.
-    const FloatMillis wanted =
-        std::max<FloatMillis>(request.m_aim, needed * settings.m_slackOfTheLongest);
-    const auto patience =
-        std::chrono::duration_cast<Duration>(request.m_patience * settings.m_patienceShare);
-    const auto most = std::chrono::duration_cast<Duration>((request.m_deadline - request.m_arrival)
-                                                           * settings.m_timeShare);
-    return { request.m_arrival + std::chrono::duration_cast<Duration>(wanted),
-             std::chrono::duration_cast<Duration>(needed),
-             request.m_arrival + std::min(patience, most) };
+    const auto part = [](FloatMillis of, double share) {
+        return std::chrono::duration_cast<Duration>(of * share);
+    };
+    const Duration needed = part(neededToBegin(settings, costs, request, engines), 1);
+    WaitingTurn turn;
+    turn.m_aimAt = request.m_arrival + request.m_aim;
+    turn.m_needed = needed;
+    turn.m_expiresAt =
+        request.m_arrival
+        + std::min(part(request.m_patience, settings.m_patienceShare),
+                   part(request.m_deadline - request.m_arrival, settings.m_timeShare));
+    if (request.strict())
+        return turn;
+    // All sizes are refused after the same wait: the small ones before they must, and the large
+    // ones after they could be in time.
+    const Duration wait = part(request.m_aim, settings.m_waitShare);
+    turn.m_past = std::max(wait + needed - request.m_aim, Duration::zero());
+    turn.m_aimAt += turn.m_past;
+    turn.m_needed = std::max(needed, request.m_aim - wait);
+    // The margin that its prediction gets when it begins.
+    turn.m_reading =
+        std::max(part(neededToBegin(settings, costs, request, engines) - settings.m_readOverhead,
+                      settings.m_predictionMargin),
+                 Duration::zero());
+    return turn;
 }
 
 StrictDemand strictDemandOf(const EngineCosts &costs, const TurnQueue &queue, StreamLedger &ledger,
@@ -107,6 +121,15 @@
     return strict ? roomToWrite(settings, load) : roomToRead(settings, load);
 }
 
+bool isNext(const TurnSettings &settings, const EngineCosts &costs, const ModelRequest &request,
+            TurnQueue &queue, const LoadKey &key, const SideLoad &load, TimePoint now)
+{
+    const bool strict = request.strict();
+    if (!strict && readsLittle(settings, costs, load, request.m_promptTokens))
+        return true;
+    return mayBegin(queue, key, roomOf(settings, load, strict), now);
+}
+
 GangSides divide(const std::vector<EndpointRecord> &pool,
                  const std::unordered_set<EndpointId> &strictSide, bool strict)
 {
@@ -146,10 +169,10 @@
 }
 
 TurnLook lookForTurn(const TurnSettings &settings, const EngineCosts &costs,
-                     const ModelRequest &request, const WaitingTurn &turn, bool isNext,
+                     const ModelRequest &request, const WaitingTurn &turn, bool next,
                      const GangPlanner &plan, TimePoint now)
 {
-    TurnLook look = planInTurn(settings, request, turn, isNext, plan, now);
+    TurnLook look = planInTurn(settings, request, turn, next, plan, now);
     if (look.m_plan || !mustEnd(request, turn, now))
         return look;
     look.m_plan = lastPlan(settings, costs, request, turn, plan, now);
--- a/policy/turn_plan.h
+++ b/policy/turn_plan.h
@@ -45,6 +45,9 @@
                     const ReadingNow &reading, bool strict);
 /// How many more requests of a side may begin.
 uint32_t roomOf(const TurnSettings &settings, const SideLoad &load, bool strict);
+/// Whether the order of those that wait in @p queue lets @p request begin.
+bool isNext(const TurnSettings &settings, const EngineCosts &costs, const ModelRequest &request,
+            TurnQueue &queue, const LoadKey &key, const SideLoad &load, TimePoint now);
 
 /// @p pool divided into those for strict streams or for the others, and the rest.
 GangSides divide(const std::vector<EndpointRecord> &pool,
@@ -71,9 +74,9 @@
 /// Asks for a plan on the engines of the moment.
 using GangPlanner = std::function<std::optional<GangPlan>(StreamCare)>;
 
-/// One look of @p request; @p isNext is whether the order of those that wait lets it begin.
+/// One look of @p request; @p next is whether it is its turn, as isNext().
 TurnLook lookForTurn(const TurnSettings &settings, const EngineCosts &costs,
-                     const ModelRequest &request, const WaitingTurn &turn, bool isNext,
+                     const ModelRequest &request, const WaitingTurn &turn, bool next,
                      const GangPlanner &plan, TimePoint now);
 
 } // namespace stackquay
--- a/policy/turn_queue.cpp
+++ b/policy/turn_queue.cpp
@@ -8,10 +8,16 @@
 
 namespace {
 
-/// Sorts those that can still meet their aim by it, and the others behind them.
+/// Sorts those that can still meet their aim by their latest begin, and the others behind them.
 auto rankOf(const LoadKey &key, const WaitingTurn &turn, TimePoint now)
 {
-    return std::make_tuple(isTooLate(turn, now), turn.m_aimAt, key.m_origin, key.m_sequence);
+    const TimePoint order = turn.m_aimAt - turn.m_past - turn.m_reading;
+    return std::make_tuple(isTooLate(turn, now), order, key.m_origin, key.m_sequence);
+}
+
+double backlogOfEach(const SideLoad &load)
+{
+    return load.m_reading.m_readMs / static_cast<double>(load.m_engines);
 }
 
 } // namespace
@@ -55,12 +61,19 @@
     return readTime(costs, tokens) / static_cast<double>(readers) + settings.m_readOverhead;
 }
 
+bool readsLittle(const TurnSettings &settings, const EngineCosts &costs, const SideLoad &load,
+                 double tokens)
+{
+    const FloatMillis ofEach = readTime(costs, tokens) / static_cast<double>(load.m_engines);
+    return ofEach < settings.m_readBacklog * settings.m_littleShare
+           && FloatMillis(backlogOfEach(load)) < settings.m_readBacklog * settings.m_mostBacklogs;
+}
+
 uint32_t roomToRead(const TurnSettings &settings, const SideLoad &load)
 {
     if (load.m_reading.m_prompts < settings.m_leastReading)
         return settings.m_leastReading - load.m_reading.m_prompts;
-    const double perEngine = load.m_reading.m_readMs / static_cast<double>(load.m_engines);
-    return FloatMillis(perEngine) < settings.m_readBacklog ? 1 : 0;
+    return FloatMillis(backlogOfEach(load)) < settings.m_readBacklog ? 1 : 0;
 }
 
 uint32_t roomToWrite(const TurnSettings &settings, const SideLoad &load)
--- a/policy/turn_queue.h
+++ b/policy/turn_queue.h
@@ -2,10 +2,14 @@
 ///
 /// Engines share their reading among all prompts that they have, and a stream beyond their slots
 /// waits for a slot: what begins too early makes all end late. So requests wait at their VMs. All
-/// VMs know who waits, from the same messages as the ledger, and come to about the same order: the
-/// earliest aim first, and those that can no longer meet theirs after all others. What can no
-/// longer be answered in time however it begins is refused at once, so that engines read what is
-/// still wanted; a lost message lets one request more begin.
+/// VMs know who waits, from the same messages as the ledger, and come to about the same order: who
+/// has to begin first goes first, and those that can no longer meet their aim after all others.
+/// What can no longer be answered in time however it begins is refused at once, so that engines
+/// read what is still wanted; a lost message lets one request more begin.
+///
+/// Under overload somebody is refused, and the order and the time that each may wait decide who.
+/// Both go by the same moment, the latest begin, and no size of a route waits for less than
+/// another: with the aim as order, all refusals fell on the prompts that take longest to read.
 #pragma once
 
 #include <unordered_map>
@@ -19,6 +23,8 @@
     TimePoint m_aimAt{}; ///< When the first event is wanted.
     Duration m_needed{}; ///< From the beginning to the first event, at least.
     TimePoint m_expiresAt{}; ///< Not heard of after this, it is forgotten.
+    Duration m_reading{}; ///< Of m_needed, what its prompt takes: so much earlier is its turn.
+    Duration m_past{}; ///< How long after its route's aim m_aimAt is.
 };
 
 using TurnQueue = std::unordered_map<LoadKey, WaitingTurn, LoadKeyHash>;
@@ -64,9 +70,15 @@
     /// mean worth 0.558 instead of 0.523 with all of them on one deployment, 0.632 instead of 0.628
     /// on another (10 and 20 simulated days).
     double m_spoilShare = 0.25;
-    /// A prompt that needs longer than its aim on idle engines is wanted within this many times its
-    /// need: it may be late, and waits no longer than others.
-    double m_slackOfTheLongest = 1.5;
+    /// A long prompt may wait for this part of its aim, whatever its size; what then needs longer
+    /// than the rest of it may be late. More makes late what small prompts would have in time, less
+    /// refuses what engines could still read after a burst.
+    double m_waitShare = 0.6;
+    /// A prompt that takes up to this part of the backlog of each engine needs no room of its own:
+    /// it delays nobody, and would wait behind prompts that read a hundred times as long.
+    double m_littleShare = 0.05;
+    /// But not while engines have more than so many times the backlog to read.
+    double m_mostBacklogs = 2;
     /// Clients leave a silent stream; a repeat waits for this part of that time.
     double m_patienceShare = 0.55;
     /// And for this part of the time that the request has.
@@ -85,6 +97,9 @@
 /// those begin first that will just miss their aim.
 FloatMillis neededToRead(const TurnSettings &settings, const EngineCosts &costs, double tokens,
                          size_t engines);
+/// Whether a long prompt is so short that it needs no room.
+bool readsLittle(const TurnSettings &settings, const EngineCosts &costs, const SideLoad &load,
+                 double tokens);
 /// How many more long prompts may begin to read.
 uint32_t roomToRead(const TurnSettings &settings, const SideLoad &load);
 /// How many more strict streams find a slot.
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -147,11 +147,12 @@
 {
     const ModelRequest request = modelRequest();
     const TimePoint now = Clock::now();
-    const uint32_t room = roomOf(m_node.m_turns, sideLoad(), request.strict());
-    const bool isNext =
-        poolSize() == 0 || mayBegin(m_node.queueOf(gapLimitMs()), m_load, room, now);
+    const EngineCosts &costs = *m_service->m_engine;
+    const bool next = poolSize() == 0
+                      || isNext(m_node.m_turns, costs, request, m_node.queueOf(gapLimitMs()),
+                                m_load, sideLoad(), now);
     return lookForTurn(
-        m_node.m_turns, *m_service->m_engine, request, turn, isNext,
+        m_node.m_turns, costs, request, turn, next,
         [this](StreamCare care) { return choose(care); }, now);
 }
 
--- a/tests/policy/pool_sim.cpp
+++ b/tests/policy/pool_sim.cpp
@@ -206,15 +206,15 @@
     {
         const ModelRequest &request = prompt.m_request;
         const Picture &seen = picture(request.strict(), now);
-        const bool isNext = mayBegin(queueOf(prompt), prompt.m_key,
-                                     roomOf(m_turns, seen.m_side, request.strict()), now);
+        const bool next = isNext(m_turns, m_load.m_costs, request, queueOf(prompt), prompt.m_key,
+                                 seen.m_side, now);
         const auto plan = [&](StreamCare care) {
             GangQuestion question = questionOf(m_load.m_costs, request, care, now);
             question.m_rooms.m_draw = [this] { return draw(); };
             return planGang(m_gang, m_load.m_costs, seen.m_sides, seen.m_uses, question);
         };
         const TurnLook look =
-            lookForTurn(m_turns, m_load.m_costs, request, prompt.m_turn, isNext, plan, now);
+            lookForTurn(m_turns, m_load.m_costs, request, prompt.m_turn, next, plan, now);
         if (!look.m_plan && !look.m_tooLate)
             return false;
         queueOf(prompt).erase(prompt.m_key);
--- a/tests/policy/size_fairness_test.cpp
+++ b/tests/policy/size_fairness_test.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <random>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "pool_sim.h"
@@ -84,6 +85,14 @@
     return load;
 }
 
+void print(std::string_view load, size_t kind, const ServedShares &served)
+{
+    fmt::print("sizes: load={} kind={} prompts={} served={:.3f} largest_tenth={:.3f} "
+               "next_fifth={:.3f} in_aim={:.3f}\n",
+               load, kind, served.m_count, served.m_all, served.m_largestTenth, served.m_nextFifth,
+               served.m_inAim);
+}
+
 TEST(SizeFairnessTest, TheLargestAreServedAsOftenAsTheirKind)
 {
     std::vector<PromptFate> fates;
@@ -91,6 +100,8 @@
         const auto played = playPool(cellLoad(), seed);
         fates.insert(fates.end(), played.begin(), played.end());
     }
+    for (const size_t kind : { Short, Middle, Long })
+        print("cell", kind, servedShares(fates, kind));
     const ServedShares served = servedShares(fates, Long);
     EXPECT_GE(served.m_largestTenth, AimOfTheKind * served.m_all)
         << "of " << served.m_count << " served " << served.m_all;
@@ -104,8 +115,10 @@
     const uint64_t loads = asked ? std::strtoull(asked, nullptr, 10) : 4;
     for (uint64_t seed = 1; seed <= loads; ++seed) {
         const PoolLoad load = drawLoad(seed);
+        const auto fates = playPool(load, seed);
         for (const size_t kind : { Middle, Long }) {
-            const ServedShares served = servedShares(playPool(load, seed), kind);
+            const ServedShares served = servedShares(fates, kind);
+            print(std::to_string(seed), kind, served);
             EXPECT_GE(served.m_largestTenth, LeastOfTheKind * served.m_all)
                 << "load " << seed << ", kind " << kind << ": of " << served.m_count << " served "
                 << served.m_all;
