--- a/policy/turn_plan.cpp
+++ b/policy/turn_plan.cpp
@@ -80,11 +80,9 @@
     turn.m_past = std::max(wait + needed - request.m_aim, Duration::zero());
     turn.m_aimAt += turn.m_past;
     turn.m_needed = std::max(needed, request.m_aim - wait);
-    // The margin that its prediction gets when it begins.
-    turn.m_reading =
-        std::max(part(neededToBegin(settings, costs, request, engines) - settings.m_readOverhead,
-                      settings.m_predictionMargin),
-                 Duration::zero());
+    const FloatMillis reading =
+        neededToBegin(settings, costs, request, engines) - settings.m_readOverhead;
+    turn.m_reading = std::max(part(reading, settings.m_readingShare), Duration::zero());
     return turn;
 }
 
--- a/policy/turn_queue.h
+++ b/policy/turn_queue.h
@@ -23,7 +23,7 @@
     TimePoint m_aimAt{}; ///< When the first event is wanted.
     Duration m_needed{}; ///< From the beginning to the first event, at least.
     TimePoint m_expiresAt{}; ///< Not heard of after this, it is forgotten.
-    Duration m_reading{}; ///< Of m_needed, what its prompt takes: so much earlier is its turn.
+    Duration m_reading{}; ///< For what its prompt takes to read: so much earlier is its turn.
     Duration m_past{}; ///< How long after its route's aim m_aimAt is.
 };
 
@@ -71,9 +71,12 @@
     /// on another (10 and 20 simulated days).
     double m_spoilShare = 0.25;
     /// A long prompt may wait for this part of its aim, whatever its size; what then needs longer
-    /// than the rest of it may be late. More makes late what small prompts would have in time, less
-    /// refuses what engines could still read after a burst.
-    double m_waitShare = 0.6;
+    /// than the rest of it may be late. More makes late what small prompts would have in time.
+    double m_waitShare = 0.5;
+    /// A prompt's turn comes by this part of its reading earlier than its aim says: without, those
+    /// that read long find their engines busy at the end of their wait; with more, they crowd out
+    /// the others of their kind, of which engines read five in the time of one.
+    double m_readingShare = 0.5;
     /// A prompt that takes up to this part of the backlog of each engine needs no room of its own:
     /// it delays nobody, and would wait behind prompts that read a hundred times as long.
     double m_littleShare = 0.05;
--- a/tests/platform/drain_test.cpp
+++ b/tests/platform/drain_test.cpp
@@ -10,17 +10,22 @@
 class DrainTest : public testing::Test
 {
 protected:
-    static void declareWithSlowRoutes(Deployment &deployment)
+    /// Streams that may outlast any grace of these tests, but for a shorter @p timeout.
+    static void declareWithSlowRoutes(Deployment &deployment, uint64_t version = 1,
+                                      Millis timeout = Millis(20'000))
     {
-        // Streams that may outlast any grace of these tests.
-        deployment.declare(1, R"(,{"name":"slow","host":"host.example","pathPrefix":"/slow/",)"
-                              R"("kind":"stream","timeoutMs":20000,"aimMs":200,"maxAttempts":2,)"
-                              R"("priority":1,"service":"model","resumable":true,)"
-                              R"("gapAimMs":100},)"
-                              R"({"name":"heavy","host":"host.example","pathPrefix":"/heavy/",)"
-                              R"("kind":"stream","timeoutMs":20000,"aimMs":200,"maxAttempts":2,)"
-                              R"("priority":1,"service":"heavy","resumable":true,)"
-                              R"("gapAimMs":100})");
+        const std::string slow = std::to_string(timeout.count());
+        deployment.declare(version,
+                           R"(,{"name":"slow","host":"host.example","pathPrefix":"/slow/",)"
+                           R"("kind":"stream","timeoutMs":)"
+                               + slow
+                               + R"(,"aimMs":200,"maxAttempts":2,)"
+                                 R"("priority":1,"service":"model","resumable":true,)"
+                                 R"("gapAimMs":100},)"
+                                 R"({"name":"heavy","host":"host.example","pathPrefix":"/heavy/",)"
+                                 R"("kind":"stream","timeoutMs":20000,"aimMs":200,"maxAttempts":2,)"
+                                 R"("priority":1,"service":"heavy","resumable":true,)"
+                                 R"("gapAimMs":100})");
     }
 
     void start(size_t plain, size_t models, size_t heavy = 0)
@@ -131,6 +136,36 @@
     endDaemon();
 }
 
+// From a second record of the same moments: a route's timeout had changed while the VM drained, and
+// the stream came 3,006 ms after SIGTERM. What is taken so late ends by its route's timeout at the
+// latest, within the grace, and reaches no second endpoint.
+TEST_F(DrainTest, RouteMadeShorterWhileTheVmDrainsLetsNothingOutlastTheGrace)
+{
+    start(0, 4);
+    for (size_t i = 0; i < 4; ++i)
+        worker(i).setEvents(200, Millis(50));
+    ClientRequest stream = streamRequest("/slow/x");
+    stream.m_sendAfter = Millis(3'006);
+    auto late = m_deployment.begin(stream);
+    const TimePoint begun = Clock::now();
+    daemon().drain();
+    constexpr Millis Shorter{ 3'500 };
+    constexpr Millis Grace{ 7'300 };
+    declareWithSlowRoutes(m_deployment, 2, Shorter);
+    const ClientAnswer answer = late.get();
+    const Duration ended = Clock::now() - begun;
+    if (answer.m_status == 200) {
+        EXPECT_FALSE(answer.m_whole); // It lasts ten seconds.
+        EXPECT_LE(runsOf(stream.m_id), 1u);
+    } else {
+        EXPECT_EQ(answer.m_status, 503u);
+        EXPECT_EQ(runsOf(stream.m_id), 0u);
+    }
+    EXPECT_LT(ended, Grace);
+    endDaemon();
+    EXPECT_LE(runsOf(stream.m_id), 1u);
+}
+
 // From an incident: the attempt that the end of the process broke off counted as an endpoint's
 // failure, and the stream was sent to a second endpoint in its last millisecond.
 TEST_F(DrainTest, EndOfTheProcessSendsNothingToAnotherEndpointAndAnswersWhatItCan)
