--- a/scripts/measure/goodput.sh
+++ b/scripts/measure/goodput.sh
@@ -12,31 +12,21 @@
 # intervals of five seconds, with attempts that fell silent and ejections in each.
 set -euo pipefail
 
-[ $# -gt 0 ] || { echo "usage: goodput.sh LOG..." >&2; exit 2; }
-for log in "$@"; do
-  [ -r "$log" ] || { echo "goodput.sh: cannot read $log" >&2; exit 2; }
-done
+. "$(dirname "${BASH_SOURCE[0]}")/../decision_lines.sh"
+require_logs "$@"
 
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
 
 # A request has all its lines in one file; files of different days may name requests alike.
-awk -v refusals="$scratch/refusals" -v errors="$scratch/errors" '
+awk -v refusals="$scratch/refusals" -v errors="$scratch/errors" "$DECISION_FIELDS"'
   BEGIN {
     sort_refusals = "sort -n > \"" refusals "\""; sort_errors = "sort -n > \"" errors "\""
   }
-  function text(key) {
-    return match($0, "\"" key "\":\"[^\"]*\"") ? \
-      substr($0, RSTART + length(key) + 4, RLENGTH - length(key) - 5) : ""
-  }
-  function number(key) {
-    return match($0, "\"" key "\":-?[0-9.]+") ? \
-      substr($0, RSTART + length(key) + 3, RLENGTH - length(key) - 3) + 0 : 0
-  }
   function class_of(tokens) { return tokens < 16000 ? "short" : tokens < 100000 ? "middle" : "long" }
   function fate_of(outcome, first, gap, aim, gap_aim) {
     if (outcome == "complete")
-      return first <= aim && (gap_aim == 0 || gap <= gap_aim) ? "in_target" : "late"
+      return in_target(first, gap, aim, gap_aim) ? "in_target" : "late"
     if (outcome == "refused") return "refused"
     return outcome == "abandoned" ? "left" : "failed"
   }
--- a/scripts/measure/sizes.sh
+++ b/scripts/measure/sizes.sh
@@ -8,21 +8,11 @@
 # anew with each try.
 set -euo pipefail
 
-[ $# -gt 0 ] || { echo "usage: sizes.sh LOG..." >&2; exit 2; }
-for log in "$@"; do
-  [ -r "$log" ] || { echo "sizes.sh: cannot read $log" >&2; exit 2; }
-done
+. "$(dirname "${BASH_SOURCE[0]}")/../decision_lines.sh"
+require_logs "$@"
 
 ended() {
-  awk '
-    function text(key) {
-      return match($0, "\"" key "\":\"[^\"]*\"") ? \
-        substr($0, RSTART + length(key) + 4, RLENGTH - length(key) - 5) : ""
-    }
-    function number(key) {
-      return match($0, "\"" key "\":-?[0-9.]+") ? \
-        substr($0, RSTART + length(key) + 3, RLENGTH - length(key) - 3) + 0 : 0
-    }
+  awk "$DECISION_FIELDS"'
     FNR == 1 { day++ }
     /"event":"placed"/ { placed[day, text("request")] = 1; next }
     /"event":"request ended"/ && !/"tokens":0[,}]/ {
@@ -30,9 +20,9 @@
       begun = (day, text("request")) in placed
       if (outcome == "denied") next
       if (outcome == "complete") {
-        in_time = number("first_ms") <= number("aim_ms") && \
-          (number("gap_aim_ms") == 0 || number("longest_gap_ms") <= number("gap_aim_ms"))
-        fate = in_time ? "in_time" : "late"
+        kept = in_target(number("first_ms"), number("longest_gap_ms"), number("aim_ms"),
+                          number("gap_aim_ms"))
+        fate = kept ? "in_time" : "late"
       } else if (outcome == "refused") {
         fate = why ~ /others came first/ ? "order" : why ~ /bear no more/ ? "streams" : \
           why ~ /memory/ ? "memory" : why ~ /too much to read/ ? "reading" : "other"
