A ruler: the simulated pool tells worth, engine time and the most that any schedule could earn

Ruled out: a bound by trying all orders, which ends at about ten prompts. What can be read together between two moments is a polymatroid, so the dearest first is the best of all schedules that need no width, memory or writing.

--- a/tests/policy/pool_sim.cpp
+++ b/tests/policy/pool_sim.cpp
@@ -20,6 +20,11 @@
 constexpr int PatienceAims = 4;
 constexpr int PatienceGaps = 8;
 
+double secondsOf(std::chrono::duration<double> duration)
+{
+    return duration.count();
+}
+
 /// A prompt from its arrival to its fate.
 struct Prompt {
     LoadKey m_key;
@@ -64,7 +69,7 @@
         }
     }
 
-    std::vector<PromptFate> play()
+    PoolPlay play()
     {
         drawArrivals();
         const TimePoint end = Start + m_load.m_length;
@@ -74,20 +79,32 @@
             for (; next < m_prompts.size() && m_prompts[next].m_request.m_arrival <= now; ++next)
                 beginToWait(next);
             lookAll(now);
+            if (now < end)
+                countIdle();
         }
         // What was begun ends.
         for (int i = 0; i < EndLooks; ++i)
             runEngines(end + LookInterval * i);
-        std::vector<PromptFate> fates;
+        PoolPlay played;
         for (const Prompt &prompt : m_prompts)
-            fates.push_back(prompt.m_fate);
-        return fates;
+            played.m_fates.push_back(prompt.m_fate);
+        played.m_time = m_time;
+        return played;
     }
 
 private:
     static constexpr TimePoint Start{ Seconds(1'000) };
     static constexpr int EndLooks = 2'000;
 
+    void countIdle()
+    {
+        const auto idle = std::count_if(m_engines.begin(), m_engines.end(),
+                                        [](const Engine &engine) { return !engine.m_passEnd; });
+        const double time = secondsOf(LookInterval) * static_cast<double>(idle);
+        m_time.m_idle += time;
+        m_time.m_idleInNeed += m_waiting.empty() ? 0 : time;
+    }
+
     double draw() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
     void drawArrivals()
@@ -143,6 +160,7 @@
         request.m_arrival =
             Start + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(at));
         request.m_deadline = request.m_arrival + of.m_deadline;
+        prompt.m_fate.m_arrival = request.m_arrival;
         prompt.m_eventsLeft = 1
                               + static_cast<uint32_t>(std::exponential_distribution<double>(
                                   1 / of.m_meanEvents)(m_random));
@@ -152,7 +170,7 @@
     void beginToWait(size_t index)
     {
         Prompt &prompt = m_prompts[index];
-        prompt.m_turn = turnOf(m_turns, m_load.m_costs, prompt.m_request, m_pool.size());
+        prompt.m_turn = turnOf(m_load.m_turns, m_load.m_costs, prompt.m_request, m_pool.size());
         queueOf(prompt)[prompt.m_key] = prompt.m_turn;
         m_waiting.push_back(index);
     }
@@ -206,18 +224,19 @@
     {
         const ModelRequest &request = prompt.m_request;
         const Picture &seen = picture(request.strict(), now);
-        const bool next = isNext(m_turns, m_load.m_costs, request, queueOf(prompt), prompt.m_key,
-                                 seen.m_side, now);
+        const bool next = isNext(m_load.m_turns, m_load.m_costs, request, queueOf(prompt),
+                                 prompt.m_key, seen.m_side, now);
         const auto plan = [&](StreamCare care) {
             GangQuestion question = questionOf(m_load.m_costs, request, care, now);
             question.m_rooms.m_draw = [this] { return draw(); };
-            return planGang(m_gang, m_load.m_costs, seen.m_sides, seen.m_uses, question);
+            return planGang(m_load.m_gang, m_load.m_costs, seen.m_sides, seen.m_uses, question);
         };
         const TurnLook look =
-            lookForTurn(m_turns, m_load.m_costs, request, prompt.m_turn, next, plan, now);
+            lookForTurn(m_load.m_turns, m_load.m_costs, request, prompt.m_turn, next, plan, now);
         if (!look.m_plan && !look.m_tooLate)
             return false;
         queueOf(prompt).erase(prompt.m_key);
+        prompt.m_fate.m_wait = now - request.m_arrival;
         if (look.m_plan)
             place(prompt, index, *look.m_plan, now);
         else
@@ -269,13 +288,18 @@
             engine.m_passEnd.reset();
             return;
         }
-        FloatMillis time{ 0 };
+        FloatMillis writing{ 0 };
         if (!engine.m_writing.empty())
-            time += passTime(m_load.m_costs, static_cast<uint32_t>(engine.m_writing.size()),
-                             engine.m_context);
+            writing = passTime(m_load.m_costs, static_cast<uint32_t>(engine.m_writing.size()),
+                               engine.m_context);
+        FloatMillis reading{ 0 };
         for (const Part &part : engine.m_reading)
-            time += part.m_read;
-        engine.m_passEnd = now + std::chrono::duration_cast<Duration>(time);
+            reading += part.m_read;
+        engine.m_passEnd = now + std::chrono::duration_cast<Duration>(writing + reading);
+        if (now < Start + m_load.m_length) {
+            m_time.m_writing += secondsOf(writing);
+            m_time.m_reading += secondsOf(reading);
+        }
     }
 
     void endPass(size_t index)
@@ -337,10 +361,9 @@
     TurnQueue m_strictQueue;
     TurnQueue m_longQueue;
     PoolSplit m_split;
-    TurnSettings m_turns;
-    GangSettings m_gang;
     std::array<std::optional<Picture>, 2> m_pictures; ///< Of long and of strict streams.
     TimePoint m_drawnAt{};
+    EngineTime m_time;
 };
 
 double servedShare(const std::vector<PromptFate> &fates, size_t from, size_t to)
@@ -355,7 +378,7 @@
 
 } // namespace
 
-std::vector<PromptFate> playPool(const PoolLoad &load, uint64_t seed)
+PoolPlay playPool(const PoolLoad &load, uint64_t seed)
 {
     return PoolSim(load, seed).play();
 }
--- a/tests/policy/pool_sim.h
+++ b/tests/policy/pool_sim.h
@@ -22,6 +22,8 @@
     Millis m_deadline{};
     double m_meanEvents = 1;
     double m_perSecond = 0;
+    double m_worth = 1; ///< Of one of mean size, answered within its aim.
+    double m_lateWorth = 0; ///< Answered later.
 };
 
 struct PoolLoad {
@@ -32,6 +34,9 @@
     Duration m_phase{}; ///< Rates change between phases.
     /// Rates of the kinds in each phase, as factors; the phases repeat.
     std::vector<std::vector<double>> m_phases;
+    // The ways of deciding that are played.
+    TurnSettings m_turns{};
+    GangSettings m_gang{};
 };
 
 struct PromptFate {
@@ -40,11 +45,34 @@
     bool m_begun = false;
     bool m_served = false; ///< Its caller had the whole answer.
     bool m_inAim = false; ///< And in time, with bearable pauses.
+    TimePoint m_arrival{};
+    Duration m_wait{}; ///< From its arrival to its beginning or its refusal.
     TurnObstacle m_obstacle = TurnObstacle::None; ///< If it was refused.
 };
 
-/// All prompts that came, in their order.
-std::vector<PromptFate> playPool(const PoolLoad &load, uint64_t seed);
+/// What the engines did, in seconds of one engine.
+struct EngineTime {
+    double m_reading = 0;
+    double m_writing = 0;
+    double m_idle = 0;
+    double m_idleInNeed = 0; ///< Of that, while a prompt waited.
+};
+
+struct PoolPlay {
+    std::vector<PromptFate> m_fates; ///< Of all prompts that came, in their order.
+    EngineTime m_time;
+};
+
+PoolPlay playPool(const PoolLoad &load, uint64_t seed);
+
+/// Worth of one prompt that is answered in time, or late: larger ones are worth more.
+double worthOf(const PromptKind &kind, double tokens, bool inTime);
+/// Worth earned, as a share of what all prompts of @p fates could earn.
+double earnedShare(const PoolLoad &load, const std::vector<PromptFate> &fates);
+/// No schedule of any kind earns a greater share: each prompt takes at least its reading out of the
+/// time of all engines between its arrival and its aim. Neither writing, memory, pauses nor the
+/// bound of engines that read together is counted.
+double mostEarnedShare(const PoolLoad &load, const std::vector<PromptFate> &fates);
 
 /// How many of a kind were served, whole and for its largest tenth and the fifth below it.
 struct ServedShares {
--- a/tests/policy/size_fairness_test.cpp
+++ b/tests/policy/size_fairness_test.cpp
@@ -97,7 +97,7 @@
 {
     std::vector<PromptFate> fates;
     for (uint64_t seed = 1; seed <= 4; ++seed) {
-        const auto played = playPool(cellLoad(), seed);
+        const auto played = playPool(cellLoad(), seed).m_fates;
         fates.insert(fates.end(), played.begin(), played.end());
     }
     for (const size_t kind : { Short, Middle, Long })
@@ -115,7 +115,7 @@
     const uint64_t loads = asked ? std::strtoull(asked, nullptr, 10) : 4;
     for (uint64_t seed = 1; seed <= loads; ++seed) {
         const PoolLoad load = drawLoad(seed);
-        const auto fates = playPool(load, seed);
+        const auto fates = playPool(load, seed).m_fates;
         for (const size_t kind : { Middle, Long }) {
             const ServedShares served = servedShares(fates, kind);
             print(std::to_string(seed), kind, served);
