Division of a pool: what a busier time left holds no engines for short prompts

Cause: streams in flight count as demand, also those that stay on engines of which new ones need an eighth. 230 left streams held 49 engines; new ones were spread over all of these and held them on. And a strict stream waited for a slot if all engines together had many streams, not those of its side. Tests: StreamsThatABusierTimeLeftHoldNoEngines, StreamsElsewhereTakeNoSlotOfTheirSide; not run on the code before.

--- a/policy/pool_split.cpp
+++ b/policy/pool_split.cpp
@@ -27,7 +27,11 @@
         longMs += use->second.m_recentLongMs;
     }
     const double perWindow = strict.m_streamTime / FloatMillis(StrictRateWindow);
-    demand.m_strictStreams = std::max(demand.m_strictStreams, strict.m_arrivals * perWindow);
+    const double arriving = strict.m_arrivals * perWindow;
+    if (strict.m_streamTime > FloatMillis(0))
+        demand.m_strictStreams = std::min(demand.m_strictStreams,
+                                          strict.m_waiting + settings.m_mostPerArrival * arriving);
+    demand.m_strictStreams = std::max(demand.m_strictStreams, arriving);
     demand.m_longEngines =
         longMs / FloatMillis(LongReadWindow).count() / settings.m_longUtilization;
     return demand;
--- a/policy/pool_split.h
+++ b/policy/pool_split.h
@@ -27,6 +27,10 @@
     /// slots, and get as many: for its time of an engine, one in time is worth about twice as much
     /// as a long prompt (the users' sheets), and late ones crowd out those that follow.
     double m_strictPerCrowdedSlot = 0.85;
+    /// Strict streams in flight count up to this many times what arrives while one lasts: beyond
+    /// it they are what a busier time has left, and stay where they are. Streams on full engines
+    /// last longer than declared.
+    double m_mostPerArrival = 2;
     /// Part of its time that an engine for long prompts is meant to read.
     double m_longUtilization = 0.75;
     /// The strict part shrinks only to what was needed in this time: bursts come in clumps, and an
@@ -44,7 +48,7 @@
 struct StrictDemand {
     uint32_t m_waiting = 0; ///< For a slot, at all VMs.
     uint32_t m_arrivals = 0; ///< Within StrictRateWindow.
-    FloatMillis m_streamTime{ 0 }; ///< That one takes, at least.
+    FloatMillis m_streamTime{ 0 }; ///< That one takes, at least; zero: not declared.
     uint32_t m_slots = 16; ///< Of one engine.
     /// This VM cannot know yet what the others do: it began a moment ago.
     bool m_blind = false;
--- a/policy/turn_plan.cpp
+++ b/policy/turn_plan.cpp
@@ -108,7 +108,8 @@
     load.m_slots = static_cast<uint32_t>(load.m_engines) * costs.m_slots;
     for (const EndpointRecord &endpoint : pool) {
         const auto use = uses.find(endpoint.m_id);
-        if (use != uses.end())
+        // Those on other engines take no slot of this side.
+        if (use != uses.end() && strictSide.count(endpoint.m_id) > 0)
             load.m_strictStreams += use->second.m_strictWriters;
     }
     return load;
--- a/tests/policy/gang_plan_test.cpp
+++ b/tests/policy/gang_plan_test.cpp
@@ -377,6 +377,38 @@
     EXPECT_GE(strictEngines(arriving, pool, {}, demand, Start).size(), 13u);
 }
 
+// When many short prompts give way to long ones, the streams that are left stay on all engines for
+// seconds. They must not hold these back from the long prompts: new streams need few engines.
+TEST(PoolSplitTest, StreamsThatABusierTimeLeftHoldNoEngines)
+{
+    const auto pool = engines(0, 60);
+    PoolSplit split;
+    StreamLedger ledger;
+    for (uint64_t i = 0; i < 240; ++i)
+        ledger.place({ 1, i }, load({ part(pool[i % 60], 0, 5'000) }, 250));
+    StrictDemand demand;
+    demand.m_arrivals = 12; // Thirty a second.
+    demand.m_streamTime = FloatMillis(1'500);
+    demand.m_slots = 12;
+    EXPECT_LE(strictEngines(split, pool, ledger.uses(Start), demand, Start).size(), 12u);
+    // As many streams that new ones take the place of are a steady load.
+    demand.m_arrivals = 60;
+    EXPECT_GE(strictEngines(split, pool, ledger.uses(Start), demand, Start).size(), 30u);
+}
+
+// Streams on engines that are not for them any more take no slot of those that are.
+TEST(TurnQueueTest, StreamsElsewhereTakeNoSlotOfTheirSide)
+{
+    const auto pool = engines(0, 4);
+    StreamLedger ledger;
+    for (uint64_t i = 0; i < 8; ++i)
+        ledger.place({ 1, i }, load({ part(pool[i % 4], 0, 5'000) }, 250));
+    const SideLoad side = sideLoadOf(usersCosts(), pool, { pool[0].m_id }, ledger.uses(Start),
+                                     ledger.readingLong(), true);
+    EXPECT_EQ(side.m_engines, 1u);
+    EXPECT_EQ(side.m_strictStreams, 2u);
+}
+
 // Engines with twelve slots fill up with fewer streams than those with sixteen.
 TEST(PoolSplitTest, FollowsTheSlotsOfAnEngine)
 {
