Room for long prompts follows the longest aim; comments without figures

Callers saw: prompts of 300 k tokens refused after half of an aim of 4 s, with engines idle. Cause: more began to read only while each engine had less than 550 ms to read, a figure of prompts with aims of 2.5 to 3 s. It is now a quarter of the longest aim among the routes that lead to the service; and a prompt's turn comes by three quarters of its reading earlier, not half, as the largest paid for the room. Test: RoomFollowsTheAims. RoomFollowsWhatTheSideHasToDo and LargePoolsReadMorePromptsAtOnce name the aim that they had silently.

--- a/policy/gang_plan.h
+++ b/policy/gang_plan.h
@@ -22,8 +22,7 @@
     FloatMillis m_strictPart{ 60 };
     /// Engines of strict streams may read a long prompt too, as far as their streams bear it, if
     /// its own side takes more than this part of the time that is left: later ones find their
-    /// engines free earlier. Mean worth 0.568 instead of 0.523 on one deployment, 0.638 instead of
-    /// 0.628 on another (10 and 20 simulated days).
+    /// engines free earlier.
     double m_ownSideShare = 0.5;
     /// A long prompt that takes up to this part of an engine's memory may be answered by an engine
     /// of strict streams, whose passes are short, and is read mostly by its own side.
--- a/policy/long_readers.cpp
+++ b/policy/long_readers.cpp
@@ -10,8 +10,7 @@
 
 /// Whether @p left had better answer a prompt of @p tokens than @p right: it has memory for more of
 /// it, a slot, and little room to read beyond the part. So engines that write get more streams, and
-/// those that write none stay free to read: of long streams with a first event in time, 98 in 100
-/// kept their pauses, 76 before (20 simulated days at 0.8 of what 18 engines read).
+/// those that write none stay free to read.
 bool answersBetter(const EngineRoom &left, const EngineRoom &right, double tokens, uint32_t slots)
 {
     const auto rank = [&](const EngineRoom &engine) {
--- a/policy/route_table.h
+++ b/policy/route_table.h
@@ -52,6 +52,7 @@
     ServiceId m_id;
     uint32_t m_maxConnections = 0; ///< To one endpoint, from all VMs together; zero: not declared.
     std::optional<EngineCosts> m_engine; ///< Absent: a plain service.
+    Millis m_longestAim{ 0 }; ///< Of the routes that lead to it. Made by indexRoutes().
 };
 
 /// Bounds on what clients may send.
@@ -81,7 +82,7 @@
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
 
-/// Builds m_byHost; call once after filling m_routes.
+/// Builds m_byHost and the services' aims; call once after filling m_routes and m_services.
 void indexRoutes(RouteTable &table);
 
 /// The route of @p host (a port in it is ignored) whose prefix is the longest that begins @p path.
--- a/policy/turn_queue.cpp
+++ b/policy/turn_queue.cpp
@@ -15,9 +15,15 @@
     return std::make_tuple(isTooLate(turn, now), order, key.m_origin, key.m_sequence);
 }
 
-double backlogOfEach(const SideLoad &load)
+FloatMillis backlogOfEach(const SideLoad &load)
 {
-    return load.m_reading.m_readMs / static_cast<double>(load.m_engines);
+    return FloatMillis(load.m_reading.m_readMs) / static_cast<double>(load.m_engines);
+}
+
+/// Up to which more may begin.
+FloatMillis backlogBound(const TurnSettings &settings, const SideLoad &load)
+{
+    return load.m_longestAim * settings.m_backlogShare;
 }
 
 } // namespace
@@ -65,15 +71,16 @@
                  double tokens)
 {
     const FloatMillis ofEach = readTime(costs, tokens) / static_cast<double>(load.m_engines);
-    return ofEach < settings.m_readBacklog * settings.m_littleShare
-           && FloatMillis(backlogOfEach(load)) < settings.m_readBacklog * settings.m_mostBacklogs;
+    const FloatMillis bound = backlogBound(settings, load);
+    return ofEach < bound * settings.m_littleShare
+           && backlogOfEach(load) < bound * settings.m_mostBacklogs;
 }
 
 uint32_t roomToRead(const TurnSettings &settings, const SideLoad &load)
 {
     if (load.m_reading.m_prompts < settings.m_leastReading)
         return settings.m_leastReading - load.m_reading.m_prompts;
-    return FloatMillis(backlogOfEach(load)) < settings.m_readBacklog ? 1 : 0;
+    return backlogOfEach(load) < backlogBound(settings, load) ? 1 : 0;
 }
 
 uint32_t roomToWrite(const TurnSettings &settings, const SideLoad &load)
--- a/policy/turn_queue.h
+++ b/policy/turn_queue.h
@@ -41,19 +41,18 @@
 /// Whether a first event that comes after @p firstEvent is in time.
 bool isInTime(const WaitingTurn &turn, FloatMillis firstEvent, TimePoint now);
 
-/// Whether it would be late even if it began now: to be refused, not run. Beginning it in any case
-/// cost more than it gave: of the reading of the longest prompts 22 in 100 ended in time, 60 with
-/// this (20 simulated days at 0.8 of what 18 engines read).
+/// Whether it would be late even if it began now: to be refused, not run, so that engines read what
+/// can still be in time.
 bool isTooLate(const WaitingTurn &turn, TimePoint now);
 
 struct TurnSettings {
     /// Long prompts that may read at any load: the next one's parts fill the gap between the last
     /// part's end and the news of it.
     uint32_t m_leastReading = 4;
-    /// More may begin while an engine of their side has less than this to read, counting parts
-    /// whole until the first event. A first event takes about half a second however many engines
-    /// read, so that less leaves them idle.
-    FloatMillis m_readBacklog{ 550 };
+    /// More may begin while an engine of their side has less than this part of the longest aim to
+    /// read, counting parts whole until the first event: less leaves engines idle, and much more
+    /// makes late what begins at the end of its wait.
+    double m_backlogShare = 0.25;
     /// A prompt that has waited finds a full backlog, and engines share their reading among all
     /// prompts: that and one and a half passes come on top of its own reading.
     FloatMillis m_readOverhead{ 700 };
@@ -62,21 +61,19 @@
     double m_slotShare = 0.95;
     /// A strict stream's first event takes one and a half passes of full engines.
     FloatMillis m_strictNeed{ 130 };
-    /// A prompt that waited begins if this many times its prediction is in time: first events of
-    /// the longest prompts came 1.2 s after it in one of ten cases (1,150 prompts of 20 simulated
-    /// days).
+    /// A prompt that waited begins if this many times its prediction is in time: what begins after
+    /// it is read beside it.
     double m_predictionMargin = 1.3;
     /// A prompt that would be late may spoil streams up to this part of the slots of one engine:
-    /// mean worth 0.558 instead of 0.523 with all of them on one deployment, 0.632 instead of 0.628
-    /// on another (10 and 20 simulated days).
+    /// spoilt streams end late, and crowd out others.
     double m_spoilShare = 0.25;
     /// A long prompt may wait for this part of its aim, whatever its size; what then needs longer
     /// than the rest of it may be late. More makes late what small prompts would have in time.
     double m_waitShare = 0.5;
-    /// A prompt's turn comes by this part of its reading earlier than its aim says: without, those
-    /// that read long find their engines busy at the end of their wait; with more, they crowd out
-    /// the others of their kind, of which engines read five in the time of one.
-    double m_readingShare = 0.5;
+    /// A prompt's turn comes by this part of its reading earlier than its aim says: with less,
+    /// those that read long find their engines busy at the end of their wait; with all of it, they
+    /// crowd out the others of their kind, of which engines read five in the time of one.
+    double m_readingShare = 0.75;
     /// A prompt that takes up to this part of the backlog of each engine needs no room of its own:
     /// it delays nobody, and would wait behind prompts that read a hundred times as long.
     double m_littleShare = 0.05;
@@ -90,7 +87,8 @@
 
 /// What one side of a pool has to do now.
 struct SideLoad {
-    uint32_t m_strictStreams = 0;
+    Duration m_longestAim{}; ///< Of the routes that share the pool.
+    uint32_t m_strictStreams = 0; ///< On the engines for them.
     uint32_t m_slots = 0; ///< Of its engines together.
     size_t m_engines = 1;
     ReadingNow m_reading;
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -10,9 +10,8 @@
 /// Between looks whether a request may begin: a tenth of a long prompt's usual part.
 constexpr Millis TurnPoll{ 12 };
 
-/// Whether a request is taken: answers vary in length, and engines pause for other prompts: on a
-/// day with four of six VMs stopping, nine in ten strict streams and half of the long prompts ended
-/// within 1.75 times this arithmetic (1,245 and 39 requests).
+/// A draining VM takes a request only if so many times the time expected is left: answers vary in
+/// length, and engines pause for other prompts.
 constexpr double ExpectedSlack = 2;
 
 } // namespace
@@ -99,8 +98,10 @@
     if (!pool)
         return {};
     const EndpointUses uses = m_node.m_ledger.uses(Clock::now());
-    return sideLoadOf(*m_service->m_engine, *pool, strictSide(uses), uses,
-                      m_node.m_ledger.readingLong(), isStrictGap(gapLimitMs()));
+    SideLoad load = sideLoadOf(*m_service->m_engine, *pool, strictSide(uses), uses,
+                               m_node.m_ledger.readingLong(), isStrictGap(gapLimitMs()));
+    load.m_longestAim = m_service->m_longestAim;
+    return load;
 }
 
 size_t RelayRun::poolSize() const
--- a/tests/policy/gang_plan_test.cpp
+++ b/tests/policy/gang_plan_test.cpp
@@ -409,6 +409,19 @@
     EXPECT_EQ(side.m_strictStreams, 2u);
 }
 
+// Who waits for four seconds leaves engines more to read than who waits for two.
+TEST(TurnQueueTest, RoomFollowsTheAims)
+{
+    const TurnSettings settings;
+    SideLoad load;
+    load.m_engines = 10;
+    load.m_reading = { settings.m_leastReading, 8'000 };
+    load.m_longestAim = Seconds(2);
+    EXPECT_EQ(roomToRead(settings, load), 0u);
+    load.m_longestAim = Seconds(4);
+    EXPECT_EQ(roomToRead(settings, load), 1u);
+}
+
 // Engines with twelve slots fill up with fewer streams than those with sixteen.
 TEST(PoolSplitTest, FollowsTheSlotsOfAnEngine)
 {
@@ -509,6 +522,7 @@
 {
     const TurnSettings settings;
     SideLoad load;
+    load.m_longestAim = Seconds(3);
     load.m_engines = 4;
     load.m_slots = 64;
     load.m_reading = { settings.m_leastReading - 1, 10'000 };
@@ -533,6 +547,7 @@
     const TurnSettings settings;
     const double read = readTime(usersCosts(), 190'000).count();
     SideLoad load;
+    load.m_longestAim = Seconds(3);
     load.m_engines = 48;
     load.m_reading = { 7, 7 * read };
     EXPECT_GE(roomToRead(settings, load), 1u);
--- a/tests/policy/pool_sim.cpp
+++ b/tests/policy/pool_sim.cpp
@@ -191,6 +191,14 @@
         m_waiting = std::move(still);
     }
 
+    Duration longestAim() const
+    {
+        Duration longest{};
+        for (const PromptKind &kind : m_load.m_kinds)
+            longest = std::max<Duration>(longest, kind.m_aim);
+        return longest;
+    }
+
     /// What all requests of one kind of stream see at a moment.
     struct Picture {
         EndpointUses m_uses;
@@ -215,6 +223,7 @@
                           strictDemandOf(m_load.m_costs, m_strictQueue, m_ledger, now), now);
         drawn->m_side = sideLoadOf(m_load.m_costs, m_pool, strictSide, drawn->m_uses,
                                    m_ledger.readingLong(), strict);
+        drawn->m_side.m_longestAim = longestAim();
         drawn->m_sides = divide(m_pool, strictSide, strict);
         return *drawn;
     }
