Failing endpoints: the VMs of a fleet tell each other of answers that broke off

Cause: a broken answer weighs half, and nobody tells it. Who fails at once has nothing in flight, so all VMs choose it next. Ways: each VM alone (before); each failure ejects at all VMs (one VM that is wrong decides for all); three different VMs in a row without a success of any VM, two where several were right before. The last one. Silence is not told, as it may be congestion; nor what breaks on a kept connection, which may have ended for its age; nor plain services, which tell no success. Nobody is blamed while more than a fifth of all endpoints fail, or for failures that all come within 20 ms: that is a reset of all connections. Cost: one datagram a broken answer to each VM of the cell, as for each placement.

--- a/policy/choose_endpoint.cpp
+++ b/policy/choose_endpoint.cpp
@@ -162,15 +162,24 @@
 bool noteFailure(EndpointHealth &health, TimePoint now, const EjectionSettings &settings)
 {
     ++health.m_failures;
-    const bool onTrial = health.m_ejections > 0 && !isEjected(health, now);
-    if (health.m_failures < settings.m_failures && !onTrial)
+    if (health.m_failures < settings.m_failures && !isOnTrial(health, now))
         return false;
+    eject(health, now, settings);
+    return true;
+}
+
+void eject(EndpointHealth &health, TimePoint now, const EjectionSettings &settings)
+{
     const auto doublings = std::min(health.m_ejections, MaxEjectionDoublings);
     const auto pause = std::min(settings.m_max, settings.m_base * (1 << doublings));
     health.m_failures = 0;
     ++health.m_ejections;
     health.m_ejectedUntil = now + pause;
-    return true;
+}
+
+bool isOnTrial(const EndpointHealth &health, TimePoint now)
+{
+    return health.m_ejections > 0 && !isEjected(health, now);
 }
 
 bool isEjected(const EndpointHealth &health, TimePoint now)
--- a/policy/choose_endpoint.h
+++ b/policy/choose_endpoint.h
@@ -41,6 +41,10 @@
 void noteSuccess(EndpointHealth &health);
 /// Counts a failure that the endpoint is to blame for. Returns whether it is ejected now.
 bool noteFailure(EndpointHealth &health, TimePoint now, const EjectionSettings &settings = {});
+/// Leaves the endpoint out, for longer each time without a success between.
+void eject(EndpointHealth &health, TimePoint now, const EjectionSettings &settings);
+/// Whether it was ejected since its last success, and is tried again.
+bool isOnTrial(const EndpointHealth &health, TimePoint now);
 bool isEjected(const EndpointHealth &health, TimePoint now);
 
 /// Load as the engine reported it last.
--- a/policy/ejection.cpp
+++ b/policy/ejection.cpp
@@ -1,7 +1,26 @@
 #include "policy/ejection.h"
 
+#include <algorithm>
+
 namespace stackquay {
 
+namespace {
+
+/// Whether the failures of @p shared are of their endpoint, one of @p endpoints.
+bool isToBlame(const EjectionTable &table, const SharedFailures &shared, bool onTrial,
+               size_t endpoints)
+{
+    const SharedFailureSettings &settings = table.m_sharedSettings;
+    if (shared.m_vms.size() < (onTrial ? settings.m_vmsOnTrial : settings.m_vms))
+        return false;
+    if (!onTrial && shared.m_lastAt - shared.m_firstAt < settings.m_leastSpan)
+        return false;
+    return static_cast<double>(table.m_shared.size())
+           <= settings.m_mostFailing * static_cast<double>(endpoints);
+}
+
+} // namespace
+
 bool recordFailure(EjectionTable &table, const EndpointId &endpoint, FailureWeight weight,
                    TimePoint now)
 {
@@ -18,6 +37,32 @@
 void recordSuccess(EjectionTable &table, const EndpointId &endpoint)
 {
     table.m_endpoints.erase(endpoint);
+    table.m_shared.erase(endpoint);
+}
+
+bool recordSharedFailure(EjectionTable &table, const EndpointId &endpoint, size_t endpoints,
+                         uint64_t vm, TimePoint now)
+{
+    std::erase_if(table.m_shared, [&](const auto &entry) {
+        return entry.second.m_lastAt + table.m_sharedSettings.m_memory < now;
+    });
+    SharedFailures &shared = table.m_shared[endpoint];
+    if (shared.m_vms.empty())
+        shared.m_firstAt = now;
+    shared.m_lastAt = now;
+    if (std::find(shared.m_vms.begin(), shared.m_vms.end(), vm) == shared.m_vms.end())
+        shared.m_vms.push_back(vm);
+    EndpointHealth &health = table.m_endpoints[endpoint];
+    if (isEjected(health, now) || !isToBlame(table, shared, isOnTrial(health, now), endpoints))
+        return false;
+    eject(health, now, table.m_settings);
+    table.m_shared.erase(endpoint);
+    return true;
+}
+
+void recordSharedSuccess(EjectionTable &table, const EndpointId &endpoint)
+{
+    table.m_shared.erase(endpoint);
 }
 
 bool isEjected(const EjectionTable &table, const EndpointId &endpoint, TimePoint now)
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -20,12 +20,13 @@
     Waiting = 3, ///< A request waits for its turn; ends with Placed or Ended of the same key.
     Suspected = 5, ///< Processes of endpoints ended under requests.
     Cleared = 6, ///< A suspect completed.
+    BrokenOff = 7, ///< An endpoint broke off the answer to an attempt on a new connection.
 };
 
 struct LoadMessage {
     LoadChange m_change = LoadChange::Placed;
     LoadKey m_key;
-    std::vector<LoadPart> m_parts{}; ///< Placed; ejected: the endpoint.
+    std::vector<LoadPart> m_parts{}; ///< Placed; ejected and broken off: the endpoint.
     DataCentreId m_dataCentre{}; ///< Ejected only: of the sender.
     uint32_t m_gapLimitMs = 0; ///< Placed and waiting.
     uint32_t m_expiresMs = 0; ///< Placed and waiting: from now.
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -196,6 +196,9 @@
         return AttemptEnd::Failed;
     if (!silent)
         noteBroken();
+    // Plain services tell no success, which would be missing beside it.
+    if (!silent && isModelRequest() && !connection.reused() && !m_hungUp && !m_node.m_ending)
+        m_node.noteBrokenOff(endpoint.m_id);
     return failAttempt(endpoint, FailureWeight::Chance, silent ? "silent" : error.m_message);
 }
 
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -229,6 +229,35 @@
         .write();
 }
 
+void RelayNode::noteBrokenOff(const EndpointId &endpoint)
+{
+    LoadMessage message{ LoadChange::BrokenOff, nextKey() };
+    message.m_parts = { { endpoint, 0, 0 } };
+    m_loads.send(message);
+    countBrokenOff(endpoint, m_origin);
+}
+
+void RelayNode::countBrokenOff(const EndpointId &endpoint, uint64_t vm)
+{
+    size_t endpoints = 0;
+    for (const auto &[service, pool] : m_view.load()->m_pools)
+        endpoints += pool.size();
+    if (m_ending || !recordSharedFailure(m_ejections, endpoint, endpoints, vm, Clock::now()))
+        return;
+    m_metrics.m_ejections.add();
+    DecisionLine("relay", "endpoint ejected")
+        .text("endpoint", endpoint.str())
+        .text("why", "it broke off answers to several VMs")
+        .write();
+}
+
+void RelayNode::noteAnswered(const LoadKey &key)
+{
+    const auto load = m_ledger.loads().find(key);
+    if (load != m_ledger.loads().end() && !load->second.m_parts.empty())
+        recordSharedSuccess(m_ejections, load->second.m_parts.front().m_endpoint);
+}
+
 void RelayNode::setRetryBounds(const RelayView &view)
 {
     m_retries.m_settings.m_ratio = view.m_bounds.m_retryRatio;
@@ -275,7 +304,12 @@
         for (const Fingerprint &suspect : message.m_prints)
             m_suspects.beginTry(suspect, message.m_key, Millis(message.m_expiresMs), false);
         return;
+    case LoadChange::BrokenOff:
+        if (!message.m_parts.empty())
+            countBrokenOff(message.m_parts.front().m_endpoint, message.m_key.m_origin);
+        return;
     case LoadChange::FirstEvent:
+        noteAnswered(message.m_key);
         m_ledger.startWriting(message.m_key);
         return;
     case LoadChange::Ended:
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -74,6 +74,9 @@
                                               const EndpointUses &uses);
     /// Notes a failure of an endpoint here.
     void noteFailure(const EndpointId &endpoint, FailureWeight weight, std::string_view why);
+    /// Tells all VMs that @p endpoint broke off an answer that came on a new connection: one that
+    /// was kept may have ended for its age.
+    void noteBrokenOff(const EndpointId &endpoint);
     /// Takes one repeated send to @p service out of the budget of the present view.
     bool takeRepeat(const ServiceId &service, const RelayView &view);
     /// Whether takeRepeat() would be granted now.
@@ -83,6 +86,9 @@
     TimePoint m_readySince{}; ///< First placement: before, nothing was heard of.
 
     void receive(const LoadMessage &message);
+    void countBrokenOff(const EndpointId &endpoint, uint64_t vm);
+    /// Another VM's attempt @p key was answered.
+    void noteAnswered(const LoadKey &key);
     SuspectHooks suspectHooks();
     LoadMessage placedMessage(const LoadKey &key, const AttemptLoad &load, TimePoint now) const;
     std::vector<LoadMessage> ownLoads(TimePoint now) const;
