Failing endpoints: one endpoint of a small pool can be to blame; a test over real messages

A fifth of a pool of four is less than one endpoint, so that sharing was without effect there. Test: FleetTest.WorkerThatBreaksOffAnswersToOthersIsLeftOut, with two daemons and told failures of three VMs.

--- a/policy/ejection.cpp
+++ b/policy/ejection.cpp
@@ -15,8 +15,8 @@
         return false;
     if (!onTrial && shared.m_lastAt - shared.m_firstAt < settings.m_leastSpan)
         return false;
-    return static_cast<double>(table.m_shared.size())
-           <= settings.m_mostFailing * static_cast<double>(endpoints);
+    const double most = settings.m_mostFailing * static_cast<double>(endpoints);
+    return static_cast<double>(table.m_shared.size()) <= std::max(most, 1.0);
 }
 
 } // namespace
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -198,6 +198,35 @@
     EXPECT_FALSE(m_deployment.m_store->exists("stackquay-vms", "vm-1"));
 }
 
+// Three VMs say that a worker broke off their answers: a VM that never asked it leaves it out.
+TEST_F(FleetTest, WorkerThatBreaksOffAnswersToOthersIsLeftOut)
+{
+    start();
+    const EndpointId id((**m_deployment.m_workers[0]).id());
+    RelayNode &teller = m_deployment.m_daemons[0]->node();
+    RelayNode &listener = m_deployment.m_daemons[1]->node();
+    const auto ejected = [&] {
+        std::promise<bool> answer;
+        listener.m_thread.post(
+            [&] { answer.set_value(isEjected(listener.m_ejections, id, Clock::now())); });
+        return answer.get_future().get();
+    };
+    const auto tell = [&](uint64_t vm) {
+        teller.m_thread.post([&teller, id, vm] {
+            LoadMessage message{ LoadChange::BrokenOff, { vm, 1 } };
+            message.m_parts = { { id, 0, 0 } };
+            teller.m_loads.send(message);
+        });
+        std::this_thread::sleep_for(Millis(50));
+    };
+    for (int i = 0; i < 5; ++i)
+        tell(1);
+    tell(2);
+    EXPECT_FALSE(ejected());
+    tell(3);
+    EXPECT_TRUE(eventually(ejected, Millis(500)));
+}
+
 // A worker that starts again under its id holds nothing: not its streams, failures or connections.
 TEST_F(FleetTest, WorkerThatStartsAgainUnderItsIdIsTakenForANewProcess)
 {
