--- a/tests/policy/gang_plan_test.cpp
+++ b/tests/policy/gang_plan_test.cpp
@@ -3,26 +3,16 @@
 #include <gtest/gtest.h>
 
 #include "policy/policy.h"
+#include "pool_loads.h"
 
 namespace stackquay {
 namespace {
 
 const TimePoint Start = TimePoint{} + Seconds(1'000);
 
-// Costs as the users' pages give them.
 EngineCosts usersCosts()
 {
-    EngineCosts costs;
-    costs.m_slots = 16;
-    costs.m_memoryTokens = 232'000;
-    costs.m_stride = 43;
-    costs.m_step = FloatMillis(1.02);
-    costs.m_stepPerSequence = FloatMillis(0.00226);
-    costs.m_stepPerThousandContext = FloatMillis(0.00431);
-    costs.m_readTokensPerSecond = 206'000;
-    costs.m_perMillionPairs = FloatMillis(0.138);
-    costs.m_usualAnswerTokens = 1'300;
-    return costs;
+    return declaredCosts(16, 43);
 }
 
 std::vector<EndpointRecord> engines(size_t from, size_t to)
--- a/tests/policy/pool_loads.cpp
+++ b/tests/policy/pool_loads.cpp
@@ -2,9 +2,7 @@
 
 namespace stackquay {
 
-namespace {
-
-EngineCosts dearPairs(uint32_t slots, uint32_t stride)
+EngineCosts declaredCosts(uint32_t slots, uint32_t stride)
 {
     EngineCosts costs;
     costs.m_slots = slots;
@@ -19,9 +17,11 @@
     return costs;
 }
 
+namespace {
+
 EngineCosts slowReaders(uint32_t slots, uint32_t stride)
 {
-    EngineCosts costs = dearPairs(slots, stride);
+    EngineCosts costs = declaredCosts(slots, stride);
     costs.m_memoryTokens = 405'000;
     costs.m_step = FloatMillis(1.31);
     costs.m_stepPerSequence = FloatMillis(0.000917);
@@ -33,7 +33,7 @@
 
 EngineCosts fastReaders(uint32_t slots, uint32_t stride)
 {
-    EngineCosts costs = dearPairs(slots, stride);
+    EngineCosts costs = declaredCosts(slots, stride);
     costs.m_memoryTokens = 382'500;
     costs.m_step = FloatMillis(0.925);
     costs.m_stepPerSequence = FloatMillis(0.00483);
@@ -92,19 +92,19 @@
 std::vector<NamedLoad> declaredLoads()
 {
     return {
-        loadOf("18 engines", 18, dearPairs(16, 43),
+        loadOf("18 engines", 18, declaredCosts(16, 43),
                { shortKind(38.3, 31.6), middleKind(2.09, 19, 3.9),
                  longKind(133'000, 600'000, Millis(2'500), 1.76, 15.8, 15) }),
         loadOf("18 slow readers", 18, slowReaders(16, 34),
                { shortKind(36, 38.5), middleKind(2.01, 23.1, 3.9),
                  longKind(182'000, 900'000, Millis(3'000), 0.935, 19.2, 24) }),
-        loadOf("60 engines", 60, dearPairs(12, 48),
+        loadOf("60 engines", 60, declaredCosts(12, 48),
                { shortKind(99.8, 30.7), middleKind(6.8, 18.4, 3.3),
                  longKind(190'000, 600'000, Millis(3'000), 3.22, 15.3, 20) }),
         loadOf("60 slow readers", 60, slowReaders(12, 38),
                { shortKind(95.1, 35.7), middleKind(6.68, 21.4, 3.3),
                  longKind(260'000, 900'000, Millis(4'000), 1.67, 17.8, 34) }),
-        loadOf("a cell of 37 engines", 37, dearPairs(10, 68),
+        loadOf("a cell of 37 engines", 37, declaredCosts(10, 68),
                { shortKind(53, 22.6), middleKind(4.2, 13.6, 2.9),
                  longKind(190'000, 600'000, Millis(3'000), 2, 11.3, 18) }),
         shiftedLoad(),
--- a/tests/policy/pool_loads.h
+++ b/tests/policy/pool_loads.h
@@ -8,6 +8,9 @@
 
 namespace stackquay {
 
+/// Costs of the engines that most of the sheets declare.
+EngineCosts declaredCosts(uint32_t slots, uint32_t stride);
+
 struct NamedLoad {
     std::string m_name;
     PoolLoad m_load;
--- a/tests/policy/size_fairness_test.cpp
+++ b/tests/policy/size_fairness_test.cpp
@@ -11,7 +11,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
-#include "pool_sim.h"
+#include "pool_loads.h"
 
 namespace stackquay {
 namespace {
@@ -23,27 +23,13 @@
 
 enum Kind : size_t { Short = 0, Middle = 1, Long = 2 };
 
-EngineCosts engineCosts()
-{
-    EngineCosts costs;
-    costs.m_slots = 10;
-    costs.m_memoryTokens = 232'000;
-    costs.m_stride = 68;
-    costs.m_step = FloatMillis(1.02);
-    costs.m_stepPerSequence = FloatMillis(0.00226);
-    costs.m_stepPerThousandContext = FloatMillis(0.00431);
-    costs.m_readTokensPerSecond = 206'000;
-    costs.m_perMillionPairs = FloatMillis(0.138);
-    costs.m_usualAnswerTokens = 1'500;
-    return costs;
-}
-
 /// The share of 300 VMs before 150 engines that one cell of four has, with phases of many long
 /// prompts between phases of many short ones.
 PoolLoad cellLoad()
 {
     PoolLoad load;
-    load.m_costs = engineCosts();
+    load.m_costs = declaredCosts(10, 68);
+    load.m_costs.m_usualAnswerTokens = 1'500;
     load.m_engines = 37;
     load.m_kinds = { { 4'960, 0.8, 23'800, Millis(400), 250, Millis(10'000), 22, 53 },
                      { 45'000, 0.5, 110'000, Millis(1'500), 600, Millis(10'000), 13, 4.2 },
