--- a/policy/turn_plan.cpp
+++ b/policy/turn_plan.cpp
@@ -64,7 +64,8 @@
     const auto part = [](FloatMillis of, double share) {
         return std::chrono::duration_cast<Duration>(of * share);
     };
-    const Duration needed = part(neededToBegin(settings, costs, request, engines), 1);
+    const FloatMillis toBegin = neededToBegin(settings, costs, request, engines);
+    const Duration needed = part(toBegin, 1);
     WaitingTurn turn;
     turn.m_aimAt = request.m_arrival + request.m_aim;
     turn.m_needed = needed;
@@ -77,12 +78,12 @@
     // All sizes are refused after the same wait: the small ones before they must, and the large
     // ones after they could be in time.
     const Duration wait = part(request.m_aim, settings.m_waitShare);
-    turn.m_past = std::max(wait + needed - request.m_aim, Duration::zero());
-    turn.m_aimAt += turn.m_past;
+    const Duration past = std::max(wait + needed - request.m_aim, Duration::zero());
+    const Duration reading = part(toBegin - settings.m_readOverhead, settings.m_readingShare);
+    turn.m_aimAt += past;
     turn.m_needed = std::max(needed, request.m_aim - wait);
-    const FloatMillis reading =
-        neededToBegin(settings, costs, request, engines) - settings.m_readOverhead;
-    turn.m_reading = std::max(part(reading, settings.m_readingShare), Duration::zero());
+    // The order goes by the route's aim and the reading.
+    turn.m_lead = past + std::max(reading, Duration::zero());
     return turn;
 }
 
--- a/policy/turn_queue.cpp
+++ b/policy/turn_queue.cpp
@@ -11,7 +11,7 @@
 /// Sorts those that can still meet their aim by their latest begin, and the others behind them.
 auto rankOf(const LoadKey &key, const WaitingTurn &turn, TimePoint now)
 {
-    const TimePoint order = turn.m_aimAt - turn.m_past - turn.m_reading;
+    const TimePoint order = turn.m_aimAt - turn.m_lead;
     return std::make_tuple(isTooLate(turn, now), order, key.m_origin, key.m_sequence);
 }
 
--- a/policy/turn_queue.h
+++ b/policy/turn_queue.h
@@ -23,8 +23,7 @@
     TimePoint m_aimAt{}; ///< When the first event is wanted.
     Duration m_needed{}; ///< From the beginning to the first event, at least.
     TimePoint m_expiresAt{}; ///< Not heard of after this, it is forgotten.
-    Duration m_reading{}; ///< For what its prompt takes to read: so much earlier is its turn.
-    Duration m_past{}; ///< How long after its route's aim m_aimAt is.
+    Duration m_lead{}; ///< So much earlier than m_aimAt is its turn.
 };
 
 using TurnQueue = std::unordered_map<LoadKey, WaitingTurn, LoadKeyHash>;
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -37,12 +37,10 @@
     std::vector<Fingerprint> m_prints{}; ///< Placed, if it is a suspect, and cleared: its name.
     std::vector<SuspectNews> m_suspects{}; ///< Suspected only.
     uint32_t m_cell = 0; ///< Suspected and cleared: of the sender.
-    uint32_t m_readingMs = 0; ///< Waiting only: as WaitingTurn.
-    uint32_t m_pastMs = 0; ///< Waiting only: as WaitingTurn.
+    uint32_t m_leadMs = 0; ///< Waiting only: as WaitingTurn.
 
     MSGPACK_DEFINE(m_change, m_key, m_parts, m_dataCentre, m_gapLimitMs, m_expiresMs, m_ageMs,
-                   m_writing, m_aimMs, m_neededMs, m_prints, m_suspects, m_cell, m_readingMs,
-                   m_pastMs)
+                   m_writing, m_aimMs, m_neededMs, m_prints, m_suspects, m_cell, m_leadMs)
 };
 
 /// The messages of @p messages as datagrams that no network splits; those after the bound of what
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -28,8 +28,7 @@
     message.m_expiresMs = millisOf(turn.m_expiresAt - now);
     message.m_aimMs = millisOf(turn.m_aimAt - now);
     message.m_neededMs = millisOf(turn.m_needed);
-    message.m_readingMs = millisOf(turn.m_reading);
-    message.m_pastMs = millisOf(turn.m_past);
+    message.m_leadMs = millisOf(turn.m_lead);
     return message;
 }
 
@@ -285,10 +284,10 @@
     const TimePoint now = Clock::now();
     switch (message.m_change) {
     case LoadChange::Waiting:
-        queueOf(message.m_gapLimitMs)[message.m_key] = {
-            now + Millis(message.m_aimMs), Millis(message.m_neededMs),
-            now + Millis(message.m_expiresMs), Millis(message.m_readingMs), Millis(message.m_pastMs)
-        };
+        queueOf(message.m_gapLimitMs)[message.m_key] = { now + Millis(message.m_aimMs),
+                                                         Millis(message.m_neededMs),
+                                                         now + Millis(message.m_expiresMs),
+                                                         Millis(message.m_leadMs) };
         return;
     case LoadChange::Ejected:
         // Others may reach it: only a neighbour's failure tells of this VM's way there.
