Broken answers are noted in one place; a told failure alone makes no health entry

noteBroken() held one part of the guard and its caller the other. recordSharedFailure() made an empty entry for each endpoint that a VM was told of. Verdicts are unchanged (SharedFailureTest).

--- a/policy/ejection.cpp
+++ b/policy/ejection.cpp
@@ -52,10 +52,11 @@
     shared.m_lastAt = now;
     if (std::find(shared.m_vms.begin(), shared.m_vms.end(), vm) == shared.m_vms.end())
         shared.m_vms.push_back(vm);
-    EndpointHealth &health = table.m_endpoints[endpoint];
-    if (isEjected(health, now) || !isToBlame(table, shared, isOnTrial(health, now), endpoints))
+    const auto health = table.m_endpoints.find(endpoint);
+    const bool onTrial = health != table.m_endpoints.end() && isOnTrial(health->second, now);
+    if (isEjected(table, endpoint, now) || !isToBlame(table, shared, onTrial, endpoints))
         return false;
-    eject(health, now, table.m_settings);
+    eject(table.m_endpoints[endpoint], now, table.m_settings);
     table.m_shared.erase(endpoint);
     return true;
 }
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -195,14 +195,11 @@
     if (silent && Clock::now() >= m_deadline)
         return AttemptEnd::Failed;
     if (!silent)
-        noteBroken();
-    // Plain services tell no success, which would be missing beside it.
-    if (!silent && isModelRequest() && !connection.reused() && !m_hungUp && !m_node.m_ending)
-        m_node.noteBrokenOff(endpoint.m_id);
+        noteBroken(connection, endpoint);
     return failAttempt(endpoint, FailureWeight::Chance, silent ? "silent" : error.m_message);
 }
 
-void RelayRun::noteBroken()
+void RelayRun::noteBroken(const HttpConnection &connection, const EndpointRecord &endpoint)
 {
     if (m_hungUp || m_node.m_ending)
         return;
@@ -213,6 +210,9 @@
         endpoints.push_back(member.m_endpoint);
     if (m_node.m_suspects.noteBroken(endpoints, print()))
         m_node.m_metrics.m_ends.add();
+    // Plain services tell no success, which would be missing beside it.
+    if (isModelRequest() && !connection.reused())
+        m_node.noteBrokenOff(endpoint.m_id);
 }
 
 void RelayRun::noteCompleted(unsigned status)
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -96,8 +96,9 @@
     /// The endpoint did not answer, or stopped in its answer.
     AttemptEnd failRead(const HttpConnection &connection, const EndpointRecord &endpoint,
                         const Error &error);
-    /// The answer broke off: finds out whether an endpoint of the attempt ended under it.
-    void noteBroken();
+    /// The answer of @p endpoint broke off: finds out whether an endpoint of the attempt ended
+    /// under it, and tells the other VMs.
+    void noteBroken(const HttpConnection &connection, const EndpointRecord &endpoint);
     /// The endpoint's whole answer came.
     void noteCompleted(unsigned status);
     AttemptEnd failSilent(const HttpConnection &connection, const EndpointRecord &endpoint);
