--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -31,46 +31,47 @@
     return healthyOf(m_node.m_ejections, std::move(untried), Clock::now());
 }
 
-std::unordered_set<EndpointId> RelayRun::strictSide(const EndpointUses &uses) const
+RelayRun::PoolNow RelayRun::poolNow() const
 {
+    PoolNow seen{ m_node.m_ledger.uses(Clock::now()), {} };
     const RelayViewPtr view = m_node.m_view.load();
     const auto *pool = poolOf(*view, m_serviceId);
-    if (!pool)
-        return {};
-    return m_node.strictSide(m_serviceId, *m_service->m_engine, *pool, uses);
+    if (pool && isModelRequest())
+        seen.m_strictSide =
+            m_node.strictSide(m_serviceId, *m_service->m_engine, *pool, seen.m_uses);
+    return seen;
 }
 
-std::optional<GangPlan> RelayRun::choose(StreamCare care)
+std::optional<GangPlan> RelayRun::choose(StreamCare care, const PoolNow &seen)
 {
     const std::vector<EndpointRecord> pool = candidates();
     const auto places = m_node.m_suspects.placesFor(m_care, pool, m_node.m_ledger);
-    auto plan = planOn(places, care);
+    auto plan = planOn(places, care, seen);
     // Beside other suspects rather than not at all: most of them did nothing.
     if (!plan && m_care == SuspectCare::Apart && places.size() < pool.size())
-        plan = planOn(pool, care);
+        plan = planOn(pool, care, seen);
     return plan;
 }
 
-std::optional<GangPlan> RelayRun::planOn(const std::vector<EndpointRecord> &pool, StreamCare care)
+std::optional<GangPlan> RelayRun::planOn(const std::vector<EndpointRecord> &pool, StreamCare care,
+                                         const PoolNow &seen)
 {
-    const TimePoint now = Clock::now();
-    const EndpointUses uses = m_node.m_ledger.uses(now);
     const DataCentreId &here = m_node.m_settings.m_dataCentre;
     if (!isModelRequest()) {
-        const EndpointRecord *best = leastLoaded(pool, uses, here);
+        const EndpointRecord *best = leastLoaded(pool, seen.m_uses, here);
         if (!best)
             return std::nullopt;
         return GangPlan{ { { *best, 0, 0, false } }, FloatMillis(0) };
     }
     const EngineCosts &costs = *m_service->m_engine;
     const ModelRequest request = modelRequest();
-    GangQuestion question = questionOf(costs, request, care, now);
+    GangQuestion question = questionOf(costs, request, care, Clock::now());
     question.m_rooms.m_dataCentre = here;
     question.m_rooms.m_draw = [this] {
         return std::uniform_real_distribution<double>(0, 1)(m_node.m_random);
     };
-    return planGang(m_node.m_gang, costs, divide(pool, strictSide(uses), request.strict()), uses,
-                    question);
+    return planGang(m_node.m_gang, costs, divide(pool, seen.m_strictSide, request.strict()),
+                    seen.m_uses, question);
 }
 
 bool RelayRun::isModelRequest() const
@@ -91,14 +92,13 @@
     return request;
 }
 
-SideLoad RelayRun::sideLoad() const
+SideLoad RelayRun::sideLoad(const PoolNow &seen) const
 {
     const RelayViewPtr view = m_node.m_view.load();
     const auto *pool = poolOf(*view, m_serviceId);
     if (!pool)
         return {};
-    const EndpointUses uses = m_node.m_ledger.uses(Clock::now());
-    SideLoad load = sideLoadOf(*m_service->m_engine, *pool, strictSide(uses), uses,
+    SideLoad load = sideLoadOf(*m_service->m_engine, *pool, seen.m_strictSide, seen.m_uses,
                                m_node.m_ledger.readingLong(), isStrictGap(gapLimitMs()));
     load.m_longestAim = m_service->m_longestAim;
     return load;
@@ -149,18 +149,19 @@
     const ModelRequest request = modelRequest();
     const TimePoint now = Clock::now();
     const EngineCosts &costs = *m_service->m_engine;
+    const PoolNow seen = poolNow();
     const bool next = poolSize() == 0
                       || isNext(m_node.m_turns, costs, request, m_node.queueOf(gapLimitMs()),
-                                m_load, sideLoad(), now);
+                                m_load, sideLoad(seen), now);
     return lookForTurn(
         m_node.m_turns, costs, request, turn, next,
-        [this](StreamCare care) { return choose(care); }, now);
+        [this, &seen](StreamCare care) { return choose(care, seen); }, now);
 }
 
 std::optional<GangPlan> RelayRun::awaitTurn()
 {
     if (!isModelRequest())
-        return choose(StreamCare::Spare);
+        return choose(StreamCare::Spare, poolNow());
     const WaitingTurn turn =
         turnOf(m_node.m_turns, *m_service->m_engine, modelRequest(), poolSize());
     m_node.queueOf(gapLimitMs())[m_load] = turn;
@@ -192,7 +193,7 @@
 void RelayRun::logTooLate(const WaitingTurn &turn) const
 {
     const TimePoint now = Clock::now();
-    const SideLoad load = sideLoad();
+    const SideLoad load = sideLoad(poolNow());
     const TurnQueue &queue = m_node.queueOf(gapLimitMs());
     DecisionLine("relay", "too late to begin")
         .text("request", m_head.m_id.str())
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -52,7 +52,13 @@
     bool mayAttempt();
 
     // relay_placement.cpp
-    std::optional<GangPlan> choose(StreamCare care);
+    /// What is in flight, and how its service's engines are divided.
+    struct PoolNow {
+        EndpointUses m_uses;
+        std::unordered_set<EndpointId> m_strictSide; ///< Empty for a plain service.
+    };
+    PoolNow poolNow() const;
+    std::optional<GangPlan> choose(StreamCare care, const PoolNow &seen);
     bool isModelRequest() const;
     uint32_t gapLimitMs() const { return static_cast<uint32_t>(m_route->m_gapAim.count()); }
     /// Waits until this request may begin. Nothing if it ends before, or if no endpoint can take a
@@ -62,7 +68,7 @@
     TurnLook look(const WaitingTurn &turn);
     ModelRequest modelRequest() const;
     /// What the engines for this one's kind of stream have to do now.
-    SideLoad sideLoad() const;
+    SideLoad sideLoad(const PoolNow &seen) const;
     /// Engines of its service.
     size_t poolSize() const;
     /// From the beginning of an attempt to its end, on engines that are full; @p slack is by how
@@ -73,9 +79,8 @@
     bool betterElsewhere() const;
     std::vector<EndpointRecord> candidates() const;
     /// A plan on engines of @p pool.
-    std::optional<GangPlan> planOn(const std::vector<EndpointRecord> &pool, StreamCare care);
-    /// The engines of its service that are for strict streams now.
-    std::unordered_set<EndpointId> strictSide(const EndpointUses &uses) const;
+    std::optional<GangPlan> planOn(const std::vector<EndpointRecord> &pool, StreamCare care,
+                                   const PoolNow &seen);
     void logPlacement(const GangPlan &plan) const;
     /// What stood in the way of one that is refused for want of time.
     void logTooLate(const WaitingTurn &turn) const;
