Ends before a completion make no suspect again

Cause: news of a suspect and of its clearing travel through the cells at the same time. A VM that had cleared a request took older news of the same end for new and passed it on; the clearing followed, and so on, for seconds. Change: the ends that a completed request stood beside are remembered, told with its clearing, bounded.

--- a/policy/crash_suspects.cpp
+++ b/policy/crash_suspects.cpp
@@ -39,15 +39,36 @@
     return table.m_suspects[print];
 }
 
+bool contains(const std::vector<uint64_t> &ends, uint64_t process)
+{
+    return std::find(ends.begin(), ends.end(), process) != ends.end();
+}
+
 bool addEnd(const SuspectTable &table, Suspect &suspect, uint64_t process)
 {
-    auto &ends = suspect.m_ends;
-    if (condemned(table, suspect) || std::find(ends.begin(), ends.end(), process) != ends.end())
+    if (condemned(table, suspect) || contains(suspect.m_ends, process))
         return false;
-    ends.push_back(process);
+    suspect.m_ends.push_back(process);
     return true;
 }
 
+bool isCleared(const SuspectTable &table, const Fingerprint &print, uint64_t process)
+{
+    const auto cleared = table.m_cleared.find(print);
+    return cleared != table.m_cleared.end() && contains(cleared->second.m_ends, process);
+}
+
+/// The cleared ends of @p print, with room made for them if they are the first.
+ClearedEnds &clearedOf(SuspectTable &table, const Fingerprint &print)
+{
+    auto &all = table.m_cleared;
+    if (all.count(print) == 0 && all.size() >= table.m_settings.m_most)
+        all.erase(std::min_element(all.begin(), all.end(), [](const auto &left, const auto &right) {
+            return left.second.m_at < right.second.m_at;
+        }));
+    return all[print];
+}
+
 size_t triesInFlight(const SuspectTable &table, const Fingerprint &print, const LoadKey &own,
                      TimePoint now)
 {
@@ -81,6 +102,8 @@
 SuspectChange noteEnd(SuspectTable &table, const Fingerprint &print, uint64_t process,
                       TimePoint now)
 {
+    if (isCleared(table, print, process))
+        return SuspectChange::None;
     Suspect &suspect = suspectOf(table, print);
     suspect.m_lastAt = std::max(suspect.m_lastAt, now);
     if (!addEnd(table, suspect, process))
@@ -92,12 +115,14 @@
 {
     const Duration age = Millis(std::min<uint64_t>(
         news.m_ageMs, std::chrono::duration_cast<Millis>(table.m_settings.m_forgetAfter).count()));
-    if (news.m_ends.empty() || age >= table.m_settings.m_forgetAfter)
+    std::vector<uint64_t> ends = news.m_ends;
+    std::erase_if(ends, [&](uint64_t process) { return isCleared(table, news.m_print, process); });
+    if (ends.empty() || age >= table.m_settings.m_forgetAfter)
         return SuspectChange::None;
     Suspect &suspect = suspectOf(table, news.m_print);
     const bool before = condemned(table, suspect);
     bool changed = false;
-    for (const uint64_t process : news.m_ends)
+    for (const uint64_t process : ends)
         changed = addEnd(table, suspect, process) || changed;
     changed = changed || news.m_trials > suspect.m_trials;
     suspect.m_trials = std::max(suspect.m_trials, news.m_trials);
@@ -119,6 +144,27 @@
     return true;
 }
 
+bool noteCleared(SuspectTable &table, const Fingerprint &print, const std::vector<uint64_t> &ends,
+                 TimePoint now)
+{
+    std::vector<uint64_t> all = ends;
+    const auto suspect = table.m_suspects.find(print);
+    if (suspect != table.m_suspects.end())
+        all.insert(all.end(), suspect->second.m_ends.begin(), suspect->second.m_ends.end());
+    bool changed = clearSuspect(table, print);
+    for (const uint64_t process : all) {
+        if (isCleared(table, print, process))
+            continue;
+        ClearedEnds &cleared = clearedOf(table, print);
+        if (cleared.m_ends.size() >= table.m_settings.m_mostClearedEnds)
+            cleared.m_ends.erase(cleared.m_ends.begin());
+        cleared.m_ends.push_back(process);
+        cleared.m_at = now;
+        changed = true;
+    }
+    return changed;
+}
+
 SuspectCare placementOf(const SuspectTable &table, const Fingerprint &print)
 {
     const auto suspect = table.m_suspects.find(print);
--- a/policy/crash_suspects.h
+++ b/policy/crash_suspects.h
@@ -8,6 +8,9 @@
 /// after, so that a repaired engine or a wrong blame heals.
 ///
 /// An entry is made only by an end, so a caller cannot fill the table without ending processes.
+///
+/// The ends of a request that completed are remembered: news of them still travel, and would make
+/// it a suspect again, be passed on as new, and be followed by its clearing, without an end.
 #pragma once
 
 #include <unordered_map>
@@ -30,8 +33,11 @@
     uint32_t m_mostTrials = 3;
     /// A suspect that did not come again for so long is forgotten.
     Seconds m_forgetAfter{ 86'400 };
-    /// Some 200 bytes each. When there are more, those with the fewest ends go first.
+    /// Some 200 bytes each, of suspects and of cleared ones. When there are more, those with the
+    /// fewest ends go first, and the oldest of the cleared ones.
     size_t m_most = 1'024;
+    /// Of one request; the latest are kept.
+    size_t m_mostClearedEnds = 16;
 };
 
 struct Suspect {
@@ -40,6 +46,12 @@
     TimePoint m_lastAt{}; ///< Last end or trial.
 };
 
+/// Ends that say nothing of a request any more: it completed after them.
+struct ClearedEnds {
+    std::vector<uint64_t> m_ends;
+    TimePoint m_at{};
+};
+
 /// An attempt of a suspect that is in flight somewhere in the fleet.
 struct SuspectTry {
     Fingerprint m_print;
@@ -52,6 +64,7 @@
     std::unordered_map<Fingerprint, Suspect, FingerprintHash> m_suspects;
     std::unordered_map<LoadKey, SuspectTry, LoadKeyHash> m_tries;
     std::unordered_map<uint64_t, uint32_t> m_outlines; ///< How many suspects have each.
+    std::unordered_map<Fingerprint, ClearedEnds, FingerprintHash> m_cleared;
 
     bool empty() const { return m_suspects.empty(); }
     /// Whether a request of this outline may be a suspect: only then its body has to be read.
@@ -93,8 +106,12 @@
 SuspectChange noteEnd(SuspectTable &table, const Fingerprint &print, uint64_t process,
                       TimePoint now);
 SuspectChange joinNews(SuspectTable &table, const SuspectNews &news, TimePoint now);
-/// It completed: it does not end whatever runs it. False if it was no suspect.
+/// Drops it from the table. False if it was no suspect.
 bool clearSuspect(SuspectTable &table, const Fingerprint &print);
+/// It completed after @p ends and those known here: it does not end whatever runs it. False if that
+/// changes nothing.
+bool noteCleared(SuspectTable &table, const Fingerprint &print, const std::vector<uint64_t> &ends,
+                 TimePoint now);
 /// Of a try of @p print, which is not yet in flight or is @p own.
 SuspectVerdict judge(const SuspectTable &table, const Fingerprint &print, const LoadKey &own,
                      TimePoint now);
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -35,7 +35,7 @@
     uint32_t m_aimMs = 0; ///< Waiting only: when the first event is wanted, from now.
     uint32_t m_neededMs = 0; ///< Waiting only: as WaitingTurn.
     std::vector<Fingerprint> m_prints{}; ///< Placed, if it is a suspect, and cleared: its name.
-    std::vector<SuspectNews> m_suspects{}; ///< Suspected only.
+    std::vector<SuspectNews> m_suspects{}; ///< Suspected; cleared: with the ends that are cleared.
     uint32_t m_cell = 0; ///< Suspected and cleared: of the sender.
     uint32_t m_leadMs = 0; ///< Waiting only: as WaitingTurn.
 
--- a/relay/suspect_watch.cpp
+++ b/relay/suspect_watch.cpp
@@ -219,11 +219,15 @@
 
 void SuspectWatch::noteCompleted(const Fingerprint &print)
 {
-    if (!clearSuspect(m_state->m_table, print))
+    SuspectTable &table = m_state->m_table;
+    const auto suspect = table.m_suspects.find(print);
+    if (suspect == table.m_suspects.end())
         return;
-    DecisionLine("relay", "request cleared").text("print", toString(print)).write();
     LoadMessage message{ LoadChange::Cleared };
     message.m_prints = { print };
+    message.m_suspects = { { print, suspect->second.m_ends, 0, 0 } };
+    noteCleared(table, print, {}, Clock::now());
+    DecisionLine("relay", "request cleared").text("print", toString(print)).write();
     m_state->tell(std::move(message));
 }
 
@@ -291,8 +295,11 @@
         return;
     }
     bool cleared = false;
+    for (const SuspectNews &news : message.m_suspects)
+        cleared = noteCleared(m_state->m_table, news.m_print, news.m_ends, Clock::now()) || cleared;
+    // A VM of an earlier version tells no ends.
     for (const Fingerprint &print : message.m_prints)
-        cleared = clearSuspect(m_state->m_table, print) || cleared;
+        cleared = noteCleared(m_state->m_table, print, {}, Clock::now()) || cleared;
     if (cleared)
         m_state->pass(message);
 }
--- a/tests/policy/crash_suspects_test.cpp
+++ b/tests/policy/crash_suspects_test.cpp
@@ -129,5 +129,43 @@
     EXPECT_EQ(care({ 7, 7, 99 }), SuspectCare::Apart) << "the latest are kept";
 }
 
+// News of an end travel on after the request has completed, and the process that ended is told of
+// late by others that were there.
+TEST_F(CrashSuspectsTest, EndsBeforeACompletionMakeNoSuspectAgain)
+{
+    end(Culprit, 1);
+    EXPECT_TRUE(noteCleared(m_table, Culprit, {}, Start));
+    EXPECT_FALSE(noteCleared(m_table, Culprit, { 1 }, Start));
+    EXPECT_EQ(joinNews(m_table, { Culprit, { 1 }, 0, 50 }, Start), SuspectChange::None);
+    EXPECT_EQ(noteEnd(m_table, Culprit, 1, Start), SuspectChange::None);
+    EXPECT_TRUE(m_table.empty());
+    // A later end counts, alone.
+    EXPECT_EQ(joinNews(m_table, { Culprit, { 1, 2 }, 0, 50 }, Start), SuspectChange::Known);
+    EXPECT_EQ(care(Culprit), SuspectCare::Apart);
+}
+
+TEST_F(CrashSuspectsTest, ClearingMayBeHeardBeforeItsEnds)
+{
+    EXPECT_TRUE(noteCleared(m_table, Culprit, { 1 }, Start));
+    EXPECT_EQ(joinNews(m_table, { Culprit, { 1 }, 0, 50 }, Start), SuspectChange::None);
+    EXPECT_TRUE(m_table.empty());
+}
+
+TEST_F(CrashSuspectsTest, ClearedEndsAreBounded)
+{
+    const size_t most = m_table.m_settings.m_most;
+    for (uint64_t i = 0; i < 2 * most; ++i)
+        noteCleared(m_table, { i, i, i }, { i }, Start + Millis(i));
+    EXPECT_LE(m_table.m_cleared.size(), most);
+    EXPECT_FALSE(noteCleared(m_table, { 2 * most - 1, 2 * most - 1, 2 * most - 1 },
+                             { 2 * most - 1 }, Start + Seconds(60)));
+    for (uint64_t process = 0; process < 2 * most; ++process)
+        noteCleared(m_table, Culprit, { process }, Start + Seconds(61));
+    EXPECT_LE(m_table.m_cleared.at(Culprit).m_ends.size(), m_table.m_settings.m_mostClearedEnds);
+    EXPECT_EQ(joinNews(m_table, { Culprit, { 2 * most - 1 }, 0, 0 }, Start + Seconds(61)),
+              SuspectChange::None)
+        << "the latest are kept";
+}
+
 } // namespace
 } // namespace stackquay
