Simulated pool: a pass ends whole before the next one begins

Cause: at the end of a pass, a prompt that began to write on the same engine began its next pass at once. Ruled out: the C library's logarithms, the order of hash tables (a single play repeats exactly).

--- a/tests/policy/pool_sim.cpp
+++ b/tests/policy/pool_sim.cpp
@@ -311,10 +311,10 @@
         }
     }
 
+    /// The pass counts as going on until all that it did is told: the next one begins with all of it.
     void endPass(size_t index)
     {
         const TimePoint now = *m_engines[index].m_passEnd;
-        m_engines[index].m_passEnd.reset();
         for (const size_t prompt : m_engines[index].m_writing)
             writeEvent(m_prompts[prompt], prompt, now);
         for (const Part &part : m_engines[index].m_reading) {
@@ -322,8 +322,7 @@
             if (--prompt.m_partsLeft == 0)
                 beginToWrite(prompt, part.m_prompt, now);
         }
-        if (!m_engines[index].m_passEnd)
-            beginPass(index, now);
+        beginPass(index, now);
     }
 
     void beginToWrite(Prompt &prompt, size_t index, TimePoint now)
