What needs no room is judged by one engine, not by the whole pool

Hypothesis: a prompt went past the queue if its reading, spread over all engines of its side, was under a twentieth of the backlog of each. Change: it passes if one engine alone reads it within its own backlog, whatever the pool.

--- a/policy/turn_queue.cpp
+++ b/policy/turn_queue.cpp
@@ -70,9 +70,8 @@
 bool readsLittle(const TurnSettings &settings, const EngineCosts &costs, const SideLoad &load,
                  double tokens)
 {
-    const FloatMillis ofEach = readTime(costs, tokens) / static_cast<double>(load.m_engines);
     const FloatMillis bound = backlogBound(settings, load);
-    return ofEach < bound * settings.m_littleShare
+    return readTime(costs, tokens) < bound * settings.m_littleShare
            && backlogOfEach(load) < bound * settings.m_mostBacklogs;
 }
 
--- a/tests/policy/gang_plan_test.cpp
+++ b/tests/policy/gang_plan_test.cpp
@@ -546,6 +546,20 @@
     EXPECT_EQ(roomToRead(settings, load), 0u);
 }
 
+// Of a large pool half of all long prompts went past the queue as little ones, and the larger half
+// was refused behind them.
+TEST(TurnQueueTest, LittleDoesNotGrowWithThePool)
+{
+    const TurnSettings settings;
+    SideLoad load;
+    load.m_longestAim = Seconds(3);
+    for (const size_t engines : { 4, 18, 75, 300 }) {
+        load.m_engines = engines;
+        EXPECT_TRUE(readsLittle(settings, usersCosts(), load, 45'000)) << engines;
+        EXPECT_FALSE(readsLittle(settings, usersCosts(), load, 150'000)) << engines;
+    }
+}
+
 // Seen on 60 engines with a full backlog: 180 k tokens took 0.7 to 0.85 s, and began too late with
 // an estimate of 0.33 s, as if all engines read each prompt.
 TEST(TurnQueueTest, NeedOfALongPromptCountsItsReadersOnly)
