A refusal names what stood in its way before it was too late

Cause: once a prompt can no longer be in time, all others go before it; the look that refuses it then always said that others came first. Change: the obstacle of the look before is named. Test: TurnQueueTest.RefusalNamesWhatStoodInTheWayBefore.

--- a/policy/turn_plan.cpp
+++ b/policy/turn_plan.cpp
@@ -170,13 +170,15 @@
 
 TurnLook lookForTurn(const TurnSettings &settings, const EngineCosts &costs,
                      const ModelRequest &request, const WaitingTurn &turn, bool next,
-                     const GangPlanner &plan, TimePoint now)
+                     TurnObstacle before, const GangPlanner &plan, TimePoint now)
 {
     TurnLook look = planInTurn(settings, request, turn, next, plan, now);
     if (look.m_plan || !mustEnd(request, turn, now))
         return look;
     look.m_plan = lastPlan(settings, costs, request, turn, plan, now);
     look.m_tooLate = !look.m_plan;
+    if (look.m_tooLate && before != TurnObstacle::None)
+        look.m_obstacle = before;
     return look;
 }
 
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -144,7 +144,7 @@
     return !canEnd(view->m_drain, Clock::now(), std::min(timeToEnd(NoSlack), left()));
 }
 
-TurnLook RelayRun::look(const WaitingTurn &turn)
+TurnLook RelayRun::look(const WaitingTurn &turn, TurnObstacle before)
 {
     const ModelRequest request = modelRequest();
     const TimePoint now = Clock::now();
@@ -154,7 +154,7 @@
                       || isNext(m_node.m_turns, costs, request, m_node.queueOf(gapLimitMs()),
                                 m_load, sideLoad(seen), now);
     return lookForTurn(
-        m_node.m_turns, costs, request, turn, next,
+        m_node.m_turns, costs, request, turn, next, before,
         [this, &seen](StreamCare care) { return choose(care, seen); }, now);
 }
 
@@ -166,15 +166,17 @@
         turnOf(m_node.m_turns, *m_service->m_engine, modelRequest(), poolSize());
     m_node.queueOf(gapLimitMs())[m_load] = turn;
     bool told = false;
+    TurnObstacle obstacle = TurnObstacle::None;
     for (;;) {
         // Known not to end in time, it is refused now: another VM may still serve it.
         const bool hopeless = m_node.m_ending || betterElsewhere();
         if (!hopeless) {
-            TurnLook now = look(turn);
+            TurnLook now = look(turn, obstacle);
             if (now.m_plan)
                 return std::move(now.m_plan);
+            obstacle = now.m_obstacle;
             if (now.m_tooLate) {
-                m_why = turnObstacleName(now.m_obstacle);
+                m_why = turnObstacleName(obstacle);
                 logTooLate(turn);
                 return std::nullopt;
             }
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -65,7 +65,7 @@
     /// request that waits for no turn.
     std::optional<GangPlan> awaitTurn();
     /// Whether it begins now.
-    TurnLook look(const WaitingTurn &turn);
+    TurnLook look(const WaitingTurn &turn, TurnObstacle before);
     ModelRequest modelRequest() const;
     /// What the engines for this one's kind of stream have to do now.
     SideLoad sideLoad(const PoolNow &seen) const;
--- a/tests/policy/gang_plan_test.cpp
+++ b/tests/policy/gang_plan_test.cpp
@@ -546,6 +546,28 @@
     EXPECT_EQ(roomToRead(settings, load), 0u);
 }
 
+// Once it is too late all others go first: a log that said so would hide that no set of engines had
+// the memory, or that all were busy.
+TEST(TurnQueueTest, RefusalNamesWhatStoodInTheWayBefore)
+{
+    ModelRequest request;
+    request.m_promptTokens = 100'000;
+    request.m_aim = Seconds(3);
+    request.m_arrival = Start;
+    request.m_deadline = Start + Seconds(60);
+    const WaitingTurn turn = turnOf({}, usersCosts(), request, 18);
+    const GangPlanner noPlan = [](StreamCare) { return std::nullopt; };
+    const auto lookAt = [&](Millis after, bool next, TurnObstacle before) {
+        return lookForTurn({}, usersCosts(), request, turn, next, before, noPlan, Start + after);
+    };
+    EXPECT_EQ(lookAt(Millis(100), true, TurnObstacle::None).m_obstacle, TurnObstacle::NoneBearsIt);
+    const TurnLook refused = lookAt(Millis(2'500), false, TurnObstacle::NoneBearsIt);
+    EXPECT_TRUE(refused.m_tooLate);
+    EXPECT_EQ(refused.m_obstacle, TurnObstacle::NoneBearsIt);
+    EXPECT_EQ(lookAt(Millis(2'500), false, TurnObstacle::None).m_obstacle,
+              TurnObstacle::OthersFirst);
+}
+
 // Of a large pool half of all long prompts went past the queue as little ones, and the larger half
 // was refused behind them.
 TEST(TurnQueueTest, LittleDoesNotGrowWithThePool)
--- a/tests/policy/pool_sim.cpp
+++ b/tests/policy/pool_sim.cpp
@@ -240,16 +240,15 @@
             question.m_rooms.m_draw = [this] { return draw(); };
             return planGang(m_load.m_gang, m_load.m_costs, seen.m_sides, seen.m_uses, question);
         };
-        const TurnLook look =
-            lookForTurn(m_load.m_turns, m_load.m_costs, request, prompt.m_turn, next, plan, now);
+        const TurnLook look = lookForTurn(m_load.m_turns, m_load.m_costs, request, prompt.m_turn,
+                                          next, prompt.m_fate.m_obstacle, plan, now);
+        prompt.m_fate.m_obstacle = look.m_obstacle;
         if (!look.m_plan && !look.m_tooLate)
             return false;
         queueOf(prompt).erase(prompt.m_key);
         prompt.m_fate.m_wait = now - request.m_arrival;
         if (look.m_plan)
             place(prompt, index, *look.m_plan, now);
-        else
-            prompt.m_fate.m_obstacle = look.m_obstacle;
         return true;
     }
 
--- a/tests/policy/pool_sim.h
+++ b/tests/policy/pool_sim.h
@@ -47,7 +47,7 @@
     bool m_inAim = false; ///< And in time, with bearable pauses.
     TimePoint m_arrival{};
     Duration m_wait{}; ///< From its arrival to its beginning or its refusal.
-    TurnObstacle m_obstacle = TurnObstacle::None; ///< If it was refused.
+    TurnObstacle m_obstacle = TurnObstacle::None; ///< If it was refused: why.
 };
 
 /// What the engines did, in seconds of one engine.
