What needs no room: two backlogs of one engine instead of one; a request half sent at the native daemon's end is told so

Daemon::endRequests() lacked HttpServer::refuseUnread(); DaemonDrainTest.RequestOfWhichAPartHasComeIsRefusedAtTheEnd.

--- a/control/daemon.cpp
+++ b/control/daemon.cpp
@@ -171,6 +171,8 @@
 void Daemon::endRequests()
 {
     m_node->m_ending = true;
+    for (const auto &server : m_servers)
+        server->refuseUnread();
     for (const auto &worker : m_workers)
         worker->failRequests();
 }
--- a/policy/turn_queue.cpp
+++ b/policy/turn_queue.cpp
@@ -70,9 +70,8 @@
 bool readsLittle(const TurnSettings &settings, const EngineCosts &costs, const SideLoad &load,
                  double tokens)
 {
-    const FloatMillis bound = backlogBound(settings, load);
-    return readTime(costs, tokens) < bound * settings.m_littleShare
-           && backlogOfEach(load) < bound * settings.m_mostBacklogs;
+    const FloatMillis most = backlogBound(settings, load) * settings.m_littleBacklogs;
+    return readTime(costs, tokens) < most && backlogOfEach(load) < most;
 }
 
 uint32_t roomToRead(const TurnSettings &settings, const SideLoad &load)
--- a/policy/turn_queue.h
+++ b/policy/turn_queue.h
@@ -73,11 +73,10 @@
     /// those that read long find their engines busy at the end of their wait; with all of it, they
     /// crowd out the others of their kind, of which engines read five in the time of one.
     double m_readingShare = 0.75;
-    /// A prompt that one engine reads alone in up to this part of its backlog needs no room of its
-    /// own: it delays nobody, and would wait behind prompts that read a hundred times as long.
-    double m_littleShare = 1;
-    /// But not while engines have more than so many times the backlog to read.
-    double m_mostBacklogs = 2;
+    /// A prompt that one engine reads alone within so many times its backlog needs no room of its
+    /// own, unless engines have as much to read: it delays few, and would wait behind prompts that
+    /// read a hundred times as long.
+    double m_littleBacklogs = 2;
     /// Clients leave a silent stream; a repeat waits for this part of that time.
     double m_patienceShare = 0.55;
     /// And for this part of the time that the request has.
--- a/tests/control/daemon_drain_test.cpp
+++ b/tests/control/daemon_drain_test.cpp
@@ -1,6 +1,13 @@
 /// A daemon that was told to stop: what its clients see until it is gone.
 #include "daemon_fixture.h"
 
+#include <array>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "net/fiber_socket.h"
+
 namespace stackquay {
 namespace {
 
@@ -98,6 +105,27 @@
         }
     }
 
+    /// Sends @p bytes, and reads until the connection ends.
+    std::future<std::string> beginRaw(const Daemon &daemon, const std::string &bytes)
+    {
+        auto done = std::make_shared<std::promise<std::string>>();
+        m_client.post([this, done, bytes, address = daemon.httpAddress()] {
+            FiberSocket socket{ FiberSocket::Socket(m_client.context()) };
+            socket.expiresAfter(Seconds(10));
+            boost::system::error_code error = socket.connect(*toTcp(address));
+            if (!error)
+                boost::asio::write(socket, boost::asio::buffer(bytes), error);
+            std::string text;
+            std::array<char, 1024> piece;
+            while (!error) {
+                const size_t size = socket.read_some(boost::asio::buffer(piece), error);
+                text.append(piece.data(), size);
+            }
+            done->set_value(text);
+        });
+        return done->get_future();
+    }
+
     /// As the process does: drains to its end, then ends its threads.
     void endDaemon()
     {
@@ -255,6 +283,24 @@
     EXPECT_EQ(again.m_status, 409u);
 }
 
+// Nobody has seen it, so that a client may send it elsewhere; a cut connection would not tell so.
+TEST_F(DaemonDrainTest, RequestOfWhichAPartHasComeIsRefusedAtTheEnd)
+{
+    m_drainLag = Millis(100);
+    m_drainTimeout = Millis(500);
+    declare(intent());
+    Daemon &daemon = startDaemon("vm-1");
+    awaitView(daemon, 1);
+    auto answer = beginRaw(daemon, "POST /v1/completions HTTP/1.1\r\nHost: host.example\r\n"
+                                   "Authorization: Bearer key\r\nContent-Length: 100\r\n\r\nhalf");
+    std::this_thread::sleep_for(Millis(100));
+    daemon.drain();
+    endDaemon();
+    const std::string text = answer.get();
+    EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 503");
+    EXPECT_NE(text.find("Connection: close"), std::string::npos);
+}
+
 TEST_F(DaemonDrainTest, SecondDrainEndsCallsAndWaitingRequestsAtOnce)
 {
     declareSlowEngine();
