--- a/tests/policy/pool_sim.cpp
+++ b/tests/policy/pool_sim.cpp
@@ -310,7 +310,7 @@
         }
     }
 
-    /// The pass counts as going on until all that it did is told: the next one begins with all of it.
+    /// The pass counts as going on until all that it did is told: the next one begins with that.
     void endPass(size_t index)
     {
         const TimePoint now = *m_engines[index].m_passEnd;
