--- a/policy/turn_plan.h
+++ b/policy/turn_plan.h
@@ -74,8 +74,8 @@
 /// Asks for a plan on the engines of the moment.
 using GangPlanner = std::function<std::optional<GangPlan>(StreamCare)>;
 
-/// One look of @p request; @p next is whether it is its turn, as isNext(). A refusal names @p before,
-/// what stood in its way at the look before: once it is too late, all others go first.
+/// One look of @p request; @p next is whether it is its turn, as isNext(). A refusal names @p
+/// before, what stood in its way at the look before: once it is too late, all others go first.
 TurnLook lookForTurn(const TurnSettings &settings, const EngineCosts &costs,
                      const ModelRequest &request, const WaitingTurn &turn, bool next,
                      TurnObstacle before, const GangPlanner &plan, TimePoint now);
