--- a/tests/platform/gone_test.cpp
+++ b/tests/platform/gone_test.cpp
@@ -102,5 +102,31 @@
     EXPECT_EQ(arrivals(), 1u);
 }
 
+/// Of the four seconds after which unused memory must be free, an ended engine's entry in the store
+/// takes three to expire.
+constexpr Millis LeftToRelease{ 900 };
+
+// Users' engines went dark under a prompt that others held memory for. Its VM knew that the engine
+// was gone, and kept the memory until it had waited out the silence.
+TEST_F(GoneTest, PromptWithoutFirstEventLeavesAnEngineThatIsGone)
+{
+    start(6, "model");
+    for (const auto &one : m_deployment.m_workers)
+        (**one).setMode(WorkerMode::Silent);
+    ClientRequest request = streamRequest("/long/x", 250'000);
+    request.m_deadline = Seconds(20);
+    auto answer = m_deployment.begin(request);
+    ASSERT_TRUE(eventually([&] { return arrivals() == 1; }));
+    for (const auto &one : m_deployment.m_workers) {
+        if ((**one).arrivals() > 0)
+            m_deployment.m_store->remove("servers", (**one).id());
+        else
+            (**one).setMode(WorkerMode::Serve);
+    }
+    const TimePoint removed = Clock::now();
+    EXPECT_EQ(answer.get().m_status, 200u);
+    EXPECT_LT(Clock::now() - removed, LeftToRelease);
+}
+
 } // namespace
 } // namespace stackquay::platform
