--- a/tests/control/daemon_drain_test.cpp
+++ b/tests/control/daemon_drain_test.cpp
@@ -295,7 +295,9 @@
                                    "Authorization: Bearer key\r\nContent-Length: 100\r\n\r\nhalf");
     std::this_thread::sleep_for(Millis(100));
     daemon.drain();
-    endDaemon();
+    daemon.wait();
+    // Here the process ends, without destroying anything.
+    ASSERT_EQ(answer.wait_for(Millis(200)), std::future_status::ready);
     const std::string text = answer.get();
     EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 503");
     EXPECT_NE(text.find("Connection: close"), std::string::npos);
