--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -32,6 +32,15 @@
     return message;
 }
 
+void noteEjection(RelayMetrics &metrics, const EndpointId &endpoint, std::string_view why)
+{
+    metrics.m_ejections.add();
+    DecisionLine("relay", "endpoint ejected")
+        .text("endpoint", endpoint.str())
+        .text("why", why)
+        .write();
+}
+
 } // namespace
 
 RelayNode::RelayNode(FiberThread &thread, RelaySettings settings, const RelayDialect &dialect)
@@ -215,17 +224,13 @@
     // The end of this process breaks off waits; that says nothing of an endpoint.
     if (m_ending || !recordFailure(m_ejections, endpoint, weight, Clock::now()))
         return;
-    m_metrics.m_ejections.add();
     if (weight == FailureWeight::Telling) {
         LoadMessage message{ LoadChange::Ejected, nextKey() };
         message.m_parts = { { endpoint, 0, 0 } };
         message.m_dataCentre = m_settings.m_dataCentre;
         m_loads.send(message);
     }
-    DecisionLine("relay", "endpoint ejected")
-        .text("endpoint", endpoint.str())
-        .text("why", why)
-        .write();
+    noteEjection(m_metrics, endpoint, why);
 }
 
 void RelayNode::noteBrokenOff(const EndpointId &endpoint)
@@ -243,11 +248,7 @@
         endpoints += pool.size();
     if (m_ending || !recordSharedFailure(m_ejections, endpoint, endpoints, vm, Clock::now()))
         return;
-    m_metrics.m_ejections.add();
-    DecisionLine("relay", "endpoint ejected")
-        .text("endpoint", endpoint.str())
-        .text("why", "it broke off answers to several VMs")
-        .write();
+    noteEjection(m_metrics, endpoint, "it broke off answers to several VMs");
 }
 
 void RelayNode::noteAnswered(const LoadKey &key)
