Tests: one copy of the client that sends bytes as they are

Cause: the drain tests of the native daemon and the platform tests' deployment had the same twenty lines. Left: the four-field fillings of load and cost structs in gang_plan_test and pool_loads are data of like shape, not logic.

--- a/tests/control/daemon_drain_test.cpp
+++ b/tests/control/daemon_drain_test.cpp
@@ -1,12 +1,7 @@
 /// A daemon that was told to stop: what its clients see until it is gone.
 #include "daemon_fixture.h"
 
-#include <array>
-
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
-
-#include "net/fiber_socket.h"
+#include "tests/support/raw_exchange.h"
 
 namespace stackquay {
 namespace {
@@ -105,27 +100,6 @@
         }
     }
 
-    /// Sends @p bytes, and reads until the connection ends.
-    std::future<std::string> beginRaw(const Daemon &daemon, const std::string &bytes)
-    {
-        auto done = std::make_shared<std::promise<std::string>>();
-        m_client.post([this, done, bytes, address = daemon.httpAddress()] {
-            FiberSocket socket{ FiberSocket::Socket(m_client.context()) };
-            socket.expiresAfter(Seconds(10));
-            boost::system::error_code error = socket.connect(*toTcp(address));
-            if (!error)
-                boost::asio::write(socket, boost::asio::buffer(bytes), error);
-            std::string text;
-            std::array<char, 1024> piece;
-            while (!error) {
-                const size_t size = socket.read_some(boost::asio::buffer(piece), error);
-                text.append(piece.data(), size);
-            }
-            done->set_value(text);
-        });
-        return done->get_future();
-    }
-
     /// As the process does: drains to its end, then ends its threads.
     void endDaemon()
     {
@@ -291,7 +265,8 @@
     declare(intent());
     Daemon &daemon = startDaemon("vm-1");
     awaitView(daemon, 1);
-    auto answer = beginRaw(daemon, "POST /v1/completions HTTP/1.1\r\nHost: host.example\r\n"
+    auto answer = beginRawExchange(m_client, daemon.httpAddress(),
+                                   "POST /v1/completions HTTP/1.1\r\nHost: host.example\r\n"
                                    "Authorization: Bearer key\r\nContent-Length: 100\r\n\r\nhalf");
     std::this_thread::sleep_for(Millis(100));
     daemon.drain();
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -1,12 +1,8 @@
 #include "deployment.h"
 
-#include <array>
-
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
-#include "net/fiber_socket.h"
+#include "tests/support/raw_exchange.h"
 
 namespace stackquay::platform {
 
@@ -190,22 +186,7 @@
 
 std::future<std::string> Deployment::beginRaw(const std::string &bytes, size_t daemon)
 {
-    auto done = std::make_shared<std::promise<std::string>>();
-    m_clients.post([this, done, bytes, address = m_daemons[daemon]->clientsAddress()] {
-        FiberSocket socket{ FiberSocket::Socket(m_clients.context()) };
-        socket.expiresAfter(Seconds(10));
-        std::string text;
-        boost::system::error_code error = socket.connect(*toTcp(address));
-        if (!error)
-            boost::asio::write(socket, boost::asio::buffer(bytes), error);
-        std::array<char, 1024> piece;
-        while (!error) {
-            const size_t size = socket.read_some(boost::asio::buffer(piece), error);
-            text.append(piece.data(), size);
-        }
-        done->set_value(text);
-    });
-    return done->get_future();
+    return beginRawExchange(m_clients, m_daemons[daemon]->clientsAddress(), bytes);
 }
 
 unsigned Deployment::readyStatus(size_t daemon)
