Long prompts: the small ones of a route do not pass its large ones any more

Cause: a prompt that one engine prefills within half of the longest latency target started without its place in the order. Only routes with a clearly shorter target have cheap prompts now.

--- a/policy/dispatch_queue.cpp
+++ b/policy/dispatch_queue.cpp
@@ -70,8 +70,10 @@
 }
 
 bool isCheapPrefill(const DispatchSettings &settings, const EngineCosts &costs,
-                    const SideLoad &load, double tokens)
+                    const SideLoad &load, double tokens, Duration latencyTarget)
 {
+    if (latencyTarget > load.m_longestLatencyTarget * settings.m_maxCheapTargetShare)
+        return false;
     const FloatMillis limit = maxBacklogPerEngine(settings, load) * settings.m_cheapPrefillBacklogs;
     return prefillDuration(costs, tokens) < limit && backlogPerEngine(load) < limit;
 }
