Attempts end when their endpoint has gone

Cause: only time, the client and the end of the process ended the wait for a response. A host without power resets no connection, and a change of the directory reached the traffic thread for restarted processes only.

Fix: policy/absent_endpoint decides from the listing of the process, the silence of the attempt and the probes that the endpoint left unanswered; relay/absence_monitor checks attempts while their endpoint is missing, unconfirmed or replaced, or while they hold memory elsewhere. Works because a living endpoint answers a probe without a queue, whatever the directory says. Reservations are renewed and released by a fiber each, as one dead engine delayed the others, and a release waits for a renewal in progress.

Ruled out: ending attempts by the entry alone.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -116,6 +116,7 @@
     bool m_silent = false;
     bool m_refused = false;
     TimePoint m_sentAt{};
+    TimePoint m_readAt{}; ///< When bytes were last read.
     Duration m_idleLimit = UnstatedIdleLimit; ///< How long the peer surely keeps it open.
     TimePoint m_idleSince{};
 
@@ -155,6 +156,7 @@
                 return error;
         }
         m_buffer.commit(m_stream.read_some(m_buffer.prepare(ReadBytes), error));
+        m_readAt = Clock::now();
         if (error == asio::error::eof) {
             error = {};
             m_parser->put_eof(error);
@@ -225,6 +227,7 @@
     http::read_header(state->m_stream, state->m_buffer, *state->m_parser, error);
     if (error)
         return state->fail(error, "read header");
+    state->m_readAt = Clock::now();
     // Several chunks that came together make one piece.
     state->m_parser->eager(true);
     HttpResponse response;
@@ -293,10 +296,17 @@
 {
     if (!m_state->m_open || Clock::now() - m_state->m_idleSince > m_state->m_idleLimit)
         return false;
+    // Nothing may come between answers: an end or a stray byte makes the connection useless.
+    return !readable();
+}
+
+bool HttpConnection::readable() const
+{
+    if (!m_state->m_open)
+        return false;
     char byte = 0;
     const int socket = m_state->m_stream.socket().native_handle();
-    // Nothing may come between answers: an end or a stray byte makes the connection useless.
-    return ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+    return ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || errno != EAGAIN;
 }
 
 bool HttpConnection::reused() const
@@ -324,6 +334,11 @@
     return m_state->m_sentAt;
 }
 
+TimePoint HttpConnection::lastReadAt() const
+{
+    return m_state->m_readAt;
+}
+
 void HttpConnection::beginIdle()
 {
     m_state->m_idleSince = Clock::now();
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -51,6 +51,11 @@
     bool refused() const;
     /// When the last request was sent.
     TimePoint sentAt() const;
+    /// When bytes of the peer were last read; zero: never.
+    TimePoint lastReadAt() const;
+    /// Whether bytes, or the end of the connection, have arrived and were not taken from the
+    /// socket.
+    bool readable() const;
 
 private:
     struct State;
--- a/policy/endpoint_directory.cpp
+++ b/policy/endpoint_directory.cpp
@@ -60,6 +60,21 @@
     return restarted;
 }
 
+std::vector<EndpointRecord> departedSince(const EndpointDirectory &before,
+                                          const EndpointDirectory &now)
+{
+    std::vector<EndpointRecord> departed;
+    for (const auto &[id, endpoint] : before.m_endpoints) {
+        const auto found = now.m_endpoints.find(id);
+        const bool listed =
+            found != now.m_endpoints.end() && found->second.m_startedMs <= endpoint.m_startedMs;
+        const bool inDoubt = now.m_unconfirmed.count(id) > 0 && before.m_unconfirmed.count(id) == 0;
+        if ((!listed || inDoubt) && now.m_unreadable.count(id) == 0)
+            departed.push_back(endpoint);
+    }
+    return departed;
+}
+
 void updateConfirmedPosition(EndpointDirectory &directory)
 {
     if (directory.isConfirmed())
--- a/policy/endpoint_directory.h
+++ b/policy/endpoint_directory.h
@@ -56,6 +56,11 @@
 std::vector<EndpointRecord> restartedSince(const EndpointDirectory &before,
                                            const EndpointDirectory &now);
 
+/// Endpoints of @p before whose processes @p now does not list any more, or that have become
+/// unconfirmed, as they were in @p before.
+std::vector<EndpointRecord> departedSince(const EndpointDirectory &before,
+                                          const EndpointDirectory &now);
+
 /// Records the current position as m_confirmedPosition if isConfirmed(). Call after each change of
 /// the position.
 void updateConfirmedPosition(EndpointDirectory &directory);
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -1,6 +1,7 @@
 /// Public header of the policy library: decisions as pure code, without I/O, clocks or threads.
 #pragma once
 
+#include "policy/absent_endpoint.h"
 #include "policy/admission.h"
 #include "policy/cells.h"
 #include "policy/choose_endpoint.h"
--- /dev/null
+++ b/relay/absence_monitor.cpp
@@ -0,0 +1,177 @@
+#include "relay/absence_monitor.h"
+
+#include "relay/relay_run.h"
+
+namespace stackquay {
+
+namespace {
+
+constexpr Millis CheckPeriod{ 50 };
+/// An endpoint answers a probe without a queue, within a round trip.
+constexpr Millis ProbeTimeout{ 200 };
+/// A probe that took this much longer than its timeout was delayed by this VM, and shows nothing.
+constexpr Millis MaxProbeDelay{ 100 };
+
+std::string_view listingName(ProcessListing listing)
+{
+    switch (listing) {
+    case ProcessListing::Listed:
+        return "listed";
+    case ProcessListing::Leaving:
+        return "leaving";
+    case ProcessListing::Absent:
+        return "absent";
+    case ProcessListing::Unconfirmed:
+        return "unconfirmed";
+    case ProcessListing::Replaced:
+        return "replaced";
+    }
+    return "";
+}
+
+uint64_t keyOf(const EndpointRecord &endpoint)
+{
+    return processKey(endpoint.m_id, endpoint.m_startedMs);
+}
+
+void logAbandoned(const PendingAttempt &attempt, const AbsenceEvidence &evidence)
+{
+    DecisionLine("relay", "attempt abandoned")
+        .text("request", attempt.m_run->id().str())
+        .text("endpoint", attempt.m_endpoint->m_id.str())
+        .text("listing", listingName(evidence.m_listing))
+        .number("silent_ms", std::chrono::duration_cast<Millis>(evidence.m_silence).count())
+        .number("probes_failed", evidence.m_failedProbes)
+        .flag("repeatable", evidence.m_repeatable)
+        .flag("holds_memory", evidence.m_holdsMemory)
+        .write();
+}
+
+} // namespace
+
+void AbsenceMonitor::noteDeparted(const std::vector<EndpointRecord> &departed)
+{
+    for (const EndpointRecord &endpoint : departed) {
+        if (endpoint.m_draining)
+            m_leaving.insert(endpoint.m_id);
+        const auto address = parseAddress(endpoint.m_address);
+        if (address && !m_node.acceptsWork(endpoint))
+            m_node.m_pool.forget(*address);
+    }
+    start();
+}
+
+void AbsenceMonitor::start()
+{
+    if (m_running)
+        return;
+    m_running = true;
+    spawnFiber([this] {
+        while (checkAttempts() && sleepFor(m_node.m_thread.context(), CheckPeriod)) { }
+        m_running = false;
+        m_leaving.clear();
+        std::erase_if(m_probes, [](const auto &entry) { return !entry.second.m_inProgress; });
+    });
+}
+
+bool AbsenceMonitor::checkAttempts()
+{
+    bool again = false;
+    for (RelayRun *run : m_node.m_runs) {
+        const auto attempt = run->pendingAttempt();
+        if (!attempt)
+            continue;
+        const AbsenceEvidence evidence = evidenceOf(*attempt);
+        again = again || evidence.m_holdsMemory || evidence.m_listing != ProcessListing::Listed;
+        // Bytes that have arrived are the endpoint's, whether or not it is still there.
+        if (attempt->m_readable)
+            continue;
+        switch (decideAbsence(m_settings, evidence)) {
+        case AbsenceDecision::Wait:
+            break;
+        case AbsenceDecision::Probe:
+            probe(*attempt->m_endpoint, attempt->m_engine);
+            break;
+        case AbsenceDecision::Abandon:
+            logAbandoned(*attempt, evidence);
+            m_node.m_metrics.m_abandoned.add();
+            // Other requests are still sent to a listed endpoint.
+            run->abandonAttempt(evidence.m_listing == ProcessListing::Listed ? FailureWeight::Strong
+                                                                             : FailureWeight::None);
+            break;
+        }
+    }
+    return again;
+}
+
+AbsenceEvidence AbsenceMonitor::evidenceOf(const PendingAttempt &attempt)
+{
+    const EndpointRecord &endpoint = *attempt.m_endpoint;
+    const TimePoint now = Clock::now();
+    AbsenceEvidence evidence;
+    evidence.m_repeatable = attempt.m_repeatable;
+    evidence.m_holdsMemory = attempt.m_holdsMemory;
+    evidence.m_silence = now - std::max(attempt.m_sentAt, attempt.m_lastReadAt);
+    const RelayViewPtr view = m_node.m_view.load();
+    if (view->m_directory)
+        evidence.m_listing =
+            listingOf(*view->m_directory, endpoint, m_leaving.count(endpoint.m_id) > 0);
+    const auto known = m_probes.find(keyOf(endpoint));
+    if (known == m_probes.end())
+        return evidence;
+    ProbeState &state = known->second;
+    if (attempt.m_lastReadAt > state.m_begunAt)
+        state.m_failed = 0;
+    evidence.m_failedProbes = state.m_failed;
+    if (state.m_endedAt != TimePoint{})
+        evidence.m_sinceProbe = now - state.m_endedAt;
+    return evidence;
+}
+
+void AbsenceMonitor::probe(const EndpointRecord &endpoint, bool engine)
+{
+    ProbeState &state = m_probes[keyOf(endpoint)];
+    if (state.m_inProgress)
+        return;
+    state.m_inProgress = true;
+    state.m_begunAt = Clock::now();
+    m_node.m_metrics.m_absenceProbes.add();
+    spawnFiber([this, endpoint, engine] {
+        const TimePoint begun = Clock::now();
+        const bool answered = answersProbe(endpoint, engine);
+        const TimePoint now = Clock::now();
+        const bool delayed = now - begun > ProbeTimeout + MaxProbeDelay;
+        ProbeState &ended = m_probes[keyOf(endpoint)];
+        ended.m_inProgress = false;
+        ended.m_endedAt = now;
+        if (answered)
+            ended.m_failed = 0;
+        else if (!delayed)
+            ++ended.m_failed;
+        DecisionLine("relay", "endpoint probed")
+            .text("endpoint", endpoint.m_id.str())
+            .flag("answered", answered)
+            .flag("delayed", delayed)
+            .number("ms", std::chrono::duration_cast<Millis>(now - begun).count())
+            .write();
+    });
+}
+
+bool AbsenceMonitor::answersProbe(const EndpointRecord &endpoint, bool engine)
+{
+    const auto address = parseAddress(endpoint.m_address);
+    if (!address)
+        return false;
+    if (!engine) {
+        HttpConnection connection(m_node.m_thread.context());
+        return connection.connect(*address, ProbeTimeout).has_value();
+    }
+    HttpCallOptions options;
+    options.m_timeout = ProbeTimeout;
+    constexpr bool OnNewConnection = false;
+    const auto answer = m_node.m_pool.call(*address, m_node.m_dialect.m_probe(endpoint.m_id),
+                                           options, OnNewConnection);
+    return answer && m_node.m_dialect.m_isAnswerOf(*answer, endpoint.m_id);
+}
+
+} // namespace stackquay
--- a/relay/memory_reservations.cpp
+++ b/relay/memory_reservations.cpp
@@ -18,12 +18,21 @@
 constexpr int RenewalsPerHold = 3;
 constexpr unsigned StatusGranted = 200;
 
-struct Reservation {
+} // namespace
+
+/// One reservation; shared with the fibers that renew and release it.
+struct MemoryReservations::Reservation {
     EndpointRecord m_endpoint; ///< The process that holds the memory.
     Address m_address;
     EngineReservation m_request;
+    bool m_renewing = false; ///< A renewal is in progress.
+    bool m_released = false; ///< Not needed any more: it is not renewed again.
 };
 
+namespace {
+
+using Reservation = MemoryReservations::Reservation;
+
 /// Sends nothing if another process runs under the endpoint's id now: it does not have the
 /// reservation.
 Result<HttpResponse> sendReservation(RelayNode &node, const Reservation &reservation,
@@ -43,50 +52,75 @@
     return std::min(hold, bounds.m_maxHold);
 }
 
-void release(RelayNode &node, const std::vector<Reservation> &reservations)
+void sendRelease(RelayNode &node, const Reservation &reservation)
 {
-    for (const Reservation &reservation : reservations) {
-        const auto answer = sendReservation(
-            node, reservation, node.m_dialect.m_release(reservation.m_request.m_ticket));
-        if (!answer) {
-            // The reservation expires by itself.
-            DecisionLine("relay", "release not answered")
-                .text("endpoint", reservation.m_endpoint.m_id.str())
-                .text("ticket", reservation.m_request.m_ticket)
-                .text("error", answer.error().m_message)
-                .write();
-        }
+    const auto answer = sendReservation(node, reservation,
+                                        node.m_dialect.m_release(reservation.m_request.m_ticket));
+    if (answer)
+        return;
+    // The reservation expires by itself.
+    DecisionLine("relay", "release not answered")
+        .text("endpoint", reservation.m_endpoint.m_id.str())
+        .text("ticket", reservation.m_request.m_ticket)
+        .text("error", answer.error().m_message)
+        .write();
+}
+
+/// Releases the reservation, after the end of a renewal in progress: one that overtakes the release
+/// would reserve the memory again. An endpoint that does not answer delays no other release.
+void release(RelayNode &node, const std::shared_ptr<Reservation> &reservation)
+{
+    reservation->m_released = true;
+    if (!reservation->m_renewing)
+        spawnFiber([&node, reservation] { sendRelease(node, *reservation); });
+}
+
+void renew(RelayNode &node, Reservation &reservation)
+{
+    reservation.m_renewing = true;
+    const auto answer =
+        sendReservation(node, reservation, node.m_dialect.m_reserve(reservation.m_request));
+    reservation.m_renewing = false;
+    if (reservation.m_released) {
+        sendRelease(node, reservation);
+        return;
     }
+    if (answer && answer->m_status == StatusGranted)
+        return;
+    DecisionLine("relay", "renewal not granted")
+        .text("endpoint", reservation.m_endpoint.m_id.str())
+        .text("ticket", reservation.m_request.m_ticket)
+        .number("status", answer ? answer->m_status : 0)
+        .write();
 }
 
-} // namespace
+/// Renews until the release. Each reservation has a fiber of its own, because an endpoint that does
+/// not answer would delay the renewals of the others beyond their hold time.
+void keepRenewing(RelayNode &node, const std::shared_ptr<Reservation> &reservation)
+{
+    spawnFiber([&node, reservation] {
+        const Millis period = reservation->m_request.m_hold / RenewalsPerHold;
+        while (sleepFor(node.m_thread.context(), period) && !reservation->m_released)
+            renew(node, *reservation);
+    });
+}
 
-struct MemoryReservations::Shared {
-    std::vector<Reservation> m_reservations;
-    bool m_released = false;
-};
+} // namespace
 
 MemoryReservations::MemoryReservations(RelayNode &node)
     : m_node(node)
-    , m_shared(std::make_shared<Shared>())
 { }
 
 MemoryReservations::~MemoryReservations()
 {
-    m_shared->m_released = true;
-    if (m_shared->m_reservations.empty())
-        return;
-    spawnFiber([&node = m_node, shared = m_shared] { release(node, shared->m_reservations); });
+    releaseAll();
 }
 
 void MemoryReservations::releaseAll()
 {
-    if (m_shared->m_reservations.empty())
-        return;
-    spawnFiber([&node = m_node, reservations = std::move(m_shared->m_reservations)] {
-        release(node, reservations);
-    });
-    m_shared->m_reservations.clear();
+    for (const auto &reservation : m_reservations)
+        release(m_node, reservation);
+    m_reservations.clear();
 }
 
 Status MemoryReservations::reserve(const std::vector<GangMember> &members, const bool &abandoned)
@@ -107,14 +141,13 @@
         if (!address)
             return tl::unexpected(address.error());
         const std::string ticket = fmt::format("{:x}-{}", m_node.m_origin, ++m_node.m_sequence);
-        const Reservation reservation{ member.m_endpoint,
-                                       *address,
-                                       { ticket, member.m_tokens, hold } };
-        const auto answer =
-            sendReservation(m_node, reservation, m_node.m_dialect.m_reserve(reservation.m_request));
+        const auto reservation = std::make_shared<Reservation>(
+            Reservation{ member.m_endpoint, *address, { ticket, member.m_tokens, hold } });
+        const auto answer = sendReservation(m_node, *reservation,
+                                            m_node.m_dialect.m_reserve(reservation->m_request));
         // Without an answer it may have been granted, so it is released with the others.
         if (!answer || answer->m_status == StatusGranted)
-            m_shared->m_reservations.push_back(reservation);
+            m_reservations.push_back(reservation);
         if (answer && answer->m_status == StatusGranted) {
             m_node.m_metrics.m_reservations.add();
             continue;
@@ -126,33 +159,16 @@
                          answer ? fmt::format("status {}", answer->m_status)
                                 : answer.error().m_message);
     }
-    if (m_shared->m_reservations.empty())
-        return {};
-    spawnFiber([&node = m_node, shared = m_shared, hold] {
-        while (sleepFor(node.m_thread.context(), hold / RenewalsPerHold) && !shared->m_released) {
-            for (const Reservation &reservation : shared->m_reservations) {
-                if (shared->m_released)
-                    return;
-                const auto answer = sendReservation(
-                    node, reservation, node.m_dialect.m_reserve(reservation.m_request));
-                if (answer && answer->m_status == StatusGranted)
-                    continue;
-                DecisionLine("relay", "renewal not granted")
-                    .text("endpoint", reservation.m_endpoint.m_id.str())
-                    .text("ticket", reservation.m_request.m_ticket)
-                    .number("status", answer ? answer->m_status : 0)
-                    .write();
-            }
-        }
-    });
+    for (const auto &reservation : m_reservations)
+        keepRenewing(m_node, reservation);
     return {};
 }
 
 std::string MemoryReservations::ticketFor(const EndpointId &endpoint) const
 {
-    for (const Reservation &reservation : m_shared->m_reservations) {
-        if (reservation.m_endpoint.m_id == endpoint)
-            return reservation.m_request.m_ticket;
+    for (const auto &reservation : m_reservations) {
+        if (reservation->m_endpoint.m_id == endpoint)
+            return reservation->m_request.m_ticket;
     }
     return {};
 }
--- a/relay/memory_reservations.h
+++ b/relay/memory_reservations.h
@@ -31,13 +31,16 @@
     /// The endpoint that did not grant the last reserve().
     const EndpointId &refusingEndpoint() const { return m_refusingEndpoint; }
 
+    /// Whether memory is reserved.
+    bool empty() const { return m_reservations.empty(); }
+
+    struct Reservation;
+
 private:
     void releaseAll();
 
-    struct Shared;
-
     RelayNode &m_node;
-    std::shared_ptr<Shared> m_shared;
+    std::vector<std::shared_ptr<Reservation>> m_reservations;
     EndpointId m_refusingEndpoint;
 };
 
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -117,9 +117,7 @@
     if (!address)
         return failAttempt(endpoint, FailureWeight::Strong, "no address");
     // A dead connection is also costly if memory is reserved on other endpoints meanwhile.
-    const bool holdsMemory = std::any_of(plan.m_members.begin(), plan.m_members.end(),
-                                         [](const GangMember &member) { return member.m_reserve; });
-    const bool proved = atMostOnce() || m_sentAttempts > 0 || holdsMemory;
+    const bool proved = atMostOnce() || m_sentAttempts > 0 || !reservations.empty();
     const Duration justUsed = m_node.m_settings.m_bounds.m_recoveryTime / JustUsedShare;
     auto connection =
         m_node.m_pool.acquire(*address, std::min<Duration>(remainingTime(), ConnectTimeout), false,
@@ -136,8 +134,17 @@
     if (m_clientDisconnected || m_node.m_stopping || remainingTime() <= Duration::zero()
         || cannotFinishInDrain() || !maySend())
         return AttemptResult::NotSent;
+    // It may have left while memory was reserved.
+    if (!m_node.acceptsWork(endpoint)) {
+        m_failureReason = "the endpoint has left";
+        return AttemptResult::NotSent;
+    }
     const bool reused = (*connection)->reused();
     m_connection = connection->get();
+    m_abandoned.reset();
+    m_holdsMemory = !reservations.empty();
+    if (m_holdsMemory)
+        m_node.m_absence.start();
     const HttpRequest request = upstreamRequest(plan, reservations);
     ++m_sentAttempts;
     ++m_mayHaveRun;
@@ -191,9 +198,33 @@
     return AttemptResult::Failed;
 }
 
+std::optional<PendingAttempt> RelayRun::pendingAttempt()
+{
+    if (!m_connection || m_abandoned)
+        return std::nullopt;
+    PendingAttempt attempt;
+    attempt.m_run = this;
+    attempt.m_endpoint = &m_plan->m_members.front().m_endpoint;
+    attempt.m_engine = isModelRequest();
+    attempt.m_repeatable = !atMostOnce();
+    attempt.m_holdsMemory = m_holdsMemory;
+    attempt.m_readable = m_connection->readable();
+    attempt.m_sentAt = m_connection->sentAt();
+    attempt.m_lastReadAt = m_connection->lastReadAt();
+    return attempt;
+}
+
+void RelayRun::abandonAttempt(FailureWeight weight)
+{
+    m_abandoned = weight;
+    m_connection->cancel();
+}
+
 RelayRun::AttemptResult RelayRun::failRead(const HttpConnection &connection,
                                            const EndpointRecord &endpoint, const Error &error)
 {
+    if (m_abandoned)
+        return failAttempt(endpoint, *m_abandoned, "the endpoint has gone");
     // Not a failure of the endpoint: if it is unreachable, the next connection shows it.
     if (connection.silent())
         return failSilentConnection(connection, endpoint);
--- a/relay/relay_codec.h
+++ b/relay/relay_codec.h
@@ -67,6 +67,10 @@
     HttpHeaders (*m_writeResponseHeaders)(const RequestId &request) = nullptr;
     HttpRequest (*m_reserve)(const EngineReservation &order) = nullptr;
     HttpRequest (*m_release)(const std::string &ticket) = nullptr;
+    /// A request that the engine process @p endpoint answers at once, whatever its load.
+    HttpRequest (*m_probe)(const EndpointId &endpoint) = nullptr;
+    /// Whether @p answer to m_probe may come from the process @p endpoint.
+    bool (*m_isAnswerOf)(const HttpResponse &answer, const EndpointId &endpoint) = nullptr;
 };
 
 } // namespace stackquay
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -192,15 +192,12 @@
     };
     hooks.m_onDirectory = [this](const EndpointDirectoryPtr &directory) {
         const EndpointDirectoryPtr before = m_node->m_view.load()->m_directory;
-        if (before) {
-            const auto restarted = restartedSince(*before, *directory);
-            if (!restarted.empty())
-                m_traffic.post([this, restarted] { m_node->forgetRestarted(restarted); });
-        }
         updateView([&](RelayView &view) {
             view.m_directory = directory;
             rebuildPools(view);
         });
+        if (before)
+            handleDepartures(*before, *directory);
         announceChange();
     };
     hooks.m_bestProof = [this] { return m_proof; };
@@ -214,6 +211,16 @@
 }
 
 /// Peers that do not watch the store receive changes only in this way.
+void RelayDaemon::handleDepartures(const EndpointDirectory &before, const EndpointDirectory &now)
+{
+    const auto restarted = restartedSince(before, now);
+    if (!restarted.empty())
+        m_traffic.post([this, restarted] { m_node->forgetRestarted(restarted); });
+    const auto departed = departedSince(before, now);
+    if (!departed.empty())
+        m_traffic.post([this, departed] { m_node->m_absence.noteDeparted(departed); });
+}
+
 void RelayDaemon::announceChange()
 {
     if (m_fleet->watchesStore())
--- a/relay/relay_daemon.h
+++ b/relay/relay_daemon.h
@@ -52,6 +52,8 @@
     void applyPeerState(const StateSnapshot &state, Duration callTime);
     void applyProof(const FreshnessProof &proof);
     void noteEra(uint64_t era);
+    /// Tells the traffic thread which endpoints restarted or left the directory.
+    void handleDepartures(const EndpointDirectory &before, const EndpointDirectory &now);
     void addQuarantined(const std::vector<SuspectReport> &quarantined);
     void updateView(const std::function<void(RelayView &)> &change);
     void handleReadyRequest(HttpExchange &exchange);
--- a/relay/relay_metrics.cpp
+++ b/relay/relay_metrics.cpp
@@ -31,6 +31,10 @@
     , m_blocked(
           registry.counter("stackquay_relay_barred_total",
                            "Requests not sent because endpoint processes had exited under them."))
+    , m_abandoned(registry.counter("stackquay_relay_attempts_abandoned_total",
+                                   "Attempts abandoned because their endpoint had gone."))
+    , m_absenceProbes(registry.counter("stackquay_relay_absence_probes_total",
+                                       "Probes of endpoints that may have gone."))
     , m_registry(registry)
 {
     for (size_t kind = 0; kind < KindCount; ++kind) {
--- a/relay/relay_metrics.h
+++ b/relay/relay_metrics.h
@@ -38,6 +38,8 @@
     Counter &m_processExits;
     Counter &m_quarantined;
     Counter &m_blocked;
+    Counter &m_abandoned;
+    Counter &m_absenceProbes;
 
 private:
     static constexpr size_t KindCount = 3;
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -178,6 +178,17 @@
     return !isEarlierProcess(*view->m_directory, endpoint);
 }
 
+bool RelayNode::acceptsWork(const EndpointRecord &endpoint) const
+{
+    const RelayViewPtr view = m_view.load();
+    if (!view->m_directory)
+        return true;
+    const auto &endpoints = view->m_directory->m_endpoints;
+    const auto found = endpoints.find(endpoint.m_id);
+    return found != endpoints.end() && !found->second.m_draining
+           && !isEarlierProcess(*view->m_directory, endpoint);
+}
+
 std::vector<LoadMessage> RelayNode::ownLoads(TimePoint now) const
 {
     std::vector<LoadMessage> messages;
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <unordered_set>
 
+#include "relay/absence_monitor.h"
 #include "relay/load_exchange.h"
 #include "relay/relay_codec.h"
 #include "relay/relay_metrics.h"
@@ -44,6 +45,7 @@
     std::unordered_map<ServiceId, PoolSplit> m_splits;
     LoadExchange m_loads;
     SuspectTracker m_suspects;
+    AbsenceMonitor m_absence{ *this };
     /// Watches the store for other VMs, and forwards updates to other cells.
     bool m_watchesStore = false;
     /// See SuspectHooks. Set before the thread starts.
@@ -69,6 +71,8 @@
     void forgetRestarted(const std::vector<EndpointRecord> &restarted);
     /// Whether @p endpoint describes the current process, as far as is known.
     bool isCurrentProcess(const EndpointRecord &endpoint) const;
+    /// Whether the directory still lists the process of @p endpoint, and it is not draining.
+    bool acceptsWork(const EndpointRecord &endpoint) const;
     /// Sends the requests that this VM has in flight or queued, and all suspects, to a new VM.
     void sendState(const Address &peer);
     /// The engines of @p pool that currently serve strict streams.
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -16,6 +16,20 @@
 
 namespace stackquay {
 
+class RelayRun;
+
+/// The attempt whose response a run waits for.
+struct PendingAttempt {
+    RelayRun *m_run = nullptr;
+    const EndpointRecord *m_endpoint = nullptr; ///< The process that answers.
+    bool m_engine = false; ///< It is a model engine.
+    bool m_repeatable = false; ///< The request may run again.
+    bool m_holdsMemory = false; ///< Memory is reserved for the attempt.
+    bool m_readable = false; ///< Bytes have arrived that were not read yet.
+    TimePoint m_sentAt{};
+    TimePoint m_lastReadAt{}; ///< When bytes last came on its connection; zero: never.
+};
+
 class RelayRun
 {
 public:
@@ -29,6 +43,12 @@
     /// Cancels the attempt in progress at shutdown, so that run() answers with the current outcome.
     /// Call it after m_stopping is set, on the traffic thread.
     void abortForShutdown();
+    const RequestId &id() const { return m_head.m_id; }
+    /// Nothing if the run does not wait for a response. Valid until its fiber runs.
+    std::optional<PendingAttempt> pendingAttempt();
+    /// Ends the attempt in progress, because its endpoint has gone. @p weight: the evidence against
+    /// the endpoint. Call on the traffic thread.
+    void abandonAttempt(FailureWeight weight);
 
 private:
     /// The result of one attempt.
@@ -161,6 +181,9 @@
     uint32_t m_placements = 0;
     HttpConnection *m_connection = nullptr; ///< Connection of the attempt in progress.
     const GangPlan *m_plan = nullptr; ///< Placement of the attempt in progress.
+    bool m_holdsMemory = false; ///< Memory is reserved for the attempt in progress.
+    /// Set if the attempt in progress was abandoned, see abandonAttempt().
+    std::optional<FailureWeight> m_abandoned;
     LoadKey m_loadKey;
     std::optional<uint64_t> m_lastEvent; ///< Last event id that the client received.
     /// An endpoint's error response, used if no attempt succeeds.
--- a/tests/platform/gone_test.cpp
+++ b/tests/platform/gone_test.cpp
@@ -1,4 +1,10 @@
 // Clients that left before their request was read, placed or sent: it reaches no endpoint.
+// Endpoints that have gone while an attempt waits there.
+
+#include <sys/socket.h>
+
+#include <netinet/in.h>
+#include <unistd.h>
 
 #include <gtest/gtest.h>
 
@@ -46,6 +52,78 @@
             arrivals += (**one).arrivals();
         return arrivals;
     }
+
+    WorkerStandin &worker(size_t index) { return **m_deployment.m_workers[index]; }
+
+    void setModes(WorkerMode mode)
+    {
+        for (size_t i = 0; i < m_deployment.m_workers.size(); ++i)
+            worker(i).setMode(mode);
+    }
+
+    /// Waits until an endpoint has the only request; its index.
+    size_t awaitArrival()
+    {
+        EXPECT_TRUE(eventually([&] { return arrivals() == 1; }));
+        for (size_t i = 0; i < m_deployment.m_workers.size(); ++i) {
+            if (worker(i).arrivals() > 0)
+                return i;
+        }
+        return 0;
+    }
+
+    /// Removes the entry of the endpoint @p gone; the others serve.
+    TimePoint removeEntry(size_t gone)
+    {
+        for (size_t i = 0; i < m_deployment.m_workers.size(); ++i) {
+            if (i != gone)
+                worker(i).setMode(WorkerMode::Serve);
+        }
+        m_deployment.m_store->remove("servers", worker(gone).id());
+        return Clock::now();
+    }
+
+    void forbidRetries()
+    {
+        m_deployment.m_bounds.m_retrySlack = 0;
+        m_deployment.m_bounds.m_retryRatio = 0;
+    }
+
+    bool allReleased() const
+    {
+        return std::all_of(m_deployment.m_workers.begin(), m_deployment.m_workers.end(),
+                           [](const auto &one) { return (**one).reservations().empty(); });
+    }
+};
+
+/// A host without power: it has taken one connection, and answers no packet any more.
+class DarkHost
+{
+public:
+    DarkHost()
+        : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        const auto *bound = reinterpret_cast<const sockaddr *>(&address);
+        // The queue of connections that are not accepted has one place.
+        if (::bind(m_socket, bound, size) != 0 || ::listen(m_socket, 0) != 0)
+            std::abort();
+        ::getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &size);
+        m_address = { "127.0.0.1", ntohs(address.sin_port) };
+    }
+
+    ~DarkHost() { ::close(m_socket); }
+    DarkHost(const DarkHost &) = delete;
+    DarkHost &operator=(const DarkHost &) = delete;
+
+    const Address &address() const { return m_address; }
+
+private:
+    int m_socket;
+    Address m_address;
 };
 
 TEST_F(GoneTest, RequestThatWaitedToBeReadReachesNoEndpoint)
@@ -128,5 +206,119 @@
     EXPECT_LT(Clock::now() - removed, LeftToRelease);
 }
 
+// The same once its first events have come: the stream is resumed elsewhere, each event once.
+TEST_F(GoneTest, StreamWithFirstEventsLeavesAnEngineThatIsGone)
+{
+    start(3, "model");
+    setModes(WorkerMode::SilentMidway);
+    auto answer = m_deployment.begin(streamRequest("/long/x"));
+    const TimePoint removed = removeEntry(awaitArrival());
+    const ClientAnswer whole = answer.get();
+    EXPECT_EQ(whole.m_status, 200u);
+    EXPECT_TRUE(whole.m_whole);
+    EXPECT_EQ(whole.m_body, eventsText(1, 6));
+    EXPECT_LT(Clock::now() - removed, LeftToRelease);
+}
+
+// The process came back under its id: gone, and still in the directory.
+TEST_F(GoneTest, StreamLeavesAProcessThatWasReplacedUnderItsId)
+{
+    start(3, "model");
+    setModes(WorkerMode::SilentMidway);
+    auto answer = m_deployment.begin(streamRequest("/long/x"));
+    const size_t gone = awaitArrival();
+    for (size_t i = 0; i < 3; ++i) {
+        if (i != gone)
+            worker(i).setMode(WorkerMode::Serve);
+    }
+    m_deployment.describeProcess(*m_deployment.m_workers[gone], "model", 2'000);
+    const TimePoint replaced = Clock::now();
+    EXPECT_EQ(answer.get().m_body, eventsText(1, 6));
+    EXPECT_LT(Clock::now() - replaced, LeftToRelease);
+}
+
+// Without a repeat nothing can come any more: the answer is due at once, and promises nothing.
+TEST_F(GoneTest, StreamThatMayNotBeRepeatedEndsWithItsEngine)
+{
+    forbidRetries();
+    start(6, "model");
+    setModes(WorkerMode::Silent);
+    ClientRequest request = streamRequest("/long/x", 250'000);
+    request.m_deadline = Seconds(20);
+    auto answer = m_deployment.begin(request);
+    const TimePoint removed = removeEntry(awaitArrival());
+    EXPECT_EQ(answer.get().m_status, 502u);
+    EXPECT_LT(Clock::now() - removed, LeftToRelease);
+    EXPECT_TRUE(eventually([&] { return allReleased(); }, Millis(500)));
+    EXPECT_EQ(arrivals(), 1u);
+}
+
+TEST_F(GoneTest, RequestThatMayRunOnceEndsWithItsService)
+{
+    DarkHost dark;
+    m_deployment.declare(1);
+    HostedWorker &service = m_deployment.addWorker("plain");
+    m_deployment.describe(service, "plain", "ready", dark.address());
+    m_deployment.addDaemon();
+    ASSERT_TRUE(m_deployment.awaitReady());
+    auto answer = m_deployment.begin(unsafeRequest());
+    std::this_thread::sleep_for(Millis(200));
+    m_deployment.m_store->remove("servers", service->id());
+    const TimePoint removed = Clock::now();
+    EXPECT_EQ(answer.get().m_status, 502u);
+    EXPECT_LT(Clock::now() - removed, Millis(1'200));
+}
+
+// An endpoint that leaves finishes its requests after its entry was removed, and one that is cut
+// off from the store alone loses its entry while it serves.
+TEST_F(GoneTest, EngineThatAnswersFinishesAfterItsEntryIsRemoved)
+{
+    start(3, "model");
+    for (size_t i = 0; i < 3; ++i)
+        worker(i).setEvents(3, Millis(600));
+    auto answer = m_deployment.begin(streamRequest("/long/x"));
+    const size_t first = awaitArrival();
+    removeEntry(first);
+    EXPECT_EQ(answer.get().m_body, eventsText(1, 3));
+    EXPECT_EQ(arrivals(), 1u);
+    EXPECT_GT(worker(first).reports(), 0u);
+}
+
+TEST_F(GoneTest, ServiceThatAnswersFinishesAfterItsEntryIsRemoved)
+{
+    forbidRetries();
+    start(1, "plain");
+    worker(0).setDelay(Millis(1'500));
+    auto answer = m_deployment.begin(unsafeRequest());
+    removeEntry(awaitArrival());
+    EXPECT_EQ(answer.get().m_status, 200u);
+    EXPECT_EQ(arrivals(), 1u);
+}
+
+// An entry expires shortly before memory must be free, and VMs hear of it later still.
+TEST_F(GoneTest, MemoryIsReleasedInTimeWhileTheSilentEngineIsStillListed)
+{
+    forbidRetries();
+    const std::string slow = R"(,{"name":"slow","host":"host.example","pathPrefix":"/slow/",)"
+                             R"("kind":"stream","timeoutMs":12000,"aimMs":200,"maxAttempts":2,)"
+                             R"("priority":1,"service":"model","resumable":true,"gapAimMs":1000})";
+    m_deployment.declare(1, slow);
+    for (size_t i = 0; i < 6; ++i)
+        m_deployment.addWorker("model");
+    m_deployment.addDaemon();
+    ASSERT_TRUE(m_deployment.awaitReady());
+    setModes(WorkerMode::Silent);
+    ClientRequest request = streamRequest("/slow/x", 250'000);
+    request.m_deadline = Seconds(12);
+    auto answer = m_deployment.begin(request);
+    awaitArrival();
+    const TimePoint silent = Clock::now();
+    EXPECT_TRUE(
+        eventually([&] { return allReleased(); }, m_deployment.m_bounds.m_memoryReleaseTime));
+    std::cout << "[ MEASURED ] memory held for a silent engine: "
+              << std::chrono::duration_cast<Millis>(Clock::now() - silent).count() << " ms\n";
+    EXPECT_EQ(answer.get().m_status, 502u);
+}
+
 } // namespace
 } // namespace stackquay::platform
