Retries avoid the data centre whose connection just failed

Some ended after one attempt as the retry budget refused, which no line said.

Cause: the second attempt left out the endpoint that had failed, not the way to it. A request whose connection failed now prefers endpoints of other data centres, and falls back to all if none of them can take it. 'retry refused by the budget' tells the other case.

Ruled out: more attempts, which the route bounds.

--- a/policy/ejection.cpp
+++ b/policy/ejection.cpp
@@ -89,4 +89,15 @@
     return static_cast<double>(healthy.size()) >= least ? healthy : pool;
 }
 
+std::vector<EndpointRecord> reachableEndpoints(std::vector<EndpointRecord> pool,
+                                               const std::unordered_set<DataCentreId> &unreachable)
+{
+    const auto cutOff = [&](const EndpointRecord &endpoint) {
+        return unreachable.count(endpoint.m_dataCentre) > 0;
+    };
+    if (!std::all_of(pool.begin(), pool.end(), cutOff))
+        std::erase_if(pool, cutOff);
+    return pool;
+}
+
 } // namespace stackquay
--- a/policy/ejection.h
+++ b/policy/ejection.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/core.h"
@@ -79,4 +80,10 @@
 std::vector<EndpointRecord> healthyEndpoints(const EjectionTable &table,
                                              std::vector<EndpointRecord> pool, TimePoint now);
 
+/// The endpoints of @p pool outside the data centres @p unreachable; all of @p pool if there are
+/// none. A cut makes all endpoints behind it fail at once, so a request whose connection failed is
+/// not sent across the same cut again while it can go elsewhere.
+std::vector<EndpointRecord> reachableEndpoints(std::vector<EndpointRecord> pool,
+                                               const std::unordered_set<DataCentreId> &unreachable);
+
 } // namespace stackquay
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -123,6 +123,7 @@
         m_node.m_pool.acquire(*address, std::min<Duration>(remainingTime(), ConnectTimeout), false,
                               proved ? justUsed : Duration::max());
     if (!connection) {
+        m_unreachable.insert(endpoint.m_dataCentre);
         failAttempt(endpoint, FailureWeight::Strong, connection.error().m_message);
         return AttemptResult::NotSent;
     }
@@ -232,8 +233,10 @@
     // Expiry of the request's deadline is not a failure of the endpoint.
     if (silent && Clock::now() >= m_deadline)
         return AttemptResult::Failed;
-    if (!silent)
+    if (!silent) {
+        m_unreachable.insert(endpoint.m_dataCentre);
         noteBrokenResponse(connection, endpoint);
+    }
     return failAttempt(endpoint, FailureWeight::Weak, silent ? "silent" : error.m_message);
 }
 
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -46,6 +46,16 @@
 std::optional<GangPlan> RelayRun::choosePlan(DisruptionPolicy care, const PoolState &seen)
 {
     const std::vector<EndpointRecord> pool = candidates();
+    const auto reachable = reachableEndpoints(pool, m_unreachable);
+    auto plan = planAmong(reachable, care, seen);
+    if (!plan && reachable.size() < pool.size())
+        plan = planAmong(pool, care, seen);
+    return plan;
+}
+
+std::optional<GangPlan> RelayRun::planAmong(const std::vector<EndpointRecord> &pool,
+                                            DisruptionPolicy care, const PoolState &seen)
+{
     const auto places =
         m_node.m_suspects.eligibleEndpoints(m_suspectHandling, pool, m_node.m_ledger);
     auto plan = planWithin(places, care, seen);
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -223,7 +223,15 @@
         return false;
     if (m_mayHaveRun > 0 && (atMostOnce() || m_mayHaveRun >= m_route->m_maxAttempts))
         return false;
-    return m_sentAttempts == 0 || m_node.spendRetryBudget(m_serviceId, *m_view);
+    if (m_sentAttempts == 0 || m_node.spendRetryBudget(m_serviceId, *m_view))
+        return true;
+    DecisionLine("relay", "retry refused by the budget")
+        .text("request", m_head.m_id.str())
+        .text("service", m_serviceId.str())
+        .number("arrivals", m_sentAttempts)
+        .number("left_ms", std::chrono::duration_cast<Millis>(remainingTime()).count())
+        .write();
+    return false;
 }
 
 Duration RelayRun::clientPatience() const
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -102,6 +102,9 @@
     /// draining daemon stops.
     bool cannotFinishInDrain() const;
     std::vector<EndpointRecord> candidates() const;
+    /// The same among the endpoints of @p pool, preferring those without other suspects.
+    std::optional<GangPlan> planAmong(const std::vector<EndpointRecord> &pool,
+                                      DisruptionPolicy care, const PoolState &seen);
     /// A placement on endpoints of @p pool; nothing if none can take the request.
     std::optional<GangPlan> planWithin(const std::vector<EndpointRecord> &pool,
                                        DisruptionPolicy care, const PoolState &seen);
@@ -176,6 +179,8 @@
     uint32_t m_urgency = 0;
     TimePoint m_deadline{};
     std::unordered_set<EndpointId> m_triedEndpoints; ///< Endpoints that are not tried again.
+    /// Data centres to which a connection of this request failed.
+    std::unordered_set<DataCentreId> m_unreachable;
     uint32_t m_sentAttempts = 0; ///< Attempts sent to an endpoint.
     uint32_t m_mayHaveRun = 0; ///< Of those, the ones that were not refused.
     uint32_t m_placements = 0;
--- a/tests/platform/gone_test.cpp
+++ b/tests/platform/gone_test.cpp
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <unistd.h>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "relayed_test.h"
@@ -320,5 +321,35 @@
     EXPECT_EQ(answer.get().m_status, 502u);
 }
 
+// Users' callers got 502 within milliseconds, with seconds left: both attempts of a request went
+// across the same cut, which resets the connections to all endpoints of a data centre.
+TEST_F(GoneTest, RequestIsNotRepeatedAcrossTheCutThatEndedIt)
+{
+    constexpr size_t BehindTheCut = 6;
+    constexpr size_t Workers = 8;
+    m_deployment.declare(1);
+    for (size_t i = 0; i < Workers; ++i) {
+        HostedWorker &added = m_deployment.addWorker("plain");
+        m_deployment.m_store->put("servers", added->id(),
+                                  fmt::format(R"({{"service":"plain","address":"{}","zone":"{}",)"
+                                              R"("version":"v1","slots":8,"state":"ready",)"
+                                              R"("coldLeftMs":0,"seq":1}})",
+                                              toString(added.address()),
+                                              i < BehindTheCut ? "cut" : "far"));
+        if (i < BehindTheCut)
+            added->setMode(WorkerMode::CutBefore);
+    }
+    m_deployment.addDaemon();
+    ASSERT_TRUE(m_deployment.awaitReady());
+    std::vector<std::future<ClientAnswer>> answers;
+    for (size_t i = 0; i < 2 * Workers; ++i) {
+        ClientRequest request;
+        request.m_id = fmt::format("request-{}", i);
+        answers.push_back(m_deployment.begin(request));
+    }
+    for (auto &answer : answers)
+        EXPECT_EQ(answer.get().m_status, 200u);
+}
+
 } // namespace
 } // namespace stackquay::platform
