--- a/tests/policy/gang_plan_test.cpp
+++ b/tests/policy/gang_plan_test.cpp
@@ -586,11 +586,8 @@
     load.m_longestLatencyTarget = Seconds(3);
     for (const size_t engines : { 4, 18, 75, 300 }) {
         load.m_engines = engines;
-        const auto isCheap = [&](double tokens) {
-            return isCheapPrefill(settings, declaredEngineCosts(), load, tokens);
-        };
-        EXPECT_TRUE(isCheap(45'000)) << engines;
-        EXPECT_FALSE(isCheap(150'000)) << engines;
+        EXPECT_TRUE(isCheapPrefill(settings, declaredEngineCosts(), load, 45'000)) << engines;
+        EXPECT_FALSE(isCheapPrefill(settings, declaredEngineCosts(), load, 150'000)) << engines;
     }
 }
 
