Evacuated data centres get nothing new, and cold endpoints what they tolerate

Cause: the adapter read the cold field of an entry only to check it, and nothing knew evacuations.

Evacuations: store watchers watch one more kind, only where the operator declares a time for evacuations; the list travels with the state that peers fetch, ordered by its position in the store. Pools leave evacuated endpoints out, an attempt checks all its endpoints again before it is sent, a VM is not ready without the list, and a service without any other endpoint is refused at once. A restored store that lacks an entry does not end it for the restore grace time.

Cold endpoints, ways weighed: an equal part for each VM (below one request above 26 VMs); one VM that hands the allowance out (a call before each request, and two holders in a partition); some VMs by rendezvous hashing, each with a fixed rate, taken: no messages, and the sum does not depend on the number of VMs. At most a third of the limit is given out, as VMs may choose the senders from three sets of peers at once.

Tests: EvacuationsTest, ColdEndpointTest (virtual time, 1 to 1,970 VMs, also in three groups that do not hear each other), EvacuationTest (daemons).

Not part of this: the age in answers to probes, the slower pace of cold endpoints in predictions.

--- a/policy/endpoint_directory.cpp
+++ b/policy/endpoint_directory.cpp
@@ -43,6 +43,12 @@
 
 } // namespace
 
+bool isCold(const EndpointDirectory &directory, const EndpointId &endpoint, TimePoint now)
+{
+    const auto found = directory.m_coldUntil.find(endpoint);
+    return found != directory.m_coldUntil.end() && now < found->second;
+}
+
 bool isEarlierProcess(const EndpointDirectory &directory, const EndpointRecord &record)
 {
     const auto known = directory.m_endpoints.find(record.m_id);
--- a/policy/endpoint_directory.h
+++ b/policy/endpoint_directory.h
@@ -24,9 +24,11 @@
     /// Start of its process, Unix time in ms; zero: unknown. A restarted process has none of the
     /// state (requests, cache) of the earlier one with the same id.
     uint64_t m_startedMs = 0;
+    uint32_t m_coldLeftMs = 0; ///< How long it remained cold when its entry was written.
 
     bool operator==(const EndpointRecord &) const = default;
-    MSGPACK_DEFINE(m_id, m_service, m_address, m_dataCentre, m_slots, m_draining, m_startedMs)
+    MSGPACK_DEFINE(m_id, m_service, m_address, m_dataCentre, m_slots, m_draining, m_startedMs,
+                   m_coldLeftMs)
 };
 
 using EndpointMap = std::unordered_map<EndpointId, EndpointRecord>;
@@ -43,12 +45,17 @@
     /// The snapshot is complete: no live endpoint is missing. False for a while after the first
     /// listing, as the store may have lost entries in an earlier outage.
     bool m_complete = true;
+    /// Until when endpoints are cold, see policy/cold_endpoint.h; those without an entry are not.
+    std::unordered_map<EndpointId, TimePoint> m_coldUntil;
     StorePosition m_confirmedPosition; ///< Last position at which isConfirmed() held.
 
     /// Whether the snapshot is complete and has no unconfirmed endpoints.
     bool isConfirmed() const { return m_complete && m_unconfirmed.empty(); }
 };
 
+/// Whether @p endpoint is cold at @p now.
+bool isCold(const EndpointDirectory &directory, const EndpointId &endpoint, TimePoint now);
+
 /// Whether @p directory has a later process under the id of @p record.
 bool isEarlierProcess(const EndpointDirectory &directory, const EndpointRecord &record);
 
--- a/policy/route_table.h
+++ b/policy/route_table.h
@@ -54,6 +54,8 @@
     ServiceId m_id;
     /// Max connections to one endpoint from all VMs together; zero: not declared.
     uint32_t m_maxConnections = 0;
+    /// Requests per second that a cold endpoint tolerates; zero: any number.
+    double m_coldRequestsPerSecond = 0;
     std::optional<EngineCosts> m_engine; ///< No value: a plain service.
     /// The longest latency target of the routes to this service; set by indexRoutes().
     Millis m_longestLatencyTarget{ 0 };
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -51,6 +51,9 @@
 /// A VM keeps the store watcher role this long after another one took it over, until that one has
 /// started.
 constexpr Millis WatcherHandover{ 1'500 };
+/// The VMs that a VM finds in the store reply to its first heartbeat within this time. VMs that
+/// start together find each other by the heartbeats of the later ones.
+constexpr Millis PeerLearningTime{ 2'000 };
 constexpr Millis RemovePoll{ 5 };
 /// After the store was restored, all VMs write their objects again within this time: 1,200 VMs make
 /// about 400 writes a second, and all objects are there within 5 s.
@@ -121,6 +124,8 @@
     std::vector<Address> m_contacts; ///< Load message addresses in other cells.
     TimePoint m_lastElected{}; ///< The last time that it was elected store watcher.
     TimePoint m_electableFrom{}; ///< It is not elected earlier.
+    TimePoint m_listedAt{}; ///< When the objects of the other VMs were first read.
+    bool m_peersKnown = false; ///< See FleetView.
     RandomEngine m_random{ std::random_device{}() };
 
     void heartbeatLoop();
@@ -141,6 +146,7 @@
     void applyProof(Peer &peer);
     bool hasNoPeers() const;
     void expire();
+    void notePeersKnown();
     void publish();
     bool inCell(const VmId &vm) const;
     void noteFleetSize(uint32_t vms);
@@ -205,6 +211,7 @@
         updateWatcherRole();
         sendHeartbeats(m_heartbeatRounds++ % ProbeDeadEveryPeriods == 0);
         expire();
+        notePeersKnown();
         fetchIfBehind();
     } while (sleepFor(m_thread.context(), period()) && !m_gone);
 }
@@ -320,6 +327,14 @@
         publish();
 }
 
+void FleetLink::State::notePeersKnown()
+{
+    if (m_peersKnown || m_listedAt == TimePoint{} || Clock::now() - m_listedAt < PeerLearningTime)
+        return;
+    m_peersKnown = true;
+    publish();
+}
+
 void FleetLink::State::publish()
 {
     FleetView fleet;
@@ -327,9 +342,12 @@
     fleet.m_contacts = m_contacts;
     fleet.m_watchesStore = m_watchesStore;
     for (const auto &[address, peer] : m_peers) {
-        if (peer.m_alive)
-            fleet.m_loads.push_back(peer.m_lastHeartbeat.m_loads);
+        if (!peer.m_alive)
+            continue;
+        fleet.m_loads.push_back(peer.m_lastHeartbeat.m_loads);
+        fleet.m_peers.push_back(peer.m_lastHeartbeat.m_vm);
     }
+    fleet.m_peersKnown = m_peersKnown;
     const auto live = static_cast<uint32_t>(fleet.m_loads.size()) + 1;
     m_maxVms = std::max(m_maxVms, live * m_cell.m_cells);
     fleet.m_vms = m_maxVms;
@@ -376,7 +394,7 @@
         const bool settles = !own.m_directoryConfirmed && its.m_directoryConfirmed
                              && its.m_directory >= own.m_lastConfirmed;
         return its.m_routesVersion > own.m_routesVersion || its.m_directory > own.m_directory
-               || settles;
+               || its.m_evacuations > own.m_evacuations || settles;
     };
     std::vector<const Peer *> local;
     std::vector<const Peer *> remote;
@@ -414,7 +432,8 @@
 bool FleetLink::State::fetchState(const Address &peer)
 {
     const StateSummary own = m_hooks.m_ownSummary();
-    const StateRequest request{ own.m_routesVersion, own.m_directory, !own.m_directoryConfirmed };
+    const StateRequest request{ own.m_routesVersion, own.m_directory, !own.m_directoryConfirmed,
+                                own.m_evacuations };
     const TimePoint begun = Clock::now();
     const auto reply = m_client.call(peer, request, FetchTimeout);
     if (!reply) {
@@ -496,6 +515,8 @@
     if (!page)
         return false;
     noteFleetSize(static_cast<uint32_t>(page->m_objects.size()));
+    if (m_listedAt == TimePoint{})
+        m_listedAt = Clock::now();
     chooseContacts(page->m_objects);
     bool hasLocalPeers = false;
     Millis electionDelay = MinElectionDelay;
--- a/relay/fleet_link.h
+++ b/relay/fleet_link.h
@@ -28,6 +28,9 @@
 struct FleetView {
     std::vector<Address> m_loads; ///< Load message addresses of the peers in this VM's cell.
     std::vector<Address> m_contacts; ///< Load message addresses of some VMs in each other cell.
+    std::vector<VmId> m_peers; ///< The live peers in this VM's cell.
+    /// This VM has had time to find its peers since it started.
+    bool m_peersKnown = false;
     bool m_watchesStore = false;
     uint32_t m_vms = 1; ///< The highest number of VMs known at the same time.
     CellView m_cell;
--- a/relay/fleet_messages.h
+++ b/relay/fleet_messages.h
@@ -18,9 +18,10 @@
     /// The last directory position at which no endpoint was unconfirmed.
     StorePosition m_lastConfirmed;
     bool m_reachesStore = true; ///< Whether recent calls to the store succeeded.
+    StorePosition m_evacuations; ///< Position of the list of evacuated data centres.
 
     MSGPACK_DEFINE(m_routesVersion, m_proved, m_proofAgeMs, m_proofEra, m_era, m_directory,
-                   m_directoryConfirmed, m_lastConfirmed, m_reachesStore)
+                   m_directoryConfirmed, m_lastConfirmed, m_reachesStore, m_evacuations)
 };
 
 /// Sent to each peer by UDP periodically, and after changes.
@@ -56,10 +57,14 @@
     /// Endpoints whose entries cannot be decoded; not in m_endpoints.
     std::vector<EndpointId> m_unreadable;
     bool m_complete = false; ///< The list is complete.
+    /// Cold endpoints of m_endpoints, and how much longer they are cold, in milliseconds.
+    std::vector<std::pair<EndpointId, uint32_t>> m_cold;
+    /// Empty if the caller's list is not older: see StateSummary::m_evacuations.
+    std::vector<DataCentreId> m_evacuated;
     std::vector<SuspectReport> m_quarantined; ///< A new VM needs these before it becomes ready.
 
     MSGPACK_DEFINE(m_summary, m_routesSpec, m_hasEndpoints, m_endpoints, m_unconfirmed,
-                   m_unreadable, m_complete, m_quarantined)
+                   m_unreadable, m_complete, m_quarantined, m_cold, m_evacuated)
 };
 
 struct StateRequest {
@@ -70,8 +75,9 @@
     StorePosition m_directory;
     /// The caller has unconfirmed endpoints, and requests the endpoints in any case.
     bool m_inDoubt = false;
+    StorePosition m_evacuations;
 
-    MSGPACK_DEFINE(m_routesVersion, m_directory, m_inDoubt)
+    MSGPACK_DEFINE(m_routesVersion, m_directory, m_inDoubt, m_evacuations)
 };
 
 } // namespace stackquay
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -135,11 +135,20 @@
     if (m_clientDisconnected || m_node.m_stopping || remainingTime() <= Duration::zero()
         || cannotFinishInDrain() || !maySend())
         return AttemptResult::NotSent;
-    // It may have left while memory was reserved.
-    if (!m_node.acceptsWork(endpoint)) {
-        m_failureReason = "the endpoint has left";
+    // One may have left, or been evacuated, while memory was reserved.
+    const bool accepted =
+        std::all_of(plan.m_members.begin(), plan.m_members.end(), [this](const GangMember &member) {
+            return m_node.acceptsWork(member.m_endpoint);
+        });
+    if (!accepted) {
+        m_failureReason = "an endpoint has left";
         return AttemptResult::NotSent;
     }
+    if (!m_node.withinColdLimit(*m_node.m_view.load(), endpoint.m_id)) {
+        m_failureReason = "the endpoint is cold";
+        return AttemptResult::NotSent;
+    }
+    m_node.countColdSend(endpoint.m_id);
     const bool reused = (*connection)->reused();
     m_connection = connection->get();
     m_abandoned.reset();
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -87,7 +87,8 @@
     m_store = std::make_unique<KindStore>(m_control.context(), storeSettings(settings), seed,
                                           adapter.m_objects);
     m_follower =
-        std::make_unique<StoreFollower>(m_control, *m_store, adapter.m_source, followerHooks());
+        std::make_unique<StoreFollower>(m_control, *m_store, adapter.m_source, followerHooks(),
+                                        settings.m_bounds.m_evacuationTime > Millis(0));
     m_fleet = std::make_unique<FleetLink>(m_control, settings, m_node->m_origin, *m_store,
                                           adapter.m_source, fleetHooks());
     m_quarantineRecord = std::make_unique<QuarantineRecord>(
@@ -182,6 +183,7 @@
             view.m_routes = routes;
             view.m_proof = proofFor(routes->m_version, m_proof);
             rebuildPools(view);
+            rebuildColdRates(view, m_settings.m_vm);
         });
         m_clients->setLimits(serverLimits(routes->m_limits, m_settings));
         announceChange();
@@ -195,11 +197,19 @@
         updateView([&](RelayView &view) {
             view.m_directory = directory;
             rebuildPools(view);
+            rebuildColdRates(view, m_settings.m_vm);
         });
         if (before)
             handleDepartures(*before, *directory);
         announceChange();
     };
+    hooks.m_onEvacuations = [this](const Evacuations &evacuations) {
+        updateView([&](RelayView &view) {
+            view.m_evacuations = evacuations;
+            rebuildPools(view);
+        });
+        announceChange();
+    };
     hooks.m_bestProof = [this] { return m_proof; };
     hooks.m_watchesStore = [this] { return m_fleet->watchesStore(); };
     // The kernel does not count suspended time for a timer that is already set. Setting a new one
@@ -268,6 +278,7 @@
         own.m_directoryConfirmed = view->m_directory->isConfirmed();
         own.m_lastConfirmed = view->m_directory->m_confirmedPosition;
     }
+    own.m_evacuations = view->m_evacuations.m_position;
     own.m_reachesStore = m_follower->reachesStore();
     return own;
 }
@@ -300,6 +311,9 @@
     state.m_quarantined = m_quarantined;
     if (state.m_summary.m_routesVersion > request.m_routesVersion)
         state.m_routesSpec = m_packedRoutes;
+    if (state.m_summary.m_evacuations > request.m_evacuations)
+        state.m_evacuated.assign(view->m_evacuations.m_dataCentres.begin(),
+                                 view->m_evacuations.m_dataCentres.end());
     const bool later = state.m_summary.m_directory > request.m_directory;
     if (!view->m_directory || !(later || request.m_inDoubt))
         return state;
@@ -311,6 +325,12 @@
     const auto &unreadable = view->m_directory->m_unreadable;
     state.m_unreadable.assign(unreadable.begin(), unreadable.end());
     state.m_complete = view->m_directory->m_complete;
+    const TimePoint now = Clock::now();
+    for (const auto &[id, until] : view->m_directory->m_coldUntil) {
+        const auto left = std::chrono::duration_cast<Millis>(until - now);
+        if (left > Millis(0))
+            state.m_cold.emplace_back(id, static_cast<uint32_t>(left.count()));
+    }
     return state;
 }
 
@@ -330,8 +350,11 @@
         m_traffic.post([this, origin] { m_node->forgetProcess(origin); });
     };
     hooks.m_onFleetChange = [this](const FleetView &fleet) {
-        updateView([&fleet](RelayView &view) {
+        updateView([this, &fleet](RelayView &view) {
             view.m_vms = fleet.m_vms;
+            view.m_peers = fleet.m_peers;
+            view.m_peersKnown = fleet.m_peersKnown;
+            rebuildColdRates(view, m_settings.m_vm);
             if (view.m_cell == fleet.m_cell)
                 return;
             view.m_cell = fleet.m_cell;
@@ -369,6 +392,9 @@
                 .text("error", spec.error().m_message)
                 .write();
     }
+    Evacuations evacuations{ summary.m_evacuations, {} };
+    evacuations.m_dataCentres.insert(state.m_evacuated.begin(), state.m_evacuated.end());
+    m_follower->mergePeerEvacuations(evacuations);
     if (!state.m_hasEndpoints)
         return;
     EndpointDirectory directory;
@@ -378,6 +404,9 @@
     directory.m_unreadable.insert(state.m_unreadable.begin(), state.m_unreadable.end());
     for (const EndpointRecord &endpoint : state.m_endpoints)
         directory.m_endpoints[endpoint.m_id] = endpoint;
+    const TimePoint now = Clock::now();
+    for (const auto &[id, leftMs] : state.m_cold)
+        directory.m_coldUntil[id] = now + Millis(leftMs);
     m_follower->mergePeerDirectory(directory);
 }
 
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -186,9 +186,29 @@
     const auto &endpoints = view->m_directory->m_endpoints;
     const auto found = endpoints.find(endpoint.m_id);
     return found != endpoints.end() && !found->second.m_draining
+           && !view->m_evacuations.contains(endpoint.m_dataCentre)
            && !isEarlierProcess(*view->m_directory, endpoint);
 }
 
+bool RelayNode::withinColdLimit(const RelayView &view, const EndpointId &endpoint)
+{
+    const TimePoint now = Clock::now();
+    if (!isColdLimited(view, endpoint, now))
+        return true;
+    const auto rate = view.m_coldRates.find(endpoint);
+    return rate != view.m_coldRates.end()
+           && hasColdBudget(m_coldSends[endpoint], rate->second, now);
+}
+
+void RelayNode::countColdSend(const EndpointId &endpoint)
+{
+    const TimePoint now = Clock::now();
+    if (isColdLimited(*m_view.load(), endpoint, now))
+        m_coldSends[endpoint].push_back(now);
+    else
+        m_coldSends.erase(endpoint);
+}
+
 std::vector<LoadMessage> RelayNode::ownLoads(TimePoint now) const
 {
     std::vector<LoadMessage> messages;
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -71,8 +71,13 @@
     void forgetRestarted(const std::vector<EndpointRecord> &restarted);
     /// Whether @p endpoint describes the current process, as far as is known.
     bool isCurrentProcess(const EndpointRecord &endpoint) const;
-    /// Whether the directory still lists the process of @p endpoint, and it is not draining.
+    /// Whether the directory still lists the process of @p endpoint, and it is neither draining nor
+    /// evacuated.
     bool acceptsWork(const EndpointRecord &endpoint) const;
+    /// Whether this VM may send a request to @p endpoint now: always unless it is cold.
+    bool withinColdLimit(const RelayView &view, const EndpointId &endpoint);
+    /// Counts a request to @p endpoint, which is cold.
+    void countColdSend(const EndpointId &endpoint);
     /// Sends the requests that this VM has in flight or queued, and all suspects, to a new VM.
     void sendState(const Address &peer);
     /// The engines of @p pool that currently serve strict streams.
@@ -90,6 +95,7 @@
     bool mayRetry(const ServiceId &service, const RelayView &view);
 
 private:
+    std::unordered_map<EndpointId, ColdSends> m_coldSends;
     TimePoint m_readySince{}; ///< Time of the first placement; the ledger was incomplete before.
 
     void receive(const LoadMessage &message);
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -26,7 +26,8 @@
         return {};
     std::vector<EndpointRecord> untried;
     for (const EndpointRecord &endpoint : *pool) {
-        if (m_triedEndpoints.count(endpoint.m_id) == 0)
+        if (m_triedEndpoints.count(endpoint.m_id) == 0
+            && m_node.withinColdLimit(*view, endpoint.m_id))
             untried.push_back(endpoint);
     }
     return healthyEndpoints(m_node.m_ejections, std::move(untried), Clock::now());
@@ -195,6 +196,10 @@
                 return std::nullopt;
             }
         }
+        if (isEvacuated()) {
+            m_failureReason = EvacuatedReason;
+            return std::nullopt;
+        }
         if (!announced)
             m_node.announceWaiting(m_loadKey, gapLimitMs(), queued);
         announced = true;
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -223,6 +223,10 @@
         return false;
     if (m_mayHaveRun > 0 && (atMostOnce() || m_mayHaveRun >= m_route->m_maxAttempts))
         return false;
+    if (isEvacuated()) {
+        m_failureReason = EvacuatedReason;
+        return false;
+    }
     if (m_sentAttempts == 0 || m_node.spendRetryBudget(m_serviceId, *m_view))
         return true;
     DecisionLine("relay", "retry refused by the budget")
@@ -234,6 +238,11 @@
     return false;
 }
 
+bool RelayRun::isEvacuated() const
+{
+    return m_node.m_view.load()->m_evacuatedServices.count(m_serviceId) > 0;
+}
+
 Duration RelayRun::clientPatience() const
 {
     return std::max({ MinClientPatience, m_route->m_latencyTarget * PatienceAims,
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -60,6 +60,7 @@
         Failed, ///< It may have run.
     };
 
+    static constexpr const char *EvacuatedReason = "its data centres are evacuated";
     /// Delay between placement attempts while no endpoint can take the request.
     static constexpr Millis PlacementRetryDelay{ 60 };
 
@@ -84,6 +85,8 @@
     PoolState poolState() const;
     std::optional<GangPlan> choosePlan(DisruptionPolicy care, const PoolState &seen);
     bool isModelRequest() const;
+    /// Whether all endpoints of the service are in evacuated data centres.
+    bool isEvacuated() const;
     uint32_t gapLimitMs() const { return static_cast<uint32_t>(m_route->m_gapLimit.count()); }
     /// Blocks until this request may start, and returns its placement. Nothing if the request ends
     /// before, or, for a request that is never queued, if no endpoint can take it.
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "net/net.h"
+#include "policy/cold_endpoint.h"
 
 namespace stackquay {
 
@@ -16,6 +17,10 @@
     Seconds m_grace{ 8 }; ///< Time from SIGTERM to SIGKILL.
     /// Time within which service has to recover after a disturbance.
     Millis m_recoveryTime{ 3'000 };
+    /// Time from the store's acknowledgement of an evacuation until no more requests are sent to
+    /// the data centre; zero: operators do not evacuate any.
+    Millis m_evacuationTime{ 0 };
+    ColdLimits m_coldLimits;
     Millis m_maxHold{ 20'000 }; ///< Maximum hold time of a memory reservation.
     /// Time within which memory must be free after its last use.
     Millis m_memoryReleaseTime{ 4'000 };
--- a/relay/relay_view.h
+++ b/relay/relay_view.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "policy/policy.h"
@@ -21,7 +22,19 @@
     uint32_t m_vms = 1; ///< The highest number of VMs known at the same time, including this one.
     DrainPlan m_drain;
 
-    bool complete() const { return m_routes && m_directory; }
+    Evacuations m_evacuations;
+    /// Services whose endpoints are all in evacuated data centres.
+    std::unordered_set<ServiceId> m_evacuatedServices;
+    std::vector<VmId> m_peers; ///< The live VMs of the cell, without this one.
+    bool m_peersKnown = false; ///< See FleetView.
+    /// Requests per second that this VM may send to a cold endpoint; none to those without entry.
+    std::unordered_map<EndpointId, uint32_t> m_coldRates;
+
+    bool complete() const
+    {
+        return m_routes && m_directory
+               && (m_evacuations.m_position.known() || m_bounds.m_evacuationTime == Millis(0));
+    }
 };
 
 using RelayViewPtr = std::shared_ptr<const RelayView>;
@@ -29,8 +42,13 @@
 /// The endpoints of @p service that accept new work; null if there are none.
 const std::vector<EndpointRecord> *poolOf(const RelayView &view, const ServiceId &service);
 
-/// Rebuilds the pools from the directory: endpoints that are not draining, sorted by id. Call it
-/// after a change of the directory, the routes or the cell.
+/// Rebuilds the pools from the directory: endpoints that are neither draining nor evacuated, sorted
+/// by id. Call it after a change of the directory, the routes, the evacuations or the cell.
 void rebuildPools(RelayView &view);
+/// Rebuilds m_coldRates for the VM @p self. Call it after a change of the directory, the routes or
+/// the peers.
+void rebuildColdRates(RelayView &view, const VmId &self);
+/// Whether requests to @p endpoint are limited to m_coldRates at @p now.
+bool isColdLimited(const RelayView &view, const EndpointId &endpoint, TimePoint now);
 
 } // namespace stackquay
--- a/relay/store_follower.cpp
+++ b/relay/store_follower.cpp
@@ -10,6 +10,7 @@
 /// later. Routes are also read for their proofs.
 constexpr Millis EndpointsWatchTimeout{ 2'500 };
 constexpr Millis RoutesWatchTimeout{ 8'000 };
+constexpr Millis EvacuationsWatchTimeout{ 8'000 };
 /// Older proofs are renewed. Because of the jitter, mostly one of the store watchers reads and the
 /// others receive its proof.
 constexpr Millis WatcherProofAge{ 900 };
@@ -78,8 +79,10 @@
 } // namespace
 
 struct StoreFollower::State : std::enable_shared_from_this<StoreFollower::State> {
-    State(FiberThread &thread, KindStore &store, const RelaySource &source, FollowerHooks hooks)
-        : m_thread(thread)
+    State(FiberThread &thread, KindStore &store, const RelaySource &source, FollowerHooks hooks,
+          bool followEvacuations)
+        : m_followEvacuations(followEvacuations)
+        , m_thread(thread)
         , m_store(store)
         , m_source(source)
         , m_hooks(std::move(hooks))
@@ -101,6 +104,7 @@
         TimePoint m_seen{};
     };
 
+    const bool m_followEvacuations;
     FiberThread &m_thread;
     KindStore &m_store;
     const RelaySource &m_source;
@@ -109,6 +113,7 @@
     RouteTablePtr m_routes;
     std::string m_routesSpec; ///< The last decoded spec; an unchanged one is not decoded again.
     EndpointDirectory m_directory;
+    Evacuations m_evacuations;
     std::unordered_map<EndpointId, ProcessStart> m_processStarts;
     /// Unconfirmed endpoints, and when they are removed.
     std::unordered_map<EndpointId, TimePoint> m_pendingRemovals;
@@ -136,6 +141,10 @@
     void applyRouteEvents(const KindEvents &events);
     bool listEndpoints(StorePosition &position);
     void applyEndpointEvents(const KindEvents &events);
+    bool listEvacuations(StorePosition &position);
+    void applyEvacuationEvents(const KindEvents &events);
+    void applyEvacuations(const Evacuations &evacuations);
+    void noteColdPeriod(const EndpointRecord &endpoint);
     void applyEndpoint(const KindObject &object);
     void dropUnreadable(const KindObject &object, const Error &error);
     void forgetOldProcesses();
@@ -245,7 +254,11 @@
                               &State::listRoutes, &State::applyRouteEvents };
     const WatchedKind endpoints{ m_source.m_endpointsKind, EndpointsWatchTimeout, ChangeBatchDelay,
                                  &State::listEndpoints, &State::applyEndpointEvents };
-    for (const WatchedKind &followed : { routes, endpoints }) {
+    const WatchedKind evacuations{ m_source.m_evacuationsKind, EvacuationsWatchTimeout, Millis(0),
+                                   &State::listEvacuations, &State::applyEvacuationEvents };
+    for (const WatchedKind &followed : { routes, endpoints, evacuations }) {
+        if (followed.m_kind == m_source.m_evacuationsKind && !m_followEvacuations)
+            continue;
         spawnFiber([self = shared_from_this(), followed, generation] {
             self->watch(followed, generation);
         });
@@ -386,6 +399,67 @@
     }
 }
 
+bool StoreFollower::State::listEvacuations(StorePosition &position)
+{
+    const auto page = m_store.list(m_source.m_evacuationsKind);
+    if (!page)
+        return false;
+    noteAnswer();
+    Evacuations listed;
+    listed.m_position = page->m_position;
+    for (const KindObject &object : page->m_objects)
+        listed.m_dataCentres.insert(DataCentreId(object.m_name));
+    // The restored store may lack an evacuation until operators write it again.
+    if (Clock::now() < m_restoreGraceUntil)
+        listed.m_dataCentres.insert(m_evacuations.m_dataCentres.begin(),
+                                    m_evacuations.m_dataCentres.end());
+    position = page->m_position;
+    applyEvacuations(listed);
+    return true;
+}
+
+void StoreFollower::State::applyEvacuationEvents(const KindEvents &events)
+{
+    if (events.m_events.empty())
+        return;
+    Evacuations changed = m_evacuations;
+    changed.m_position = events.m_position;
+    for (const KindEvent &event : events.m_events) {
+        const DataCentreId dataCentre(event.m_object.m_name);
+        if (event.m_removed)
+            changed.m_dataCentres.erase(dataCentre);
+        else
+            changed.m_dataCentres.insert(dataCentre);
+    }
+    applyEvacuations(changed);
+}
+
+void StoreFollower::State::applyEvacuations(const Evacuations &evacuations)
+{
+    const std::set<DataCentreId> before = m_evacuations.m_dataCentres;
+    if (!mergeEvacuations(m_evacuations, evacuations))
+        return;
+    if (before != m_evacuations.m_dataCentres) {
+        std::string names;
+        for (const DataCentreId &dataCentre : m_evacuations.m_dataCentres)
+            names += (names.empty() ? "" : " ") + dataCentre.str();
+        DecisionLine("store", "evacuations changed")
+            .text("data_centres", names)
+            .number("era", static_cast<int64_t>(m_evacuations.m_position.m_era))
+            .number("revision", static_cast<int64_t>(m_evacuations.m_position.m_revision))
+            .write();
+    }
+    m_hooks.m_onEvacuations(m_evacuations);
+}
+
+void StoreFollower::State::noteColdPeriod(const EndpointRecord &endpoint)
+{
+    if (endpoint.m_coldLeftMs > 0)
+        m_directory.m_coldUntil[endpoint.m_id] = Clock::now() + Millis(endpoint.m_coldLeftMs);
+    else
+        m_directory.m_coldUntil.erase(endpoint.m_id);
+}
+
 void StoreFollower::State::applyEndpoint(const KindObject &object)
 {
     auto endpoint = m_source.m_decodeEndpoint(object);
@@ -406,7 +480,9 @@
         .text("address", endpoint->m_address)
         .flag("draining", endpoint->m_draining)
         .number("started_ms", static_cast<int64_t>(endpoint->m_startedMs))
+        .number("cold_ms", endpoint->m_coldLeftMs)
         .write();
+    noteColdPeriod(*endpoint);
     known = std::move(*endpoint);
 }
 
@@ -550,6 +626,8 @@
 void StoreFollower::State::publishDirectory(const StorePosition &position)
 {
     m_directory.m_position = std::max(m_directory.m_position, position);
+    std::erase_if(m_directory.m_coldUntil,
+                  [now = Clock::now()](const auto &entry) { return entry.second <= now; });
     updateConfirmedPosition(m_directory);
     scheduleRemovals();
     m_hooks.m_onDirectory(std::make_shared<const EndpointDirectory>(m_directory));
@@ -598,8 +676,8 @@
 }
 
 StoreFollower::StoreFollower(FiberThread &thread, KindStore &store, const RelaySource &source,
-                             FollowerHooks hooks)
-    : m_state(std::make_shared<State>(thread, store, source, std::move(hooks)))
+                             FollowerHooks hooks, bool followEvacuations)
+    : m_state(std::make_shared<State>(thread, store, source, std::move(hooks), followEvacuations))
 { }
 
 StoreFollower::~StoreFollower() = default;
@@ -626,6 +704,11 @@
     m_state->publishDirectory(m_state->m_directory.m_position);
 }
 
+void StoreFollower::mergePeerEvacuations(const Evacuations &evacuations)
+{
+    m_state->applyEvacuations(evacuations);
+}
+
 void StoreFollower::noteProofGap(Duration gap)
 {
     if (gap > OutageGap)
--- a/relay/store_follower.h
+++ b/relay/store_follower.h
@@ -19,6 +19,7 @@
     std::function<void(const RouteTablePtr &routes, const std::string &spec)> m_onRoutes;
     std::function<void(const FreshnessProof &proof)> m_onProof;
     std::function<void(const EndpointDirectoryPtr &directory)> m_onDirectory;
+    std::function<void(const Evacuations &evacuations)> m_onEvacuations;
     /// Returns the latest known proof, of this VM or its peers.
     std::function<FreshnessProof()> m_bestProof;
     /// Returns whether this VM watches the store for others, or has no peers.
@@ -31,8 +32,9 @@
 {
 public:
     /// @p thread is the control thread; it must be stopped before the follower is destroyed.
+    /// @p followEvacuations: operators may evacuate data centres.
     StoreFollower(FiberThread &thread, KindStore &store, const RelaySource &source,
-                  FollowerHooks hooks);
+                  FollowerHooks hooks, bool followEvacuations);
     ~StoreFollower();
     StoreFollower(const StoreFollower &) = delete;
     StoreFollower &operator=(const StoreFollower &) = delete;
@@ -43,6 +45,8 @@
     void mergePeerRoutes(const std::string &spec);
     /// Merges what a peer's directory has newer or confirmed. On the thread.
     void mergePeerDirectory(const EndpointDirectory &directory);
+    /// Applies a peer's list of evacuated data centres if it was read later. On the thread.
+    void mergePeerEvacuations(const Evacuations &evacuations);
     /// To be called when the latest proof is newer by @p gap than the one before: a long gap means
     /// an outage of the store, or of this VM's connections to all others. On the thread.
     void noteProofGap(Duration gap);
