Peers receive the changed endpoints instead of the whole directory

Cause: a VM that was behind fetched all endpoint records for any change, about 100 KB in a fleet of 999 endpoints.

Ruled out: more batching at the watcher (a change must be known within seconds, and the cost would still grow with the directory); a patch by bytes (each VM would need the same encoding).

Each VM keeps the ids changed after each position of the store, up to 1,024 in all, and answers with the records changed since the caller's position. The caller compares a digest, and asks for all endpoints if it differs. A directory with unconfirmed endpoints is sent whole, as before.

Also: a log line with the number of calls to the store by kind, because neither logs nor metrics told which calls a start consists of.

--- a/policy/policy.h
+++ b/policy/policy.h
@@ -10,6 +10,7 @@
 #include "policy/cost_model.h"
 #include "policy/crash_suspects.h"
 #include "policy/deadline.h"
+#include "policy/directory_history.h"
 #include "policy/dispatch_plan.h"
 #include "policy/dispatch_queue.h"
 #include "policy/drain.h"
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -120,6 +120,7 @@
     bool m_removing = false; ///< The removal of this VM's object is in progress.
     bool m_gone = false; ///< Sends and accepts no more heartbeats after the last one.
     bool m_fetching = false;
+    bool m_needsAllEndpoints = false; ///< The changes received last did not apply.
     bool m_watchesStore = false;
     std::vector<Address> m_contacts; ///< Load message addresses in other cells.
     TimePoint m_lastElected{}; ///< The last time that it was elected store watcher.
@@ -432,7 +433,8 @@
 bool FleetLink::State::fetchState(const Address &peer)
 {
     const StateSummary own = m_hooks.m_ownSummary();
-    const StateRequest request{ own.m_routesVersion, own.m_directory, !own.m_directoryConfirmed,
+    const StateRequest request{ own.m_routesVersion, own.m_directory,
+                                !own.m_directoryConfirmed || m_needsAllEndpoints,
                                 own.m_evacuations };
     const TimePoint begun = Clock::now();
     const auto reply = m_client.call(peer, request, FetchTimeout);
@@ -443,8 +445,8 @@
             .write();
         return false;
     }
-    m_hooks.m_onState(*reply, Clock::now() - begun);
-    return true;
+    m_needsAllEndpoints = !m_hooks.m_onState(*reply, Clock::now() - begun);
+    return !m_needsAllEndpoints;
 }
 
 void FleetLink::State::updateWatcherRole()
--- a/relay/fleet_link.h
+++ b/relay/fleet_link.h
@@ -41,8 +41,9 @@
     std::function<StateSummary()> m_ownSummary;
     /// Returns this VM's state, as far as the caller's is older.
     std::function<StateSnapshot(const StateRequest &request)> m_answerRequest;
-    /// Called with a peer's state after a fetch; @p callTime is the duration of the call.
-    std::function<void(const StateSnapshot &state, Duration callTime)> m_onState;
+    /// Called with a peer's state after a fetch; @p callTime is the duration of the call. Returns
+    /// false if the changes of the endpoints do not apply, so that all endpoints are needed.
+    std::function<bool(const StateSnapshot &state, Duration callTime)> m_onState;
     /// Called with the freshness proof in a peer's heartbeat.
     std::function<void(const FreshnessProof &proof)> m_onProof;
     /// Called with the store era that a peer knows.
--- a/relay/fleet_messages.h
+++ b/relay/fleet_messages.h
@@ -53,6 +53,10 @@
     /// False: the endpoints are omitted, because the caller's directory is not older.
     bool m_hasEndpoints = false;
     std::vector<EndpointRecord> m_endpoints;
+    /// If known, m_endpoints holds only what changed since this position, the caller's.
+    StorePosition m_changesFrom;
+    std::vector<EndpointId> m_removed; ///< Endpoints that have gone since m_changesFrom.
+    uint64_t m_digest = 0; ///< digestOf() all endpoints, if m_changesFrom is known.
     std::vector<EndpointId> m_unconfirmed; ///< Those of m_endpoints that are unconfirmed.
     /// Endpoints whose entries cannot be decoded; not in m_endpoints.
     std::vector<EndpointId> m_unreadable;
@@ -64,7 +68,8 @@
     std::vector<SuspectReport> m_quarantined; ///< A new VM needs these before it becomes ready.
 
     MSGPACK_DEFINE(m_summary, m_routesSpec, m_hasEndpoints, m_endpoints, m_unconfirmed,
-                   m_unreadable, m_complete, m_quarantined, m_cold, m_evacuated)
+                   m_unreadable, m_complete, m_quarantined, m_cold, m_evacuated, m_changesFrom,
+                   m_removed, m_digest)
 };
 
 struct StateRequest {
@@ -73,7 +78,8 @@
 
     uint64_t m_routesVersion = 0; ///< The caller's version.
     StorePosition m_directory;
-    /// The caller has unconfirmed endpoints, and requests the endpoints in any case.
+    /// The caller has unconfirmed endpoints, or could not apply the changes that it received, and
+    /// requests all endpoints in any case.
     bool m_inDoubt = false;
     StorePosition m_evacuations;
 
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -37,6 +37,7 @@
 /// The follower has its own backoff; the outage mode of the store client would notice a recovery
 /// later.
 constexpr unsigned NoOutageMode = 1'000'000;
+constexpr Millis StoreLogPeriod{ 5'000 };
 constexpr const char *MetricsPath = "/metrics";
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusUnavailable = 503;
@@ -151,6 +152,7 @@
     m_control.post([this] {
         m_follower->start();
         m_fleet->start();
+        spawnFiber([this] { logStoreCalls(); });
     });
     m_traffic.start();
     DecisionLine("main", "started")
@@ -162,6 +164,31 @@
     return {};
 }
 
+void RelayDaemon::logStoreCalls()
+{
+    StoreCounters logged;
+    while (sleepFor(m_control.context(), StoreLogPeriod)) {
+        const StoreCounters now = m_store->counters();
+        const auto callsOf = [](const StoreCounters &counters) {
+            return counters.m_gets + counters.m_puts + counters.m_removes + counters.m_lists
+                   + counters.m_watches;
+        };
+        if (callsOf(now) == callsOf(logged))
+            continue;
+        logged = now;
+        DecisionLine("store", "calls to the store")
+            .number("gets", static_cast<int64_t>(now.m_gets))
+            .number("puts", static_cast<int64_t>(now.m_puts))
+            .number("removes", static_cast<int64_t>(now.m_removes))
+            .number("lists", static_cast<int64_t>(now.m_lists))
+            .number("watches", static_cast<int64_t>(now.m_watches))
+            .number("failures", static_cast<int64_t>(now.m_failures))
+            .number("throttled", static_cast<int64_t>(now.m_throttled))
+            .flag("watches_store", m_fleet->watchesStore())
+            .write();
+    }
+}
+
 void RelayDaemon::updateView(const std::function<void(RelayView &)> &change)
 {
     RelayView view = *m_node->m_view.load();
@@ -199,6 +226,7 @@
             rebuildPools(view);
             rebuildColdRates(view, m_settings.m_vm);
         });
+        recordChanges(m_history, before ? *before : EndpointDirectory{}, *directory);
         if (before)
             handleDepartures(*before, *directory);
         announceChange();
@@ -318,8 +346,18 @@
     if (!view->m_directory || !(later || request.m_inDoubt))
         return state;
     state.m_hasEndpoints = true;
-    for (const auto &[id, endpoint] : view->m_directory->m_endpoints)
-        state.m_endpoints.push_back(endpoint);
+    std::optional<DirectoryChanges> changes;
+    if (!request.m_inDoubt && view->m_directory->isConfirmed())
+        changes = changesSince(m_history, *view->m_directory, request.m_directory);
+    if (changes) {
+        state.m_changesFrom = changes->m_from;
+        state.m_endpoints = std::move(changes->m_changed);
+        state.m_removed = std::move(changes->m_removed);
+        state.m_digest = digestOf(view->m_directory->m_endpoints);
+    } else {
+        for (const auto &[id, endpoint] : view->m_directory->m_endpoints)
+            state.m_endpoints.push_back(endpoint);
+    }
     const auto &doubtful = view->m_directory->m_unconfirmed;
     state.m_unconfirmed.assign(doubtful.begin(), doubtful.end());
     const auto &unreadable = view->m_directory->m_unreadable;
@@ -342,7 +380,7 @@
         return answerStateRequest(request);
     };
     hooks.m_onState = [this](const StateSnapshot &state, Duration callTime) {
-        applyPeerState(state, callTime);
+        return applyPeerState(state, callTime);
     };
     hooks.m_onProof = [this](const FreshnessProof &proof) { applyProof(proof); };
     hooks.m_era = [this](uint64_t era) { noteEra(era); };
@@ -374,7 +412,30 @@
     return hooks;
 }
 
-void RelayDaemon::applyPeerState(const StateSnapshot &state, Duration callTime)
+std::optional<EndpointMap> RelayDaemon::peerEndpoints(const StateSnapshot &state) const
+{
+    if (!state.m_changesFrom.known()) {
+        EndpointMap all;
+        for (const EndpointRecord &endpoint : state.m_endpoints)
+            all[endpoint.m_id] = endpoint;
+        return all;
+    }
+    const EndpointDirectoryPtr own = m_node->m_view.load()->m_directory;
+    if (!own)
+        return std::nullopt;
+    auto endpoints =
+        applyChanges(*own, { state.m_changesFrom, state.m_endpoints, state.m_removed });
+    if (endpoints && digestOf(*endpoints) != state.m_digest) {
+        DecisionLine("peers", "directory differs from a peer's")
+            .number("revision", static_cast<int64_t>(state.m_summary.m_directory.m_revision))
+            .number("endpoints", static_cast<int64_t>(endpoints->size()))
+            .write();
+        return std::nullopt;
+    }
+    return endpoints;
+}
+
+bool RelayDaemon::applyPeerState(const StateSnapshot &state, Duration callTime)
 {
     // Before the routes, because they make this VM ready, and because their proof may be newer than
     // this VM's own.
@@ -396,18 +457,21 @@
     evacuations.m_dataCentres.insert(state.m_evacuated.begin(), state.m_evacuated.end());
     m_follower->mergePeerEvacuations(evacuations);
     if (!state.m_hasEndpoints)
-        return;
+        return true;
+    auto endpoints = peerEndpoints(state);
+    if (!endpoints)
+        return false;
     EndpointDirectory directory;
+    directory.m_endpoints = std::move(*endpoints);
     directory.m_position = summary.m_directory;
     directory.m_complete = state.m_complete;
     directory.m_unconfirmed.insert(state.m_unconfirmed.begin(), state.m_unconfirmed.end());
     directory.m_unreadable.insert(state.m_unreadable.begin(), state.m_unreadable.end());
-    for (const EndpointRecord &endpoint : state.m_endpoints)
-        directory.m_endpoints[endpoint.m_id] = endpoint;
     const TimePoint now = Clock::now();
     for (const auto &[id, leftMs] : state.m_cold)
         directory.m_coldUntil[id] = now + Millis(leftMs);
     m_follower->mergePeerDirectory(directory);
+    return true;
 }
 
 void RelayDaemon::handleReadyRequest(HttpExchange &exchange)
--- a/relay/relay_daemon.h
+++ b/relay/relay_daemon.h
@@ -47,9 +47,14 @@
     FleetHooks fleetHooks();
     StateSummary ownSummary() const;
     StateSnapshot answerStateRequest(const StateRequest &request) const;
+    /// Logs the calls to the store since the start, periodically while their number changes.
+    void logStoreCalls();
     void announceChange();
     void packRoutes(const std::string &spec);
-    void applyPeerState(const StateSnapshot &state, Duration callTime);
+    /// Returns false if the changes of the endpoints in @p state do not apply.
+    bool applyPeerState(const StateSnapshot &state, Duration callTime);
+    /// The endpoints in @p state; nothing if they are changes that do not apply.
+    std::optional<EndpointMap> peerEndpoints(const StateSnapshot &state) const;
     void applyProof(const FreshnessProof &proof);
     void noteEra(uint64_t era);
     /// Tells the traffic thread which endpoints restarted or left the directory.
@@ -77,6 +82,7 @@
     std::vector<SuspectReport>
         m_quarantined; ///< Last report of the traffic thread. Control thread.
     uint64_t m_era = 0; ///< The highest known store era. Control thread.
+    DirectoryHistory m_history; ///< Of the directory in the view. Control thread.
     std::string m_packedRoutes; ///< The routes as stored, compressed for peers. Control thread.
     /// The latest known proof, possibly for a routes version that this VM does not have yet.
     /// Control thread.
