The ablest VMs follow the store after a start, and slow ones wait longer for them

Cause: a VM that starts becomes a store watcher after 1.2 s at most if it has heard of none. At 0.12 cores a VM needs longer than that to read the list of the others and to hear a watcher.

Ruled out: a higher limit for the wait alone (slow VMs stay slow against it, and fast ones recover later). Now the order is by processor share, then by name, the step for each VM that precedes is divided by the own share, and the limit is half of the time within which service has to recover.

WatchDutyTest.StartOfTheWholeFleetMakesFewWatchers plays starts of 60, 300, 985 and 1,970 VMs in virtual time; at most two a data centre and cell.

--- a/policy/watch_duty.h
+++ b/policy/watch_duty.h
@@ -16,12 +16,21 @@
     DataCentreId m_dataCentre;
     bool m_eligible = true; ///< Sends heartbeats and can reach the store, as far as is known.
     bool m_isWatcher = false; ///< Watches the store now, as reported by itself.
+    double m_processorShare = 1; ///< Cores that the platform grants the VM.
 };
 
 /// Whether @p self is to watch the store for its data centre. The order of preference is: eligible
-/// VMs, the present watcher, the first id in alphabetical order. An eligible watcher is never
+/// VMs, the present watcher, the largest processor share, the first id in alphabetical order. An
+/// eligible watcher is never
 /// replaced by a new VM, because each handover lists all objects again. @p peers: the other live
 /// VMs, of all data centres.
 bool isStoreWatcher(const DutyCandidate &self, const std::vector<DutyCandidate> &peers);
 
+/// How long a VM that starts waits for a watcher before it becomes one, from the time at which it
+/// found @p peers in the store. VMs that start together do not all list the store: each waits for
+/// those that precede it, for longer the slower it is, because a slow VM also hears of the others
+/// later. At most @p most, after which service has to recover.
+Duration electionDelay(const DutyCandidate &self, const std::vector<DutyCandidate> &peers,
+                       Duration most);
+
 } // namespace stackquay
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -1,6 +1,7 @@
 #include "relay/fleet_link.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <utility>
 
@@ -41,13 +42,9 @@
 /// 295 VMs, with a period of 7 s, one VM took and lost the role 7 times in 20 s without this.
 constexpr Millis WatcherHeartbeatPeriod{ 500 };
 constexpr Millis WatcherSilenceTimeout{ 3'200 };
-/// A VM that starts and finds other VMs of its data centre in the store waits for their heartbeats
-/// before it becomes a store watcher, so that VMs which start together do not all list the store.
-/// The delay is shortest for the first VM by name: after a crash of all VMs their objects are still
-/// there, and no VM answers.
-constexpr Millis MaxElectionDelay{ 1'200 };
-constexpr Millis MinElectionDelay{ 150 };
-constexpr Millis ElectionDelayStep{ 60 };
+/// A VM that starts waits at most this part of the recovery time for a store watcher: after a crash
+/// of all VMs their objects are still in the store, and those that precede it may not come back.
+constexpr int ElectionShare = 2;
 /// A VM keeps the store watcher role this long after another one took it over, until that one has
 /// started.
 constexpr Millis WatcherHandover{ 1'500 };
@@ -156,6 +153,7 @@
     bool fetchState(const Address &peer);
     void updateWatcherRole();
     Duration period() const;
+    Duration maxElectionDelay() const { return m_settings.m_bounds.m_recoveryTime / ElectionShare; }
 };
 
 Duration FleetLink::State::period() const
@@ -188,7 +186,8 @@
                                m_gone,
                                kind.m_isReply,
                                kind.m_requestsLoads,
-                               m_registeredVms };
+                               m_registeredVms,
+                               static_cast<float>(m_settings.m_processorShare) };
     m_socket.send(*endpoint, encodeMessage(heartbeat));
 }
 
@@ -460,10 +459,12 @@
             peer.m_lastHeartbeat.m_watchesStore && now - peer.m_lastHeardAt > WatcherSilenceTimeout;
         candidates.push_back({ peer.m_lastHeartbeat.m_vm, peer.m_lastHeartbeat.m_dataCentre,
                                peer.m_lastHeartbeat.m_stateSummary.m_reachesStore && !silent,
-                               peer.m_lastHeartbeat.m_watchesStore });
+                               peer.m_lastHeartbeat.m_watchesStore,
+                               peer.m_lastHeartbeat.m_processorShare });
     }
     const DutyCandidate self{ m_settings.m_vm, m_settings.m_dataCentre,
-                              m_hooks.m_ownSummary().m_reachesStore, m_watchesStore };
+                              m_hooks.m_ownSummary().m_reachesStore, m_watchesStore,
+                              m_settings.m_processorShare };
     if (!m_draining && now >= m_electableFrom && isStoreWatcher(self, candidates))
         m_lastElected = now;
     const bool before = m_watchesStore;
@@ -476,7 +477,8 @@
 {
     const Json spec = { { "beats", toString(m_settings.m_heartbeats) },
                         { "loads", toString(m_settings.m_loads) },
-                        { "data_centre", m_settings.m_dataCentre.str() } };
+                        { "data_centre", m_settings.m_dataCentre.str() },
+                        { "millicores", std::llround(m_settings.m_processorShare * 1'000) } };
     const KindObject object{ m_settings.m_vm.str(), {}, spec.dump() };
     const Status created = m_store.create(m_source.m_vmsKind, object);
     if (created)
@@ -520,8 +522,7 @@
     if (m_listedAt == TimePoint{})
         m_listedAt = Clock::now();
     chooseContacts(page->m_objects);
-    bool hasLocalPeers = false;
-    Millis electionDelay = MinElectionDelay;
+    std::vector<DutyCandidate> local;
     for (const KindObject &object : page->m_objects) {
         if (!inCell(VmId(object.m_name)))
             continue;
@@ -533,9 +534,9 @@
         if (!address || *address == m_settings.m_heartbeats)
             continue;
         if (stringField(*spec, "data_centre") == m_settings.m_dataCentre.str()) {
-            hasLocalPeers = true;
-            if (object.m_name < m_settings.m_vm.str())
-                electionDelay += ElectionDelayStep;
+            local.push_back(
+                { VmId(object.m_name), m_settings.m_dataCentre, true, false,
+                  static_cast<double>(uintField(*spec, "millicores").value_or(1'000)) / 1'000 });
         }
         if (m_peers.count(*address) > 0)
             continue;
@@ -544,7 +545,11 @@
         sendHeartbeat(*address, peer, false);
     }
     const TimePoint now = Clock::now();
-    m_electableFrom = hasLocalPeers ? std::min(m_electableFrom, now + electionDelay) : now;
+    const DutyCandidate self{ m_settings.m_vm, m_settings.m_dataCentre, true, false,
+                              m_settings.m_processorShare };
+    const Duration delay =
+        local.empty() ? Duration::zero() : electionDelay(self, local, maxElectionDelay());
+    m_electableFrom = std::min(m_electableFrom, now + delay);
     updateWatcherRole();
     return true;
 }
@@ -627,7 +632,7 @@
 
 void FleetLink::start()
 {
-    m_state->m_electableFrom = Clock::now() + MaxElectionDelay;
+    m_state->m_electableFrom = Clock::now() + m_state->maxElectionDelay();
     spawnFiber([state = m_state] { state->heartbeatLoop(); });
     spawnFiber([state = m_state] { state->watcherHeartbeatLoop(); });
     spawnFiber([state = m_state] { state->registerLoop(); });
--- a/tests/policy/watch_duty_test.cpp
+++ b/tests/policy/watch_duty_test.cpp
@@ -1,3 +1,5 @@
+#include <map>
+
 #include <gtest/gtest.h>
 
 #include "policy/policy.h"
@@ -56,5 +58,74 @@
     EXPECT_FALSE(isStoreWatcher(other, { vm("1"), one }));
 }
 
+TEST(WatchDutyTest, LargerProcessorSharePrecedes)
+{
+    DutyCandidate able = vm("9");
+    DutyCandidate small = vm("1");
+    small.m_processorShare = 0.12;
+    EXPECT_TRUE(isStoreWatcher(able, { small }));
+    EXPECT_FALSE(isStoreWatcher(small, { able }));
+    small.m_isWatcher = true; // A present watcher stays.
+    EXPECT_FALSE(isStoreWatcher(able, { small }));
+}
+
+/// How many of the VMs of one data centre and cell watch the store after all have started within
+/// 300 ms. A VM needs @p startWork of a core to start and read the list, a new watcher @p watchWork
+/// until it announces itself, and each other VM @p hearWork to notice it.
+size_t watchersAfterStart(const std::vector<DutyCandidate> &group, RandomEngine &random)
+{
+    constexpr Duration StartWork = Millis(60);
+    constexpr Duration WatchWork = Millis(100);
+    constexpr Duration HearWork = Millis(30);
+    constexpr Duration MaxDelay = Millis(3'000);
+    const auto taking = [](Duration work, const DutyCandidate &vm) {
+        return std::chrono::duration_cast<Duration>(work / vm.m_processorShare);
+    };
+    std::vector<std::pair<Duration, DutyCandidate>> electable;
+    for (const DutyCandidate &one : group) {
+        std::vector<DutyCandidate> peers;
+        for (const DutyCandidate &other : group) {
+            if (other.m_vm != one.m_vm)
+                peers.push_back(other);
+        }
+        const Millis begun(std::uniform_int_distribution<int>(0, 300)(random));
+        electable.emplace_back(begun + taking(StartWork, one) + electionDelay(one, peers, MaxDelay),
+                               one);
+    }
+    std::sort(electable.begin(), electable.end(),
+              [](const auto &left, const auto &right) { return left.first < right.first; });
+    size_t watchers = 0;
+    Duration announced = Duration::max();
+    for (const auto &[at, one] : electable) {
+        if (announced != Duration::max() && announced + taking(HearWork, one) <= at)
+            continue;
+        ++watchers;
+        announced = std::min(announced, at + taking(WatchWork, one));
+    }
+    return watchers;
+}
+
+// Each watcher lists all endpoints, so a start of the whole fleet must not make more of them than
+// there are data centres and cells, whatever the number of VMs.
+TEST(WatchDutyTest, StartOfTheWholeFleetMakesFewWatchers)
+{
+    constexpr size_t DataCentres = 5;
+    constexpr int AbleOneIn = 20;
+    RandomEngine random(3);
+    for (const uint32_t vms : { 60, 300, 985, 1'970 }) {
+        const uint32_t cells = cellCount(vms);
+        std::map<std::pair<uint32_t, size_t>, std::vector<DutyCandidate>> groups;
+        for (uint32_t i = 0; i < vms; ++i) {
+            DutyCandidate one = vm("front-" + std::to_string(i));
+            one.m_processorShare = i % AbleOneIn == 0 ? 1.0 : 0.12;
+            groups[{ cellOf(one.m_vm, cells), i % DataCentres }].push_back(one);
+        }
+        size_t watchers = 0;
+        for (const auto &[key, group] : groups)
+            watchers += watchersAfterStart(group, random);
+        EXPECT_LE(watchers, 2 * groups.size()) << vms;
+    }
+}
+
 } // namespace
 } // namespace stackquay
