Processor shares are compared in whole thousandths of a core

Cause: a VM compared its own share, a double, with those of its peers, sent as float: 0.12 of each precedes 0.12 of all others, so VMs that became watchers at the same time all stayed.

--- a/policy/watch_duty.h
+++ b/policy/watch_duty.h
@@ -16,7 +16,7 @@
     DataCentreId m_dataCentre;
     bool m_eligible = true; ///< Sends heartbeats and can reach the store, as far as is known.
     bool m_isWatcher = false; ///< Watches the store now, as reported by itself.
-    double m_processorShare = 1; ///< Cores that the platform grants the VM.
+    uint32_t m_millicores = 1'000; ///< Thousandths of a core that the platform grants the VM.
 };
 
 /// Whether @p self is to watch the store for its data centre. The order of preference is: eligible
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -1,7 +1,6 @@
 #include "relay/fleet_link.h"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <utility>
 
@@ -187,7 +186,7 @@
                                kind.m_isReply,
                                kind.m_requestsLoads,
                                m_registeredVms,
-                               static_cast<float>(m_settings.m_processorShare) };
+                               m_settings.m_millicores };
     m_socket.send(*endpoint, encodeMessage(heartbeat));
 }
 
@@ -460,11 +459,11 @@
         candidates.push_back({ peer.m_lastHeartbeat.m_vm, peer.m_lastHeartbeat.m_dataCentre,
                                peer.m_lastHeartbeat.m_stateSummary.m_reachesStore && !silent,
                                peer.m_lastHeartbeat.m_watchesStore,
-                               peer.m_lastHeartbeat.m_processorShare });
+                               peer.m_lastHeartbeat.m_millicores });
     }
     const DutyCandidate self{ m_settings.m_vm, m_settings.m_dataCentre,
                               m_hooks.m_ownSummary().m_reachesStore, m_watchesStore,
-                              m_settings.m_processorShare };
+                              m_settings.m_millicores };
     if (!m_draining && now >= m_electableFrom && isStoreWatcher(self, candidates))
         m_lastElected = now;
     const bool before = m_watchesStore;
@@ -478,7 +477,7 @@
     const Json spec = { { "beats", toString(m_settings.m_heartbeats) },
                         { "loads", toString(m_settings.m_loads) },
                         { "data_centre", m_settings.m_dataCentre.str() },
-                        { "millicores", std::llround(m_settings.m_processorShare * 1'000) } };
+                        { "millicores", m_settings.m_millicores } };
     const KindObject object{ m_settings.m_vm.str(), {}, spec.dump() };
     const Status created = m_store.create(m_source.m_vmsKind, object);
     if (created)
@@ -536,7 +535,8 @@
         if (stringField(*spec, "data_centre") == m_settings.m_dataCentre.str()) {
             local.push_back(
                 { VmId(object.m_name), m_settings.m_dataCentre, true, false,
-                  static_cast<double>(uintField(*spec, "millicores").value_or(1'000)) / 1'000 });
+                  static_cast<uint32_t>(
+                      uintField(*spec, "millicores").value_or(DutyCandidate{}.m_millicores)) });
         }
         if (m_peers.count(*address) > 0)
             continue;
@@ -546,7 +546,7 @@
     }
     const TimePoint now = Clock::now();
     const DutyCandidate self{ m_settings.m_vm, m_settings.m_dataCentre, true, false,
-                              m_settings.m_processorShare };
+                              m_settings.m_millicores };
     const Duration delay =
         local.empty() ? Duration::zero() : electionDelay(self, local, maxElectionDelay());
     m_electableFrom = std::min(m_electableFrom, now + delay);
--- a/relay/fleet_messages.h
+++ b/relay/fleet_messages.h
@@ -40,11 +40,11 @@
     bool m_isReply = false; ///< Sent only in reply to a heartbeat of the receiver.
     bool m_requestsLoads = false; ///< Asks the receiver for the requests that it has in flight.
     uint32_t m_fleetVms = 0; ///< The highest number of registered VMs that the sender has found.
-    float m_processorShare = 1; ///< Cores of the sender.
+    uint32_t m_millicores = 1'000; ///< Thousandths of a core that the platform grants the sender.
 
     MSGPACK_DEFINE(m_vm, m_dataCentre, m_origin, m_sentUs, m_rpcAddress, m_loads, m_stateSummary,
                    m_watchesStore, m_draining, m_gone, m_isReply, m_requestsLoads, m_fleetVms,
-                   m_processorShare)
+                   m_millicores)
 };
 
 /// A peer's routes and endpoints, with the age of its freshness proof.
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -46,7 +46,7 @@
     Address m_heartbeats; ///< Heartbeats between VMs, UDP.
     Address m_loads; ///< Load messages between VMs, UDP.
     Address m_store;
-    double m_processorShare = 1; ///< Cores that the platform grants this VM.
+    uint32_t m_millicores = 1'000; ///< Thousandths of a core that the platform grants this VM.
     uint32_t m_connections = 1'000; ///< Maximum number of client connections.
     RelayBounds m_bounds;
 };
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -153,6 +153,7 @@
     settings.m_store = store.value_or(m_store.address());
     settings.m_bounds = m_bounds;
     settings.m_connections = m_connections;
+    settings.m_millicores = m_millicores;
     auto daemon = RelayDaemon::start(settings, { relayDialect(), kindDialect(), relaySource() });
     if (!daemon) {
         log(LogPart::Main).critical("Cannot start. error={}", daemon.error().m_message);
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -85,6 +85,7 @@
     std::vector<std::unique_ptr<HostedWorker>> m_workers;
     std::vector<std::unique_ptr<RelayDaemon>> m_daemons;
     RelayBounds m_bounds;
+    uint32_t m_millicores = 1'000; ///< Of the daemons that are added.
     uint32_t m_connections = 1'000; ///< Clients' connections that a daemon takes.
 
 private:
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -80,6 +80,19 @@
         return size.get_future().get();
     }
 
+    /// How many daemons from @p first on watch the store.
+    size_t watchers(size_t first)
+    {
+        size_t count = 0;
+        for (size_t i = first; i < m_deployment.m_daemons.size(); ++i) {
+            RelayNode &node = m_deployment.m_daemons[i]->node();
+            std::promise<bool> watches;
+            node.m_thread.post([&] { watches.set_value(node.m_watchesStore); });
+            count += watches.get_future().get() ? 1 : 0;
+        }
+        return count;
+    }
+
     FiberThread m_relayThread;
     standin::FaultRelay m_relay;
     Address m_relayedStore;
@@ -357,6 +370,18 @@
     EXPECT_TRUE(eventually([&] { return allKnow(2); }, Millis(4'500)));
 }
 
+// Each of them has to compute the same order, whatever its fraction of a core.
+TEST_F(FleetTest, VmsWithAFractionOfACoreAgreeOnOneStoreWatcher)
+{
+    m_deployment.m_millicores = 120;
+    start(0, 5);
+    std::this_thread::sleep_for(Millis(2'500));
+    setStoreFault(standin::RelayMode::HalfOpen);
+    ASSERT_TRUE(eventually([&] { return watchers(1) > 0; }));
+    std::this_thread::sleep_for(Millis(3'500));
+    EXPECT_EQ(watchers(1), 1u);
+}
+
 // Changes reach VMs that do not follow the store as fast as the news travel.
 TEST_F(FleetTest, NewsReachAllAtOnce)
 {
--- a/tests/policy/watch_duty_test.cpp
+++ b/tests/policy/watch_duty_test.cpp
@@ -62,7 +62,7 @@
 {
     DutyCandidate able = vm("9");
     DutyCandidate small = vm("1");
-    small.m_processorShare = 0.12;
+    small.m_millicores = 120;
     EXPECT_TRUE(isStoreWatcher(able, { small }));
     EXPECT_FALSE(isStoreWatcher(small, { able }));
     small.m_isWatcher = true; // A present watcher stays.
@@ -79,7 +79,7 @@
     constexpr Duration HearWork = Millis(30);
     constexpr Duration MaxDelay = Millis(3'000);
     const auto taking = [](Duration work, const DutyCandidate &vm) {
-        return std::chrono::duration_cast<Duration>(work / vm.m_processorShare);
+        return work * 1'000 / vm.m_millicores;
     };
     std::vector<std::pair<Duration, DutyCandidate>> electable;
     for (const DutyCandidate &one : group) {
@@ -117,7 +117,7 @@
         std::map<std::pair<uint32_t, size_t>, std::vector<DutyCandidate>> groups;
         for (uint32_t i = 0; i < vms; ++i) {
             DutyCandidate one = vm("front-" + std::to_string(i));
-            one.m_processorShare = i % AbleOneIn == 0 ? 1.0 : 0.12;
+            one.m_millicores = i % AbleOneIn == 0 ? 1'000 : 120;
             groups[{ cellOf(one.m_vm, cells), i % DataCentres }].push_back(one);
         }
         size_t watchers = 0;
