Large fleets pool the retry budget with two holders in each data centre and cell

Cause: each VM spent the ratio of its own requests and an equal part of the fixed allowance. At 985 VMs that part is 0.56 retries in 10 s, and a VM has 1.4 requests for the engines in that time, so most VMs could repeat nothing, while the fleet had 1,040 retries.

Ways weighed: equal parts (today); a count of what all VMs of the cell are heard to retry (no messages, but VMs that decide at once or do not hear each other exceed the budget); borrowing with an expiry (a lost loan is lost for a window, and the lender has less than one to lend); deposits with a holder that grants each retry, taken. A VM deposits with one holder at a time, waits out the window before it uses its part elsewhere, and a lost grant counts as spent, so the sum stays within the budget whoever ends, restarts or is cut off. A holder tells what it can still grant, so that no attempt is ended early for a retry that will be refused.

Before that last part, RelayTest.KeepsToTheRetryBudget and DrainTest.SilenceEndsNoStreamThatMayNotBeRepeated failed: a VM alone pooled with itself, and expected retries of an empty pool.

FleetTest.VmWhoseOwnPartIsTooSmallRetriesFromThePool (daemons).

Cost: one datagram and its answer in 1.5 s a VM, two for a retry.

--- a/policy/policy.h
+++ b/policy/policy.h
@@ -40,6 +40,7 @@
 #include "policy/prefix.h"
 #include "policy/reconcile.h"
 #include "policy/retry.h"
+#include "policy/retry_pool.h"
 #include "policy/retry_window.h"
 #include "policy/route_table.h"
 #include "policy/shard.h"
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 #include <utility>
 
 #include <fmt/format.h>
@@ -56,6 +57,8 @@
 constexpr Millis RewriteSpread{ 3'000 };
 /// For each other cell: one of them may have exited since the list was read.
 constexpr size_t ContactsPerCell = 2;
+/// One may fail without taking the parts of all VMs with it.
+constexpr size_t MaxRetryHolders = 2;
 
 struct Peer {
     Heartbeat m_lastHeartbeat; ///< The last one received.
@@ -345,7 +348,21 @@
             continue;
         fleet.m_loads.push_back(peer.m_lastHeartbeat.m_loads);
         fleet.m_peers.push_back(peer.m_lastHeartbeat.m_vm);
+        if (peer.isAvailable() && peer.m_lastHeartbeat.m_dataCentre == m_settings.m_dataCentre)
+            fleet.m_retryHolders.push_back(
+                { peer.m_lastHeartbeat.m_origin, peer.m_lastHeartbeat.m_loads,
+                  peer.m_lastHeartbeat.m_vm, peer.m_lastHeartbeat.m_millicores });
     }
+    if (!m_draining)
+        fleet.m_retryHolders.push_back(
+            { m_origin, m_settings.m_loads, m_settings.m_vm, m_settings.m_millicores });
+    std::sort(fleet.m_retryHolders.begin(), fleet.m_retryHolders.end(),
+              [](const RetryHolder &left, const RetryHolder &right) {
+                  return std::tie(right.m_millicores, left.m_vm)
+                         < std::tie(left.m_millicores, right.m_vm);
+              });
+    if (fleet.m_retryHolders.size() > MaxRetryHolders)
+        fleet.m_retryHolders.resize(MaxRetryHolders);
     fleet.m_peersKnown = m_peersKnown;
     const auto live = static_cast<uint32_t>(fleet.m_loads.size()) + 1;
     m_maxVms = std::max(m_maxVms, live * m_cell.m_cells);
--- a/relay/fleet_link.h
+++ b/relay/fleet_link.h
@@ -24,10 +24,20 @@
 
 namespace stackquay {
 
+/// A VM as a holder of the retry budget.
+struct RetryHolder {
+    uint64_t m_origin = 0; ///< Of its process.
+    Address m_loads; ///< Load message address.
+    VmId m_vm;
+    uint32_t m_millicores = 0;
+};
+
 /// The fleet, as far as placement and retry budgets depend on it.
 struct FleetView {
     std::vector<Address> m_loads; ///< Load message addresses of the peers in this VM's cell.
     std::vector<Address> m_contacts; ///< Load message addresses of some VMs in each other cell.
+    /// The VMs of this cell and data centre, with this one, ablest first.
+    std::vector<RetryHolder> m_retryHolders;
     std::vector<VmId> m_peers; ///< The live peers in this VM's cell.
     /// This VM has had time to find its peers since it started.
     bool m_peersKnown = false;
--- a/relay/load_exchange.cpp
+++ b/relay/load_exchange.cpp
@@ -45,6 +45,7 @@
     { }
 
     DatagramSocket m_socket;
+    Address m_address; ///< Bound by listen().
     Receiver m_receiver;
     std::vector<boost::asio::ip::udp::endpoint> m_peers;
     std::vector<boost::asio::ip::udp::endpoint> m_contacts;
@@ -83,8 +84,8 @@
 
 Result<Address> LoadExchange::listen(const Address &address)
 {
-    return m_state->m_socket.listen(address, [state = m_state.get()](const Address &from,
-                                                                     auto bytes) {
+    auto bound = m_state->m_socket.listen(address, [state = m_state.get()](const Address &from,
+                                                                           auto bytes) {
         const auto messages = decodeMessage<std::vector<LoadMessage>>(bytes);
         if (messages) {
             for (const LoadMessage &message : *messages)
@@ -95,6 +96,14 @@
         if (state->m_malformed++ == 0)
             log(LogPart::Peers).warn("Load message could not be decoded. from={}", toString(from));
     });
+    if (bound)
+        m_state->m_address = *bound;
+    return bound;
+}
+
+Address LoadExchange::address() const
+{
+    return m_state->m_address;
 }
 
 void LoadExchange::setPeers(const std::vector<Address> &peers)
@@ -117,6 +126,11 @@
     m_state->send(message, m_state->m_contacts);
 }
 
+void LoadExchange::sendTo(const Address &peer, const LoadMessage &message)
+{
+    sendAll(peer, { message });
+}
+
 void LoadExchange::sendAll(const Address &peer, const std::vector<LoadMessage> &messages)
 {
     const auto endpoint = toUdp(peer);
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -5,6 +5,7 @@
 /// and its entries expire.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -22,6 +23,11 @@
     Suspected = 5, ///< Endpoint processes exited while they ran the requests.
     Cleared = 6, ///< A suspected request completed.
     BrokenOff = 7, ///< An endpoint broke off its response on a new connection.
+    RetryDeposit = 8, ///< The sender deposits its part of the retry budget, see RetryPool.
+    RetryRequest = 9, ///< The sender asks for one retry.
+    RetryGrant = 10, ///< The retry asked for under this key is granted.
+    RetryDenial = 11, ///< It is not.
+    RetryPoolState = 12, ///< Reply to a deposit: what the holder can still grant.
 };
 
 struct LoadMessage {
@@ -42,9 +48,16 @@
     std::vector<SuspectReport> m_suspects{};
     uint32_t m_cell = 0; ///< Suspected and Cleared: cell of the sender.
     uint32_t m_leadMs = 0; ///< Waiting: see QueuedRequest.
+    Address m_replyTo{}; ///< RetryRequest: load message address of the sender.
+    /// RetryDeposit: requests by service. RetryRequest: the service. RetryPoolState: the retries
+    /// that remain, for the services of the deposit.
+    std::map<ServiceId, uint32_t> m_services{};
+    /// RetryDeposit: see there. RetryPoolState: the retries that remain for other services.
+    double m_slackPart = 0;
 
     MSGPACK_DEFINE(m_change, m_key, m_parts, m_dataCentre, m_gapLimitMs, m_expiresMs, m_ageMs,
-                   m_writing, m_aimMs, m_neededMs, m_fingerprints, m_suspects, m_cell, m_leadMs)
+                   m_writing, m_aimMs, m_neededMs, m_fingerprints, m_suspects, m_cell, m_leadMs,
+                   m_replyTo, m_services, m_slackPart)
 };
 
 /// Encodes @p messages as datagrams that fit into one packet each. Messages beyond the limit for
@@ -67,11 +80,15 @@
     /// Binds the socket and starts to receive. Call it before the thread starts, or on the thread.
     /// Port 0 lets the kernel choose; the result is the bound address.
     Result<Address> listen(const Address &address);
+    /// The address bound by listen().
+    Address address() const;
     void setPeers(const std::vector<Address> &peers);
     /// Sets the VMs of other cells, which forward messages within their cells.
     void setContacts(const std::vector<Address> &contacts);
     void send(const LoadMessage &message);
     void sendToContacts(const LoadMessage &message);
+    /// Sends one message to one peer.
+    void sendTo(const Address &peer, const LoadMessage &message);
     /// Sends @p messages to one peer, with several messages in a datagram.
     void sendAll(const Address &peer, const std::vector<LoadMessage> &messages);
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -14,6 +14,7 @@
 #include "relay/relay_run.h"
 #include "relay/relay_settings.h"
 #include "relay/relay_view.h"
+#include "relay/retry_broker.h"
 #include "relay/source.h"
 #include "relay/store_follower.h"
 #include "relay/suspect_tracker.h"
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -403,6 +403,7 @@
         m_traffic.post([this, fleet] {
             m_node->m_loads.setPeers(fleet.m_loads);
             m_node->m_loads.setContacts(fleet.m_contacts);
+            m_node->setRetryHolders(fleet.m_retryHolders);
             m_node->m_watchesStore = fleet.m_watchesStore;
         });
     };
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -54,6 +54,7 @@
     , m_pool(thread.context(), IdleConnections, { silenceTimeout(m_settings.m_bounds), false })
     , m_loads(thread, [this](const LoadMessage &message) { receive(message); })
     , m_suspects(thread, suspectHooks())
+    , m_retryBroker(thread, m_origin, m_loads, [this] { return nextKey(); })
 {
     m_view.store(std::make_shared<const RelayView>());
 }
@@ -292,22 +293,36 @@
 
 void RelayNode::setRetryBounds(const RelayView &view)
 {
-    m_retries.m_settings.m_ratio = view.m_bounds.m_retryRatio;
-    m_retries.m_settings.m_slack = view.m_bounds.m_retrySlack;
-    m_retries.m_settings.m_window = view.m_bounds.m_retryWindow;
-    m_retries.m_settings.m_maxSharingVms = static_cast<uint32_t>(view.m_vms * SharerMargin) + 1;
+    RetryWindowSettings settings;
+    settings.m_ratio = view.m_bounds.m_retryRatio;
+    settings.m_slack = view.m_bounds.m_retrySlack;
+    settings.m_window = view.m_bounds.m_retryWindow;
+    settings.m_maxSharingVms = static_cast<uint32_t>(view.m_vms * SharerMargin) + 1;
+    m_retryBroker.setSettings(settings);
+}
+
+void RelayNode::setRetryHolders(const std::vector<RetryHolder> &holders)
+{
+    setRetryBounds(*m_view.load());
+    m_retryBroker.setHolders(holders);
+}
+
+void RelayNode::countArrival(const ServiceId &service, TimePoint now)
+{
+    setRetryBounds(*m_view.load());
+    m_retryBroker.countArrival(service, now);
 }
 
 bool RelayNode::mayRetry(const ServiceId &service, const RelayView &view)
 {
     setRetryBounds(view);
-    return hasRetryBudget(m_retries, service, Clock::now());
+    return m_retryBroker.hasBudget(service);
 }
 
 bool RelayNode::spendRetryBudget(const ServiceId &service, const RelayView &view)
 {
     setRetryBounds(view);
-    const bool taken = ::stackquay::spendRetryBudget(m_retries, service, Clock::now());
+    const bool taken = m_retryBroker.spend(service);
     (taken ? m_metrics.m_repeats : m_metrics.m_repeatsRefused).add();
     return taken;
 }
@@ -351,6 +366,13 @@
         m_ledger.end(message.m_key);
         m_suspects.endSuspectAttempt(message.m_key);
         return;
+    case LoadEvent::RetryDeposit:
+    case LoadEvent::RetryRequest:
+    case LoadEvent::RetryGrant:
+    case LoadEvent::RetryDenial:
+    case LoadEvent::RetryPoolState:
+        m_retryBroker.receive(message);
+        return;
     case LoadEvent::Suspected:
     case LoadEvent::Cleared:
         m_suspects.receive(message);
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -9,6 +9,7 @@
 #include "relay/relay_codec.h"
 #include "relay/relay_metrics.h"
 #include "relay/relay_view.h"
+#include "relay/retry_broker.h"
 #include "relay/suspect_tracker.h"
 
 namespace stackquay {
@@ -37,7 +38,6 @@
     HttpPool m_pool;
     StreamLedger m_ledger;
     EjectionTable m_ejections;
-    RetryWindows m_retries;
     GangSettings m_gang;
     DispatchSettings m_turns;
     DispatchQueue m_strictQueue; ///< Streams with a strict gap limit that wait for a slot.
@@ -45,6 +45,7 @@
     std::unordered_map<ServiceId, PoolSplit> m_splits;
     LoadExchange m_loads;
     SuspectTracker m_suspects;
+    RetryBroker m_retryBroker;
     AbsenceMonitor m_absence{ *this };
     /// Watches the store for other VMs, and forwards updates to other cells.
     bool m_watchesStore = false;
@@ -89,7 +90,12 @@
     /// Reports to all VMs that @p endpoint broke off a response on a new connection. An idle
     /// connection may have been closed for its age, so those do not count.
     void reportBrokenResponse(const EndpointId &endpoint);
+    /// Sets the VMs that hold the retry budget of this data centre and cell.
+    void setRetryHolders(const std::vector<RetryHolder> &holders);
+    /// Counts a client's request for @p service, which raises the retry budget.
+    void countArrival(const ServiceId &service, TimePoint now);
     /// Takes one retry at @p service out of the retry budget of @p view; false if it is used up.
+    /// Blocks the fiber for a call to another VM in a large fleet.
     bool spendRetryBudget(const ServiceId &service, const RelayView &view);
     /// Whether spendRetryBudget() would currently succeed.
     bool mayRetry(const ServiceId &service, const RelayView &view);
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -105,7 +105,7 @@
         refuse(StatusUnavailable, m_failureReason, *m_quarantineRetryAfter);
         return false;
     }
-    countArrival(m_node.m_retries, m_serviceId, m_arrival);
+    m_node.countArrival(m_serviceId, m_arrival);
     return true;
 }
 
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -382,6 +382,27 @@
     EXPECT_EQ(watchers(1), 1u);
 }
 
+// The part of each of the three VMs is below one retry.
+TEST_F(FleetTest, VmWhoseOwnPartIsTooSmallRetriesFromThePool)
+{
+    m_deployment.m_bounds.m_retrySlack = 6;
+    start(0, 3);
+    std::this_thread::sleep_for(Millis(3'500));
+    size_t granted = 0;
+    for (int i = 0; i < 5; ++i) {
+        RelayNode &node = m_deployment.m_daemons[2]->node();
+        std::promise<bool> taken;
+        node.m_thread.post([&] {
+            spawnFiber([&] {
+                taken.set_value(node.spendRetryBudget(ServiceId("plain"), *node.m_view.load()));
+            });
+        });
+        granted += taken.get_future().get() ? 1 : 0;
+    }
+    EXPECT_GE(granted, 1u);
+    EXPECT_LE(granted, 6u);
+}
+
 // Changes reach VMs that do not follow the store as fast as the news travel.
 TEST_F(FleetTest, NewsReachAllAtOnce)
 {
