Digest of the directory is kept, and load messages carry the slack as a whole number

Cause: each answer with changes computed the digest of all endpoints, and each load message carried eight bytes more for a field that only deposits use. The digest is now updated with each recorded change, and compared in DirectoryHistoryTest.

--- a/policy/directory_history.cpp
+++ b/policy/directory_history.cpp
@@ -8,6 +8,20 @@
 
 namespace {
 
+uint64_t digestOf(const EndpointRecord &endpoint)
+{
+    return stableHash(fmt::format(
+        "{} {} {} {} {} {}", endpoint.m_id.str(), endpoint.m_service.str(), endpoint.m_address,
+        endpoint.m_dataCentre.str(), endpoint.m_draining, endpoint.m_startedMs));
+}
+
+/// Digest of the record under @p id; zero if there is none.
+uint64_t digestOf(const EndpointMap &endpoints, const EndpointId &id)
+{
+    const auto found = endpoints.find(id);
+    return found == endpoints.end() ? 0 : digestOf(found->second);
+}
+
 std::vector<EndpointId> differences(const EndpointMap &before, const EndpointMap &now)
 {
     std::vector<EndpointId> endpoints;
@@ -34,11 +48,14 @@
         history.m_entries.clear();
         history.m_endpoints = 0;
         history.m_from = now.m_position;
+        history.m_digest = digestOf(now.m_endpoints);
         return;
     }
     auto endpoints = differences(before.m_endpoints, now.m_endpoints);
     if (endpoints.empty())
         return;
+    for (const EndpointId &id : endpoints)
+        history.m_digest ^= digestOf(before.m_endpoints, id) ^ digestOf(now.m_endpoints, id);
     history.m_endpoints += endpoints.size();
     history.m_entries.push_back({ now.m_position, std::move(endpoints) });
     while (history.m_endpoints > history.m_maxEndpoints) {
@@ -74,11 +91,8 @@
 uint64_t digestOf(const EndpointMap &endpoints)
 {
     uint64_t digest = 0;
-    for (const auto &[id, endpoint] : endpoints) {
-        digest ^= stableHash(fmt::format("{} {} {} {} {} {}", id.str(), endpoint.m_service.str(),
-                                         endpoint.m_address, endpoint.m_dataCentre.str(),
-                                         endpoint.m_draining, endpoint.m_startedMs));
-    }
+    for (const auto &[id, endpoint] : endpoints)
+        digest ^= digestOf(endpoint);
     return digest;
 }
 
--- a/policy/directory_history.h
+++ b/policy/directory_history.h
@@ -31,6 +31,7 @@
     StorePosition m_from; ///< Changes after this position are recorded; unknown: none are.
     std::deque<Entry> m_entries; ///< In ascending order of positions.
     size_t m_endpoints = 0; ///< The sum of the endpoints of all entries.
+    uint64_t m_digest = 0; ///< digestOf() the latest state.
 };
 
 /// Records the difference between two successive states of the directory. The history starts anew
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -52,12 +52,13 @@
     /// RetryDeposit: requests by service. RetryRequest: the service. RetryPoolState: the retries
     /// that remain, for the services of the deposit.
     std::map<ServiceId, uint32_t> m_services{};
-    /// RetryDeposit: see there. RetryPoolState: the retries that remain for other services.
-    double m_slackPart = 0;
+    /// In thousandths of a retry. RetryDeposit: RetryDeposit::m_slackPart. RetryPoolState: what
+    /// remains for other services.
+    uint32_t m_slackMillis = 0;
 
     MSGPACK_DEFINE(m_change, m_key, m_parts, m_dataCentre, m_gapLimitMs, m_expiresMs, m_ageMs,
                    m_writing, m_aimMs, m_neededMs, m_fingerprints, m_suspects, m_cell, m_leadMs,
-                   m_replyTo, m_services, m_slackPart)
+                   m_replyTo, m_services, m_slackMillis)
 };
 
 /// Encodes @p messages as datagrams that fit into one packet each. Messages beyond the limit for
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -353,7 +353,7 @@
         state.m_changesFrom = changes->m_from;
         state.m_endpoints = std::move(changes->m_changed);
         state.m_removed = std::move(changes->m_removed);
-        state.m_digest = digestOf(view->m_directory->m_endpoints);
+        state.m_digest = m_history.m_digest;
     } else {
         for (const auto &[id, endpoint] : view->m_directory->m_endpoints)
             state.m_endpoints.push_back(endpoint);
--- a/relay/retry_broker.cpp
+++ b/relay/retry_broker.cpp
@@ -12,6 +12,14 @@
 /// After a denial, attempts are not ended early in the hope for a retry for this long.
 constexpr Millis DenialMemory{ 2'000 };
 
+constexpr uint32_t MillisPerRetry = 1'000;
+
+/// Rounds down, so that the holder does not count more than the VM has.
+uint32_t toMillis(double retries)
+{
+    return static_cast<uint32_t>(std::max(retries, 0.0) * MillisPerRetry);
+}
+
 } // namespace
 
 RetryBroker::RetryBroker(FiberThread &thread, uint64_t origin, LoadExchange &loads,
@@ -70,7 +78,7 @@
     const RetryDeposit part = ownDeposit(m_windows, now);
     LoadMessage message{ LoadEvent::RetryDeposit, m_nextKey() };
     message.m_services = part.m_requests;
-    message.m_slackPart = part.m_slackPart;
+    message.m_slackMillis = toMillis(part.m_slackPart);
     message.m_replyTo = m_loads.address();
     if (holder->m_origin == m_origin)
         receive(message);
@@ -88,7 +96,7 @@
 {
     const RetryWindowSettings &settings = m_windows.m_settings;
     LoadMessage state{ LoadEvent::RetryPoolState, deposit.m_key };
-    state.m_slackPart = remainingRetries(m_pool, settings, {}, now);
+    state.m_slackMillis = toMillis(remainingRetries(m_pool, settings, {}, now));
     for (const auto &[service, requests] : deposit.m_services) {
         const double remaining = remainingRetries(m_pool, settings, service, now);
         state.m_services[service] = static_cast<uint32_t>(std::max(remaining, 0.0));
@@ -104,7 +112,7 @@
     if (now - m_deniedAt < DenialMemory || now - m_poolStateAt > RetryDepositTime)
         return false;
     const auto remaining = m_poolState.m_services.find(service);
-    return remaining == m_poolState.m_services.end() ? m_poolState.m_slackPart >= 1
+    return remaining == m_poolState.m_services.end() ? m_poolState.m_slackMillis >= MillisPerRetry
                                                      : remaining->second >= 1;
 }
 
@@ -160,8 +168,8 @@
     const TimePoint now = Clock::now();
     switch (message.m_change) {
     case LoadEvent::RetryDeposit:
-        receiveDeposit(m_pool, message.m_key.m_origin, { message.m_slackPart, message.m_services },
-                       now);
+        receiveDeposit(m_pool, message.m_key.m_origin,
+                       { message.m_slackMillis / double(MillisPerRetry), message.m_services }, now);
         if (message.m_key.m_origin == m_origin)
             receive(poolState(message, now));
         else
--- a/tests/policy/directory_history_test.cpp
+++ b/tests/policy/directory_history_test.cpp
@@ -58,7 +58,7 @@
         const auto endpoints = applyChanges(peer, *changes);
         ASSERT_TRUE(endpoints);
         EXPECT_EQ(*endpoints, sender.m_directory.m_endpoints);
-        EXPECT_EQ(digestOf(*endpoints), digestOf(sender.m_directory.m_endpoints));
+        EXPECT_EQ(digestOf(*endpoints), sender.m_history.m_digest);
         peer.m_endpoints = *endpoints;
         peer.m_position = sender.m_directory.m_position;
     }
