--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -1,5 +1,6 @@
 /// Part of RelayRun: one attempt at an endpoint, from the memory reservation to the last event.
 #include <algorithm>
+#include <cmath>
 
 #include <fmt/format.h>
 
@@ -282,6 +283,13 @@
     const bool ours = head.m_id == m_head.m_id || (head.m_id.empty() && !reused);
     if (!ours)
         return failAttempt(endpoint, FailureWeight::Weak, "the answer belongs to another request");
+    if (head.m_requestLimit) {
+        DecisionLine("relay", "endpoint limits its requests")
+            .text("request", m_head.m_id.str())
+            .text("endpoint", endpoint.m_id.str())
+            .number("millis_per_s", std::lround(*head.m_requestLimit * 1'000))
+            .write();
+    }
     if (head.m_notRun)
         return handleRefusal(connection, endpoint, head, *response, reused);
     if (m_route->m_kind == RouteKind::Stream && isSuccess(response->m_status))
--- a/relay/relay_codec.h
+++ b/relay/relay_codec.h
@@ -47,6 +47,8 @@
     bool m_signed = false; ///< The response carries the endpoint's signature.
     bool m_encoded = false; ///< The body has a content encoding, so an intermediary changed it.
     std::string m_failedAddress; ///< Address of the endpoint at fault, if the response names one.
+    /// Requests per second that the endpoint takes from all VMs together; nothing: no limit.
+    std::optional<double> m_requestLimit;
     HttpHeaders m_forwardedHeaders; ///< Headers to forward to the client.
 };
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -109,6 +109,19 @@
     EXPECT_EQ(findHeader(headers, "X-Model"), "m");
 }
 
+TEST(RequestCodecTest, ReadsTheLimitThatAnAnswerNames)
+{
+    const auto limitOf = [](const char *text) {
+        return relayDialect().m_readResponseHead({ 200, { { "Server-Limit", text } }, "" })
+            .m_requestLimit;
+    };
+    EXPECT_EQ(limitOf("1.6"), 1.6);
+    EXPECT_EQ(limitOf("0"), 0);
+    for (const char *text : { "", "-1", "nan", "inf", "1.6 a second", "1e999" })
+        EXPECT_FALSE(limitOf(text)) << text;
+    EXPECT_FALSE(relayDialect().m_readResponseHead({ 200, {}, "" }).m_requestLimit);
+}
+
 TEST(RequestCodecTest, TellsWhatAnAnswerSays)
 {
     const auto read = relayDialect().m_readResponseHead;
