Failing test: three VMs send an endpoint more requests than it names (LIMIT)

Three VMs under even load sent 197 requests in 4 s to an endpoint that takes 1 a second (11 are allowed), and 197 streams to an engine that takes 1.6 (14).

--- /dev/null
+++ b/tests/platform/limited_endpoint_test.cpp
@@ -0,0 +1,95 @@
+// Endpoints that name the requests per second that they take from all VMs together.
+
+#include <gtest/gtest.h>
+
+#include "deployment.h"
+
+namespace stackquay::platform {
+namespace {
+
+constexpr Seconds Window{ 4 };
+/// A VM that received the limit must keep to it from then on.
+constexpr Millis NoticeTime{ 500 };
+
+/// Requests that the platform allows in each window: one and a half times the limit, and five.
+size_t allowedRequests(double requestsPerSecond)
+{
+    return static_cast<size_t>(1.5 * requestsPerSecond * Window.count() + 5);
+}
+
+/// The largest number of @p arrivals after @p from within a window.
+size_t busiestWindow(const std::vector<TimePoint> &arrivals, TimePoint from)
+{
+    size_t most = 0;
+    for (auto first = std::lower_bound(arrivals.begin(), arrivals.end(), from);
+         first != arrivals.end(); ++first) {
+        const auto last = std::lower_bound(first, arrivals.end(), *first + Window);
+        most = std::max(most, static_cast<size_t>(last - first));
+    }
+    return most;
+}
+
+class LimitedEndpointTest : public testing::Test
+{
+protected:
+    void start(size_t daemons)
+    {
+        m_deployment.declare(1);
+        for (size_t i = 0; i < daemons; ++i)
+            m_deployment.addDaemon();
+        ASSERT_TRUE(m_deployment.awaitReady());
+        ASSERT_TRUE(m_deployment.awaitPeers());
+        ASSERT_TRUE(eventually([this] {
+            return std::all_of(
+                m_deployment.m_daemons.begin(), m_deployment.m_daemons.end(),
+                [](const auto &daemon) { return daemon->node().m_view.load()->m_peersKnown; });
+        }));
+    }
+
+    /// Sends @p request to all daemons in turn for @p time. Returns how many were served.
+    size_t load(const ClientRequest &request, Duration time)
+    {
+        size_t sent = 0;
+        size_t served = 0;
+        std::vector<std::future<ClientAnswer>> answers;
+        const TimePoint until = Clock::now() + time;
+        while (Clock::now() < until) {
+            answers.push_back(m_deployment.begin(request, sent++ % m_deployment.m_daemons.size()));
+            std::this_thread::sleep_for(Millis(20));
+        }
+        for (auto &answer : answers)
+            served += answer.get().m_status == 200 ? 1 : 0;
+        m_sent = sent;
+        return served;
+    }
+
+    Deployment m_deployment;
+    size_t m_sent = 0; ///< Requests of the last load().
+};
+
+TEST_F(LimitedEndpointTest, VmsTogetherSendNoMoreThanTheEndpointNames)
+{
+    HostedWorker &limited = m_deployment.addWorker("plain");
+    m_deployment.addWorker("plain");
+    start(3);
+    constexpr double Limit = 1;
+    limited->setLimit(Limit);
+    const TimePoint named = Clock::now();
+    EXPECT_EQ(load({}, Seconds(7)), m_sent);
+    EXPECT_LE(busiestWindow(limited->arrivalTimes(), named + NoticeTime), allowedRequests(Limit));
+}
+
+TEST_F(LimitedEndpointTest, VmsTogetherStartNoMoreStreamsThanTheEngineNames)
+{
+    HostedWorker &limited = m_deployment.addWorker("model");
+    m_deployment.addWorker("model");
+    start(3);
+    constexpr double Limit = 1.6;
+    limited->setLimit(Limit);
+    const TimePoint named = Clock::now();
+    EXPECT_EQ(load(streamRequest(), Seconds(7)), m_sent);
+    EXPECT_LE(busiestWindow(limited->arrivalTimes(), named + NoticeTime), allowedRequests(Limit));
+}
+
+} // namespace
+} // namespace stackquay::platform
