Limits that endpoints name are kept by all VMs together (LIMIT)

Ruled out: a sum over VMs that each keep to it, and requests that pass it by. The class of fault is a limit over the fleet that nobody adds up.

The few senders of cold endpoints are generalized (policy/send_share): a window that each limit sets, and parts by the size of the group that a VM hears, so that groups of a cut add up to no more than is tolerated. policy/endpoint_limits holds the rates, relay/endpoint_limiter counts each attempt just before it is sent and tells the cell. Endpoints that name a rate count for no slots.

--- a/policy/cells.cpp
+++ b/policy/cells.cpp
@@ -108,4 +108,9 @@
     return own.empty() ? pool : own;
 }
 
+bool ownsSharedEndpoint(const EndpointId &endpoint, const CellView &view)
+{
+    return stableHash(endpoint.str()) % view.m_cells == view.m_cell;
+}
+
 } // namespace stackquay
--- a/policy/cells.h
+++ b/policy/cells.h
@@ -45,4 +45,9 @@
 std::vector<EndpointRecord> endpointsOfCell(const std::vector<EndpointRecord> &pool,
                                             const CellView &view);
 
+/// Whether the VMs of the cell of @p view may send to an endpoint that all cells use while its
+/// requests are limited. One cell may, because a limit divided by the number of cells is below one
+/// request.
+bool ownsSharedEndpoint(const EndpointId &endpoint, const CellView &view);
+
 } // namespace stackquay
--- a/policy/endpoint_directory.h
+++ b/policy/endpoint_directory.h
@@ -45,7 +45,7 @@
     /// The snapshot is complete: no live endpoint is missing. False for a while after the first
     /// listing, as the store may have lost entries in an earlier outage.
     bool m_complete = true;
-    /// Until when endpoints are cold, see policy/cold_endpoint.h; those without an entry are not.
+    /// Until when endpoints are cold, see policy/send_share.h; those without an entry are not.
     std::unordered_map<EndpointId, TimePoint> m_coldUntil;
     StorePosition m_confirmedPosition; ///< Last position at which isConfirmed() held.
 
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -28,6 +28,7 @@
     RetryGrant = 10, ///< The retry asked for under this key is granted.
     RetryDenial = 11, ///< It is not.
     RetryPoolState = 12, ///< Reply to a deposit: what the holder can still grant.
+    RequestLimit = 13, ///< An endpoint names a limit of its requests, or none any more.
 };
 
 struct LoadMessage {
@@ -55,10 +56,13 @@
     /// In thousandths of a retry. RetryDeposit: RetryDeposit::m_slackPart. RetryPoolState: what
     /// remains for other services.
     uint32_t m_slackMillis = 0;
+    uint64_t m_processMs = 0; ///< RequestLimit: start of the endpoint's process, Unix time.
+    /// RequestLimit: thousandths of a request per second; zero: the endpoint names no limit.
+    uint32_t m_limitMillis = 0;
 
     MSGPACK_DEFINE(m_change, m_key, m_parts, m_dataCentre, m_gapLimitMs, m_expiresMs, m_ageMs,
                    m_writing, m_aimMs, m_neededMs, m_fingerprints, m_suspects, m_cell, m_leadMs,
-                   m_replyTo, m_services, m_slackMillis)
+                   m_replyTo, m_services, m_slackMillis, m_processMs, m_limitMillis)
 };
 
 /// Encodes @p messages as datagrams that fit into one packet each. Messages beyond the limit for
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -1,6 +1,5 @@
 /// Part of RelayRun: one attempt at an endpoint, from the memory reservation to the last event.
 #include <algorithm>
-#include <cmath>
 
 #include <fmt/format.h>
 
@@ -110,6 +109,22 @@
              m_node.m_dialect.m_writeAttemptHeaders(m_head, head), request.m_body };
 }
 
+bool RelayRun::takeSendBudget(const GangPlan &plan)
+{
+    const RelayViewPtr view = m_node.m_view.load();
+    EndpointLimiter &limiter = m_node.m_limiter;
+    const bool allowed =
+        std::all_of(plan.m_members.begin(), plan.m_members.end(), [&](const GangMember &member) {
+            return limiter.maySend(*view, member.m_endpoint.m_id);
+        });
+    if (!allowed)
+        return false;
+    limiter.recordSend(*view, plan.m_members.front().m_endpoint.m_id);
+    for (size_t i = 1; i < plan.m_members.size(); ++i)
+        limiter.recordPart(plan.m_members[i].m_endpoint.m_id);
+    return true;
+}
+
 RelayRun::AttemptResult RelayRun::attemptPlaced(const GangPlan &plan,
                                                 const MemoryReservations &reservations)
 {
@@ -145,11 +160,10 @@
         m_failureReason = "an endpoint has left";
         return AttemptResult::NotSent;
     }
-    if (!m_node.withinColdLimit(*m_node.m_view.load(), endpoint.m_id)) {
-        m_failureReason = "the endpoint is cold";
+    if (!takeSendBudget(plan)) {
+        m_failureReason = LimitedReason;
         return AttemptResult::NotSent;
     }
-    m_node.countColdSend(endpoint.m_id);
     const bool reused = (*connection)->reused();
     m_connection = connection->get();
     m_abandoned.reset();
@@ -283,13 +297,8 @@
     const bool ours = head.m_id == m_head.m_id || (head.m_id.empty() && !reused);
     if (!ours)
         return failAttempt(endpoint, FailureWeight::Weak, "the answer belongs to another request");
-    if (head.m_requestLimit) {
-        DecisionLine("relay", "endpoint limits its requests")
-            .text("request", m_head.m_id.str())
-            .text("endpoint", endpoint.m_id.str())
-            .number("millis_per_s", std::lround(*head.m_requestLimit * 1'000))
-            .write();
-    }
+    if (!head.m_misdirected)
+        m_node.m_limiter.noteAnswer(*m_node.m_view.load(), endpoint, head.m_requestLimit);
     if (head.m_notRun)
         return handleRefusal(connection, endpoint, head, *response, reused);
     if (m_route->m_kind == RouteKind::Stream && isSuccess(response->m_status))
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -71,6 +71,14 @@
     return server;
 }
 
+/// The VMs of this VM's cell. Those of a fleet are spread evenly over its cells.
+LimitGroup limitGroup(const VmId &self, const FleetView &fleet)
+{
+    const uint32_t cells = fleet.m_cell.m_cells;
+    return { self, fleet.m_peers, (fleet.m_vms + cells - 1) / cells, fleet.m_peersKnown,
+             fleet.m_cell };
+}
+
 uint32_t ageMs(const FreshnessProof &proof)
 {
     return static_cast<uint32_t>(
@@ -210,7 +218,7 @@
             view.m_routes = routes;
             view.m_proof = proofFor(routes->m_version, m_proof);
             rebuildPools(view);
-            rebuildColdRates(view, m_settings.m_vm);
+            rebuildColdShares(view, m_settings.m_vm);
         });
         m_clients->setLimits(serverLimits(routes->m_limits, m_settings));
         announceChange();
@@ -224,7 +232,7 @@
         updateView([&](RelayView &view) {
             view.m_directory = directory;
             rebuildPools(view);
-            rebuildColdRates(view, m_settings.m_vm);
+            rebuildColdShares(view, m_settings.m_vm);
         });
         recordChanges(m_history, before ? *before : EndpointDirectory{}, *directory);
         if (before)
@@ -392,7 +400,7 @@
             view.m_vms = fleet.m_vms;
             view.m_peers = fleet.m_peers;
             view.m_peersKnown = fleet.m_peersKnown;
-            rebuildColdRates(view, m_settings.m_vm);
+            rebuildColdShares(view, m_settings.m_vm);
             if (view.m_cell == fleet.m_cell)
                 return;
             view.m_cell = fleet.m_cell;
@@ -404,6 +412,7 @@
             m_node->m_loads.setPeers(fleet.m_loads);
             m_node->m_loads.setContacts(fleet.m_contacts);
             m_node->setRetryHolders(fleet.m_retryHolders);
+            m_node->m_limiter.setGroup(limitGroup(m_settings.m_vm, fleet));
             m_node->m_watchesStore = fleet.m_watchesStore;
         });
     };
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -54,6 +54,8 @@
     , m_pool(thread.context(), IdleConnections, { silenceTimeout(m_settings.m_bounds), false })
     , m_loads(thread, [this](const LoadMessage &message) { receive(message); })
     , m_suspects(thread, suspectHooks())
+    , m_limiter([this](const LoadMessage &message) { m_loads.send(message); },
+                [this] { return nextKey(); })
     , m_retryBroker(thread, m_origin, m_loads, [this] { return nextKey(); })
 {
     m_view.store(std::make_shared<const RelayView>());
@@ -161,6 +163,7 @@
     for (const EndpointRecord &endpoint : restarted) {
         m_ledger.forgetEndpoint(endpoint.m_id);
         recordSuccess(m_ejections, endpoint.m_id);
+        m_limiter.forget(endpoint.m_id);
         const auto address = parseAddress(endpoint.m_address);
         if (address)
             m_pool.forget(*address);
@@ -191,25 +194,6 @@
            && !isEarlierProcess(*view->m_directory, endpoint);
 }
 
-bool RelayNode::withinColdLimit(const RelayView &view, const EndpointId &endpoint)
-{
-    const TimePoint now = Clock::now();
-    if (!isColdLimited(view, endpoint, now))
-        return true;
-    const auto rate = view.m_coldRates.find(endpoint);
-    return rate != view.m_coldRates.end()
-           && hasColdBudget(m_coldSends[endpoint], rate->second, now);
-}
-
-void RelayNode::countColdSend(const EndpointId &endpoint)
-{
-    const TimePoint now = Clock::now();
-    if (isColdLimited(*m_view.load(), endpoint, now))
-        m_coldSends[endpoint].push_back(now);
-    else
-        m_coldSends.erase(endpoint);
-}
-
 std::vector<LoadMessage> RelayNode::ownLoads(TimePoint now) const
 {
     std::vector<LoadMessage> messages;
@@ -247,6 +231,9 @@
     messages.insert(messages.end(), turns.begin(), turns.end());
     if (!messages.empty())
         m_loads.sendAll(peer, messages);
+    const std::vector<LoadMessage> limits = m_limiter.messages();
+    if (!limits.empty())
+        m_loads.sendAll(peer, limits);
     const std::vector<LoadMessage> suspects = m_suspects.allSuspects();
     if (!suspects.empty())
         m_loads.sendAll(peer, suspects);
@@ -373,6 +360,9 @@
     case LoadEvent::RetryPoolState:
         m_retryBroker.receive(message);
         return;
+    case LoadEvent::RequestLimit:
+        m_limiter.receive(*m_view.load(), message);
+        return;
     case LoadEvent::Suspected:
     case LoadEvent::Cleared:
         m_suspects.receive(message);
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -5,6 +5,7 @@
 #include <unordered_set>
 
 #include "relay/absence_monitor.h"
+#include "relay/endpoint_limiter.h"
 #include "relay/load_exchange.h"
 #include "relay/relay_codec.h"
 #include "relay/relay_metrics.h"
@@ -45,6 +46,7 @@
     std::unordered_map<ServiceId, PoolSplit> m_splits;
     LoadExchange m_loads;
     SuspectTracker m_suspects;
+    EndpointLimiter m_limiter;
     RetryBroker m_retryBroker;
     AbsenceMonitor m_absence{ *this };
     /// Watches the store for other VMs, and forwards updates to other cells.
@@ -75,10 +77,6 @@
     /// Whether the directory still lists the process of @p endpoint, and it is neither draining nor
     /// evacuated.
     bool acceptsWork(const EndpointRecord &endpoint) const;
-    /// Whether this VM may send a request to @p endpoint now: always unless it is cold.
-    bool withinColdLimit(const RelayView &view, const EndpointId &endpoint);
-    /// Counts a request to @p endpoint, which is cold.
-    void countColdSend(const EndpointId &endpoint);
     /// Sends the requests that this VM has in flight or queued, and all suspects, to a new VM.
     void sendState(const Address &peer);
     /// The engines of @p pool that currently serve strict streams.
@@ -101,7 +99,6 @@
     bool mayRetry(const ServiceId &service, const RelayView &view);
 
 private:
-    std::unordered_map<EndpointId, ColdSends> m_coldSends;
     TimePoint m_readySince{}; ///< Time of the first placement; the ledger was incomplete before.
 
     void receive(const LoadMessage &message);
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -27,20 +27,41 @@
     std::vector<EndpointRecord> untried;
     for (const EndpointRecord &endpoint : *pool) {
         if (m_triedEndpoints.count(endpoint.m_id) == 0
-            && m_node.withinColdLimit(*view, endpoint.m_id))
+            && m_node.m_limiter.maySend(*view, endpoint.m_id))
             untried.push_back(endpoint);
     }
     return healthyEndpoints(m_node.m_ejections, std::move(untried), Clock::now());
 }
 
-RelayRun::PoolState RelayRun::poolState() const
+std::vector<EndpointRecord> RelayRun::schedulablePool() const
 {
-    PoolState seen{ m_node.m_ledger.uses(Clock::now()), {} };
     const RelayViewPtr view = m_node.m_view.load();
     const auto *pool = poolOf(*view, m_serviceId);
-    if (pool && isModelRequest())
-        seen.m_strictSide =
-            m_node.strictSide(m_serviceId, *m_service->m_engine, *pool, seen.m_uses);
+    if (!pool)
+        return {};
+    std::vector<EndpointRecord> unlimited;
+    std::copy_if(pool->begin(), pool->end(), std::back_inserter(unlimited),
+                 [this](const EndpointRecord &endpoint) {
+                     return !m_node.m_limiter.namesRate(endpoint.m_id);
+                 });
+    return unlimited.empty() ? *pool : unlimited;
+}
+
+RelayRun::PoolState RelayRun::poolState() const
+{
+    PoolState seen{ m_node.m_ledger.uses(Clock::now()), schedulablePool(), {}, {} };
+    if (!isModelRequest() || seen.m_pool.empty())
+        return seen;
+    seen.m_strictSide =
+        m_node.strictSide(m_serviceId, *m_service->m_engine, seen.m_pool, seen.m_uses);
+    seen.m_answersStrict = seen.m_strictSide;
+    const RelayViewPtr view = m_node.m_view.load();
+    if (const auto *pool = poolOf(*view, m_serviceId); pool && pool->size() > seen.m_pool.size()) {
+        for (const EndpointRecord &endpoint : *pool) {
+            if (m_node.m_limiter.namesRate(endpoint.m_id))
+                seen.m_answersStrict.insert(endpoint.m_id);
+        }
+    }
     return seen;
 }
 
@@ -83,7 +104,7 @@
     question.m_candidateQuery.m_drawJitter = [this] {
         return std::uniform_real_distribution<double>(0, 1)(m_node.m_random);
     };
-    return planGang(m_node.m_gang, costs, splitPool(pool, seen.m_strictSide, request.strict()),
+    return planGang(m_node.m_gang, costs, splitPool(pool, seen.m_answersStrict, request.strict()),
                     seen.m_uses, question);
 }
 
@@ -107,11 +128,9 @@
 
 SideLoad RelayRun::sideLoad(const PoolState &seen) const
 {
-    const RelayViewPtr view = m_node.m_view.load();
-    const auto *pool = poolOf(*view, m_serviceId);
-    if (!pool)
+    if (seen.m_pool.empty())
         return {};
-    SideLoad load = sideLoadOf(*m_service->m_engine, *pool, seen.m_strictSide, seen.m_uses,
+    SideLoad load = sideLoadOf(*m_service->m_engine, seen.m_pool, seen.m_strictSide, seen.m_uses,
                                m_node.m_ledger.activeLongPrefills(), isStrictGap(gapLimitMs()));
     load.m_longestLatencyTarget = m_service->m_longestLatencyTarget;
     return load;
@@ -119,9 +138,7 @@
 
 size_t RelayRun::poolSize() const
 {
-    const RelayViewPtr view = m_node.m_view.load();
-    const auto *pool = poolOf(*view, m_serviceId);
-    return pool ? pool->size() : 0;
+    return schedulablePool().size();
 }
 
 Duration RelayRun::timeToComplete(double slack) const
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -31,6 +31,8 @@
 /// Retry-After values: a queue slot frees within some engine steps, a start takes a second.
 constexpr Millis RetryAfterBusy{ 250 };
 constexpr Millis RetryAfterStart{ 500 };
+/// Longest one while the endpoints limit their requests: other VMs may have budget sooner.
+constexpr Millis RetryAfterLimited{ 1'000 };
 /// Other VMs can serve the request now; zero would mean that there is no Retry-After.
 constexpr Millis RetryAfterDrain{ 10 };
 
@@ -199,6 +201,8 @@
             m_node.end(m_loadKey);
         if (!plan && isModelRequest())
             break;
+        if (!plan && noteLimited())
+            break;
         if (!plan) {
             m_failureReason = "no endpoint can take it";
             const bool waited = sleepFor(m_node.m_thread.context(), PlacementRetryDelay);
@@ -212,6 +216,23 @@
     finishUnanswered();
 }
 
+bool RelayRun::noteLimited()
+{
+    const RelayViewPtr view = m_node.m_view.load();
+    const auto *pool = poolOf(*view, m_serviceId);
+    const auto isFull = [&](const EndpointRecord &endpoint) {
+        return m_node.m_limiter.namesRate(endpoint.m_id)
+               && !m_node.m_limiter.maySend(*view, endpoint.m_id);
+    };
+    if (!pool || pool->empty() || !std::all_of(pool->begin(), pool->end(), isFull))
+        return false;
+    m_failureReason = LimitedReason;
+    const auto budget = m_node.m_limiter.timeToBudget(*pool).value_or(RetryAfterLimited);
+    m_limitedRetryAfter =
+        std::clamp(std::chrono::ceil<Millis>(budget), RetryAfterBusy, RetryAfterLimited);
+    return true;
+}
+
 bool RelayRun::mayAttempt()
 {
     if (m_clientDisconnected || m_node.m_stopping || remainingTime() <= Duration::zero()
@@ -263,7 +284,7 @@
     }
     if (m_mayHaveRun == 0) {
         refuse(StatusUnavailable, m_failureReason.empty() ? "no time left" : m_failureReason,
-               m_quarantineRetryAfter.value_or(retryDelay()));
+               m_quarantineRetryAfter.value_or(m_limitedRetryAfter.value_or(retryDelay())));
         return;
     }
     if (m_endpointFailure) {
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -61,6 +61,7 @@
     };
 
     static constexpr const char *EvacuatedReason = "its data centres are evacuated";
+    static constexpr const char *LimitedReason = "the endpoints take no more requests now";
     /// Delay between placement attempts while no endpoint can take the request.
     static constexpr Millis PlacementRetryDelay{ 60 };
 
@@ -75,14 +76,22 @@
     /// Whether another attempt may be made; takes it out of the retry budget if one was sent
     /// before.
     bool mayAttempt();
+    /// Whether the rates that the endpoints name are what keeps the request from all of them.
+    bool noteLimited();
 
     // relay_placement.cpp
     /// The requests in flight, and how the service's engines are divided.
     struct PoolState {
         EndpointUses m_uses;
+        std::vector<EndpointRecord> m_pool; ///< See schedulablePool().
         std::unordered_set<EndpointId> m_strictSide; ///< Empty for a plain service.
+        /// The same, and the endpoints that name a rate: what little they take are short requests.
+        std::unordered_set<EndpointId> m_answersStrict;
     };
     PoolState poolState() const;
+    /// The endpoints of the service whose slots count as capacity: those that name no rate. All of
+    /// them if each does.
+    std::vector<EndpointRecord> schedulablePool() const;
     std::optional<GangPlan> choosePlan(DisruptionPolicy care, const PoolState &seen);
     bool isModelRequest() const;
     /// Whether all endpoints of the service are in evacuated data centres.
@@ -96,7 +105,7 @@
     ModelRequest modelRequest() const;
     /// The current load of the engines that serve this request's kind of stream.
     SideLoad sideLoad(const PoolState &seen) const;
-    /// Number of endpoints of the service.
+    /// Number of schedulable endpoints of the service.
     size_t poolSize() const;
     /// Expected time from the start of an attempt to its end on fully loaded engines; @p slack is
     /// the factor by which its parts may exceed the declared costs.
@@ -119,6 +128,8 @@
     // relay_attempt.cpp
     AttemptResult attempt(const GangPlan &plan);
     AttemptResult attemptPlaced(const GangPlan &plan, const MemoryReservations &reservations);
+    /// Counts the request at all endpoints of @p plan; false if one of them takes no more now.
+    bool takeSendBudget(const GangPlan &plan);
     AttemptResult processResponse(HttpConnection &connection, const EndpointRecord &endpoint,
                                   bool reused, TimePoint firstEventBy);
     AttemptResult relayWholeResponse(HttpConnection &connection, const EndpointRecord &endpoint,
@@ -202,6 +213,8 @@
     SuspectHandling m_suspectHandling = SuspectHandling::None;
     /// Set once the request is not sent any more: when the client may retry.
     std::optional<Millis> m_quarantineRetryAfter;
+    /// Set if all endpoints limit their requests, and take none of this VM now.
+    std::optional<Millis> m_limitedRetryAfter;
     TimePoint m_lastForwardedAt{}; ///< When events were last sent to the client.
     Duration m_longestGap{}; ///< Longest time between events sent to the client.
     Duration m_firstEventDelay{}; ///< Time from the arrival to the first event.
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "net/net.h"
-#include "policy/cold_endpoint.h"
+#include "policy/send_share.h"
 
 namespace stackquay {
 
--- a/relay/relay_view.cpp
+++ b/relay/relay_view.cpp
@@ -24,6 +24,11 @@
     return found == view.m_pools.end() ? nullptr : &found->second;
 }
 
+bool isEngine(const RelayView &view, const EndpointRecord &endpoint)
+{
+    return isModelService(view, endpoint.m_service);
+}
+
 void rebuildPools(RelayView &view)
 {
     view.m_pools.clear();
@@ -46,9 +51,9 @@
     }
 }
 
-void rebuildColdRates(RelayView &view, const VmId &self)
+void rebuildColdShares(RelayView &view, const VmId &self)
 {
-    view.m_coldRates.clear();
+    view.m_coldShares.clear();
     if (!view.m_directory || !view.m_routes || !view.m_peersKnown)
         return;
     for (const auto &[id, until] : view.m_directory->m_coldUntil) {
@@ -58,11 +63,11 @@
         const auto service = view.m_routes->m_services.find(endpoint->second.m_service);
         if (service == view.m_routes->m_services.end())
             continue;
-        const ColdShare share =
+        const SendShare share =
             coldShare(view.m_bounds.m_coldLimits, service->second.m_coldRequestsPerSecond,
                       view.m_peers.size() + 1);
-        if (maySendToCold(endpoint->second, share, self, view.m_peers))
-            view.m_coldRates[id] = share.m_requestsPerSecond;
+        if (isSender(endpoint->second, share, self, view.m_peers))
+            view.m_coldShares[id] = share;
     }
 }
 
--- a/relay/relay_view.h
+++ b/relay/relay_view.h
@@ -27,8 +27,8 @@
     std::unordered_set<ServiceId> m_evacuatedServices;
     std::vector<VmId> m_peers; ///< The live VMs of the cell, without this one.
     bool m_peersKnown = false; ///< See FleetView.
-    /// Requests per second that this VM may send to a cold endpoint; none to those without entry.
-    std::unordered_map<EndpointId, uint32_t> m_coldRates;
+    /// This VM's share of the requests to cold endpoints; none to those without entry.
+    std::unordered_map<EndpointId, SendShare> m_coldShares;
 
     bool complete() const
     {
@@ -42,13 +42,16 @@
 /// The endpoints of @p service that accept new work; null if there are none.
 const std::vector<EndpointRecord> *poolOf(const RelayView &view, const ServiceId &service);
 
+/// Whether @p endpoint is a model engine. Engines are divided among cells; endpoints of plain
+/// services are used by the VMs of all cells.
+bool isEngine(const RelayView &view, const EndpointRecord &endpoint);
 /// Rebuilds the pools from the directory: endpoints that are neither draining nor evacuated, sorted
 /// by id. Call it after a change of the directory, the routes, the evacuations or the cell.
 void rebuildPools(RelayView &view);
-/// Rebuilds m_coldRates for the VM @p self. Call it after a change of the directory, the routes or
+/// Rebuilds m_coldShares for the VM @p self. Call it after a change of the directory, the routes or
 /// the peers.
-void rebuildColdRates(RelayView &view, const VmId &self);
-/// Whether requests to @p endpoint are limited to m_coldRates at @p now.
+void rebuildColdShares(RelayView &view, const VmId &self);
+/// Whether requests to @p endpoint are limited to m_coldShares at @p now.
 bool isColdLimited(const RelayView &view, const EndpointId &endpoint, TimePoint now);
 
 } // namespace stackquay
--- a/tests/platform/limited_endpoint_test.cpp
+++ b/tests/platform/limited_endpoint_test.cpp
@@ -91,5 +91,58 @@
     EXPECT_LE(busiestWindow(limited->arrivalTimes(), named + NoticeTime), allowedRequests(Limit));
 }
 
+TEST_F(LimitedEndpointTest, EndpointIsUsedAgainOnceItNamesNoLimit)
+{
+    HostedWorker &limited = m_deployment.addWorker("plain");
+    m_deployment.addWorker("plain");
+    start(3);
+    limited->setLimit(1);
+    load({}, Seconds(2));
+    limited->setLimit(std::nullopt);
+    EXPECT_EQ(load({}, Seconds(6)), m_sent);
+    const auto arrivals = limited->arrivalTimes();
+    const auto lately = std::count_if(
+        arrivals.begin(), arrivals.end(),
+        [from = Clock::now() - Seconds(1)](TimePoint arrival) { return arrival >= from; });
+    EXPECT_GE(lately, 10);
+}
+
+TEST_F(LimitedEndpointTest, VmThatStartsSendsNoMoreThanTheEndpointNames)
+{
+    HostedWorker &limited = m_deployment.addWorker("plain");
+    m_deployment.addWorker("plain");
+    start(3);
+    constexpr double Limit = 1;
+    limited->setLimit(Limit);
+    const TimePoint named = Clock::now();
+    load({}, Seconds(2));
+    m_deployment.m_daemons.pop_back();
+    m_deployment.addDaemon();
+    ASSERT_TRUE(m_deployment.awaitReady());
+    load({}, Seconds(5));
+    EXPECT_LE(busiestWindow(limited->arrivalTimes(), named + NoticeTime), allowedRequests(Limit));
+}
+
+TEST_F(LimitedEndpointTest, RequestThatNoEndpointTakesIsRefusedAtOnce)
+{
+    HostedWorker &limited = m_deployment.addWorker("plain");
+    start(2);
+    constexpr double Limit = 0.5;
+    limited->setLimit(Limit);
+    const TimePoint named = Clock::now();
+    size_t refused = 0;
+    for (int i = 0; i < 20; ++i) {
+        const ClientAnswer answer = m_deployment.call({}, i % 2);
+        if (answer.m_status == 200)
+            continue;
+        ++refused;
+        EXPECT_EQ(answer.m_status, 503u);
+        EXPECT_NE(answer.header("Retry-After"), "");
+        EXPECT_LT(answer.m_took, Millis(150));
+    }
+    EXPECT_GE(refused, 10u);
+    EXPECT_LE(busiestWindow(limited->arrivalTimes(), named), allowedRequests(Limit));
+}
+
 } // namespace
 } // namespace stackquay::platform
--- a/tests/policy/cold_endpoint_test.cpp
+++ b/tests/policy/send_share_test.cpp
@@ -43,12 +43,12 @@
     std::vector<TimePoint> arrivals;
     for (const auto &group : groups) {
         for (const VmId &vm : group) {
-            const ColdShare share = coldShare(Limits, Rate, group.size());
-            if (!maySendToCold(coldEndpoint(), share, vm, peersOf(vm, group)))
+            const SendShare share = coldShare(Limits, Rate, group.size());
+            if (!isSender(coldEndpoint(), share, vm, peersOf(vm, group)))
                 continue;
-            ColdSends sends;
+            RecentSends sends;
             for (TimePoint now = Start; now < Start + Seconds(5); now += Millis(7)) {
-                if (!hasColdBudget(sends, share.m_requestsPerSecond, now))
+                if (!hasSendBudget(sends, share, now))
                     continue;
                 sends.push_back(now);
                 arrivals.push_back(now
@@ -88,7 +88,7 @@
 TEST(ColdEndpointTest, NumberOfSendersDoesNotGrowWithTheFleet)
 {
     EXPECT_EQ(coldShare(Limits, Rate, 985).m_vms, coldShare(Limits, Rate, 1'970).m_vms);
-    EXPECT_EQ(coldShare(Limits, Rate, 1'970).m_requestsPerSecond, 1u);
+    EXPECT_EQ(coldShare(Limits, Rate, 1'970).m_requests, 1u);
 }
 
 TEST(ColdEndpointTest, LimitTooSmallToDivideAllowsNone)
