Cold endpoints that all cells use get requests from one cell only

With 8 cells of 123 VMs they could send 32 requests a second to an endpoint that tolerates 14 (RelayViewTest, failing before); now 14 at most.

--- a/relay/relay_view.cpp
+++ b/relay/relay_view.cpp
@@ -60,6 +60,8 @@
         const auto endpoint = view.m_directory->m_endpoints.find(id);
         if (endpoint == view.m_directory->m_endpoints.end())
             continue;
+        if (!isEngine(view, endpoint->second) && !ownsSharedEndpoint(id, view.m_cell))
+            continue;
         const auto service = view.m_routes->m_services.find(endpoint->second.m_service);
         if (service == view.m_routes->m_services.end())
             continue;
