Failing test: callers of a VM that reaches no endpoint are refused (RECOVER)

One of three VMs reaches the endpoints through a relay that refuses its connections, or resets them; clients, the store and the other VMs reach it. From 2.6 s after the cut it served 0 of 30 requests of each kind (safe, unsafe, streams), on both ways.

--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -119,21 +119,21 @@
 
 /// What an endpoint writes of itself; @p more are further fields, each after a comma.
 std::string entryText(const std::string &service, const Address &address, const std::string &state,
-                      const std::string &more = "")
+                      const std::string &more = "", uint32_t slots = 8)
 {
     return fmt::format(R"({{"service":"{}","address":"{}","zone":"here","version":"v1",)"
-                       R"("slots":8,"state":"{}","coldLeftMs":0,"seq":1{}}})",
-                       service, toString(address), state, more);
+                       R"("slots":{},"state":"{}","coldLeftMs":0,"seq":1{}}})",
+                       service, toString(address), slots, state, more);
 }
 
 } // namespace
 
 void Deployment::describe(const HostedWorker &worker, const std::string &service,
-                          const std::string &state, std::optional<Address> address)
+                          const std::string &state, std::optional<Address> address, uint32_t slots)
 {
     auto &hosted = const_cast<HostedWorker &>(worker);
     m_store->put("servers", hosted->id(),
-                 entryText(service, address.value_or(worker.address()), state));
+                 entryText(service, address.value_or(worker.address()), state, "", slots));
 }
 
 void Deployment::describeProcess(const HostedWorker &worker, const std::string &service,
@@ -149,12 +149,13 @@
 {
     RelaySettings settings;
     settings.m_vm = VmId(fmt::format("vm-{}", m_daemons.size() + 1));
-    settings.m_dataCentre = DataCentreId("here");
+    settings.m_dataCentre = DataCentreId(m_dataCentre);
     settings.m_store = store.value_or(m_store.address());
     settings.m_bounds = m_bounds;
     settings.m_connections = m_connections;
     settings.m_millicores = m_millicores;
-    auto daemon = RelayDaemon::start(settings, { relayDialect(), kindDialect(), relaySource() });
+    auto daemon = RelayDaemon::start(
+        settings, { relayDialect(), kindDialect(), m_source ? *m_source : relaySource() });
     if (!daemon) {
         log(LogPart::Main).critical("Cannot start. error={}", daemon.error().m_message);
         std::abort();
