Attempts that reach no endpoint take nothing from the retry budget

A retry that was paid now pays for the next attempt that is sent.

RelayTest.AttemptsThatReachNoEndpointTakeNothingFromTheRetryBudget: 5 retries taken for one request that was sent once before, at most 1 now.

--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -172,6 +172,7 @@
         m_node.m_absence.start();
     const HttpRequest request = upstreamRequest(plan, reservations);
     ++m_sentAttempts;
+    m_retryPaid = false;
     ++m_mayHaveRun;
     m_node.m_metrics.m_attempts.add();
     const Status sent =
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -248,7 +248,10 @@
         m_failureReason = EvacuatedReason;
         return false;
     }
-    if (m_sentAttempts == 0 || m_node.spendRetryBudget(m_serviceId, *m_view))
+    if (m_sentAttempts == 0 || m_retryPaid)
+        return true;
+    m_retryPaid = m_node.spendRetryBudget(m_serviceId, *m_view);
+    if (m_retryPaid)
         return true;
     DecisionLine("relay", "retry refused by the budget")
         .text("request", m_head.m_id.str())
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -199,6 +199,7 @@
     uint32_t m_sentAttempts = 0; ///< Attempts sent to an endpoint.
     uint32_t m_mayHaveRun = 0; ///< Of those, the ones that were not refused.
     uint32_t m_placements = 0;
+    bool m_retryPaid = false; ///< The retry budget allows the next attempt that is sent.
     HttpConnection *m_connection = nullptr; ///< Connection of the attempt in progress.
     const GangPlan *m_plan = nullptr; ///< Placement of the attempt in progress.
     bool m_holdsMemory = false; ///< Memory is reserved for the attempt in progress.
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -217,6 +217,27 @@
     EXPECT_LE(m_deployment.totalRuns(), Requests + Requests / 5);
 }
 
+TEST_F(RelayTest, AttemptsThatReachNoEndpointTakeNothingFromTheRetryBudget)
+{
+    start(4, 0);
+    worker(0).setMode(WorkerMode::CutBefore);
+    const Address closedPort{ "127.0.0.1", 1 };
+    for (size_t i = 1; i < 4; ++i)
+        m_deployment.describe(*m_deployment.m_workers[i], "plain", "ready", closedPort);
+    RelayNode &node = m_deployment.m_daemons[0]->node();
+    ASSERT_TRUE(eventually([&node, &closedPort] {
+        const EndpointDirectoryPtr directory = node.m_view.load()->m_directory;
+        return std::count_if(directory->m_endpoints.begin(), directory->m_endpoints.end(),
+                             [&](const auto &entry) {
+                                 return entry.second.m_address == toString(closedPort);
+                             })
+               == 3;
+    }));
+    EXPECT_NE(m_deployment.call({}).m_status, 200u);
+    EXPECT_EQ(m_deployment.totalRuns(), 1u);
+    EXPECT_LE(node.m_metrics.m_repeats.value(), 1u);
+}
+
 TEST_F(RelayTest, ResumesCutStreamElsewhere)
 {
     for (const WorkerMode mode :
