VMs that reach no endpoint hand their requests to VMs that do (RECOVER)

A VM's only way to an endpoint was its own connection. Ruled out as first causes: ejections told by the cut VMs (the sound ones served 145 of 148), and the retry budget (a fault of its own).

policy/path_health tells a broken path from broken endpoints; relay/path_monitor probes while in doubt, and holds back what a VM would tell against an endpoint until it has reached another; relay/relay_forward sends the request to a peer, on a port for VMs only, from which nothing is sent on. The time and the attempts that are left go with it. Settings take a third port of the range.

--- a/policy/policy.h
+++ b/policy/policy.h
@@ -35,6 +35,7 @@
 #include "policy/long_set.h"
 #include "policy/outcome.h"
 #include "policy/overflow.h"
+#include "policy/path_health.h"
 #include "policy/pool_split.h"
 #include "policy/prefill_group.h"
 #include "policy/prefix.h"
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -77,6 +77,12 @@
     bool m_requestsLoads = false;
 };
 
+ForwardPeer forwardPeerOf(const Heartbeat &heartbeat)
+{
+    return { heartbeat.m_vm, heartbeat.m_dataCentre, toString(heartbeat.m_forward),
+             heartbeat.m_millicores };
+}
+
 RpcLimits rpcLimits(const RelaySettings &settings)
 {
     RpcLimits limits;
@@ -189,7 +195,9 @@
                                kind.m_isReply,
                                kind.m_requestsLoads,
                                m_registeredVms,
-                               m_settings.m_millicores };
+                               m_settings.m_millicores,
+                               m_settings.m_forward,
+                               m_hooks.m_isIsolated() };
     m_socket.send(*endpoint, encodeMessage(heartbeat));
 }
 
@@ -255,6 +263,7 @@
     const uint64_t before = peer.m_lastHeartbeat.m_origin;
     const bool restarted = before != heartbeat.m_origin;
     const bool begins = !peer.m_alive || restarted;
+    const bool rerouted = heartbeat.m_isolated != peer.m_lastHeartbeat.m_isolated;
     const bool drains = heartbeat.m_draining && (restarted || !peer.m_lastHeartbeat.m_draining);
     if (restarted)
         peer.m_clock = {};
@@ -274,6 +283,8 @@
             .text("address", toString(from))
             .write();
         publish();
+    } else if (rerouted) {
+        publish();
     }
     if (heartbeat.m_gone)
         return;
@@ -348,6 +359,8 @@
             continue;
         fleet.m_loads.push_back(peer.m_lastHeartbeat.m_loads);
         fleet.m_peers.push_back(peer.m_lastHeartbeat.m_vm);
+        if (!peer.m_lastHeartbeat.m_draining && !peer.m_lastHeartbeat.m_isolated)
+            fleet.m_forwardPeers.push_back(forwardPeerOf(peer.m_lastHeartbeat));
         if (peer.isAvailable() && peer.m_lastHeartbeat.m_dataCentre == m_settings.m_dataCentre)
             fleet.m_retryHolders.push_back(
                 { peer.m_lastHeartbeat.m_origin, peer.m_lastHeartbeat.m_loads,
@@ -626,10 +639,11 @@
 
 FleetLink::~FleetLink() = default;
 
-Status FleetLink::listen(const Address &loads)
+Status FleetLink::listen(const Address &loads, const Address &forward)
 {
     State *state = m_state.get();
     state->m_settings.m_loads = loads;
+    state->m_settings.m_forward = forward;
     const auto beats = state->m_socket.listen(
         state->m_settings.m_heartbeats,
         [state](const Address &from, std::string_view bytes) { state->receive(from, bytes); });
--- a/relay/fleet_link.h
+++ b/relay/fleet_link.h
@@ -39,6 +39,7 @@
     /// The VMs of this cell and data centre, with this one, ablest first.
     std::vector<RetryHolder> m_retryHolders;
     std::vector<VmId> m_peers; ///< The live peers in this VM's cell.
+    std::vector<ForwardPeer> m_forwardPeers; ///< Of these, the ones that reach endpoints.
     /// This VM has had time to find its peers since it started.
     bool m_peersKnown = false;
     bool m_watchesStore = false;
@@ -54,6 +55,8 @@
     /// Called with a peer's state after a fetch; @p callTime is the duration of the call. Returns
     /// false if the changes of the endpoints do not apply, so that all endpoints are needed.
     std::function<bool(const StateSnapshot &state, Duration callTime)> m_onState;
+    /// Returns whether this VM reaches no endpoint.
+    std::function<bool()> m_isIsolated;
     /// Called with the freshness proof in a peer's heartbeat.
     std::function<void(const FreshnessProof &proof)> m_onProof;
     /// Called with the store era that a peer knows.
@@ -79,8 +82,9 @@
     FleetLink &operator=(const FleetLink &) = delete;
 
     /// Binds the sockets; port 0 lets the kernel choose. @p loads is the address on which this VM
-    /// receives load messages. Call it before the thread starts.
-    Status listen(const Address &loads);
+    /// receives load messages, @p forward the one for requests that other VMs forward. Call it
+    /// before the thread starts.
+    Status listen(const Address &loads, const Address &forward);
     /// Starts the fibers. On the thread.
     void start();
     /// Tells the peers that this VM drains. On the thread.
--- a/relay/fleet_messages.h
+++ b/relay/fleet_messages.h
@@ -41,10 +41,12 @@
     bool m_requestsLoads = false; ///< Asks the receiver for the requests that it has in flight.
     uint32_t m_fleetVms = 0; ///< The highest number of registered VMs that the sender has found.
     uint32_t m_millicores = 1'000; ///< Thousandths of a core that the platform grants the sender.
+    Address m_forward; ///< Address for requests that other VMs forward (TCP).
+    bool m_isolated = false; ///< The sender reaches no endpoint.
 
     MSGPACK_DEFINE(m_vm, m_dataCentre, m_origin, m_sentUs, m_rpcAddress, m_loads, m_stateSummary,
                    m_watchesStore, m_draining, m_gone, m_isReply, m_requestsLoads, m_fleetVms,
-                   m_millicores)
+                   m_millicores, m_forward, m_isolated)
 };
 
 /// A peer's routes and endpoints, with the age of its freshness proof.
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -24,6 +24,8 @@
 
 /// A repeat that starts after this part of the client's patience still succeeds in time.
 constexpr double PatienceShare = 0.45;
+/// Leaves another VM that serves the request time for its own repeat.
+constexpr double ForwardPatienceShare = 0.8;
 constexpr Millis MinFirstEventTimeout{ 300 };
 /// A first event is late after this multiple of its predicted time.
 constexpr double LateFactor = 2;
@@ -31,6 +33,11 @@
 /// repeat is allowed.
 constexpr int ServiceAims = 2;
 
+/// Weights of an endpoint that is not reached against this VM's own path: a refusal costs little
+/// time, so another endpoint is tried first.
+constexpr uint32_t RefusalWeight = 1;
+constexpr uint32_t SilenceWeight = 2;
+
 /// Ledger entries expire this long after the deadline of their request.
 constexpr Millis LedgerSlack{ 500 };
 
@@ -69,14 +76,25 @@
 
 Duration RelayRun::streamSilenceTimeout() const
 {
-    return std::chrono::duration_cast<Duration>(clientPatience() * PatienceShare);
+    const double share = m_forwarding ? ForwardPatienceShare : PatienceShare;
+    return std::chrono::duration_cast<Duration>(clientPatience() * share);
+}
+
+Duration RelayRun::justUsedTime() const
+{
+    return m_node.m_settings.m_bounds.m_recoveryTime / JustUsedShare;
+}
+
+uint32_t RelayRun::maxAttempts() const
+{
+    const uint32_t left = m_head.m_attemptsLeft.value_or(m_route->m_maxAttempts);
+    return std::max(std::min(left, m_route->m_maxAttempts), 1u);
 }
 
 bool RelayRun::mayRetry() const
 {
     // A slow response is better than one cancelled for a repeat that the retry budget refuses.
-    return !atMostOnce() && m_mayHaveRun < m_route->m_maxAttempts
-           && m_node.mayRetry(m_serviceId, *m_view);
+    return !atMostOnce() && m_mayHaveRun < maxAttempts() && m_node.mayRetry(m_serviceId, *m_view);
 }
 
 Duration RelayRun::firstEventTimeout(const GangPlan &plan) const
@@ -134,11 +152,12 @@
         return failAttempt(endpoint, FailureWeight::Strong, "no address");
     // A dead connection is also costly if memory is reserved on other endpoints meanwhile.
     const bool proved = atMostOnce() || m_sentAttempts > 0 || !reservations.empty();
-    const Duration justUsed = m_node.m_settings.m_bounds.m_recoveryTime / JustUsedShare;
     auto connection =
         m_node.m_pool.acquire(*address, std::min<Duration>(remainingTime(), ConnectTimeout), false,
-                              proved ? justUsed : Duration::max());
+                              proved ? justUsedTime() : Duration::max());
     if (!connection) {
+        const bool silent = connection.error().m_code == ErrorCode::DeadlineExceeded;
+        noteUnreached(endpoint, silent ? SilenceWeight : RefusalWeight);
         m_unreachable.insert(endpoint.m_dataCentre);
         failAttempt(endpoint, FailureWeight::Strong, connection.error().m_message);
         return AttemptResult::NotSent;
@@ -197,6 +216,8 @@
     if (m_clientDisconnected || m_node.m_stopping)
         return AttemptResult::Failed;
     m_failureReason = why;
+    if (m_forwarding)
+        return AttemptResult::Failed;
     m_triedEndpoints.insert(endpoint.m_id);
     m_node.noteFailure(endpoint.m_id, weight, why);
     DecisionLine("relay", "attempt failed")
@@ -216,6 +237,8 @@
     const auto address = parseAddress(endpoint.m_address);
     if (address)
         m_node.m_pool.noteSilent(*address, connection);
+    if (!m_forwarding)
+        noteUnreached(endpoint, SilenceWeight);
     DecisionLine("relay", "connection fell silent")
         .text("request", m_head.m_id.str())
         .text("endpoint", endpoint.m_id.str())
@@ -226,7 +249,7 @@
 
 std::optional<PendingAttempt> RelayRun::pendingAttempt()
 {
-    if (!m_connection || m_abandoned)
+    if (!m_connection || m_abandoned || m_forwarding)
         return std::nullopt;
     PendingAttempt attempt;
     attempt.m_run = this;
@@ -257,7 +280,9 @@
     // Expiry of the request's deadline is not a failure of the endpoint.
     if (silent && Clock::now() >= m_deadline)
         return AttemptResult::Failed;
-    if (!silent) {
+    if (!silent && !m_forwarding) {
+        if (!connection.reused() && connection.lastReadAt() == TimePoint{})
+            noteUnreached(endpoint, RefusalWeight);
         m_unreachable.insert(endpoint.m_dataCentre);
         noteBrokenResponse(connection, endpoint);
     }
@@ -294,6 +319,7 @@
         connection.readHeader(std::max<Duration>(firstEventBy - Clock::now(), Millis(1)));
     if (!response)
         return failRead(connection, endpoint, response.error());
+    m_node.m_path.noteReached(endpoint);
     const ResponseHead head = m_node.m_dialect.m_readResponseHead(*response);
     const bool ours = head.m_id == m_head.m_id || (head.m_id.empty() && !reused);
     if (!ours)
@@ -377,6 +403,12 @@
     return true;
 }
 
+void RelayRun::recordFirstEvent(const EndpointRecord &endpoint)
+{
+    m_node.recordFirstEvent(m_loadKey);
+    recordSuccess(m_node.m_ejections, endpoint.m_id);
+}
+
 RelayRun::AttemptResult RelayRun::relayStream(HttpConnection &connection,
                                               const EndpointRecord &endpoint,
                                               const ResponseHead &head,
@@ -407,8 +439,8 @@
         if (!batch.empty()) {
             if (first) {
                 first = false;
-                m_node.recordFirstEvent(m_loadKey);
-                recordSuccess(m_node.m_ejections, endpoint.m_id);
+                if (!m_forwarding)
+                    recordFirstEvent(endpoint);
             }
             forwardEvents(head, response.m_status, batch);
         }
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -111,6 +111,9 @@
                 m_quarantineRecord->save(quarantined);
         });
     };
+    m_node->m_isolationChanged = [this] {
+        m_control.post([this] { m_fleet->sendHeartbeatsNow(); });
+    };
     RelayView view;
     view.m_bounds = settings.m_bounds;
     m_node->m_view.store(std::make_shared<const RelayView>(std::move(view)));
@@ -137,14 +140,22 @@
 
 Status RelayDaemon::listen()
 {
-    m_clients = std::make_unique<HttpServer>(
-        m_traffic, [this](HttpExchange &exchange) { RelayRun(*m_node, exchange).run(); },
-        serverLimits({}, m_settings));
+    const auto serverFor = [this](RequestSource source) {
+        return std::make_unique<HttpServer>(
+            m_traffic,
+            [this, source](HttpExchange &exchange) { RelayRun(*m_node, exchange, source).run(); },
+            serverLimits({}, m_settings));
+    };
+    m_clients = serverFor(RequestSource::Client);
+    m_forward = serverFor(RequestSource::Vm);
     m_ready = std::make_unique<HttpServer>(
         m_traffic, [this](HttpExchange &exchange) { handleReadyRequest(exchange); });
     const auto clients = m_clients->listen(m_settings.m_clients);
     if (!clients)
         return tl::unexpected(clients.error());
+    const auto forward = m_forward->listen(m_settings.m_forward);
+    if (!forward)
+        return tl::unexpected(forward.error());
     const auto ready = m_ready->listen(m_settings.m_ready);
     if (!ready)
         return tl::unexpected(ready.error());
@@ -153,7 +164,7 @@
     const auto loads = m_node->m_loads.listen(m_settings.m_loads);
     if (!loads)
         return tl::unexpected(loads.error());
-    const Status fleet = m_fleet->listen(*loads);
+    const Status fleet = m_fleet->listen(*loads, *forward);
     if (!fleet)
         return fleet;
     m_control.start();
@@ -221,6 +232,7 @@
             rebuildColdShares(view, m_settings.m_vm);
         });
         m_clients->setLimits(serverLimits(routes->m_limits, m_settings));
+        m_forward->setLimits(serverLimits(routes->m_limits, m_settings));
         announceChange();
     };
     hooks.m_onProof = [this](const FreshnessProof &proof) {
@@ -390,6 +402,7 @@
     hooks.m_onState = [this](const StateSnapshot &state, Duration callTime) {
         return applyPeerState(state, callTime);
     };
+    hooks.m_isIsolated = [this] { return m_node->m_isolated.load(); };
     hooks.m_onProof = [this](const FreshnessProof &proof) { applyProof(proof); };
     hooks.m_era = [this](uint64_t era) { noteEra(era); };
     hooks.m_onProcessGone = [this](uint64_t origin) {
@@ -411,6 +424,7 @@
         m_traffic.post([this, fleet] {
             m_node->m_loads.setPeers(fleet.m_loads);
             m_node->m_loads.setContacts(fleet.m_contacts);
+            m_node->m_forwardPeers = fleet.m_forwardPeers;
             m_node->setRetryHolders(fleet.m_retryHolders);
             m_node->m_limiter.setGroup(limitGroup(m_settings.m_vm, fleet));
             m_node->m_watchesStore = fleet.m_watchesStore;
@@ -514,12 +528,11 @@
     const DrainPlan plan{ begun, BalancerDetectionTime, DrainLinger,
                           m_node->m_view.load()->m_bounds.m_grace - GraceReserve };
     updateView([&plan](RelayView &view) { view.m_drain = plan; });
-    DecisionLine("main", "draining")
-        .number("requests", int64_t(m_clients->activeRequests()))
-        .write();
+    DecisionLine("main", "draining").number("requests", int64_t(activeRequests())).write();
     m_clients->closeAfterAnswers();
+    m_forward->closeAfterAnswers();
     m_fleet->announceDrain();
-    while (!shouldExit(plan, Clock::now(), m_clients->activeRequests())
+    while (!shouldExit(plan, Clock::now(), activeRequests())
            && sleepFor(m_control.context(), DrainPoll)) { }
     m_fleet->removeObject();
     const TimePoint now = Clock::now();
@@ -527,9 +540,7 @@
         std::clamp(plan.m_drainStartedAt + plan.m_grace, now + ShutdownTime, now + MaxRemovalTime);
     abortRequests();
     m_fleet->announceExit(goneBy);
-    DecisionLine("main", "drained")
-        .number("requests", int64_t(m_clients->activeRequests()))
-        .write();
+    DecisionLine("main", "drained").number("requests", int64_t(activeRequests())).write();
     m_drained.set_value();
 }
 
@@ -540,16 +551,23 @@
 {
     const TimePoint until = Clock::now() + ShutdownTime;
     m_node->m_stopping = true;
-    m_clients->drain();
-    m_clients->refuseUnread();
+    for (HttpServer *server : { m_clients.get(), m_forward.get() }) {
+        server->drain();
+        server->refuseUnread();
+    }
     m_traffic.post([this] {
         for (RelayRun *run : m_node->m_runs)
             run->abortForShutdown();
     });
-    while (m_clients->connections() > 0 && Clock::now() < until
+    while (m_clients->connections() + m_forward->connections() > 0 && Clock::now() < until
            && sleepFor(m_control.context(), DrainPoll)) { }
 }
 
+size_t RelayDaemon::activeRequests() const
+{
+    return m_clients->activeRequests() + m_forward->activeRequests();
+}
+
 void RelayDaemon::wait()
 {
     m_drained.get_future().wait();
--- a/relay/relay_daemon.h
+++ b/relay/relay_daemon.h
@@ -65,6 +65,8 @@
     /// @p begun is the time of the stop signal, from which the grace period counts.
     void drainFiber(TimePoint begun);
     void abortRequests();
+    /// Requests in progress, of clients and of other VMs.
+    size_t activeRequests() const;
 
     const RelaySettings m_settings;
     const RelayAdapter m_adapter;
@@ -72,6 +74,7 @@
     FiberThread m_traffic{ "traffic" };
     std::unique_ptr<RelayNode> m_node;
     std::unique_ptr<HttpServer> m_clients;
+    std::unique_ptr<HttpServer> m_forward; ///< Requests that other VMs forward.
     std::unique_ptr<HttpServer> m_ready;
     std::unique_ptr<KindStore> m_store;
     std::unique_ptr<StoreFollower> m_follower;
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -64,6 +64,9 @@
 SuspectHooks RelayNode::suspectHooks()
 {
     SuspectHooks hooks;
+    hooks.m_reachesOthers = [this](const EndpointRecord &endpoint) {
+        return m_path.reachesOthers(endpoint);
+    };
     hooks.m_cell = [this] { return m_view.load()->m_cell; };
     hooks.m_watchesStore = [this] { return m_watchesStore; };
     hooks.m_sendToCell = [this](const LoadMessage &message) { m_loads.send(message); };
@@ -241,24 +244,28 @@
 
 void RelayNode::noteFailure(const EndpointId &endpoint, FailureWeight weight, std::string_view why)
 {
-    // Interrupted waits during the shutdown of this process are no failures of endpoints.
-    if (m_stopping || !recordFailure(m_ejections, endpoint, weight, Clock::now()))
+    // Interrupted waits during the shutdown of this process are no failures of endpoints, and
+    // neither is what a VM sees that reaches none of them.
+    if (m_stopping || m_path.isIsolated()
+        || !recordFailure(m_ejections, endpoint, weight, Clock::now()))
         return;
     if (weight == FailureWeight::Strong) {
         LoadMessage message{ LoadEvent::Ejected, nextKey() };
         message.m_parts = { { endpoint, 0, 0 } };
         message.m_dataCentre = m_settings.m_dataCentre;
-        m_loads.send(message);
+        m_path.reportOnceReached([this, message] { m_loads.send(message); });
     }
     noteEjection(m_metrics, endpoint, why);
 }
 
 void RelayNode::reportBrokenResponse(const EndpointId &endpoint)
 {
-    LoadMessage message{ LoadEvent::BrokenOff, nextKey() };
-    message.m_parts = { { endpoint, 0, 0 } };
-    m_loads.send(message);
-    recordBrokenResponse(endpoint, m_origin);
+    m_path.reportOnceReached([this, endpoint] {
+        LoadMessage message{ LoadEvent::BrokenOff, nextKey() };
+        message.m_parts = { { endpoint, 0, 0 } };
+        m_loads.send(message);
+        recordBrokenResponse(endpoint, m_origin);
+    });
 }
 
 void RelayNode::recordBrokenResponse(const EndpointId &endpoint, uint64_t vm)
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -7,6 +7,7 @@
 #include "relay/absence_monitor.h"
 #include "relay/endpoint_limiter.h"
 #include "relay/load_exchange.h"
+#include "relay/path_monitor.h"
 #include "relay/relay_codec.h"
 #include "relay/relay_metrics.h"
 #include "relay/relay_view.h"
@@ -28,6 +29,11 @@
     /// requests are sent.
     std::atomic<bool> m_stopping{ false };
 
+    /// Mirrors PathMonitor::isIsolated().
+    std::atomic<bool> m_isolated{ false };
+    /// Called on the traffic thread when m_isolated changed. Set before the thread starts.
+    std::function<void()> m_isolationChanged;
+
     const RelaySettings m_settings;
     const RelayCodec &m_dialect;
     FiberThread &m_thread;
@@ -47,6 +53,8 @@
     LoadExchange m_loads;
     SuspectTracker m_suspects;
     EndpointLimiter m_limiter;
+    PathMonitor m_path{ *this };
+    std::vector<ForwardPeer> m_forwardPeers; ///< VMs that take requests while this one is isolated.
     RetryBroker m_retryBroker;
     AbsenceMonitor m_absence{ *this };
     /// Watches the store for other VMs, and forwards updates to other cells.
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -48,9 +48,10 @@
 
 } // namespace
 
-RelayRun::RelayRun(RelayNode &node, HttpExchange &exchange)
+RelayRun::RelayRun(RelayNode &node, HttpExchange &exchange, RequestSource source)
     : m_node(node)
     , m_exchange(exchange)
+    , m_source(source)
     , m_arrival(Clock::now())
     , m_head(node.m_dialect.m_readRequestHead(exchange.request()))
     , m_view(node.m_view.load())
@@ -107,7 +108,9 @@
         refuse(StatusUnavailable, m_failureReason, *m_quarantineRetryAfter);
         return false;
     }
-    m_node.countArrival(m_serviceId, m_arrival);
+    // The VM that forwards a request has counted it.
+    if (m_source == RequestSource::Client)
+        m_node.countArrival(m_serviceId, m_arrival);
     return true;
 }
 
@@ -195,6 +198,14 @@
 {
     while (mayAttempt()) {
         ++m_placements;
+        if (const auto peer = forwardPeer()) {
+            if (forward(*peer) == AttemptResult::Answered)
+                return;
+            continue;
+        }
+        // An attempt of this VM's own would most likely break, and promise nothing.
+        if (!m_forwardedTo.empty() && m_node.m_path.isIsolated())
+            break;
         m_loadKey = m_node.nextKey();
         const auto plan = awaitTurn();
         if (!plan)
@@ -242,7 +253,7 @@
         return false;
     if (cannotFinishInDrain())
         return false;
-    if (m_mayHaveRun > 0 && (atMostOnce() || m_mayHaveRun >= m_route->m_maxAttempts))
+    if (m_mayHaveRun > 0 && (atMostOnce() || m_mayHaveRun >= maxAttempts()))
         return false;
     if (isEvacuated()) {
         m_failureReason = EvacuatedReason;
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -29,10 +29,16 @@
     TimePoint m_lastReadAt{}; ///< When bytes last came on its connection; zero: never.
 };
 
+/// Who sent a request to this VM.
+enum class RequestSource {
+    Client,
+    Vm, ///< Another VM that reaches no endpoint. Such a request is forwarded no further.
+};
+
 class RelayRun
 {
 public:
-    RelayRun(RelayNode &node, HttpExchange &exchange);
+    RelayRun(RelayNode &node, HttpExchange &exchange, RequestSource source = RequestSource::Client);
     ~RelayRun();
     RelayRun(const RelayRun &) = delete;
     RelayRun &operator=(const RelayRun &) = delete;
@@ -153,13 +159,30 @@
     void noteCompleted(unsigned status);
     AttemptResult failSilentConnection(const HttpConnection &connection,
                                        const EndpointRecord &endpoint);
+    void recordFirstEvent(const EndpointRecord &endpoint);
     bool collectEvents(EventSplitter &events, std::string &batch);
     void forwardEvents(const ResponseHead &head, unsigned status, const std::string &batch);
     HttpRequest upstreamRequest(const GangPlan &plan, const MemoryReservations &reservations) const;
+    /// The endpoints to which the request may be sent and run.
+    uint32_t maxAttempts() const;
     bool mayRetry() const;
+    /// Connections that were used longer ago may be dead.
+    Duration justUsedTime() const;
     Duration streamSilenceTimeout() const;
     Duration firstEventTimeout(const GangPlan &plan) const;
 
+    // relay_forward.cpp
+    /// The VM to which the request is forwarded now; nothing if this VM has to serve it.
+    std::optional<ForwardPeer> forwardPeer();
+    AttemptResult forward(const ForwardPeer &peer);
+    AttemptResult forwardTo(const ForwardPeer &peer);
+    AttemptResult exchangeWith(const ForwardPeer &peer, HttpConnection &connection);
+    /// Handles a response that @p vm made itself: a refusal or a failure.
+    AttemptResult forwardPeerResponse(HttpConnection &connection, const EndpointRecord &vm,
+                                      const ResponseHead &head, HttpResponse response);
+    /// Records that @p endpoint was not reached, with @p weight against this VM's own path.
+    void noteUnreached(const EndpointRecord &endpoint, uint32_t weight);
+
     /// How long the client waits without an event before it disconnects.
     Duration clientPatience() const;
     Duration remainingTime() const;
@@ -183,6 +206,7 @@
 
     RelayNode &m_node;
     HttpExchange &m_exchange;
+    const RequestSource m_source;
     const TimePoint m_arrival;
     RelayHead m_head;
     RelayViewPtr m_view; ///< The view at the arrival, which determines the route.
@@ -200,6 +224,9 @@
     uint32_t m_mayHaveRun = 0; ///< Of those, the ones that were not refused.
     uint32_t m_placements = 0;
     bool m_retryPaid = false; ///< The retry budget allows the next attempt that is sent.
+    uint32_t m_unreached = 0; ///< Sum of the weights of noteUnreached().
+    std::vector<VmId> m_forwardedTo;
+    bool m_forwarding = false; ///< The attempt in progress is at another VM.
     HttpConnection *m_connection = nullptr; ///< Connection of the attempt in progress.
     const GangPlan *m_plan = nullptr; ///< Placement of the attempt in progress.
     bool m_holdsMemory = false; ///< Memory is reserved for the attempt in progress.
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -45,6 +45,7 @@
     Address m_peerRpc; ///< RPC between VMs, TCP.
     Address m_heartbeats; ///< Heartbeats between VMs, UDP.
     Address m_loads; ///< Load messages between VMs, UDP.
+    Address m_forward; ///< Requests that other VMs forward, TCP.
     Address m_store;
     uint32_t m_millicores = 1'000; ///< Thousandths of a core that the platform grants this VM.
     uint32_t m_connections = 1'000; ///< Maximum number of client connections.
--- a/relay/suspect_tracker.cpp
+++ b/relay/suspect_tracker.cpp
@@ -170,7 +170,7 @@
                                          const Fingerprint &fingerprint)
 {
     for (const EndpointRecord &endpoint : endpoints) {
-        if (!m_exitProbe.hasExited(endpoint))
+        if (!m_exitProbe.hasExited(endpoint) || !m_hooks.m_reachesOthers(endpoint))
             continue;
         noteExit(fingerprint, endpoint);
         return true;
--- a/relay/suspect_tracker.h
+++ b/relay/suspect_tracker.h
@@ -18,6 +18,8 @@
 /// Connections to the other VMs and to the daemon.
 struct SuspectHooks {
     std::function<CellView()> m_cell;
+    /// Returns whether this VM reaches an endpoint other than @p endpoint now. Blocks the fiber.
+    std::function<bool(const EndpointRecord &endpoint)> m_reachesOthers;
     /// Returns whether this VM forwards updates of its cell to other cells.
     std::function<bool()> m_watchesStore;
     std::function<void(const LoadMessage &message)> m_sendToCell;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -29,6 +29,7 @@
     EXPECT_EQ(toString(settings->m_clients), "10.1.0.40:8227");
     EXPECT_EQ(toString(settings->m_peerRpc), "10.1.0.40:7340");
     EXPECT_EQ(toString(settings->m_loads), "10.1.0.40:7341");
+    EXPECT_EQ(toString(settings->m_forward), "10.1.0.40:7342");
     EXPECT_EQ(toString(settings->m_store), "10.200.1.7:8223");
     EXPECT_EQ(settings->m_connections, 2'000u);
     EXPECT_EQ(settings->m_millicores, 120u);
@@ -109,10 +110,36 @@
     EXPECT_EQ(findHeader(headers, "X-Model"), "m");
 }
 
+TEST(RequestCodecTest, ForwardsAClientsHeadWithWhatIsLeft)
+{
+    const HttpRequest request{ "POST",
+                               "/a/b",
+                               { { "Host", "h.example" },
+                                 { "X-Request-Id", "r1" },
+                                 { "Api-Key", "k" },
+                                 { "X-Deadline-Ms", "9000" },
+                                 { "Last-Event-Id", "3" },
+                                 { "X-Stackquay-Attempts", "9" },
+                                 { "Connection", "keep-alive" } },
+                               "body" };
+    const HttpHeaders headers =
+        relayDialect().m_writeForwardHeaders(request, { Millis(700), 2, 5 });
+    const RelayHead head = relayDialect().m_readRequestHead({ "POST", "/a/b", headers, "body" });
+    EXPECT_EQ(head.m_id.str(), "r1");
+    EXPECT_EQ(head.m_key, "k");
+    EXPECT_EQ(head.m_deadline, Millis(700));
+    EXPECT_EQ(head.m_lastEvent, 5u);
+    EXPECT_EQ(head.m_attemptsLeft, 2u);
+    EXPECT_EQ(findHeader(headers, "Connection"), "");
+    // Endpoints get none of it.
+    EXPECT_EQ(findHeader(head.m_forwardedHeaders, "X-Stackquay-Attempts"), "");
+}
+
 TEST(RequestCodecTest, ReadsTheLimitThatAnAnswerNames)
 {
     const auto limitOf = [](const char *text) {
-        return relayDialect().m_readResponseHead({ 200, { { "Server-Limit", text } }, "" })
+        return relayDialect()
+            .m_readResponseHead({ 200, { { "Server-Limit", text } }, "" })
             .m_requestLimit;
     };
     EXPECT_EQ(limitOf("1.6"), 1.6);
--- a/tests/platform/isolated_vm_test.cpp
+++ b/tests/platform/isolated_vm_test.cpp
@@ -41,17 +41,27 @@
         }
         ASSERT_TRUE(m_deployment.awaitReady());
         ASSERT_TRUE(m_deployment.awaitPeers());
-        // Each VM follows the store itself, and takes the change in its own way.
-        ASSERT_TRUE(eventually([this] { return m_deployment.m_daemons.size() == 1 || allFollow(); }));
-        for (const auto &worker : m_deployment.m_workers)
-            m_deployment.describe(*worker, m_services[(*worker)->id()], "ready", std::nullopt, 9);
-        ASSERT_TRUE(eventually([this] {
-            for (size_t i = 0; i < m_deployment.m_daemons.size(); ++i) {
-                if (!hasOwnAddresses(i))
-                    return false;
-            }
-            return true;
-        }));
+        ASSERT_TRUE(eventually([this] { return allFollow(); }));
+        // Each VM follows the store itself, and takes a change in its own way, unless it hears of
+        // it from another one first.
+        bool separate = false;
+        for (int tries = 0; tries < 10 && !separate; ++tries) {
+            ++m_slots;
+            for (const auto &worker : m_deployment.m_workers)
+                m_deployment.describe(*worker, m_services[(*worker)->id()], "ready", std::nullopt,
+                                      m_slots);
+            separate = eventually([this] { return allHaveOwnAddresses(); }, Seconds(1));
+        }
+        ASSERT_TRUE(separate);
+    }
+
+    bool allHaveOwnAddresses()
+    {
+        for (size_t i = 0; i < m_deployment.m_daemons.size(); ++i) {
+            if (!hasOwnAddresses(i))
+                return false;
+        }
+        return true;
     }
 
     void addWorker(const std::string &service)
@@ -76,7 +86,7 @@
         for (const auto &worker : m_deployment.m_workers) {
             const std::string address = toString(worker->address());
             const auto found = directory->m_endpoints.find(EndpointId((*worker)->id()));
-            if (found == directory->m_endpoints.end() || found->second.m_slots != 9
+            if (found == directory->m_endpoints.end() || found->second.m_slots != m_slots
                 || found->second.m_address != (daemon == 0 ? detours()[address] : address))
                 return false;
         }
@@ -109,9 +119,11 @@
 
     RelaySource m_detouring = relaySource();
     std::map<std::string, std::string> m_services; ///< By worker.
+    uint32_t m_slots = 8; ///< Of each worker, as last described.
 };
 
-class IsolatedVmModeTest : public IsolatedVmTest, public testing::WithParamInterface<standin::RelayMode>
+class IsolatedVmModeTest : public IsolatedVmTest,
+                           public testing::WithParamInterface<standin::RelayMode>
 { };
 
 TEST_P(IsolatedVmModeTest, CallersOfAVmThatReachesNoEndpointAreServed)
@@ -131,5 +143,106 @@
 INSTANTIATE_TEST_SUITE_P(Ways, IsolatedVmModeTest,
                          testing::Values(standin::RelayMode::Cut, standin::RelayMode::Reset));
 
+class IsolationTest : public IsolatedVmTest
+{
+protected:
+    RelayNode &node(size_t daemon) { return m_deployment.m_daemons[daemon]->node(); }
+
+    /// Cuts daemon 0 off, and waits until it knows.
+    void isolate()
+    {
+        start(3);
+        cut(standin::RelayMode::Cut);
+        served({}, 10);
+        ASSERT_TRUE(eventually([this] { return node(0).m_isolated.load(); }));
+        ASSERT_TRUE(eventually([this] { return served({}, 3) == 3; }));
+    }
+
+    /// Requests that all daemons took from clients and from other VMs.
+    size_t arrivals() const
+    {
+        size_t sum = 0;
+        for (const auto &worker : m_deployment.m_workers)
+            sum += (*worker)->arrivals();
+        return sum;
+    }
+};
+
+TEST_F(IsolationTest, VmServesAloneAgainOnceItReachesEndpoints)
+{
+    isolate();
+    cut(standin::RelayMode::Pass);
+    EXPECT_TRUE(eventually([this] { return !node(0).m_isolated.load(); }));
+    EXPECT_EQ(served(streamRequest(), 10), 10u);
+}
+
+TEST_F(IsolationTest, OtherVmsEjectNoEndpointForWhatAnIsolatedVmSees)
+{
+    isolate();
+    served(streamRequest(), 30);
+    for (size_t i = 0; i < 3; ++i)
+        EXPECT_EQ(node(i).m_metrics.m_ejections.value(),
+                  i == 0 ? node(0).m_metrics.m_ejections.value() : 0u);
+    EXPECT_EQ(node(1).m_metrics.m_processExits.value() + node(2).m_metrics.m_processExits.value(),
+              0u);
+}
+
+TEST_F(IsolationTest, UnsafeRequestRunsOnceIfTheOtherVmsAnswerIsLost)
+{
+    isolate();
+    for (const auto &worker : m_deployment.m_workers)
+        (*worker)->setMode(WorkerMode::CutBefore);
+    const size_t before = arrivals();
+    const ClientAnswer answer = m_deployment.call(unsafeRequest(), 0);
+    EXPECT_EQ(answer.m_status, 502u);
+    EXPECT_EQ(arrivals() - before, 1u);
+}
+
+TEST_F(IsolationTest, RefusalOfAnotherVmPromisesThatTheRequestDidNotRun)
+{
+    isolate();
+    for (const auto &worker : m_deployment.m_workers)
+        (*worker)->setMode(WorkerMode::Full);
+    // The stand-in names no request when it refuses, so the answer has to come on a new connection.
+    std::this_thread::sleep_for(Millis(400));
+    const size_t before = m_deployment.totalRuns();
+    const ClientAnswer answer = m_deployment.call(unsafeRequest(), 0);
+    EXPECT_EQ(answer.m_status, 503u) << answer.m_body;
+    EXPECT_NE(answer.header("Retry-After"), "");
+    EXPECT_EQ(m_deployment.totalRuns(), before);
+}
+
+TEST_F(IsolationTest, ClientThatLeavesEndsTheWorkBehindTheOtherVm)
+{
+    isolate();
+    for (const auto &worker : m_deployment.m_workers)
+        (*worker)->setEvents(200, Millis(20));
+    ClientRequest request = streamRequest();
+    request.m_id = "left";
+    request.m_leaveAfter = Millis(300);
+    auto answer = m_deployment.begin(request, 0);
+    const auto cancelled = [this] {
+        for (const auto &worker : m_deployment.m_workers) {
+            for (const WorkerRun &run : (*worker)->runs()) {
+                if (run.m_requestId == "left" && run.m_cancelled)
+                    return true;
+            }
+        }
+        return false;
+    };
+    EXPECT_TRUE(eventually(cancelled, Millis(900)));
+}
+
+TEST_F(IsolationTest, IsolatedVmsForwardNothingToEachOther)
+{
+    start(1);
+    cut(standin::RelayMode::Cut);
+    served({}, 10);
+    ASSERT_TRUE(eventually([this] { return node(0).m_isolated.load(); }));
+    const ClientAnswer answer = m_deployment.call(unsafeRequest(), 0);
+    EXPECT_EQ(answer.m_status, 503u);
+    EXPECT_LT(answer.m_took, Millis(1'000));
+}
+
 } // namespace
 } // namespace stackquay::platform
