Placement copies the pool only while an endpoint names a rate

Each check of a waiting request, every 12 ms, copied the records of all endpoints of its service, also where none names a rate. The pool of the view is used again, as before.

--- a/relay/endpoint_limiter.h
+++ b/relay/endpoint_limiter.h
@@ -35,6 +35,8 @@
     void receive(const RelayView &view, const LoadMessage &message);
     /// Forgets what is known about the former process of @p endpoint.
     void forget(const EndpointId &endpoint);
+    /// Whether any endpoint may name a rate.
+    bool knowsRates() const { return !m_limits.all().empty(); }
     /// Whether @p endpoint names a rate.
     bool namesRate(const EndpointId &endpoint) const;
     /// If the limits are what keeps this VM from sending to each endpoint of @p pool: the time
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -33,34 +33,28 @@
     return healthyEndpoints(m_node.m_ejections, std::move(untried), Clock::now());
 }
 
-std::vector<EndpointRecord> RelayRun::schedulablePool() const
-{
-    const RelayViewPtr view = m_node.m_view.load();
-    const auto *pool = poolOf(*view, m_serviceId);
-    if (!pool)
-        return {};
-    std::vector<EndpointRecord> unlimited;
-    std::copy_if(pool->begin(), pool->end(), std::back_inserter(unlimited),
-                 [this](const EndpointRecord &endpoint) {
-                     return !m_node.m_limiter.namesRate(endpoint.m_id);
-                 });
-    return unlimited.empty() ? *pool : unlimited;
-}
-
 RelayRun::PoolState RelayRun::poolState() const
 {
-    PoolState seen{ m_node.m_ledger.uses(Clock::now()), schedulablePool(), {}, {} };
-    if (!isModelRequest() || seen.m_pool.empty())
+    PoolState seen;
+    seen.m_uses = m_node.m_ledger.uses(Clock::now());
+    seen.m_view = m_node.m_view.load();
+    seen.m_all = poolOf(*seen.m_view, m_serviceId);
+    if (!isModelRequest() || !seen.m_all)
         return seen;
+    const auto namesRate = [this](const EndpointRecord &endpoint) {
+        return m_node.m_limiter.namesRate(endpoint.m_id);
+    };
+    if (m_node.m_limiter.knowsRates())
+        std::remove_copy_if(seen.m_all->begin(), seen.m_all->end(),
+                            std::back_inserter(seen.m_unlimited), namesRate);
     seen.m_strictSide =
-        m_node.strictSide(m_serviceId, *m_service->m_engine, seen.m_pool, seen.m_uses);
+        m_node.strictSide(m_serviceId, *m_service->m_engine, seen.schedulable(), seen.m_uses);
+    if (seen.m_unlimited.empty())
+        return seen;
     seen.m_answersStrict = seen.m_strictSide;
-    const RelayViewPtr view = m_node.m_view.load();
-    if (const auto *pool = poolOf(*view, m_serviceId); pool && pool->size() > seen.m_pool.size()) {
-        for (const EndpointRecord &endpoint : *pool) {
-            if (m_node.m_limiter.namesRate(endpoint.m_id))
-                seen.m_answersStrict.insert(endpoint.m_id);
-        }
+    for (const EndpointRecord &endpoint : *seen.m_all) {
+        if (namesRate(endpoint))
+            seen.m_answersStrict.insert(endpoint.m_id);
     }
     return seen;
 }
@@ -104,7 +98,7 @@
     question.m_candidateQuery.m_drawJitter = [this] {
         return std::uniform_real_distribution<double>(0, 1)(m_node.m_random);
     };
-    return planGang(m_node.m_gang, costs, splitPool(pool, seen.m_answersStrict, request.strict()),
+    return planGang(m_node.m_gang, costs, splitPool(pool, seen.answersStrict(), request.strict()),
                     seen.m_uses, question);
 }
 
@@ -128,17 +122,28 @@
 
 SideLoad RelayRun::sideLoad(const PoolState &seen) const
 {
-    if (seen.m_pool.empty())
+    if (!seen.m_all)
         return {};
-    SideLoad load = sideLoadOf(*m_service->m_engine, seen.m_pool, seen.m_strictSide, seen.m_uses,
-                               m_node.m_ledger.activeLongPrefills(), isStrictGap(gapLimitMs()));
+    SideLoad load =
+        sideLoadOf(*m_service->m_engine, seen.schedulable(), seen.m_strictSide, seen.m_uses,
+                   m_node.m_ledger.activeLongPrefills(), isStrictGap(gapLimitMs()));
     load.m_longestLatencyTarget = m_service->m_longestLatencyTarget;
     return load;
 }
 
 size_t RelayRun::poolSize() const
 {
-    return schedulablePool().size();
+    const RelayViewPtr view = m_node.m_view.load();
+    const auto *pool = poolOf(*view, m_serviceId);
+    if (!pool)
+        return 0;
+    if (!m_node.m_limiter.knowsRates())
+        return pool->size();
+    const auto limited = static_cast<size_t>(
+        std::count_if(pool->begin(), pool->end(), [this](const EndpointRecord &endpoint) {
+            return m_node.m_limiter.namesRate(endpoint.m_id);
+        }));
+    return limited < pool->size() ? pool->size() - limited : pool->size();
 }
 
 Duration RelayRun::timeToComplete(double slack) const
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -89,15 +89,26 @@
     /// The requests in flight, and how the service's engines are divided.
     struct PoolState {
         EndpointUses m_uses;
-        std::vector<EndpointRecord> m_pool; ///< See schedulablePool().
+        RelayViewPtr m_view;
+        const std::vector<EndpointRecord> *m_all = nullptr; ///< In m_view; null: none.
+        /// Those that name no rate; empty if none does, or all do.
+        std::vector<EndpointRecord> m_unlimited;
         std::unordered_set<EndpointId> m_strictSide; ///< Empty for a plain service.
-        /// The same, and the endpoints that name a rate: what little they take are short requests.
-        std::unordered_set<EndpointId> m_answersStrict;
+        std::unordered_set<EndpointId> m_answersStrict; ///< See answersStrict().
+
+        /// The endpoints whose slots count as capacity. Null m_all: not to be called.
+        const std::vector<EndpointRecord> &schedulable() const
+        {
+            return m_unlimited.empty() ? *m_all : m_unlimited;
+        }
+        /// The strict side, and the endpoints that name a rate: what little they take are short
+        /// requests.
+        const std::unordered_set<EndpointId> &answersStrict() const
+        {
+            return m_answersStrict.empty() ? m_strictSide : m_answersStrict;
+        }
     };
     PoolState poolState() const;
-    /// The endpoints of the service whose slots count as capacity: those that name no rate. All of
-    /// them if each does.
-    std::vector<EndpointRecord> schedulablePool() const;
     std::optional<GangPlan> choosePlan(DisruptionPolicy care, const PoolState &seen);
     bool isModelRequest() const;
     /// Whether all endpoints of the service are in evacuated data centres.
