--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -19,7 +19,7 @@
 constexpr Millis EntryOutlivesCrash{ 2'000 };
 constexpr Millis ServesOnAtLeast{ 4'500 }; ///< After it said that it is leaving.
 constexpr Millis MemoryPeriod{ 250 };
-constexpr uint16_t PortsOfVm = 4; ///< Clients, readiness, and two between VMs.
+constexpr uint16_t PortsOfVm = 5; ///< Clients, readiness, and three between VMs.
 
 /// The relay's targets: clients' connections of each VM, its store, then the workers.
 size_t clientsTarget(size_t vm)
@@ -297,7 +297,7 @@
         R"("retryWindowS":10,"graceS":{},"holdMaxMs":20000,"freeMs":{}}},)"
         R"("limits":{{"maxFds":4096}}}})",
         vm.m_name, vm.m_port, vm.m_port + 1, stackquay::toString(vm.m_store), vm.m_port + 2,
-        vm.m_port + 3, m_bounds.m_revoke.count(), UsualSlack + m_settingsChanges,
+        vm.m_port + 4, m_bounds.m_revoke.count(), UsualSlack + m_settingsChanges,
         std::chrono::duration_cast<Seconds>(m_bounds.m_grace).count(),
         m_bounds.m_freeMemory.count());
 }
