--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -62,8 +62,8 @@
     HostedWorker &addWorker(const std::string &service);
     /// @p address stands in the worker's place, if given.
     void describe(const HostedWorker &worker, const std::string &service,
-                  const std::string &state = "ready",
-                  std::optional<Address> address = std::nullopt, uint32_t slots = 8);
+                  const std::string &state = "ready", std::optional<Address> address = std::nullopt,
+                  uint32_t slots = 8);
     /// The same, as written by the process that started at @p bornMs, Unix time.
     void describeProcess(const HostedWorker &worker, const std::string &service, uint64_t bornMs);
     /// @p store stands in the store's place, if given.
@@ -88,7 +88,8 @@
     uint32_t m_millicores = 1'000; ///< Of the daemons that are added.
     uint32_t m_connections = 1'000; ///< Clients' connections that a daemon takes.
     std::string m_dataCentre = "here"; ///< Of the daemons that are added.
-    const RelaySource *m_source = nullptr; ///< Of the same; null: the platform's. Must outlive them.
+    const RelaySource *m_source =
+        nullptr; ///< Of the same; null: the platform's. Must outlive them.
 
 private:
     FiberThread m_clients{ "clients" };
