--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -85,7 +85,7 @@
     return m_node.m_settings.m_bounds.m_recoveryTime / JustUsedShare;
 }
 
-uint32_t RelayRun::maxAttempts() const
+uint32_t RelayRun::attemptLimit() const
 {
     const uint32_t left = m_head.m_attemptsLeft.value_or(m_route->m_maxAttempts);
     return std::max(std::min(left, m_route->m_maxAttempts), 1u);
@@ -94,7 +94,7 @@
 bool RelayRun::mayRetry() const
 {
     // A slow response is better than one cancelled for a repeat that the retry budget refuses.
-    return !atMostOnce() && m_mayHaveRun < maxAttempts() && m_node.mayRetry(m_serviceId, *m_view);
+    return !atMostOnce() && m_mayHaveRun < attemptLimit() && m_node.mayRetry(m_serviceId, *m_view);
 }
 
 Duration RelayRun::firstEventTimeout(const GangPlan &plan) const
--- a/relay/relay_forward.cpp
+++ b/relay/relay_forward.cpp
@@ -58,7 +58,7 @@
     m_forwarding = false;
     // The other VM may have made all of the attempts.
     if (end == AttemptResult::Failed)
-        m_mayHaveRun = maxAttempts();
+        m_mayHaveRun = attemptLimit();
     DecisionLine("relay", "request forwarded")
         .text("request", m_head.m_id.str())
         .text("vm", peer.m_vm.str())
@@ -104,7 +104,7 @@
     const HttpRequest &request = m_exchange.request();
     // This attempt counts already.
     const ForwardHead forward{ std::chrono::duration_cast<Millis>(remainingTime()),
-                               maxAttempts() - m_mayHaveRun + 1, m_lastEvent };
+                               attemptLimit() - m_mayHaveRun + 1, m_lastEvent };
     const HttpHeaders headers = m_node.m_dialect.m_writeForwardHeaders(request, forward);
     const EndpointRecord vm{ EndpointId(peer.m_vm.str()), {}, peer.m_address, peer.m_dataCentre };
     const Status sent =
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -253,7 +253,7 @@
         return false;
     if (cannotFinishInDrain())
         return false;
-    if (m_mayHaveRun > 0 && (atMostOnce() || m_mayHaveRun >= maxAttempts()))
+    if (m_mayHaveRun > 0 && (atMostOnce() || m_mayHaveRun >= attemptLimit()))
         return false;
     if (isEvacuated()) {
         m_failureReason = EvacuatedReason;
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -175,7 +175,7 @@
     void forwardEvents(const ResponseHead &head, unsigned status, const std::string &batch);
     HttpRequest upstreamRequest(const GangPlan &plan, const MemoryReservations &reservations) const;
     /// The endpoints to which the request may be sent and run.
-    uint32_t maxAttempts() const;
+    uint32_t attemptLimit() const;
     bool mayRetry() const;
     /// Connections that were used longer ago may be dead.
     Duration justUsedTime() const;
