One probe of an endpoint serves both monitors

PathMonitor had written the probe of AbsenceMonitor again: an engine is asked for its report, a plain service only for a connection. RelayNode::probe() does both; AbsenceMonitor alone still asks whether the answer is the process's own.

--- a/relay/absence_monitor.cpp
+++ b/relay/absence_monitor.cpp
@@ -163,19 +163,8 @@
 
 bool AbsenceMonitor::answersProbe(const EndpointRecord &endpoint, bool engine)
 {
-    const auto address = parseAddress(endpoint.m_address);
-    if (!address)
-        return false;
-    if (!engine) {
-        HttpConnection connection(m_node.m_thread.context());
-        return connection.connect(*address, ProbeTimeout).has_value();
-    }
-    HttpCallOptions options;
-    options.m_timeout = ProbeTimeout;
-    constexpr bool OnNewConnection = false;
-    const auto answer = m_node.m_pool.call(*address, m_node.m_dialect.m_probe(endpoint.m_id),
-                                           options, OnNewConnection);
-    return answer && m_node.m_dialect.m_isAnswerOf(*answer, endpoint.m_id);
+    const auto answer = m_node.probe(endpoint, engine, ProbeTimeout);
+    return answer && (!engine || m_node.m_dialect.m_isAnswerOf(*answer, endpoint.m_id));
 }
 
 } // namespace stackquay
--- a/relay/path_monitor.cpp
+++ b/relay/path_monitor.cpp
@@ -92,7 +92,8 @@
         return std::nullopt;
     std::uniform_int_distribution<size_t> draw(0, candidates.size() - 1);
     const EndpointRecord endpoint = candidates[draw(m_node.m_random)];
-    const bool reached = answers(endpoint);
+    const bool reached =
+        m_node.probe(endpoint, isEngine(*view, endpoint), ProbeTimeout).has_value();
     if (reached)
         noteReached(endpoint);
     else
@@ -100,23 +101,6 @@
     return reached;
 }
 
-bool PathMonitor::answers(const EndpointRecord &endpoint)
-{
-    const auto address = parseAddress(endpoint.m_address);
-    if (!address)
-        return false;
-    if (!isEngine(*m_node.m_view.load(), endpoint)) {
-        HttpConnection connection(m_node.m_thread.context());
-        return connection.connect(*address, ProbeTimeout).has_value();
-    }
-    HttpCallOptions options;
-    options.m_timeout = ProbeTimeout;
-    constexpr bool OnNewConnection = false;
-    return m_node.m_pool
-        .call(*address, m_node.m_dialect.m_probe(endpoint.m_id), options, OnNewConnection)
-        .has_value();
-}
-
 bool PathMonitor::reachesOthers(const EndpointRecord &endpoint)
 {
     for (int tries = 0; tries < MaxConfirmations; ++tries) {
--- a/relay/path_monitor.h
+++ b/relay/path_monitor.h
@@ -42,8 +42,6 @@
     /// Probes an endpoint other than @p except; unless the VM is isolated, one that was not
     /// unreached lately, if there is one. Returns whether it answers; nothing if there is none.
     std::optional<bool> probe(const EndpointId &except = {});
-    /// Whether @p endpoint answers a probe, or, if it is no engine, accepts a connection.
-    bool answers(const EndpointRecord &endpoint);
     std::vector<EndpointRecord> endpoints() const;
     /// Publishes and logs that isIsolated() changed.
     void noteChange();
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -242,6 +242,24 @@
         m_loads.sendAll(peer, suspects);
 }
 
+Result<HttpResponse> RelayNode::probe(const EndpointRecord &endpoint, bool engine, Duration timeout)
+{
+    const auto address = parseAddress(endpoint.m_address);
+    if (!address)
+        return tl::unexpected(address.error());
+    if (!engine) {
+        HttpConnection connection(m_thread.context());
+        const Status connected = connection.connect(*address, timeout);
+        if (!connected)
+            return tl::unexpected(connected.error());
+        return HttpResponse{};
+    }
+    HttpCallOptions options;
+    options.m_timeout = timeout;
+    constexpr bool OnNewConnection = false;
+    return m_pool.call(*address, m_dialect.m_probe(endpoint.m_id), options, OnNewConnection);
+}
+
 void RelayNode::noteFailure(const EndpointId &endpoint, FailureWeight weight, std::string_view why)
 {
     // Interrupted waits during the shutdown of this process are no failures of endpoints, and
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -91,6 +91,10 @@
     std::unordered_set<EndpointId> strictSide(const ServiceId &service, const EngineCosts &costs,
                                               const std::vector<EndpointRecord> &pool,
                                               const EndpointUses &uses);
+    /// Asks an engine for a response that does not depend on its load, on a connection of its own
+    /// if a kept one fails; of a plain service, only whether it accepts a connection, in which case
+    /// the response is empty. Blocks the fiber.
+    Result<HttpResponse> probe(const EndpointRecord &endpoint, bool engine, Duration timeout);
     /// Records a failure of an endpoint observed by this VM.
     void noteFailure(const EndpointId &endpoint, FailureWeight weight, std::string_view why);
     /// Reports to all VMs that @p endpoint broke off a response on a new connection. An idle
