Direct and forwarded attempts share their last check and their count

forwardTo() repeated the check before a send of attemptPlaced(), and what it counts. mayStillSend() and countSentAttempt() serve both; the same tests pass.

--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -127,6 +127,22 @@
              m_node.m_dialect.m_writeAttemptHeaders(m_head, head), request.m_body };
 }
 
+bool RelayRun::mayStillSend()
+{
+    // The client may have disconnected before its request was read, or while this fiber was
+    // blocked, without a notification yet.
+    m_clientDisconnected = m_clientDisconnected || m_exchange.callerLeft();
+    return !m_clientDisconnected && !m_node.m_stopping && remainingTime() > Duration::zero()
+           && !cannotFinishInDrain() && maySend();
+}
+
+void RelayRun::countSentAttempt()
+{
+    ++m_sentAttempts;
+    ++m_mayHaveRun;
+    m_retryPaid = false;
+}
+
 bool RelayRun::takeSendBudget(const GangPlan &plan)
 {
     const RelayViewPtr view = m_node.m_view.load();
@@ -162,13 +178,9 @@
         failAttempt(endpoint, FailureWeight::Strong, connection.error().m_message);
         return AttemptResult::NotSent;
     }
-    // The client may have disconnected before its request was read, or while this fiber was
-    // blocked, without a notification yet.
-    m_clientDisconnected = m_clientDisconnected || m_exchange.callerLeft();
     // The fiber does not yield from here to the send, so abortForShutdown() runs before this check
     // or finds the connection.
-    if (m_clientDisconnected || m_node.m_stopping || remainingTime() <= Duration::zero()
-        || cannotFinishInDrain() || !maySend())
+    if (!mayStillSend())
         return AttemptResult::NotSent;
     // One may have left, or been evacuated, while memory was reserved.
     const bool accepted =
@@ -190,9 +202,7 @@
     if (m_holdsMemory)
         m_node.m_absence.start();
     const HttpRequest request = upstreamRequest(plan, reservations);
-    ++m_sentAttempts;
-    m_retryPaid = false;
-    ++m_mayHaveRun;
+    countSentAttempt();
     m_node.m_metrics.m_attempts.add();
     const Status sent =
         (*connection)->send(request, std::min<Duration>(remainingTime(), BodyTimeout));
--- a/relay/relay_forward.cpp
+++ b/relay/relay_forward.cpp
@@ -84,14 +84,10 @@
         m_failureReason = connection.error().m_message;
         return AttemptResult::NotSent;
     }
-    m_clientDisconnected = m_clientDisconnected || m_exchange.callerLeft();
-    if (m_clientDisconnected || m_node.m_stopping || remainingTime() <= Duration::zero()
-        || cannotFinishInDrain() || !maySend())
+    if (!mayStillSend())
         return AttemptResult::NotSent;
     m_connection = connection->get();
-    ++m_sentAttempts;
-    m_retryPaid = false;
-    ++m_mayHaveRun;
+    countSentAttempt();
     const AttemptResult end = exchangeWith(peer, **connection);
     m_connection = nullptr;
     if (end == AttemptResult::Answered || end == AttemptResult::NotRun)
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -145,6 +145,9 @@
     // relay_attempt.cpp
     AttemptResult attempt(const GangPlan &plan);
     AttemptResult attemptPlaced(const GangPlan &plan, const MemoryReservations &reservations);
+    /// Whether the request may be sent on the connection that was opened for it.
+    bool mayStillSend();
+    void countSentAttempt();
     /// Counts the request at all endpoints of @p plan; false if one of them takes no more now.
     bool takeSendBudget(const GangPlan &plan);
     AttemptResult processResponse(HttpConnection &connection, const EndpointRecord &endpoint,
