A rate is noted in one place, whoever tells it

noteAnswer() computed again what name() knows, and set the same members as noteTold(). 18 tests of EndpointLimits, NamedRate, PathHealth and ForwardPeer pass.

--- a/policy/endpoint_limits.cpp
+++ b/policy/endpoint_limits.cpp
@@ -49,15 +49,20 @@
         limit.m_sendsFrom = isNew ? now : now + NamedLimitWindow;
 }
 
-void EndpointLimits::name(EndpointLimit &limit, double rate, TimePoint now)
+bool EndpointLimits::name(const EndpointRecord &endpoint, bool sharedByCells, double rate,
+                          TimePoint now)
 {
+    EndpointLimit &limit = m_limits[endpoint.m_id];
     const bool isNew = limit.m_notedAt == TimePoint{} || limit.m_ended;
     const bool changed = isNew || rate != limit.m_requestsPerSecond;
+    limit.m_endpoint = endpoint;
+    limit.m_sharedByCells = sharedByCells;
     limit.m_requestsPerSecond = rate;
     limit.m_notedAt = now;
     limit.m_ended = false;
     if (changed)
         divide(limit, isNew, now);
+    return changed;
 }
 
 bool EndpointLimits::end(const EndpointId &endpoint, TimePoint now)
@@ -80,22 +85,15 @@
     const auto known = m_limits.find(endpoint.m_id);
     if (known != m_limits.end() && hasExpired(known->second, now))
         m_limits.erase(known);
-    if (!rate) {
-        const bool active = isLimited(endpoint.m_id, now);
+    bool changed = false;
+    if (rate) {
+        changed = name(endpoint, sharedByCells, *rate, now);
+    } else {
+        changed = isLimited(endpoint.m_id, now);
         if (!end(endpoint.m_id, now))
             return false;
-        EndpointLimit &limit = m_limits[endpoint.m_id];
-        if (!active && now - limit.m_toldAt < TellPeriod)
-            return false;
-        limit.m_toldAt = now;
-        return true;
     }
     EndpointLimit &limit = m_limits[endpoint.m_id];
-    const bool changed =
-        limit.m_ended || limit.m_requestsPerSecond != *rate || limit.m_notedAt == TimePoint{};
-    limit.m_endpoint = endpoint;
-    limit.m_sharedByCells = sharedByCells;
-    name(limit, *rate, now);
     if (!changed && now - limit.m_toldAt < TellPeriod)
         return false;
     limit.m_toldAt = now;
@@ -105,14 +103,10 @@
 void EndpointLimits::noteTold(const EndpointRecord &endpoint, bool sharedByCells,
                               const NamedRate &rate, TimePoint now)
 {
-    if (!rate) {
+    if (rate)
+        name(endpoint, sharedByCells, *rate, now);
+    else
         end(endpoint.m_id, now);
-        return;
-    }
-    EndpointLimit &limit = m_limits[endpoint.m_id];
-    limit.m_endpoint = endpoint;
-    limit.m_sharedByCells = sharedByCells;
-    name(limit, *rate, now);
 }
 
 bool EndpointLimits::isLimited(const EndpointId &endpoint, TimePoint now) const
--- a/policy/endpoint_limits.h
+++ b/policy/endpoint_limits.h
@@ -67,7 +67,8 @@
     const std::unordered_map<EndpointId, EndpointLimit> &all() const { return m_limits; }
 
 private:
-    void name(EndpointLimit &limit, double rate, TimePoint now);
+    /// Returns whether the rate is new or another one.
+    bool name(const EndpointRecord &endpoint, bool sharedByCells, double rate, TimePoint now);
     bool end(const EndpointId &endpoint, TimePoint now);
     void divide(EndpointLimit &limit, bool isNew, TimePoint now) const;
 
