--- a/tests/platform/limited_endpoint_test.cpp
+++ b/tests/platform/limited_endpoint_test.cpp
@@ -63,32 +63,31 @@
         return served;
     }
 
+    /// Three VMs under load keep to the @p limit of one of two endpoints, and serve all requests.
+    void expectLimitIsKept(const std::string &service, const ClientRequest &request, double limit)
+    {
+        HostedWorker &limited = m_deployment.addWorker(service);
+        m_deployment.addWorker(service);
+        start(3);
+        limited->setLimit(limit);
+        const TimePoint named = Clock::now();
+        EXPECT_EQ(load(request, Seconds(7)), m_sent);
+        EXPECT_LE(busiestWindow(limited->arrivalTimes(), named + NoticeTime),
+                  allowedRequests(limit));
+    }
+
     Deployment m_deployment;
     size_t m_sent = 0; ///< Requests of the last load().
 };
 
 TEST_F(LimitedEndpointTest, VmsTogetherSendNoMoreThanTheEndpointNames)
 {
-    HostedWorker &limited = m_deployment.addWorker("plain");
-    m_deployment.addWorker("plain");
-    start(3);
-    constexpr double Limit = 1;
-    limited->setLimit(Limit);
-    const TimePoint named = Clock::now();
-    EXPECT_EQ(load({}, Seconds(7)), m_sent);
-    EXPECT_LE(busiestWindow(limited->arrivalTimes(), named + NoticeTime), allowedRequests(Limit));
+    expectLimitIsKept("plain", {}, 1);
 }
 
 TEST_F(LimitedEndpointTest, VmsTogetherStartNoMoreStreamsThanTheEngineNames)
 {
-    HostedWorker &limited = m_deployment.addWorker("model");
-    m_deployment.addWorker("model");
-    start(3);
-    constexpr double Limit = 1.6;
-    limited->setLimit(Limit);
-    const TimePoint named = Clock::now();
-    EXPECT_EQ(load(streamRequest(), Seconds(7)), m_sent);
-    EXPECT_LE(busiestWindow(limited->arrivalTimes(), named + NoticeTime), allowedRequests(Limit));
+    expectLimitIsKept("model", streamRequest(), 1.6);
 }
 
 TEST_F(LimitedEndpointTest, EndpointIsUsedAgainOnceItNamesNoLimit)
