--- a/tests/platform/crash_test.cpp
+++ b/tests/platform/crash_test.cpp
@@ -8,33 +8,24 @@
 // of 25 engines that ended within eleven seconds, and another one at all of 12 before; the others
 // that were there each met four at most, as many as one client's tries.
 
-#include <condition_variable>
 #include <set>
 #include <thread>
 
 #include <gtest/gtest.h>
 
-#include "deployment.h"
+#include "crashing_engines.h"
 
 namespace stackquay::platform {
 namespace {
 
 constexpr const char *CrashBody = "a prompt that ends its engine";
-/// From the begin of the run to the end of the process.
-constexpr Millis CrashAfter{ 20 };
-constexpr Millis RestartAfter{ 1'000 };
 constexpr size_t Engines = 10;
 
 /// Engines that end under the request of CrashBody, and start again as other processes.
 class CrashTest : public testing::Test
 {
 protected:
-    void startEngines()
-    {
-        m_reaper = std::thread([this] { reap(); });
-        for (size_t i = 0; i < Engines; ++i)
-            addEngine();
-    }
+    void startEngines() { m_engines.start(Engines); }
 
     void start(size_t daemons)
     {
@@ -44,28 +35,15 @@
             m_deployment.addDaemon();
         ASSERT_TRUE(m_deployment.awaitReady());
         ASSERT_TRUE(m_deployment.awaitPeers());
-        ASSERT_TRUE(eventually([this] { return poolSize(0) == Engines; }));
+        ASSERT_TRUE(eventually([this] { return m_deployment.poolSize("model") == Engines; }));
     }
 
     void TearDown() override
     {
-        {
-            const std::lock_guard lock(m_mutex);
-            m_over = true;
-        }
-        m_wake.notify_all();
-        if (m_reaper.joinable())
-            m_reaper.join();
+        m_engines.stop();
         m_deployment.m_daemons.clear();
     }
 
-    size_t poolSize(size_t daemon)
-    {
-        const RelayViewPtr view = m_deployment.m_daemons[daemon]->node().m_view.load();
-        const auto pool = view->m_pools.find(ServiceId("model"));
-        return pool == view->m_pools.end() ? 0 : pool->second.size();
-    }
-
     static ClientRequest question(const std::string &body, const std::string &id)
     {
         ClientRequest request = streamRequest();
@@ -87,17 +65,8 @@
     }
 
     /// When the request began at an engine, each time.
-    std::vector<TimePoint> arrivals()
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_arrivals;
-    }
-
-    std::vector<TimePoint> ends()
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_ends;
-    }
+    std::vector<TimePoint> arrivals() { return m_engines.arrivals(); }
+    std::vector<TimePoint> ends() { return m_engines.ends(); }
 
     bool suspectsNobody()
     {
@@ -111,75 +80,9 @@
     std::vector<std::future<ClientAnswer>> m_tries;
 
 private:
-    struct Engine {
-        std::unique_ptr<HostedWorker> m_worker;
-        std::string m_id;
-        TimePoint m_endsAt = TimePoint::max();
-    };
-
-    void addEngine()
-    {
-        const std::string id = "engine-" + std::to_string(++m_started);
-        auto worker = std::make_unique<HostedWorker>(id);
-        (*worker)->setScript([this, id](const HttpRequest &request) {
-            if (request.m_body == CrashBody)
-                noteRun(id);
-            return WorkerTask{ Millis(0), 8, Millis(20) };
-        });
-        m_deployment.describe(*worker, "model");
-        const std::lock_guard lock(m_mutex);
-        m_engines.push_back({ std::move(worker), id });
-    }
-
-    void noteRun(const std::string &id)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_arrivals.push_back(Clock::now());
-        for (Engine &engine : m_engines) {
-            if (engine.m_id == id)
-                engine.m_endsAt = std::min(engine.m_endsAt, Clock::now() + CrashAfter);
-        }
-        m_wake.notify_all();
-    }
-
-    /// Ends the processes that are due, and starts others in their place.
-    void reap()
-    {
-        std::unique_lock lock(m_mutex);
-        while (!m_over) {
-            m_wake.wait_for(lock, Millis(5));
-            const TimePoint now = Clock::now();
-            for (Engine &engine : m_engines) {
-                if (!engine.m_worker || engine.m_endsAt > now)
-                    continue;
-                m_ends.push_back(now);
-                auto ended = std::move(engine.m_worker);
-                m_restarts.push_back({ now + RestartAfter, engine.m_id });
-                lock.unlock();
-                ended.reset();
-                lock.lock();
-                break;
-            }
-            if (m_restarts.empty() || m_restarts.front().first > now)
-                continue;
-            const std::string id = m_restarts.front().second;
-            m_restarts.pop_front();
-            lock.unlock();
-            m_deployment.m_store->remove("servers", id);
-            addEngine();
-            lock.lock();
-        }
-    }
-
-    std::mutex m_mutex;
-    std::condition_variable m_wake;
-    std::deque<Engine> m_engines;
-    std::deque<std::pair<TimePoint, std::string>> m_restarts;
-    std::vector<TimePoint> m_arrivals;
-    std::vector<TimePoint> m_ends;
-    size_t m_started = 0;
-    bool m_over = false;
-    std::thread m_reaper;
+    CrashingEngines m_engines{ m_deployment, [](const HttpRequest &request) {
+                                  return request.m_body == CrashBody;
+                              } };
 };
 
 TEST_F(CrashTest, RequestThatEndedThreeEnginesReachesThreeMoreAtMost)
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -202,6 +202,13 @@
     return status->get_future().get();
 }
 
+size_t Deployment::poolSize(const std::string &service, size_t daemon)
+{
+    const RelayViewPtr view = m_daemons[daemon]->node().m_view.load();
+    const auto *pool = poolOf(*view, ServiceId(service));
+    return pool ? pool->size() : 0;
+}
+
 ClientAnswer Deployment::call(const ClientRequest &request, size_t daemon)
 {
     return begin(request, daemon).get();
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -78,6 +78,8 @@
     /// Sends bytes as they are; what came back until the connection closed.
     std::future<std::string> beginRaw(const std::string &bytes, size_t daemon = 0);
     unsigned readyStatus(size_t daemon = 0);
+    /// The endpoints of @p service that the daemon uses.
+    size_t poolSize(const std::string &service, size_t daemon = 0);
     /// Of all workers.
     size_t totalRuns() const;
 
