Logs: the parts of a prompt, and whether an answer had begun

The adapter reads the list once, bounded in number and length; a malformed list names none and is passed on as it came.

--- a/core/ids.h
+++ b/core/ids.h
@@ -35,6 +35,7 @@
 using ModelId = Id<struct ModelTag>;
 using ServiceId = Id<struct ServiceTag>;
 using RequestId = Id<struct RequestTag>;
+using PromptPartId = Id<struct PromptPartTag>;
 /// Unguessable; the endpoint echoes it in every answer of the attempt.
 using AttemptId = Id<struct AttemptTag>;
 using GrantId = Id<struct GrantTag>;
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -198,6 +198,7 @@
     const bool reused = (*connection)->reused();
     m_connection = connection->get();
     m_abandoned.reset();
+    m_answeredAt = {};
     m_holdsMemory = !reservations.empty();
     if (m_holdsMemory)
         m_node.m_absence.start();
@@ -234,6 +235,8 @@
         .text("request", m_head.m_id.str())
         .text("print", toString(fingerprint()))
         .text("endpoint", endpoint.m_id.str())
+        .text("parts", partNames())
+        .flag("answered", m_answeredAt != TimePoint{})
         .text("why", why)
         .number("ms", std::chrono::duration_cast<Millis>(Clock::now() - m_arrival).count())
         .write();
@@ -415,6 +418,7 @@
 
 void RelayRun::recordFirstEvent(const EndpointRecord &endpoint)
 {
+    m_answeredAt = Clock::now();
     m_node.recordFirstEvent(m_loadKey);
     recordSuccess(m_node.m_ejections, endpoint.m_id);
 }
--- a/relay/relay_codec.h
+++ b/relay/relay_codec.h
@@ -20,6 +20,8 @@
     std::optional<uint64_t> m_lastEvent; ///< The client resumes a stream after this event id.
     /// Attempts that the VM which forwards the request has left; nothing: a client sent it.
     std::optional<uint32_t> m_attemptsLeft;
+    /// The parts of the prompt that other requests may share: all but the last, in their order.
+    std::vector<PromptPartId> m_promptParts;
     HttpHeaders
         m_forwardedHeaders; ///< Headers to forward, except those that the relay sets itself.
 };
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -36,6 +36,8 @@
 /// Other VMs can serve the request now; zero would mean that there is no Retry-After.
 constexpr Millis RetryAfterDrain{ 10 };
 
+constexpr size_t MaxLoggedParts = 16;
+
 std::string_view hostOf(const HttpRequest &request)
 {
     return findHeader(request.m_headers, "Host");
@@ -335,6 +337,14 @@
            status, why);
 }
 
+std::string RelayRun::partNames() const
+{
+    std::string names;
+    for (size_t i = 0; i < std::min(m_head.m_promptParts.size(), MaxLoggedParts); ++i)
+        names += (i > 0 ? " " : "") + m_head.m_promptParts[i].str();
+    return names;
+}
+
 void RelayRun::logEnd(RelayOutcome outcome, unsigned status, std::string_view why)
 {
     const TimePoint now = Clock::now();
@@ -354,6 +364,7 @@
                 proof.known() ? std::chrono::duration_cast<Millis>(now - proof.m_provedAt).count()
                               : -1)
         .number("tokens", static_cast<int64_t>(m_head.m_promptTokens))
+        .text("parts", partNames())
         .number("placements", m_placements)
         .number("arrivals", m_sentAttempts)
         .number("first_ms", std::chrono::duration_cast<Millis>(m_firstEventDelay).count())
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -203,6 +203,8 @@
     void finishUnanswered();
     void refuse(unsigned status, std::string_view why, Millis retryAfter);
     void forwardResponse(const HttpResponse &response);
+    /// The shared parts of the prompt as the client names them, for log lines.
+    std::string partNames() const;
     void logEnd(RelayOutcome outcome, unsigned status, std::string_view why);
     /// The Retry-After for a refused client: nearly immediate if this VM drains, because other VMs
     /// can serve the request.
@@ -246,6 +248,7 @@
     bool m_holdsMemory = false; ///< Memory is reserved for the attempt in progress.
     /// Set if the attempt in progress was abandoned, see abandonAttempt().
     std::optional<FailureWeight> m_abandoned;
+    TimePoint m_answeredAt{}; ///< First event of the attempt in progress; zero: none yet.
     LoadKey m_loadKey;
     std::optional<uint64_t> m_lastEvent; ///< Last event id that the client received.
     /// An endpoint's error response, used if no attempt succeeds.
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -89,6 +89,36 @@
     EXPECT_EQ(names, "Host;x-request-id;X-Token-Counts;X-Length-Hint;");
 }
 
+std::vector<std::string> partsOf(const std::string &list)
+{
+    const RelayHead head =
+        relayDialect().m_readRequestHead({ "POST", "/a", { { "X-Prompt-Prefix", list } }, "body" });
+    EXPECT_EQ(findHeader(head.m_forwardedHeaders, "X-Prompt-Prefix"), list);
+    std::vector<std::string> parts;
+    for (const PromptPartId &part : head.m_promptParts)
+        parts.push_back(part.str());
+    return parts;
+}
+
+TEST(RequestCodecTest, ReadsThePartsOfAPromptButTheLast)
+{
+    EXPECT_EQ(partsOf("5c1e07a2:800, 91bd3f06:410,e4402b7d:250"),
+              (std::vector<std::string>{ "5c1e07a2", "91bd3f06" }));
+    EXPECT_TRUE(partsOf("5c1e07a2:800").empty());
+}
+
+TEST(RequestCodecTest, MalformedListOfPartsIsPassedOnAndNamesNone)
+{
+    std::string tooMany = "1:1";
+    for (int i = 0; i < 300; ++i)
+        tooMany += ",1:1";
+    for (const std::string &list :
+         { std::string("a1:1,b2,c3:1"), std::string("a1:1,:5,c3:1"), std::string("a1:x,b2:1"),
+           std::string("a1:1,,b2:1"), std::string("zz:1,b2:1"), std::string(","),
+           std::string(100, 'a') + ":1,b2:1", tooMany })
+        EXPECT_TRUE(partsOf(list).empty()) << list;
+}
+
 TEST(RequestCodecTest, WritesAnAttempt)
 {
     RelayHead request;
