--- a/policy/crash_suspects.cpp
+++ b/policy/crash_suspects.cpp
@@ -55,6 +55,8 @@
 
 bool isCleared(const SuspectTable &table, const Fingerprint &fingerprint, uint64_t process)
 {
+    if (table.m_excused.count(process) > 0)
+        return true;
     const auto cleared = table.m_cleared.find(fingerprint);
     return cleared != table.m_cleared.end() && contains(cleared->second.m_crashes, process);
 }
@@ -168,6 +170,20 @@
     return changed;
 }
 
+void excuseCrashes(SuspectTable &table, const std::unordered_set<uint64_t> &processes)
+{
+    table.m_excused = processes;
+    std::vector<Fingerprint> innocent;
+    for (auto &[fingerprint, suspect] : table.m_suspects) {
+        std::erase_if(suspect.m_crashes,
+                      [&processes](uint64_t process) { return processes.count(process) > 0; });
+        if (suspect.m_crashes.empty())
+            innocent.push_back(fingerprint);
+    }
+    for (const Fingerprint &fingerprint : innocent)
+        removeSuspect(table, fingerprint);
+}
+
 SuspectHandling suspectHandling(const SuspectTable &table, const Fingerprint &fingerprint)
 {
     const auto suspect = table.m_suspects.find(fingerprint);
--- a/policy/crash_suspects.h
+++ b/policy/crash_suspects.h
@@ -18,6 +18,7 @@
 #pragma once
 
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <msgpack.hpp>
@@ -70,6 +71,7 @@
     std::unordered_map<LoadKey, SuspectAttempt, LoadKeyHash> m_attempts;
     std::unordered_map<uint64_t, uint32_t> m_suspectsPerOutline; ///< By Fingerprint::m_outline.
     std::unordered_map<Fingerprint, ClearedCrashes, FingerprintHash> m_cleared;
+    std::unordered_set<uint64_t> m_excused; ///< Processes whose crashes have another known cause.
 
     /// Whether there are no suspects.
     bool empty() const { return m_suspects.empty(); }
@@ -130,6 +132,9 @@
 /// none of them. Returns whether the table changed.
 bool markCleared(SuspectTable &table, const Fingerprint &fingerprint,
                  const std::vector<uint64_t> &ends, TimePoint now);
+/// Drops the crashes of @p processes, which something else caused, and ignores reports of them.
+/// Replaces the processes of an earlier call.
+void excuseCrashes(SuspectTable &table, const std::unordered_set<uint64_t> &processes);
 /// Decides whether an attempt of the request may be made, and where. Its own attempt @p own, if it
 /// is in flight already, does not count against it.
 SuspectDecision decideAttempt(const SuspectTable &table, const Fingerprint &fingerprint,
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -8,6 +8,7 @@
 #include "policy/chunking.h"
 #include "policy/cost_model.h"
 #include "policy/crash_suspects.h"
+#include "policy/crashing_parts.h"
 #include "policy/deadline.h"
 #include "policy/directory_history.h"
 #include "policy/dispatch_plan.h"
--- a/relay/fleet_messages.h
+++ b/relay/fleet_messages.h
@@ -70,10 +70,11 @@
     /// Empty if the caller's list is not older: see StateSummary::m_evacuations.
     std::vector<DataCentreId> m_evacuated;
     std::vector<SuspectReport> m_quarantined; ///< A new VM needs these before it becomes ready.
+    std::vector<PartReport> m_quarantinedParts; ///< The same.
 
     MSGPACK_DEFINE(m_summary, m_routesSpec, m_hasEndpoints, m_endpoints, m_unconfirmed,
                    m_unreadable, m_complete, m_quarantined, m_cold, m_evacuated, m_changesFrom,
-                   m_removed, m_digest)
+                   m_removed, m_digest, m_quarantinedParts)
 };
 
 struct StateRequest {
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -29,6 +29,8 @@
     RetryDenial = 11, ///< It is not.
     RetryPoolState = 12, ///< Reply to a deposit: what the holder can still grant.
     RequestLimit = 13, ///< An endpoint names a limit of its requests, or none any more.
+    PartsSuspected = 14, ///< Endpoint processes exited under requests with parts of prompts.
+    PartsCleared = 15, ///< An answer has begun on suspected parts.
 };
 
 struct LoadMessage {
@@ -47,7 +49,8 @@
     std::vector<Fingerprint> m_fingerprints{};
     /// Suspected: the reports. Cleared: the process exits that are cleared.
     std::vector<SuspectReport> m_suspects{};
-    uint32_t m_cell = 0; ///< Suspected and Cleared: cell of the sender.
+    /// Suspected, Cleared, PartsSuspected and PartsCleared: cell of the sender.
+    uint32_t m_cell = 0;
     uint32_t m_leadMs = 0; ///< Waiting: see QueuedRequest.
     Address m_replyTo{}; ///< RetryRequest: load message address of the sender.
     /// RetryDeposit: requests by service. RetryRequest: the service. RetryPoolState: the retries
@@ -59,10 +62,11 @@
     uint64_t m_processMs = 0; ///< RequestLimit: start of the endpoint's process, Unix time.
     /// RequestLimit: thousandths of a request per second; zero: the endpoint names no limit.
     uint32_t m_limitMillis = 0;
+    std::vector<PartReport> m_partReports{}; ///< PartsSuspected and PartsCleared.
 
     MSGPACK_DEFINE(m_change, m_key, m_parts, m_dataCentre, m_gapLimitMs, m_expiresMs, m_ageMs,
                    m_writing, m_aimMs, m_neededMs, m_fingerprints, m_suspects, m_cell, m_leadMs,
-                   m_replyTo, m_services, m_slackMillis, m_processMs, m_limitMillis)
+                   m_replyTo, m_services, m_slackMillis, m_processMs, m_limitMillis, m_partReports)
 };
 
 /// Encodes @p messages as datagrams that fit into one packet each. Messages beyond the limit for
--- a/relay/quarantine_record.cpp
+++ b/relay/quarantine_record.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include <fmt/format.h>
-
 #include "core/json_fields.h"
 
 namespace stackquay {
@@ -14,8 +12,6 @@
 /// people fix.
 constexpr size_t MaxEntries = 64;
 constexpr const char *ObjectName = "condemned";
-/// Only the few VMs with pending writes retry while the store is unavailable.
-constexpr Millis RetryPeriod{ 1'000 };
 
 int64_t millisOf(WallTime time)
 {
@@ -118,110 +114,16 @@
     return one;
 }
 
-struct QuarantineRecord::State : std::enable_shared_from_this<QuarantineRecord::State> {
-    State(FiberThread &thread, KindStore &store, const RelaySource &source, Loaded loaded)
-        : m_thread(thread)
-        , m_store(store)
-        , m_source(source)
-        , m_loaded(std::move(loaded))
-    { }
-
-    FiberThread &m_thread;
-    KindStore &m_store;
-    const RelaySource &m_source;
-    Loaded m_loaded;
-    std::vector<SuspectReport> m_unwritten; ///< Entries still to be written.
-    bool m_loadStarted = false;
-    bool m_writing = false;
-
-    /// The stored object; one with an unknown position if it does not exist yet.
-    Result<KindObject> read();
-    bool tryLoad();
-    bool tryWrite();
-};
-
-Result<KindObject> QuarantineRecord::State::read()
-{
-    auto object = m_store.get(m_source.m_quarantineKind, ObjectName);
-    if (!object && object.error().m_code == ErrorCode::NotFound)
-        return KindObject{ ObjectName, {}, encodeQuarantined({}, {}) };
-    return object;
-}
-
-bool QuarantineRecord::State::tryLoad()
+RecordFormat<SuspectReport> quarantineFormat(const RelaySource &source)
 {
-    const auto object = read();
-    if (!object)
-        return false;
-    const auto quarantined = decodeQuarantined(object->m_spec, std::chrono::system_clock::now());
-    if (!quarantined) {
-        DecisionLine("store", "condemned requests not understood")
-            .text("error", quarantined.error().m_message)
-            .write();
-        return true;
-    }
-    if (!quarantined->empty())
-        DecisionLine("store", "condemned requests read")
-            .number("requests", static_cast<int64_t>(quarantined->size()))
-            .write();
-    m_loaded(*quarantined);
-    return true;
-}
-
-bool QuarantineRecord::State::tryWrite()
-{
-    const auto object = read();
-    if (!object)
-        return false;
-    const WallTime now = std::chrono::system_clock::now();
-    // Content that cannot be decoded is overwritten.
-    const auto known =
-        decodeQuarantined(object->m_spec, now).value_or(std::vector<SuspectReport>{});
-    const std::vector<SuspectReport> unwritten = m_unwritten;
-    if (!coversAll(known, unwritten)) {
-        const KindObject next{ ObjectName, object->m_position,
-                               encodeQuarantined(mergeQuarantined(known, unwritten), now) };
-        const Status written = next.m_position.known()
-                                   ? m_store.replace(m_source.m_quarantineKind, next)
-                                   : m_store.create(m_source.m_quarantineKind, next);
-        if (!written)
-            return false;
-        DecisionLine("store", "condemned requests written")
-            .number("requests", static_cast<int64_t>(unwritten.size()))
-            .write();
-    }
-    // More entries may have been added during the write.
-    std::erase_if(m_unwritten, [&unwritten](const SuspectReport &report) {
-        return coversAll(unwritten, { report });
-    });
-    return m_unwritten.empty();
-}
-
-QuarantineRecord::QuarantineRecord(FiberThread &thread, KindStore &store, const RelaySource &source,
-                                   Loaded loaded)
-    : m_state(std::make_shared<State>(thread, store, source, std::move(loaded)))
-{ }
-
-QuarantineRecord::~QuarantineRecord() = default;
-
-void QuarantineRecord::load()
-{
-    if (std::exchange(m_state->m_loadStarted, true))
-        return;
-    spawnFiber([state = m_state] {
-        while (!state->tryLoad() && sleepFor(state->m_thread.context(), RetryPeriod)) { }
-    });
-}
-
-void QuarantineRecord::save(const std::vector<SuspectReport> &quarantined)
-{
-    m_state->m_unwritten = mergeQuarantined(m_state->m_unwritten, quarantined);
-    if (m_state->m_unwritten.empty() || std::exchange(m_state->m_writing, true))
-        return;
-    spawnFiber([state = m_state] {
-        while (!state->tryWrite() && sleepFor(state->m_thread.context(), RetryPeriod)) { }
-        state->m_writing = false;
-    });
+    return { source.m_quarantineKind,
+             ObjectName,
+             "condemned requests",
+             encodeQuarantined,
+             decodeQuarantined,
+             mergeQuarantined,
+             coversAll,
+             nullptr };
 }
 
 } // namespace stackquay
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -204,6 +204,8 @@
         m_node.m_absence.start();
     const HttpRequest request = upstreamRequest(plan, reservations);
     countSentAttempt();
+    if (decideParts().m_isProbe)
+        m_node.m_parts.noteProbe(promptParts());
     m_node.m_metrics.m_attempts.add();
     const Status sent =
         (*connection)->send(request, std::min<Duration>(remainingTime(), BodyTimeout));
@@ -275,9 +277,10 @@
     return attempt;
 }
 
-void RelayRun::abandonAttempt(FailureWeight weight)
+void RelayRun::abandonAttempt(FailureWeight weight, const char *why)
 {
     m_abandoned = weight;
+    m_abandonedReason = why;
     m_connection->cancel();
 }
 
@@ -285,7 +288,7 @@
                                            const EndpointRecord &endpoint, const Error &error)
 {
     if (m_abandoned)
-        return failAttempt(endpoint, *m_abandoned, "the endpoint has gone");
+        return failAttempt(endpoint, *m_abandoned, m_abandonedReason);
     // Not a failure of the endpoint: if it is unreachable, the next connection shows it.
     if (connection.silent())
         return failSilentConnection(connection, endpoint);
@@ -308,10 +311,10 @@
         return;
     // The other VMs need to know immediately that this attempt is over.
     m_node.end(m_loadKey);
-    std::vector<EndpointRecord> endpoints;
+    BrokenAttempt attempt{ {}, fingerprint(), promptParts(), hasSoundAnswer(), Clock::now() };
     for (const GangMember &member : m_plan->m_members)
-        endpoints.push_back(member.m_endpoint);
-    if (m_node.m_suspects.noteBrokenResponse(endpoints, fingerprint()))
+        attempt.m_endpoints.push_back(member.m_endpoint);
+    if (m_node.m_suspects.noteBrokenResponse(attempt))
         m_node.m_metrics.m_processExits.add();
     // No successes are reported for plain services, so their failures are not reported either.
     if (isModelRequest() && !connection.reused())
@@ -320,8 +323,12 @@
 
 void RelayRun::noteCompleted(unsigned status)
 {
-    if (isSuccess(status) && maybeSuspect())
+    if (!isSuccess(status))
+        return;
+    if (maybeSuspect())
         m_node.m_suspects.noteCompleted(fingerprint());
+    if (!m_node.m_parts.empty())
+        m_node.m_parts.noteAnswered(promptParts());
 }
 
 RelayRun::AttemptResult RelayRun::processResponse(HttpConnection &connection,
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -100,10 +100,21 @@
                                         settings.m_bounds.m_evacuationTime > Millis(0));
     m_fleet = std::make_unique<FleetLink>(m_control, settings, m_node->m_origin, *m_store,
                                           adapter.m_source, fleetHooks());
+    startRecords();
+    m_store->onEraIncrease([this] { noteEra(m_store->era()); });
+    m_node->m_isolationChanged = [this] {
+        m_control.post([this] { m_fleet->sendHeartbeatsNow(); });
+    };
+    RelayView view;
+    view.m_bounds = settings.m_bounds;
+    m_node->m_view.store(std::make_shared<const RelayView>(std::move(view)));
+}
+
+void RelayDaemon::startRecords()
+{
     m_quarantineRecord = std::make_unique<QuarantineRecord>(
-        m_control, *m_store, adapter.m_source,
+        m_control, *m_store, quarantineFormat(m_adapter.m_source),
         [this](const std::vector<SuspectReport> &quarantined) { addQuarantined(quarantined); });
-    m_store->onEraIncrease([this] { noteEra(m_store->era()); });
     m_node->m_quarantined = [this](const std::vector<SuspectReport> &quarantined, bool observed) {
         m_control.post([this, quarantined, observed] {
             m_quarantined = quarantined;
@@ -111,12 +122,15 @@
                 m_quarantineRecord->save(quarantined);
         });
     };
-    m_node->m_isolationChanged = [this] {
-        m_control.post([this] { m_fleet->sendHeartbeatsNow(); });
+    m_partRecord = std::make_unique<PartRecord>(
+        m_control, *m_store, partFormat(m_adapter.m_source),
+        [this](const std::vector<PartReport> &quarantined) { addQuarantinedParts(quarantined); });
+    m_node->m_partsChanged = [this](const std::vector<PartReport> &quarantined, bool store) {
+        m_control.post([this, quarantined, store] { noteParts(quarantined, store); });
+    };
+    m_node->m_partsReleased = [this](const std::vector<PartReport> &released) {
+        m_control.post([this, released] { m_partRecord->remove(released); });
     };
-    RelayView view;
-    view.m_bounds = settings.m_bounds;
-    m_node->m_view.store(std::make_shared<const RelayView>(std::move(view)));
 }
 
 RelayDaemon::~RelayDaemon()
@@ -341,8 +355,10 @@
         return;
     m_fleet->rewriteObject();
     m_follower->noteStoreRestored();
-    if (m_fleet->watchesStore())
-        m_quarantineRecord->save(m_quarantined);
+    if (!m_fleet->watchesStore())
+        return;
+    m_quarantineRecord->save(m_quarantined);
+    m_partRecord->save(m_quarantinedParts);
 }
 
 void RelayDaemon::addQuarantined(const std::vector<SuspectReport> &quarantined)
@@ -351,12 +367,29 @@
         m_traffic.post([this, quarantined] { m_node->m_suspects.merge(quarantined); });
 }
 
+void RelayDaemon::addQuarantinedParts(const std::vector<PartReport> &quarantined)
+{
+    if (!quarantined.empty())
+        m_traffic.post([this, quarantined] { m_node->m_parts.merge(quarantined); });
+}
+
+/// Other data centres may have found more than their messages told.
+void RelayDaemon::noteParts(const std::vector<PartReport> &quarantined, bool store)
+{
+    m_quarantinedParts = quarantined;
+    if (store)
+        m_partRecord->save(quarantined);
+    else if (m_fleet->watchesStore())
+        m_partRecord->refresh();
+}
+
 StateSnapshot RelayDaemon::answerStateRequest(const StateRequest &request) const
 {
     const RelayViewPtr view = m_node->m_view.load();
     StateSnapshot state;
     state.m_summary = ownSummary();
     state.m_quarantined = m_quarantined;
+    state.m_quarantinedParts = m_quarantinedParts;
     if (state.m_summary.m_routesVersion > request.m_routesVersion)
         state.m_routesSpec = m_packedRoutes;
     if (state.m_summary.m_evacuations > request.m_evacuations)
@@ -419,8 +452,10 @@
             view.m_cell = fleet.m_cell;
             rebuildPools(view);
         });
-        if (fleet.m_watchesStore)
+        if (fleet.m_watchesStore) {
             m_quarantineRecord->load();
+            m_partRecord->load();
+        }
         m_traffic.post([this, fleet] {
             m_node->m_loads.setPeers(fleet.m_loads);
             m_node->m_loads.setContacts(fleet.m_contacts);
@@ -464,6 +499,7 @@
     // Before the routes, because they make this VM ready, and because their proof may be newer than
     // this VM's own.
     addQuarantined(state.m_quarantined);
+    addQuarantinedParts(state.m_quarantinedParts);
     const StateSummary &summary = state.m_summary;
     if (summary.m_proved)
         applyProof(proofFromAge(summary.m_routesVersion, summary.m_proofEra,
--- a/relay/relay_daemon.h
+++ b/relay/relay_daemon.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "relay/fleet_link.h"
+#include "relay/part_record.h"
 #include "relay/quarantine_record.h"
 #include "relay/relay_node.h"
 #include "relay/store_follower.h"
@@ -59,7 +60,10 @@
     void noteEra(uint64_t era);
     /// Tells the traffic thread which endpoints restarted or left the directory.
     void handleDepartures(const EndpointDirectory &before, const EndpointDirectory &now);
+    void startRecords();
     void addQuarantined(const std::vector<SuspectReport> &quarantined);
+    void addQuarantinedParts(const std::vector<PartReport> &quarantined);
+    void noteParts(const std::vector<PartReport> &quarantined, bool store);
     void updateView(const std::function<void(RelayView &)> &change);
     void handleReadyRequest(HttpExchange &exchange);
     /// @p begun is the time of the stop signal, from which the grace period counts.
@@ -80,10 +84,12 @@
     std::unique_ptr<StoreFollower> m_follower;
     std::unique_ptr<FleetLink> m_fleet;
     std::unique_ptr<QuarantineRecord> m_quarantineRecord;
+    std::unique_ptr<PartRecord> m_partRecord;
     Address m_clientsAddress;
     Address m_readyAddress;
     std::vector<SuspectReport>
         m_quarantined; ///< Last report of the traffic thread. Control thread.
+    std::vector<PartReport> m_quarantinedParts; ///< The same.
     uint64_t m_era = 0; ///< The highest known store era. Control thread.
     DirectoryHistory m_history; ///< Of the directory in the view. Control thread.
     std::string m_packedRoutes; ///< The routes as stored, compressed for peers. Control thread.
--- a/relay/relay_metrics.cpp
+++ b/relay/relay_metrics.cpp
@@ -28,6 +28,9 @@
     , m_quarantined(registry.counter(
           "stackquay_relay_condemned_total",
           "Requests quarantined because endpoint processes exited while they ran them."))
+    , m_quarantinedParts(registry.counter("stackquay_relay_quarantined_parts_total",
+                                          "Times that more requests were refused because engines "
+                                          "crash on a part of their prompts."))
     , m_blocked(
           registry.counter("stackquay_relay_barred_total",
                            "Requests not sent because endpoint processes had exited under them."))
--- a/relay/relay_metrics.h
+++ b/relay/relay_metrics.h
@@ -37,6 +37,7 @@
     Counter &m_reservationsRefused;
     Counter &m_processExits;
     Counter &m_quarantined;
+    Counter &m_quarantinedParts;
     Counter &m_blocked;
     Counter &m_abandoned;
     Counter &m_absenceProbes;
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "relay/relay_run.h"
+
 namespace stackquay {
 
 namespace {
@@ -54,6 +56,7 @@
     , m_pool(thread.context(), IdleConnections, { silenceTimeout(m_settings.m_bounds), false })
     , m_loads(thread, [this](const LoadMessage &message) { receive(message); })
     , m_suspects(thread, suspectHooks())
+    , m_parts(thread, partHooks())
     , m_limiter([this](const LoadMessage &message) { m_loads.send(message); },
                 [this] { return nextKey(); })
     , m_retryBroker(thread, m_origin, m_loads, [this] { return nextKey(); })
@@ -61,17 +64,61 @@
     m_view.store(std::make_shared<const RelayView>());
 }
 
+CrashBroadcast RelayNode::crashBroadcast()
+{
+    CrashBroadcast fleet;
+    fleet.m_cell = [this] { return m_view.load()->m_cell; };
+    fleet.m_watchesStore = [this] { return m_watchesStore; };
+    fleet.m_sendToCell = [this](const LoadMessage &message) { m_loads.send(message); };
+    fleet.m_sendToOtherCells = [this](const LoadMessage &message) {
+        m_loads.sendToContacts(message);
+    };
+    return fleet;
+}
+
+PartHooks RelayNode::partHooks()
+{
+    PartHooks hooks;
+    hooks.m_fleet = crashBroadcast();
+    hooks.m_isAnswered = [this](uint64_t part) {
+        return std::any_of(m_runs.begin(), m_runs.end(),
+                           [part](RelayRun *run) { return run->hasAnswerOn(part); });
+    };
+    hooks.m_refusesMore = [this] {
+        m_metrics.m_quarantinedParts.add();
+        for (RelayRun *run : m_runs)
+            run->abandonIfQuarantined();
+    };
+    hooks.m_changed = [this](const std::vector<PartReport> &quarantined, bool store) {
+        m_suspects.excuse(m_parts.table().m_explained);
+        if (m_partsChanged)
+            m_partsChanged(quarantined, store);
+    };
+    hooks.m_released = [this](const std::vector<PartReport> &released) {
+        if (m_partsReleased)
+            m_partsReleased(released);
+    };
+    return hooks;
+}
+
+bool RelayNode::noteExit(const BrokenAttempt &attempt, const EndpointRecord &endpoint)
+{
+    const uint64_t process = processKey(endpoint.m_id, endpoint.m_startedMs);
+    // An engine crashes as it begins to write the answer, which the first one of a gang does.
+    if (!attempt.m_answered && endpoint.m_id == attempt.m_endpoints.front().m_id)
+        m_parts.noteCrash(attempt.m_parts, process, attempt.m_fingerprint, attempt.m_at);
+    return m_parts.table().m_explained.count(process) == 0;
+}
+
 SuspectHooks RelayNode::suspectHooks()
 {
     SuspectHooks hooks;
     hooks.m_reachesOthers = [this](const EndpointRecord &endpoint) {
         return m_path.reachesOthers(endpoint);
     };
-    hooks.m_cell = [this] { return m_view.load()->m_cell; };
-    hooks.m_watchesStore = [this] { return m_watchesStore; };
-    hooks.m_sendToCell = [this](const LoadMessage &message) { m_loads.send(message); };
-    hooks.m_sendToOtherCells = [this](const LoadMessage &message) {
-        m_loads.sendToContacts(message);
+    hooks.m_fleet = crashBroadcast();
+    hooks.m_exited = [this](const BrokenAttempt &attempt, const EndpointRecord &endpoint) {
+        return noteExit(attempt, endpoint);
     };
     hooks.m_quarantined = [this](const std::vector<SuspectReport> &quarantined, bool observed) {
         m_metrics.m_quarantined.add();
@@ -237,9 +284,10 @@
     const std::vector<LoadMessage> limits = m_limiter.messages();
     if (!limits.empty())
         m_loads.sendAll(peer, limits);
-    const std::vector<LoadMessage> suspects = m_suspects.allSuspects();
-    if (!suspects.empty())
-        m_loads.sendAll(peer, suspects);
+    for (const auto &suspects : { m_suspects.allSuspects(), m_parts.allSuspects() }) {
+        if (!suspects.empty())
+            m_loads.sendAll(peer, suspects);
+    }
 }
 
 Result<HttpResponse> RelayNode::probe(const EndpointRecord &endpoint, bool engine, Duration timeout)
@@ -392,6 +440,10 @@
     case LoadEvent::Cleared:
         m_suspects.receive(message);
         return;
+    case LoadEvent::PartsSuspected:
+    case LoadEvent::PartsCleared:
+        m_parts.receive(message);
+        return;
     }
 }
 
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -7,6 +7,7 @@
 #include "relay/absence_monitor.h"
 #include "relay/endpoint_limiter.h"
 #include "relay/load_exchange.h"
+#include "relay/part_tracker.h"
 #include "relay/path_monitor.h"
 #include "relay/relay_codec.h"
 #include "relay/relay_metrics.h"
@@ -52,6 +53,7 @@
     std::unordered_map<ServiceId, PoolSplit> m_splits;
     LoadExchange m_loads;
     SuspectTracker m_suspects;
+    PartTracker m_parts;
     EndpointLimiter m_limiter;
     PathMonitor m_path{ *this };
     std::vector<ForwardPeer> m_forwardPeers; ///< VMs that take requests while this one is isolated.
@@ -61,6 +63,9 @@
     bool m_watchesStore = false;
     /// See SuspectHooks. Set before the thread starts.
     std::function<void(const std::vector<SuspectReport> &, bool observed)> m_quarantined;
+    /// See PartHooks::m_changed and m_released. Set before the thread starts.
+    std::function<void(const std::vector<PartReport> &, bool store)> m_partsChanged;
+    std::function<void(const std::vector<PartReport> &)> m_partsReleased;
     std::unordered_set<RelayRun *> m_runs; ///< Requests in progress.
 
     /// A unique key for the next attempt.
@@ -117,7 +122,12 @@
     void recordBrokenResponse(const EndpointId &endpoint, uint64_t vm);
     /// Records that another VM's attempt @p key received a response.
     void recordResponse(const LoadKey &key);
+    CrashBroadcast crashBroadcast();
     SuspectHooks suspectHooks();
+    PartHooks partHooks();
+    /// Records an exit against the parts of the attempt's prompt. Returns whether the request may
+    /// have caused it in another way.
+    bool noteExit(const BrokenAttempt &attempt, const EndpointRecord &endpoint);
     LoadMessage placedMessage(const LoadKey &key, const AttemptLoad &load, TimePoint now) const;
     std::vector<LoadMessage> ownLoads(TimePoint now) const;
     std::vector<LoadMessage> ownTurns(TimePoint now) const;
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -23,6 +23,10 @@
 /// Limit of placements for one request, whether sent or not.
 constexpr uint32_t MaxPlacements = 6;
 
+/// An answer that began this long ago, and goes on, shows that its engine does not crash on it: a
+/// crash follows the begin within milliseconds.
+constexpr Millis SoundAnswerAge{ 250 };
+
 /// Clients leave a stream after the longest of these silences.
 constexpr Millis MinClientPatience{ 2'000 };
 constexpr int PatienceAims = 4;
@@ -128,6 +132,8 @@
 
 bool RelayRun::maySend()
 {
+    if (!maySendParts())
+        return false;
     if (!maybeSuspect()) {
         m_suspectHandling = SuspectHandling::None;
         return true;
@@ -136,14 +142,72 @@
     m_suspectHandling = verdict.m_handling;
     if (verdict.isAllowed())
         return true;
-    m_quarantineRetryAfter = std::chrono::duration_cast<Millis>(verdict.m_nextTryAfter);
-    m_failureReason = verdict.m_handling == SuspectHandling::Quarantined
-                          ? "the processes of endpoints ended under it"
-                          : "endpoints ended under it, and it is being tried elsewhere";
-    m_node.m_metrics.m_blocked.add();
+    refuseSending(verdict.m_nextTryAfter,
+                  verdict.m_handling == SuspectHandling::Quarantined
+                      ? "the processes of endpoints ended under it"
+                      : "endpoints ended under it, and it is being tried elsewhere");
     return false;
 }
 
+bool RelayRun::maySendParts()
+{
+    const PartDecision decision = decideParts();
+    if (!decision.m_allowed)
+        refuseSending(decision.m_nextTryAfter, QuarantinedPart);
+    return decision.m_allowed;
+}
+
+void RelayRun::refuseSending(Duration retryAfter, std::string_view why)
+{
+    m_quarantineRetryAfter = std::chrono::duration_cast<Millis>(retryAfter);
+    m_failureReason = why;
+    m_node.m_metrics.m_blocked.add();
+}
+
+PartDecision RelayRun::decideParts()
+{
+    const PartTable &table = m_node.m_parts.table();
+    if (table.m_quarantines.empty() || m_head.m_promptParts.empty())
+        return {};
+    const RelayViewPtr view = m_node.m_view.load();
+    const TimePoint now = Clock::now();
+    const bool mayProbe = mayProbeParts(table, promptParts(), m_node.m_settings.m_vm, view->m_peers,
+                                        view->m_cell, now);
+    return decidePrompt(table, promptParts(), mayProbe, now);
+}
+
+const PromptParts &RelayRun::promptParts()
+{
+    if (m_promptParts)
+        return *m_promptParts;
+    m_promptParts.emplace();
+    m_promptParts->m_customer = partCustomerHash(m_customer);
+    for (const PromptPartId &part : m_head.m_promptParts)
+        m_promptParts->m_parts.push_back(partHash(part.str()));
+    return *m_promptParts;
+}
+
+bool RelayRun::hasSoundAnswer() const
+{
+    return m_answeredAt != TimePoint{} && Clock::now() - m_answeredAt >= SoundAnswerAge;
+}
+
+bool RelayRun::hasAnswerOn(uint64_t part)
+{
+    if (!hasSoundAnswer())
+        return false;
+    const auto &parts = promptParts().m_parts;
+    return std::find(parts.begin(), parts.end(), part) != parts.end();
+}
+
+void RelayRun::abandonIfQuarantined()
+{
+    if (!m_connection || m_abandoned || m_forwarding || m_answeredAt != TimePoint{}
+        || decideParts().m_allowed)
+        return;
+    abandonAttempt(FailureWeight::None, QuarantinedPart);
+}
+
 bool RelayRun::admitKey(bool fresh)
 {
     constexpr uint32_t LowestUrgency = 9;
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -55,7 +55,12 @@
     bool hasUnreadBytes() const { return m_connection->readable(); }
     /// Ends the pending attempt, because its endpoint has gone. @p weight: the evidence against
     /// the endpoint. Call on the traffic thread.
-    void abandonAttempt(FailureWeight weight);
+    void abandonAttempt(FailureWeight weight, const char *why = EndpointGone);
+    /// Abandons the pending attempt if its answer has not begun and a part of its prompt is
+    /// quarantined: its engine does not crash if it has not begun to write. On the traffic thread.
+    void abandonIfQuarantined();
+    /// Whether an answer to the request has begun on @p part and shows that the part is sound.
+    bool hasAnswerOn(uint64_t part);
 
 private:
     /// The result of one attempt.
@@ -66,6 +71,8 @@
         Failed, ///< It may have run.
     };
 
+    static constexpr const char *EndpointGone = "the endpoint has gone";
+    static constexpr const char *QuarantinedPart = "engines crash on a part of its prompt";
     static constexpr const char *EvacuatedReason = "its data centres are evacuated";
     static constexpr const char *LimitedReason = "the endpoints take no more requests now";
     /// Delay between placement attempts while no endpoint can take the request.
@@ -75,9 +82,16 @@
     bool admitKey(bool fresh);
     /// Whether the request can finish before a draining daemon stops; else refuses it.
     bool admitWhileDraining();
-    /// Whether the request may be sent, considering the process exits under it. If not, sets
-    /// m_failureReason and m_quarantineRetryAfter.
+    /// Whether the request may be sent, considering the process exits under it and under requests
+    /// that share parts of its prompt. If not, sets m_failureReason and m_quarantineRetryAfter.
     bool maySend();
+    bool maySendParts();
+    PartDecision decideParts();
+    void refuseSending(Duration retryAfter, std::string_view why);
+    /// Hashes of the shared parts of the prompt; computed when they are first needed.
+    const PromptParts &promptParts();
+    /// Whether the answer of the attempt in progress began some time ago.
+    bool hasSoundAnswer() const;
     void attemptUntilDone();
     /// Whether another attempt may be made; takes it out of the retry budget if one was sent
     /// before.
@@ -231,6 +245,7 @@
     ServiceId m_serviceId;
     CustomerId m_customer;
     std::optional<Fingerprint> m_fingerprint; ///< Set when it is first needed.
+    std::optional<PromptParts> m_promptParts; ///< Set when they are first needed.
     uint32_t m_urgency = 0;
     TimePoint m_deadline{};
     std::unordered_set<EndpointId> m_triedEndpoints; ///< Endpoints that are not tried again.
@@ -248,6 +263,7 @@
     bool m_holdsMemory = false; ///< Memory is reserved for the attempt in progress.
     /// Set if the attempt in progress was abandoned, see abandonAttempt().
     std::optional<FailureWeight> m_abandoned;
+    const char *m_abandonedReason = EndpointGone;
     TimePoint m_answeredAt{}; ///< First event of the attempt in progress; zero: none yet.
     LoadKey m_loadKey;
     std::optional<uint64_t> m_lastEvent; ///< Last event id that the client received.
--- a/relay/suspect_tracker.cpp
+++ b/relay/suspect_tracker.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// Datagrams may be lost: the report that leads to a quarantine is sent again after these delays,
-/// within the time in which all VMs must know it. Other reports contain all exits so far, so that
-/// later ones make up for a lost report.
-constexpr std::array<Millis, 2> RepeatDelays{ Millis(150), Millis(450) };
 /// A crashing process may close its connections before its listening socket, for example while an
 /// engine writes a core dump. The later check is well within the time in which the exit must be
 /// known.
@@ -59,13 +55,10 @@
     RandomEngine m_random;
     SuspectTable m_table;
 
-    void noteExit(const Fingerprint &fingerprint, const EndpointRecord &endpoint);
+    void noteExit(const BrokenAttempt &attempt, const EndpointRecord &endpoint);
     void delayResend();
-    void recheck(const std::vector<EndpointRecord> &endpoints, const Fingerprint &fingerprint);
-    bool noteIfExited(const std::vector<EndpointRecord> &endpoints, const Fingerprint &fingerprint);
-    void broadcast(LoadMessage message);
-    void rebroadcast(const LoadMessage &message);
-    void forward(const LoadMessage &message);
+    void recheck(const BrokenAttempt &attempt);
+    bool noteIfExited(const BrokenAttempt &attempt);
     void logChange(const Fingerprint &fingerprint, SuspectChange change);
     void reportQuarantined(bool observed);
     bool merge(const std::vector<SuspectReport> &reports);
@@ -93,14 +86,17 @@
     m_hooks.m_quarantined(quarantined, observed);
 }
 
-void SuspectTracker::State::noteExit(const Fingerprint &fingerprint, const EndpointRecord &endpoint)
+void SuspectTracker::State::noteExit(const BrokenAttempt &attempt, const EndpointRecord &endpoint)
 {
     const TimePoint now = Clock::now();
+    const Fingerprint &fingerprint = attempt.m_fingerprint;
     DecisionLine("relay", "endpoint process ended")
         .text("endpoint", endpoint.m_id.str())
         .text("address", endpoint.m_address)
         .text("print", toString(fingerprint))
         .write();
+    if (!m_hooks.m_exited(attempt, endpoint))
+        return;
     dropExpiredSuspects(m_table, now);
     const SuspectChange change = stackquay::recordCrash(
         m_table, fingerprint, processKey(endpoint.m_id, endpoint.m_startedMs), now);
@@ -110,45 +106,13 @@
     const Suspect &suspect = m_table.m_suspects[fingerprint];
     LoadMessage message{ LoadEvent::Suspected };
     message.m_suspects = { { fingerprint, suspect.m_crashes, suspect.m_probesMade, 0 } };
-    broadcast(message);
+    broadcast(m_hooks.m_fleet, message);
     if (change != SuspectChange::Quarantined)
         return;
-    rebroadcast(message);
+    broadcastAgain(m_thread, m_hooks.m_fleet, message);
     reportQuarantined(true);
 }
 
-void SuspectTracker::State::broadcast(LoadMessage message)
-{
-    message.m_cell = m_hooks.m_cell().m_cell;
-    m_hooks.m_sendToCell(message);
-    m_hooks.m_sendToOtherCells(message);
-}
-
-void SuspectTracker::State::rebroadcast(const LoadMessage &message)
-{
-    spawnFiber([self = shared_from_this(), message] {
-        for (const Millis after : RepeatDelays) {
-            if (!sleepFor(self->m_thread.context(), after))
-                return;
-            self->broadcast(message);
-        }
-    });
-}
-
-/// Reports from another cell go to this cell, and reports from this cell to the other cells.
-void SuspectTracker::State::forward(const LoadMessage &message)
-{
-    const uint32_t own = m_hooks.m_cell().m_cell;
-    if (message.m_cell == own) {
-        if (m_hooks.m_watchesStore())
-            m_hooks.m_sendToOtherCells(message);
-        return;
-    }
-    LoadMessage forwarded = message;
-    forwarded.m_cell = own;
-    m_hooks.m_sendToCell(forwarded);
-}
-
 bool SuspectTracker::State::merge(const std::vector<SuspectReport> &reports)
 {
     bool changed = false;
@@ -166,23 +130,21 @@
     return changed;
 }
 
-bool SuspectTracker::State::noteIfExited(const std::vector<EndpointRecord> &endpoints,
-                                         const Fingerprint &fingerprint)
+bool SuspectTracker::State::noteIfExited(const BrokenAttempt &attempt)
 {
-    for (const EndpointRecord &endpoint : endpoints) {
+    for (const EndpointRecord &endpoint : attempt.m_endpoints) {
         if (!m_exitProbe.hasExited(endpoint) || !m_hooks.m_reachesOthers(endpoint))
             continue;
-        noteExit(fingerprint, endpoint);
+        noteExit(attempt, endpoint);
         return true;
     }
     return false;
 }
 
-void SuspectTracker::State::recheck(const std::vector<EndpointRecord> &endpoints,
-                                    const Fingerprint &fingerprint)
+void SuspectTracker::State::recheck(const BrokenAttempt &attempt)
 {
     for (const Millis after : RecheckDelays) {
-        if (!sleepFor(m_thread.context(), after) || noteIfExited(endpoints, fingerprint))
+        if (!sleepFor(m_thread.context(), after) || noteIfExited(attempt))
             return;
     }
 }
@@ -209,18 +171,22 @@
     return m_state->m_table.mayContain(outline);
 }
 
-bool SuspectTracker::noteBrokenResponse(const std::vector<EndpointRecord> &endpoints,
-                                        const Fingerprint &fingerprint)
+bool SuspectTracker::noteBrokenResponse(const BrokenAttempt &attempt)
 {
     const auto state = m_state;
-    if (state->noteIfExited(endpoints, fingerprint)) {
+    if (state->noteIfExited(attempt)) {
         state->delayResend();
         return true;
     }
-    spawnFiber([state, endpoints, fingerprint] { state->recheck(endpoints, fingerprint); });
+    spawnFiber([state, attempt] { state->recheck(attempt); });
     return false;
 }
 
+void SuspectTracker::excuse(const std::unordered_set<uint64_t> &processes)
+{
+    excuseCrashes(m_state->m_table, processes);
+}
+
 void SuspectTracker::noteCompleted(const Fingerprint &fingerprint)
 {
     SuspectTable &table = m_state->m_table;
@@ -232,7 +198,7 @@
     message.m_suspects = { { fingerprint, suspect->second.m_crashes, 0, 0 } };
     markCleared(table, fingerprint, {}, Clock::now());
     DecisionLine("relay", "request cleared").text("print", toString(fingerprint)).write();
-    m_state->broadcast(std::move(message));
+    broadcast(m_state->m_hooks.m_fleet, std::move(message));
 }
 
 SuspectDecision SuspectTracker::decideAttempt(const Fingerprint &fingerprint,
@@ -296,7 +262,7 @@
 {
     if (message.m_change == LoadEvent::Suspected) {
         if (m_state->merge(message.m_suspects))
-            m_state->forward(message);
+            forward(m_state->m_hooks.m_fleet, message);
         return;
     }
     bool cleared = false;
@@ -308,7 +274,7 @@
     for (const Fingerprint &fingerprint : message.m_fingerprints)
         cleared = markCleared(m_state->m_table, fingerprint, {}, Clock::now()) || cleared;
     if (cleared)
-        m_state->forward(message);
+        forward(m_state->m_hooks.m_fleet, message);
 }
 
 void SuspectTracker::merge(const std::vector<SuspectReport> &reports)
@@ -325,7 +291,7 @@
         LoadMessage message{ LoadEvent::Suspected };
         message.m_suspects.assign(reports.begin() + static_cast<ptrdiff_t>(i),
                                   reports.begin() + static_cast<ptrdiff_t>(end));
-        message.m_cell = m_state->m_hooks.m_cell().m_cell;
+        message.m_cell = m_state->m_hooks.m_fleet.m_cell().m_cell;
         messages.push_back(std::move(message));
     }
     return messages;
--- a/relay/suspect_tracker.h
+++ b/relay/suspect_tracker.h
@@ -1,29 +1,36 @@
 /// Finds the requests that crash the endpoints which run them, and reports them to all VMs.
 ///
-/// A process exit under a request is reported immediately to the VMs of the cell. The VM that
-/// observed it and the store watchers also report it to some VMs of each other cell, which forward
-/// it within theirs: 1 datagram to each VM of the cell and 2 to each other cell for an exit, and no
-/// traffic while no endpoint exits. A new VM receives all suspects together with the requests in
-/// flight. Quarantined requests are also kept in the store (relay/quarantine_record.h).
+/// A process exit under a request is reported immediately to all VMs, by the VM that observed it
+/// and by the store watchers (relay/crash_broadcast.h); there is no traffic while no endpoint
+/// exits. A new VM receives all suspects together with the requests in flight. Quarantined requests
+/// are also kept in the store (relay/quarantine_record.h).
 #pragma once
 
 #include <functional>
 #include <vector>
 
+#include "relay/crash_broadcast.h"
 #include "relay/exit_probe.h"
-#include "relay/load_exchange.h"
 
 namespace stackquay {
 
+/// An attempt whose response broke off.
+struct BrokenAttempt {
+    std::vector<EndpointRecord> m_endpoints; ///< The first one is the one that answers.
+    Fingerprint m_fingerprint;
+    PromptParts m_parts;
+    bool m_answered = false; ///< The answer had begun.
+    TimePoint m_at{};
+};
+
 /// Connections to the other VMs and to the daemon.
 struct SuspectHooks {
-    std::function<CellView()> m_cell;
     /// Returns whether this VM reaches an endpoint other than @p endpoint now. Blocks the fiber.
     std::function<bool(const EndpointRecord &endpoint)> m_reachesOthers;
-    /// Returns whether this VM forwards updates of its cell to other cells.
-    std::function<bool()> m_watchesStore;
-    std::function<void(const LoadMessage &message)> m_sendToCell;
-    std::function<void(const LoadMessage &message)> m_sendToOtherCells;
+    CrashBroadcast m_fleet;
+    /// Called when the process of @p endpoint, one of the attempt's, has exited. Returns whether
+    /// the request may have caused it.
+    std::function<bool(const BrokenAttempt &attempt, const EndpointRecord &endpoint)> m_exited;
     /// Called when the set of quarantined requests changed; @p observed: this VM itself observed
     /// the exit that led to it.
     std::function<void(const std::vector<SuspectReport> &quarantined, bool observed)> m_quarantined;
@@ -43,12 +50,13 @@
     /// Whether a request with this outline may be a suspect; otherwise its fingerprint is not
     /// needed.
     bool mayContain(uint64_t outline) const;
-    /// To be called when the response of @p endpoints to the request broke off. Returns whether the
-    /// process of one of them has exited, which makes the request a suspect. Blocks the fiber for a
+    /// To be called when the response of an attempt broke off. Returns whether the process of one
+    /// of its endpoints has exited, which makes the request a suspect. Blocks the fiber for a
     /// connection attempt, and after an exit for some milliseconds more, so that the suspects of
     /// one exit see each other's placements. If no exit is seen, checks again in the background.
-    bool noteBrokenResponse(const std::vector<EndpointRecord> &endpoints,
-                            const Fingerprint &fingerprint);
+    bool noteBrokenResponse(const BrokenAttempt &attempt);
+    /// Clears the suspects of the exits of @p processes, whose cause is known to be another.
+    void excuse(const std::unordered_set<uint64_t> &processes);
     /// To be called when the request received a whole successful response.
     void noteCompleted(const Fingerprint &fingerprint);
     /// Decides how an attempt with the key @p own may run.
--- a/tests/relay/suspect_tracker_test.cpp
+++ b/tests/relay/suspect_tracker_test.cpp
@@ -73,10 +73,12 @@
     SuspectHooks hooksOf(size_t vm)
     {
         SuspectHooks hooks;
-        hooks.m_cell = [vm] { return CellView{ cellOf(vm), Cells }; };
-        hooks.m_watchesStore = [vm] { return vm % VmsOfACell < WatchersInACell; };
-        hooks.m_sendToCell = [this, vm](const LoadMessage &message) { sendToCell(vm, message); };
-        hooks.m_sendToOtherCells = [this, vm](const LoadMessage &message) {
+        hooks.m_fleet.m_cell = [vm] { return CellView{ cellOf(vm), Cells }; };
+        hooks.m_fleet.m_watchesStore = [vm] { return vm % VmsOfACell < WatchersInACell; };
+        hooks.m_fleet.m_sendToCell = [this, vm](const LoadMessage &message) {
+            sendToCell(vm, message);
+        };
+        hooks.m_fleet.m_sendToOtherCells = [this, vm](const LoadMessage &message) {
             sendToContacts(vm, message);
         };
         hooks.m_quarantined = [](const auto &, bool) {};
