Endpoints that ask for no requests, or leave, get none (BUDGET, DRAIN)

What callers saw: a server had asked a machine for 3 s of rest and got 7 requests from it in that time; questions were refused after two resting engines had been tried within a millisecond. Cause: the time that a refusal names was read by nobody; the refusing engine had the least load, so the next request chose it first.

EndpointLimiter, asked just before each send, now also keeps requests from endpoints that named a time or said that their process leaves; the division of the pool and the number that may begin count without them. All at rest: refused at once, with the time until the first is free.

--- a/relay/endpoint_limiter.cpp
+++ b/relay/endpoint_limiter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace stackquay {
 
@@ -46,16 +47,52 @@
     m_limits.setGroup(std::move(group), Clock::now());
 }
 
-bool EndpointLimiter::maySend(const RelayView &view, const EndpointId &endpoint)
+bool EndpointLimiter::maySend(const RelayView &view, const EndpointRecord &endpoint)
 {
     const TimePoint now = Clock::now();
-    if (!m_limits.maySend(endpoint, now))
+    const EndpointId &id = endpoint.m_id;
+    if (m_backoff.isBlocked(endpoint, now) || !m_limits.maySend(id, now))
         return false;
-    if (!isColdLimited(view, endpoint, now))
+    if (!isColdLimited(view, id, now))
         return true;
-    const auto share = view.m_coldShares.find(endpoint);
-    return share != view.m_coldShares.end()
-           && hasSendBudget(m_coldSends[endpoint], share->second, now);
+    const auto share = view.m_coldShares.find(id);
+    return share != view.m_coldShares.end() && hasSendBudget(m_coldSends[id], share->second, now);
+}
+
+bool EndpointLimiter::isBlocked(const EndpointRecord &endpoint) const
+{
+    return m_backoff.isBlocked(endpoint, Clock::now());
+}
+
+bool EndpointLimiter::isRestricted(const EndpointRecord &endpoint) const
+{
+    return isBlocked(endpoint) || namesRate(endpoint.m_id);
+}
+
+bool EndpointLimiter::blocksAll(const std::vector<EndpointRecord> &pool) const
+{
+    return !m_backoff.empty() && !pool.empty()
+           && std::all_of(pool.begin(), pool.end(),
+                          [this](const EndpointRecord &endpoint) { return isBlocked(endpoint); });
+}
+
+void EndpointLimiter::noteBackoff(const EndpointRecord &endpoint, std::optional<Millis> retryAfter,
+                                  bool leaving, const RelayView &view)
+{
+    const TimePoint now = Clock::now();
+    if (retryAfter) {
+        m_backoff.noteRetryAfter(endpoint, *retryAfter, now);
+        DecisionLine("relay", "endpoint wants no requests")
+            .text("endpoint", endpoint.m_id.str())
+            .number("ms", retryAfter->count())
+            .write();
+    }
+    if (!leaving || !m_backoff.noteLeaving(endpoint))
+        return;
+    DecisionLine("relay", "endpoint is leaving").text("endpoint", endpoint.m_id.str()).write();
+    m_tell(leavingMessage(endpoint));
+    if (view.m_directory)
+        m_backoff.dropExpired(view.m_directory->m_endpoints, now);
 }
 
 void EndpointLimiter::recordSend(const RelayView &view, const EndpointId &endpoint)
@@ -82,6 +119,14 @@
     return message;
 }
 
+LoadMessage EndpointLimiter::leavingMessage(const EndpointRecord &endpoint) const
+{
+    LoadMessage message{ LoadEvent::EndpointLeaving, m_nextKey() };
+    message.m_parts = { { endpoint.m_id, 0, 0 } };
+    message.m_processMs = endpoint.m_startedMs;
+    return message;
+}
+
 void EndpointLimiter::noteAnswer(const RelayView &view, const EndpointRecord &endpoint,
                                  const NamedRate &rate)
 {
@@ -101,7 +146,15 @@
     const auto found = endpoints.find(message.m_parts.front().m_endpoint);
     if (found == endpoints.end() || found->second.m_startedMs != message.m_processMs)
         return;
-    const EndpointRecord &endpoint = found->second;
+    if (message.m_change == LoadEvent::EndpointLeaving)
+        std::ignore = m_backoff.noteLeaving(found->second);
+    else
+        receiveLimit(view, found->second, message);
+}
+
+void EndpointLimiter::receiveLimit(const RelayView &view, const EndpointRecord &endpoint,
+                                   const LoadMessage &message)
+{
     NamedRate rate;
     if (message.m_limitMillis > 0)
         rate = message.m_limitMillis / MillisPerRequest;
@@ -114,6 +167,7 @@
 void EndpointLimiter::forget(const EndpointId &endpoint)
 {
     m_limits.forget(endpoint);
+    m_backoff.forget(endpoint);
 }
 
 bool EndpointLimiter::namesRate(const EndpointId &endpoint) const
@@ -126,7 +180,9 @@
     const TimePoint now = Clock::now();
     std::optional<Duration> soonest;
     for (const EndpointRecord &endpoint : pool) {
-        const auto time = m_limits.timeToBudget(endpoint.m_id, now);
+        const auto time = m_backoff.isBlocked(endpoint, now)
+                              ? m_backoff.timeToEnd({ endpoint }, now)
+                              : m_limits.timeToBudget(endpoint.m_id, now);
         if (time && (!soonest || *time < *soonest))
             soonest = time;
     }
@@ -140,6 +196,8 @@
         if (namesRate(id))
             messages.push_back(messageOf(limit));
     }
+    for (const EndpointRecord &endpoint : m_backoff.leaving())
+        messages.push_back(leavingMessage(endpoint));
     return messages;
 }
 
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -31,12 +31,14 @@
     RequestLimit = 13, ///< An endpoint names a limit of its requests, or none any more.
     PartsSuspected = 14, ///< Endpoint processes exited under requests with parts of prompts.
     PartsCleared = 15, ///< An answer has begun on suspected parts.
+    EndpointLeaving = 16, ///< The process of an endpoint has announced its end.
 };
 
 struct LoadMessage {
     LoadEvent m_change = LoadEvent::Placed;
     LoadKey m_key;
-    /// Placed: the load on each endpoint. Ejected and BrokenOff: the endpoint.
+    /// Placed: the load on each endpoint. Ejected, BrokenOff, RequestLimit and EndpointLeaving: the
+    /// endpoint.
     std::vector<LoadPart> m_parts{};
     DataCentreId m_dataCentre{}; ///< Ejected: data centre of the sender.
     uint32_t m_gapLimitMs = 0; ///< Placed and Waiting.
@@ -59,7 +61,8 @@
     /// In thousandths of a retry. RetryDeposit: RetryDeposit::m_slackPart. RetryPoolState: what
     /// remains for other services.
     uint32_t m_slackMillis = 0;
-    uint64_t m_processMs = 0; ///< RequestLimit: start of the endpoint's process, Unix time.
+    /// RequestLimit and EndpointLeaving: start of the endpoint's process, Unix time.
+    uint64_t m_processMs = 0;
     /// RequestLimit: thousandths of a request per second; zero: the endpoint names no limit.
     uint32_t m_limitMillis = 0;
     std::vector<PartReport> m_partReports{}; ///< PartsSuspected and PartsCleared.
--- a/relay/memory_reservations.cpp
+++ b/relay/memory_reservations.cpp
@@ -43,7 +43,10 @@
     HttpCallOptions options;
     options.m_timeout = ReservationTimeout;
     options.m_replaceAfter = ReplaceConnectionAfter;
-    return node.m_pool.call(reservation.m_address, request, options);
+    auto answer = node.m_pool.call(reservation.m_address, request, options);
+    if (answer)
+        node.noteAnswer(reservation.m_endpoint, node.m_dialect.m_readResponseHead(*answer));
+    return answer;
 }
 
 Millis holdDuration(const RelayBounds &bounds)
@@ -137,6 +140,11 @@
             releaseAll();
             return makeError(ErrorCode::Cancelled, "the caller left");
         }
+        // What is running there is renewed and released all the same.
+        if (m_node.m_limiter.isBlocked(member.m_endpoint)) {
+            releaseAll();
+            return makeError(ErrorCode::ResourceExhausted, "the endpoint takes no requests now");
+        }
         const auto address = parseAddress(member.m_endpoint.m_address);
         if (!address)
             return tl::unexpected(address.error());
--- a/relay/path_monitor.cpp
+++ b/relay/path_monitor.cpp
@@ -88,6 +88,11 @@
         std::erase_if(candidates, isPlain);
     if (!isIsolated() && !std::all_of(candidates.begin(), candidates.end(), isUnreached))
         std::erase_if(candidates, isUnreached);
+    const auto isBlocked = [this](const EndpointRecord &one) {
+        return m_node.m_limiter.isBlocked(one);
+    };
+    if (!std::all_of(candidates.begin(), candidates.end(), isBlocked))
+        std::erase_if(candidates, isBlocked);
     if (candidates.empty())
         return std::nullopt;
     std::uniform_int_distribution<size_t> draw(0, candidates.size() - 1);
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -149,7 +149,7 @@
     EndpointLimiter &limiter = m_node.m_limiter;
     const bool allowed =
         std::all_of(plan.m_members.begin(), plan.m_members.end(), [&](const GangMember &member) {
-            return limiter.maySend(*view, member.m_endpoint.m_id);
+            return limiter.maySend(*view, member.m_endpoint);
         });
     if (!allowed)
         return false;
@@ -344,6 +344,7 @@
     const bool ours = head.m_id == m_head.m_id || (head.m_id.empty() && !reused);
     if (!ours)
         return failAttempt(endpoint, FailureWeight::Weak, "the answer belongs to another request");
+    m_node.noteAnswer(endpoint, head);
     if (!head.m_misdirected)
         m_node.m_limiter.noteAnswer(*m_node.m_view.load(), endpoint, head.m_requestLimit);
     if (head.m_notRun)
--- a/relay/relay_codec.h
+++ b/relay/relay_codec.h
@@ -60,6 +60,9 @@
     std::string m_failedAddress; ///< Address of the endpoint at fault, if the response names one.
     /// Requests per second that the endpoint takes from all VMs together; nothing: no limit.
     std::optional<double> m_requestLimit;
+    /// The endpoint turned the request away, and wants none from this VM during this time.
+    std::optional<Millis> m_retryAfter;
+    bool m_leaving = false; ///< The endpoint's process is leaving.
     HttpHeaders m_forwardedHeaders; ///< Headers to forward to the client.
 };
 
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -305,7 +305,16 @@
     HttpCallOptions options;
     options.m_timeout = timeout;
     constexpr bool OnNewConnection = false;
-    return m_pool.call(*address, m_dialect.m_probe(endpoint.m_id), options, OnNewConnection);
+    auto answer = m_pool.call(*address, m_dialect.m_probe(endpoint.m_id), options, OnNewConnection);
+    if (answer)
+        noteAnswer(endpoint, m_dialect.m_readResponseHead(*answer));
+    return answer;
+}
+
+void RelayNode::noteAnswer(const EndpointRecord &endpoint, const ResponseHead &head)
+{
+    if (!head.m_misdirected)
+        m_limiter.noteBackoff(endpoint, head.m_retryAfter, head.m_leaving, *m_view.load());
 }
 
 void RelayNode::noteFailure(const EndpointId &endpoint, FailureWeight weight, std::string_view why)
@@ -434,6 +443,7 @@
         m_retryBroker.receive(message);
         return;
     case LoadEvent::RequestLimit:
+    case LoadEvent::EndpointLeaving:
         m_limiter.receive(*m_view.load(), message);
         return;
     case LoadEvent::Suspected:
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -100,6 +100,8 @@
     /// if a kept one fails; of a plain service, only whether it accepts a connection, in which case
     /// the response is empty. Blocks the fiber.
     Result<HttpResponse> probe(const EndpointRecord &endpoint, bool engine, Duration timeout);
+    /// Notes what an answer of @p endpoint, to a request or an order, says about the endpoint.
+    void noteAnswer(const EndpointRecord &endpoint, const ResponseHead &head);
     /// Records a failure of an endpoint observed by this VM.
     void noteFailure(const EndpointId &endpoint, FailureWeight weight, std::string_view why);
     /// Reports to all VMs that @p endpoint broke off a response on a new connection. An idle
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -26,8 +26,7 @@
         return {};
     std::vector<EndpointRecord> untried;
     for (const EndpointRecord &endpoint : *pool) {
-        if (m_triedEndpoints.count(endpoint.m_id) == 0
-            && m_node.m_limiter.maySend(*view, endpoint.m_id))
+        if (m_triedEndpoints.count(endpoint.m_id) == 0 && m_node.m_limiter.maySend(*view, endpoint))
             untried.push_back(endpoint);
     }
     return healthyEndpoints(m_node.m_ejections, std::move(untried), Clock::now());
@@ -41,19 +40,19 @@
     seen.m_all = poolOf(*seen.m_view, m_serviceId);
     if (!isModelRequest() || !seen.m_all)
         return seen;
-    const auto namesRate = [this](const EndpointRecord &endpoint) {
-        return m_node.m_limiter.namesRate(endpoint.m_id);
+    const auto isRestricted = [this](const EndpointRecord &endpoint) {
+        return m_node.m_limiter.isRestricted(endpoint);
     };
-    if (m_node.m_limiter.knowsRates())
+    if (m_node.m_limiter.restrictsAny())
         std::remove_copy_if(seen.m_all->begin(), seen.m_all->end(),
-                            std::back_inserter(seen.m_unlimited), namesRate);
+                            std::back_inserter(seen.m_unlimited), isRestricted);
     seen.m_strictSide =
         m_node.strictSide(m_serviceId, *m_service->m_engine, seen.schedulable(), seen.m_uses);
     if (seen.m_unlimited.empty())
         return seen;
     seen.m_answersStrict = seen.m_strictSide;
     for (const EndpointRecord &endpoint : *seen.m_all) {
-        if (namesRate(endpoint))
+        if (m_node.m_limiter.namesRate(endpoint.m_id))
             seen.m_answersStrict.insert(endpoint.m_id);
     }
     return seen;
@@ -137,11 +136,11 @@
     const auto *pool = poolOf(*view, m_serviceId);
     if (!pool)
         return 0;
-    if (!m_node.m_limiter.knowsRates())
+    if (!m_node.m_limiter.restrictsAny())
         return pool->size();
     const auto limited = static_cast<size_t>(
         std::count_if(pool->begin(), pool->end(), [this](const EndpointRecord &endpoint) {
-            return m_node.m_limiter.namesRate(endpoint.m_id);
+            return m_node.m_limiter.isRestricted(endpoint);
         }));
     return limited < pool->size() ? pool->size() - limited : pool->size();
 }
@@ -222,6 +221,8 @@
             m_failureReason = EvacuatedReason;
             return std::nullopt;
         }
+        if (isBlockedBeyond(queued.m_targetAt - queued.m_minTimeToFirstEvent) && noteLimited())
+            return std::nullopt;
         if (!announced)
             m_node.announceWaiting(m_loadKey, gapLimitMs(), queued);
         announced = true;
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -298,18 +298,31 @@
     const RelayViewPtr view = m_node.m_view.load();
     const auto *pool = poolOf(*view, m_serviceId);
     const auto isFull = [&](const EndpointRecord &endpoint) {
-        return m_node.m_limiter.namesRate(endpoint.m_id)
-               && !m_node.m_limiter.maySend(*view, endpoint.m_id);
+        return m_node.m_limiter.isRestricted(endpoint)
+               && !m_node.m_limiter.maySend(*view, endpoint);
     };
     if (!pool || pool->empty() || !std::all_of(pool->begin(), pool->end(), isFull))
         return false;
     m_failureReason = LimitedReason;
-    const auto budget = m_node.m_limiter.timeToBudget(*pool).value_or(RetryAfterLimited);
+    const auto budget =
+        std::chrono::ceil<Millis>(m_node.m_limiter.timeToBudget(*pool).value_or(RetryAfterLimited));
+    // A client that comes back too late for its deadline does not come back.
+    const bool comesBack = m_node.m_limiter.blocksAll(*pool) && budget < remainingTime();
     m_limitedRetryAfter =
-        std::clamp(std::chrono::ceil<Millis>(budget), RetryAfterBusy, RetryAfterLimited);
+        std::clamp(budget, RetryAfterBusy, comesBack ? budget + RetryAfterBusy : RetryAfterLimited);
     return true;
 }
 
+bool RelayRun::isBlockedBeyond(TimePoint latest) const
+{
+    const RelayViewPtr view = m_node.m_view.load();
+    const auto *pool = poolOf(*view, m_serviceId);
+    if (!pool || !m_node.m_limiter.blocksAll(*pool))
+        return false;
+    const auto time = m_node.m_limiter.timeToBudget(*pool);
+    return !time || Clock::now() + *time > latest;
+}
+
 bool RelayRun::mayAttempt()
 {
     if (m_clientDisconnected || m_node.m_stopping || remainingTime() <= Duration::zero()
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -96,8 +96,11 @@
     /// Whether another attempt may be made; takes it out of the retry budget if one was sent
     /// before.
     bool mayAttempt();
-    /// Whether the rates that the endpoints name are what keeps the request from all of them.
+    /// Whether the rates that the endpoints name, or their wish for no requests, are what keeps the
+    /// request from all of them.
     bool noteLimited();
+    /// Whether all endpoints of the service want no requests until after @p latest.
+    bool isBlockedBeyond(TimePoint latest) const;
 
     // relay_placement.cpp
     /// The requests in flight, and how the service's engines are divided.
@@ -105,7 +108,7 @@
         EndpointUses m_uses;
         RelayViewPtr m_view;
         const std::vector<EndpointRecord> *m_all = nullptr; ///< In m_view; null: none.
-        /// Those that name no rate; empty if none does, or all do.
+        /// Those that neither name a rate nor want no requests; empty if none or all do.
         std::vector<EndpointRecord> m_unlimited;
         std::unordered_set<EndpointId> m_strictSide; ///< Empty for a plain service.
         std::unordered_set<EndpointId> m_answersStrict; ///< See answersStrict().
@@ -274,7 +277,7 @@
     SuspectHandling m_suspectHandling = SuspectHandling::None;
     /// Set once the request is not sent any more: when the client may retry.
     std::optional<Millis> m_quarantineRetryAfter;
-    /// Set if all endpoints limit their requests, and take none of this VM now.
+    /// Set if all endpoints take no request of this VM now.
     std::optional<Millis> m_limitedRetryAfter;
     TimePoint m_lastForwardedAt{}; ///< When events were last sent to the client.
     Duration m_longestGap{}; ///< Longest time between events sent to the client.
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -179,6 +179,31 @@
     EXPECT_FALSE(relayDialect().m_readResponseHead({ 200, {}, "" }).m_requestLimit);
 }
 
+TEST(RequestCodecTest, ReadsForHowLongARefusalWantsNoRequests)
+{
+    const auto read = [](unsigned status, const std::string &text) {
+        return relayDialect()
+            .m_readResponseHead({ status, { { "Retry-After", text } }, "" })
+            .m_retryAfter;
+    };
+    EXPECT_EQ(read(503, "1.5"), Millis(1'500));
+    EXPECT_EQ(read(503, "0.0001"), Millis(1));
+    EXPECT_EQ(read(503, "1e300"), Millis(86'400'000));
+    EXPECT_FALSE(read(200, "1.5"));
+    for (const char *text : { "", "0", "-1", "soon", "1 2", "nan", "inf", "1e400" })
+        EXPECT_FALSE(read(503, text)) << text;
+}
+
+TEST(RequestCodecTest, ReadsWhetherAnEndpointIsLeaving)
+{
+    const auto read = [](const HttpHeaders &headers) {
+        return relayDialect().m_readResponseHead({ 200, headers, "" }).m_leaving;
+    };
+    EXPECT_TRUE(read({ { "server-leaving", "1" } }));
+    EXPECT_FALSE(read({ { "Server-Leaving", "0" } }));
+    EXPECT_FALSE(read({}));
+}
+
 TEST(RequestCodecTest, TellsWhatAnAnswerSays)
 {
     const auto read = relayDialect().m_readResponseHead;
