--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -314,6 +314,11 @@
     return m_state->m_idleSince != TimePoint{};
 }
 
+bool HttpConnection::responseEndsWithConnection() const
+{
+    return m_state->m_parser->need_eof();
+}
+
 Duration HttpConnection::idleFor() const
 {
     return Clock::now() - m_state->m_idleSince;
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -43,6 +43,9 @@
     void beginIdle();
     /// Whether it carried a request before the present one.
     bool reused() const;
+    /// Whether the response has neither a length nor chunks, so that the end of the connection is
+    /// its end. To be called once the header was read.
+    bool responseEndsWithConnection() const;
     /// Since it was last proved to carry bytes both ways, by a whole answer.
     Duration idleFor() const;
     /// Whether it failed because the peer's system, not only its program, answered nothing.
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -431,6 +431,18 @@
     recordSuccess(m_node.m_ejections, endpoint.m_id);
 }
 
+/// A process that ends closes its connections in order, so the end of an unframed stream says less
+/// than a last chunk.
+bool RelayRun::endsBroken(const HttpConnection &connection, const EndpointRecord &endpoint,
+                          const EventSplitter &events, bool withoutEvent)
+{
+    const bool unframed = connection.responseEndsWithConnection();
+    const bool broken = !events.empty() || (unframed && withoutEvent);
+    if (broken && unframed && !m_forwarding)
+        noteBrokenResponse(connection, endpoint);
+    return broken;
+}
+
 RelayRun::AttemptResult RelayRun::relayStream(HttpConnection &connection,
                                               const EndpointRecord &endpoint,
                                               const ResponseHead &head,
@@ -450,9 +462,10 @@
         if (!read)
             return failRead(connection, endpoint, read.error());
         if (piece.empty()) {
-            if (!events.empty())
+            if (endsBroken(connection, endpoint, events, first))
                 return failAttempt(endpoint, FailureWeight::Weak,
-                                   "the stream ended inside an event");
+                                   first ? "the stream ended without an event"
+                                         : "the stream ended inside an event");
             break;
         }
         events.feed(piece);
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -178,6 +178,9 @@
     AttemptResult relayStream(HttpConnection &connection, const EndpointRecord &endpoint,
                               const ResponseHead &head, const HttpResponse &response,
                               TimePoint firstEventBy);
+    /// Whether a stream that has ended was broken off before its end, as far as its bytes show.
+    bool endsBroken(const HttpConnection &connection, const EndpointRecord &endpoint,
+                    const EventSplitter &events, bool withoutEvent);
     AttemptResult failAttempt(const EndpointRecord &endpoint, FailureWeight weight,
                               std::string_view why);
     /// Handles an endpoint that did not answer, or stopped during its response.
