Tests: the evacuation tests ask the deployment for the size of a pool

The copy is gone; the checks are as they were. Ruled out: a difference between the two (both read the daemon's view by poolOf()). Conclusion: one copy.

--- a/tests/platform/evacuation_test.cpp
+++ b/tests/platform/evacuation_test.cpp
@@ -45,18 +45,10 @@
         return m_deployment.m_daemons[daemon]->node().m_view.load();
     }
 
-    /// Number of endpoints of @p service that accept work, as a daemon knows it.
-    size_t poolSize(size_t daemon, const std::string &service)
-    {
-        const RelayViewPtr known = view(daemon);
-        const auto *pool = poolOf(*known, ServiceId(service));
-        return pool ? pool->size() : 0;
-    }
-
     bool allHavePool(const std::string &service, size_t size)
     {
         for (size_t i = 0; i < m_deployment.m_daemons.size(); ++i) {
-            if (poolSize(i, service) != size)
+            if (m_deployment.poolSize(service, i) != size)
                 return false;
         }
         return true;
