A rest that is over no longer makes each placement copy the pool

Cause: EndpointBackoff keeps the entry of a rest after its time, and EndpointLimiter::restrictsAny() asked only whether there is an entry. Each placement then copied the pool and found nothing to leave out.

Before: restrictsAny() stays true until the endpoint leaves or restarts. After: it is true only while an endpoint is blocked (EndpointBackoffTest.NothingIsBlockedAfterTheTime).

--- a/policy/endpoint_backoff.cpp
+++ b/policy/endpoint_backoff.cpp
@@ -38,6 +38,13 @@
     return entry && (entry->m_leaving || entry->m_until > now);
 }
 
+bool EndpointBackoff::blocksAny(TimePoint now) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [now](const auto &known) {
+        return known.second.m_leaving || known.second.m_until > now;
+    });
+}
+
 bool EndpointBackoff::isLeaving(const EndpointRecord &endpoint) const
 {
     const Entry *entry = find(endpoint);
--- a/policy/endpoint_backoff.h
+++ b/policy/endpoint_backoff.h
@@ -27,7 +27,9 @@
     bool isLeaving(const EndpointRecord &endpoint) const;
     /// The endpoints whose processes are leaving; only id and start are set.
     std::vector<EndpointRecord> leaving() const;
-    /// Whether nothing is blocked.
+    /// Whether any endpoint is blocked now.
+    bool blocksAny(TimePoint now) const;
+    /// Whether no entry is kept, not even one whose time has passed.
     bool empty() const { return m_entries.empty(); }
     /// Time until an endpoint of @p pool may be sent to, if all of them are blocked; nothing if one
     /// is not, or if all of them are leaving.
--- a/relay/endpoint_limiter.h
+++ b/relay/endpoint_limiter.h
@@ -39,8 +39,11 @@
     void receive(const RelayView &view, const LoadMessage &message);
     /// Forgets what is known about the former process of @p endpoint.
     void forget(const EndpointId &endpoint);
-    /// Whether any endpoint may be restricted.
-    bool restrictsAny() const { return !m_limits.all().empty() || !m_backoff.empty(); }
+    /// Whether any endpoint may be restricted now.
+    bool restrictsAny() const
+    {
+        return !m_limits.all().empty() || m_backoff.blocksAny(Clock::now());
+    }
     /// Whether @p endpoint names a rate or wants no requests.
     bool isRestricted(const EndpointRecord &endpoint) const;
     /// Whether @p endpoint wants no requests of this VM now.
--- a/tests/policy/endpoint_backoff_test.cpp
+++ b/tests/policy/endpoint_backoff_test.cpp
@@ -27,6 +27,18 @@
     EXPECT_FALSE(backoff.isBlocked(B, Now));
 }
 
+// Guards against an entry that stays after its time and slows down each placement.
+TEST(EndpointBackoffTest, NothingIsBlockedAfterTheTime)
+{
+    EndpointBackoff backoff;
+    EXPECT_FALSE(backoff.blocksAny(Now));
+    backoff.noteRetryAfter(A, Millis(1'500), Now);
+    EXPECT_TRUE(backoff.blocksAny(Now + Millis(1'499)));
+    EXPECT_FALSE(backoff.blocksAny(Now + Millis(1'500)));
+    backoff.noteLeaving(B);
+    EXPECT_TRUE(backoff.blocksAny(Now + Millis(1'500)));
+}
+
 TEST(EndpointBackoffTest, LaterAnswerNamesAnotherTime)
 {
     EndpointBackoff backoff;
