--- a/policy/return_schedule.cpp
+++ b/policy/return_schedule.cpp
@@ -36,6 +36,22 @@
     std::erase_if(m_places, [now](const auto &entry) { return entry.second.m_expiresAt <= now; });
 }
 
+Duration forecastTurn(TurnLoad load, const ReturnSchedule &places, double rateShare, TimePoint now)
+{
+    // Each step adds at least one place, so that the bound only limits the time.
+    constexpr int MaxSteps = 10;
+    const double aheadMs = load.m_aheadMs;
+    Duration turn = predictTurn(load, rateShare);
+    for (int i = 0; i < MaxSteps; ++i) {
+        const double dueMs = places.workDue(now + turn);
+        if (aheadMs + dueMs <= load.m_aheadMs)
+            break;
+        load.m_aheadMs = aheadMs + dueMs;
+        turn = predictTurn(load, rateShare);
+    }
+    return turn;
+}
+
 ReturnAdvice adviseReturn(const ReturnSettings &settings, const ReturnQuery &query)
 {
     const Duration left = query.m_deadline - query.m_now;
--- a/policy/return_schedule.h
+++ b/policy/return_schedule.h
@@ -15,6 +15,7 @@
 
 #include "core/core.h"
 #include "policy/stream_ledger.h"
+#include "policy/turn_forecast.h"
 
 namespace stackquay {
 
@@ -44,6 +45,10 @@
     std::unordered_map<Fingerprint, ReturnPlace, FingerprintHash> m_places;
 };
 
+/// Time until the turn of a request with @p load before it. Places that are due before count as
+/// work ahead.
+Duration forecastTurn(TurnLoad load, const ReturnSchedule &places, double rateShare, TimePoint now);
+
 /// Bounds the memory of a VM; about a minute of refusals in a cell of 128 VMs.
 constexpr size_t MaxPlaces = 4'096;
 /// A caller may come back this much earlier than told, as clocks and delays vary.
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -32,6 +32,7 @@
     PartsSuspected = 14, ///< Endpoint processes exited under requests with parts of prompts.
     PartsCleared = 15, ///< An answer has begun on suspected parts.
     EndpointLeaving = 16, ///< The process of an endpoint has announced its end.
+    ReturnPlace = 17, ///< A place is kept for a refused request, or taken; see ReturnSchedule.
 };
 
 struct LoadMessage {
@@ -42,18 +43,21 @@
     std::vector<LoadPart> m_parts{};
     DataCentreId m_dataCentre{}; ///< Ejected: data centre of the sender.
     uint32_t m_gapLimitMs = 0; ///< Placed and Waiting.
-    uint32_t m_expiresMs = 0; ///< Placed and Waiting: time until expiry.
-    uint32_t m_ageMs = 0; ///< Placed, if sent again later: time since the placement.
+    /// Placed, Waiting and ReturnPlace: time until expiry; ReturnPlace: zero if the place is taken.
+    uint32_t m_expiresMs = 0;
+    /// Placed, if sent again later: time since the placement. ReturnPlace: since the first arrival.
+    uint32_t m_ageMs = 0;
     bool m_writing = false; ///< Placed, if sent again later: the first event has arrived.
-    uint32_t m_aimMs = 0; ///< Waiting: time until the target for the first event.
+    /// Waiting: time until the target for the first event. ReturnPlace: until it is due.
+    uint32_t m_aimMs = 0;
     uint32_t m_neededMs = 0; ///< Waiting: see QueuedRequest.
-    /// Placed, if the request is a suspect, and Cleared: fingerprint of the request.
+    /// Placed, if the request is a suspect, Cleared and ReturnPlace: fingerprint of the request.
     std::vector<Fingerprint> m_fingerprints{};
     /// Suspected: the reports. Cleared: the process exits that are cleared.
     std::vector<SuspectReport> m_suspects{};
     /// Suspected, Cleared, PartsSuspected and PartsCleared: cell of the sender.
     uint32_t m_cell = 0;
-    uint32_t m_leadMs = 0; ///< Waiting: see QueuedRequest.
+    int32_t m_leadMs = 0; ///< Waiting: see QueuedRequest.
     Address m_replyTo{}; ///< RetryRequest: load message address of the sender.
     /// RetryDeposit: requests by service. RetryRequest: the service. RetryPoolState: the retries
     /// that remain, for the services of the deposit.
@@ -66,10 +70,14 @@
     /// RequestLimit: thousandths of a request per second; zero: the endpoint names no limit.
     uint32_t m_limitMillis = 0;
     std::vector<PartReport> m_partReports{}; ///< PartsSuspected and PartsCleared.
+    uint32_t m_workMs = 0; ///< Waiting and ReturnPlace: see QueuedRequest.
+    uint32_t m_turnMs = 0; ///< Waiting: predicted time until the turn.
+    bool m_returned = false; ///< Waiting: the request came back to its place.
 
     MSGPACK_DEFINE(m_change, m_key, m_parts, m_dataCentre, m_gapLimitMs, m_expiresMs, m_ageMs,
                    m_writing, m_aimMs, m_neededMs, m_fingerprints, m_suspects, m_cell, m_leadMs,
-                   m_replyTo, m_services, m_slackMillis, m_processMs, m_limitMillis, m_partReports)
+                   m_replyTo, m_services, m_slackMillis, m_processMs, m_limitMillis, m_partReports,
+                   m_workMs, m_turnMs, m_returned)
 };
 
 /// Encodes @p messages as datagrams that fit into one packet each. Messages beyond the limit for
--- a/relay/relay_metrics.cpp
+++ b/relay/relay_metrics.cpp
@@ -38,6 +38,20 @@
                                    "Attempts abandoned because their endpoint had gone."))
     , m_absenceProbes(registry.counter("stackquay_relay_absence_probes_total",
                                        "Probes of endpoints that may have gone."))
+    , m_refusedOnArrival(
+          registry.counter("stackquay_relay_refused_on_arrival_total",
+                           "Requests refused on arrival because their turn would come too late."))
+    , m_refusedLater(
+          registry.counter("stackquay_relay_refused_later_total",
+                           "Requests refused while they waited, because their turn would come too "
+                           "late."))
+    , m_placesKept(registry.counter("stackquay_relay_places_kept_total",
+                                    "Places kept for callers that were told when to come back."))
+    , m_returns(registry.counter("stackquay_relay_returns_total",
+                                 "Requests that came back to the place kept for them."))
+    , m_earlyReturns(
+          registry.counter("stackquay_relay_early_returns_total",
+                           "Requests that came back before they were told to and were refused."))
     , m_registry(registry)
 {
     for (size_t kind = 0; kind < KindCount; ++kind) {
--- a/relay/relay_metrics.h
+++ b/relay/relay_metrics.h
@@ -41,6 +41,12 @@
     Counter &m_blocked;
     Counter &m_abandoned;
     Counter &m_absenceProbes;
+    // Of requests whose turn is forecast, see TurnMonitor.
+    Counter &m_refusedOnArrival;
+    Counter &m_refusedLater;
+    Counter &m_placesKept;
+    Counter &m_returns;
+    Counter &m_earlyReturns;
 
 private:
     static constexpr size_t KindCount = 3;
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -30,7 +30,9 @@
     message.m_expiresMs = millisOf(queued.m_expiresAt - now);
     message.m_aimMs = millisOf(queued.m_targetAt - now);
     message.m_neededMs = millisOf(queued.m_minTimeToFirstEvent);
-    message.m_leadMs = millisOf(queued.m_orderLead);
+    message.m_leadMs =
+        static_cast<int32_t>(std::chrono::duration_cast<Millis>(queued.m_orderLead).count());
+    message.m_workMs = static_cast<uint32_t>(queued.m_workMs);
     return message;
 }
 
@@ -153,9 +155,14 @@
 }
 
 void RelayNode::announceWaiting(const LoadKey &key, uint32_t gapLimitMs,
-                                const QueuedRequest &queued)
+                                const QueuedRequest &queued, Duration turn, bool returned)
 {
-    m_loads.send(waitingMessage(key, gapLimitMs, queued, Clock::now()));
+    const TimePoint now = Clock::now();
+    LoadMessage message = waitingMessage(key, gapLimitMs, queued, now);
+    message.m_turnMs = millisOf(turn);
+    message.m_returned = returned;
+    m_loads.send(message);
+    m_turnMonitor.noteWaiting(message, now);
     queueOf(gapLimitMs)[key] = queued;
 }
 
@@ -167,12 +174,14 @@
     if (suspect)
         m_suspects.beginSuspectAttempt(*suspect, key, lifetime, true);
     m_loads.send(placedMessage(key, load, now));
+    m_turnMonitor.notePlaced(key, load, now);
     removeFromQueues(key);
     m_ledger.place(key, std::move(load));
 }
 
 void RelayNode::recordFirstEvent(const LoadKey &key)
 {
+    m_turnMonitor.noteFirstEvent(key, Clock::now());
     m_ledger.recordFirstEvent(key);
     m_loads.send(LoadMessage{ LoadEvent::FirstEvent, key });
 }
@@ -182,6 +191,7 @@
     m_suspects.endSuspectAttempt(key);
     const bool placed = m_ledger.end(key);
     const bool waited = removeFromQueues(key);
+    m_turnMonitor.noteEnded(key);
     if (placed || waited)
         m_loads.send(LoadMessage{ LoadEvent::Ended, key });
 }
@@ -199,6 +209,28 @@
     return strictEngines(m_splits[service], pool, uses, demand, now);
 }
 
+size_t RelayNode::expectedLongEngines(const DeclaredService &service,
+                                      const std::vector<EndpointRecord> &pool)
+{
+    const StrictDemand demand =
+        strictDemandOf(*service.m_engine, m_strictQueue, m_ledger, Clock::now());
+    return pool.size()
+           - expectedStrictEngines(m_splits[service.m_id].m_settings, demand, pool.size());
+}
+
+SideLoad RelayNode::longSideLoad(const DeclaredService &service,
+                                 const std::vector<EndpointRecord> &pool)
+{
+    const EndpointUses uses = m_ledger.uses(Clock::now());
+    constexpr bool Strict = false;
+    SideLoad load =
+        sideLoadOf(*service.m_engine, pool, strictSide(service.m_id, *service.m_engine, pool, uses),
+                   uses, m_ledger.activeLongPrefills(), Strict);
+    load.m_longestLatencyTarget = service.m_longestLatencyTarget;
+    load.m_expectedEngines = expectedLongEngines(service, pool);
+    return load;
+}
+
 void RelayNode::forgetProcess(uint64_t origin)
 {
     m_ledger.forgetOrigin(origin);
@@ -284,6 +316,9 @@
     const std::vector<LoadMessage> limits = m_limiter.messages();
     if (!limits.empty())
         m_loads.sendAll(peer, limits);
+    const std::vector<LoadMessage> places = m_turnMonitor.placeMessages(now);
+    if (!places.empty())
+        m_loads.sendAll(peer, places);
     for (const auto &suspects : { m_suspects.allSuspects(), m_parts.allSuspects() }) {
         if (!suspects.empty())
             m_loads.sendAll(peer, suspects);
@@ -396,6 +431,14 @@
     return taken;
 }
 
+void RelayNode::recordPlacement(const LoadMessage &message, TimePoint now)
+{
+    AttemptLoad load{ message.m_parts, message.m_gapLimitMs, message.m_writing,
+                      now - Millis(message.m_ageMs), now + Millis(message.m_expiresMs) };
+    m_turnMonitor.notePlaced(message.m_key, load, now);
+    m_ledger.place(message.m_key, std::move(load));
+}
+
 void RelayNode::receive(const LoadMessage &message)
 {
     const TimePoint now = Clock::now();
@@ -404,7 +447,9 @@
         queueOf(message.m_gapLimitMs)[message.m_key] = { now + Millis(message.m_aimMs),
                                                          Millis(message.m_neededMs),
                                                          now + Millis(message.m_expiresMs),
-                                                         Millis(message.m_leadMs) };
+                                                         Millis(message.m_leadMs),
+                                                         static_cast<double>(message.m_workMs) };
+        m_turnMonitor.noteWaiting(message, now);
         return;
     case LoadEvent::Ejected:
         // Only a failure seen from the same data centre shows that this VM cannot reach the
@@ -415,9 +460,7 @@
         return;
     case LoadEvent::Placed:
         removeFromQueues(message.m_key);
-        m_ledger.place(message.m_key,
-                       { message.m_parts, message.m_gapLimitMs, message.m_writing,
-                         now - Millis(message.m_ageMs), now + Millis(message.m_expiresMs) });
+        recordPlacement(message, now);
         for (const Fingerprint &suspect : message.m_fingerprints)
             m_suspects.beginSuspectAttempt(suspect, message.m_key, Millis(message.m_expiresMs),
                                            false);
@@ -428,10 +471,12 @@
         return;
     case LoadEvent::FirstEvent:
         recordResponse(message.m_key);
+        m_turnMonitor.noteFirstEvent(message.m_key, now);
         m_ledger.recordFirstEvent(message.m_key);
         return;
     case LoadEvent::Ended:
         removeFromQueues(message.m_key);
+        m_turnMonitor.noteEnded(message.m_key);
         m_ledger.end(message.m_key);
         m_suspects.endSuspectAttempt(message.m_key);
         return;
@@ -442,6 +487,9 @@
     case LoadEvent::RetryPoolState:
         m_retryBroker.receive(message);
         return;
+    case LoadEvent::ReturnPlace:
+        m_turnMonitor.receivePlace(message, now);
+        return;
     case LoadEvent::RequestLimit:
     case LoadEvent::EndpointLeaving:
         m_limiter.receive(*m_view.load(), message);
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -14,6 +14,7 @@
 #include "relay/relay_view.h"
 #include "relay/retry_broker.h"
 #include "relay/suspect_tracker.h"
+#include "relay/turn_monitor.h"
 
 namespace stackquay {
 
@@ -50,6 +51,7 @@
     DispatchSettings m_turns;
     DispatchQueue m_strictQueue; ///< Streams with a strict gap limit that wait for a slot.
     DispatchQueue m_longQueue; ///< Long prompts that wait for their prefill.
+    TurnMonitor m_turnMonitor{ *this };
     std::unordered_map<ServiceId, PoolSplit> m_splits;
     LoadExchange m_loads;
     SuspectTracker m_suspects;
@@ -71,8 +73,10 @@
     /// A unique key for the next attempt.
     LoadKey nextKey() { return { m_origin, ++m_sequence }; }
     DispatchQueue &queueOf(uint32_t gapLimitMs);
-    /// Announces to all VMs that a request waits in a queue, until place() or end().
-    void announceWaiting(const LoadKey &key, uint32_t gapLimitMs, const QueuedRequest &queued);
+    /// Announces to all VMs that a request waits in a queue, until place() or end(). @p turn is the
+    /// predicted time until its turn; @p returned whether it came back to its place.
+    void announceWaiting(const LoadKey &key, uint32_t gapLimitMs, const QueuedRequest &queued,
+                         Duration turn = {}, bool returned = false);
     /// Enters an attempt into the ledgers of all VMs; @p suspect is the request's fingerprint if it
     /// is a suspect. @p lifetime bounds the ledger entry.
     void place(const LoadKey &key, std::vector<LoadPart> parts, uint32_t gapLimitMs,
@@ -96,6 +100,11 @@
     std::unordered_set<EndpointId> strictSide(const ServiceId &service, const EngineCosts &costs,
                                               const std::vector<EndpointRecord> &pool,
                                               const EndpointUses &uses);
+    /// Load of the engines of @p pool that serve long prompts.
+    SideLoad longSideLoad(const DeclaredService &service, const std::vector<EndpointRecord> &pool);
+    /// Number of engines for long prompts once the strict streams in flight have ended.
+    size_t expectedLongEngines(const DeclaredService &service,
+                               const std::vector<EndpointRecord> &pool);
     /// Asks an engine for a response that does not depend on its load, on a connection of its own
     /// if a kept one fails; of a plain service, only whether it accepts a connection, in which case
     /// the response is empty. Blocks the fiber.
@@ -121,6 +130,7 @@
     TimePoint m_readySince{}; ///< Time of the first placement; the ledger was incomplete before.
 
     void receive(const LoadMessage &message);
+    void recordPlacement(const LoadMessage &message, TimePoint now);
     void recordBrokenResponse(const EndpointId &endpoint, uint64_t vm);
     /// Records that another VM's attempt @p key received a response.
     void recordResponse(const LoadKey &key);
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -1,5 +1,6 @@
 /// Part of RelayRun: when a request may begin, and on which endpoints it is placed.
 #include <algorithm>
+#include <utility>
 
 #include "relay/relay_run.h"
 
@@ -116,9 +117,16 @@
     request.m_arrival = m_arrival;
     request.m_deadline = m_deadline;
     request.m_isRetry = m_sentAttempts > 0;
+    request.m_forecastsTurn = forecastsTurn();
+    request.m_returnOf = m_returnOf;
     return request;
 }
 
+bool RelayRun::forecastsTurn() const
+{
+    return m_service->m_admission.m_forecastsTurns && !isStrictGap(gapLimitMs());
+}
+
 SideLoad RelayRun::sideLoad(const PoolState &seen) const
 {
     if (!seen.m_all)
@@ -127,6 +135,8 @@
         sideLoadOf(*m_service->m_engine, seen.schedulable(), seen.m_strictSide, seen.m_uses,
                    m_node.m_ledger.activeLongPrefills(), isStrictGap(gapLimitMs()));
     load.m_longestLatencyTarget = m_service->m_longestLatencyTarget;
+    if (forecastsTurn())
+        load.m_expectedEngines = m_node.expectedLongEngines(*m_service, seen.schedulable());
     return load;
 }
 
@@ -180,40 +190,89 @@
                              std::min(timeToComplete(NoSlack), remainingTime()));
 }
 
-DispatchDecision RelayRun::checkTurn(const QueuedRequest &queued, DispatchObstacle before)
+DispatchDecision RelayRun::checkTurn(TurnWait &wait)
 {
     const ModelRequest request = modelRequest();
     const TimePoint now = Clock::now();
     const EngineCosts &costs = *m_service->m_engine;
     const PoolState seen = poolState();
+    const SideLoad side = sideLoad(seen);
     const bool next = poolSize() == 0
                       || mayStartNext(m_node.m_turns, costs, request, m_node.queueOf(gapLimitMs()),
-                                      m_loadKey, sideLoad(seen), now);
-    return decideDispatch(
-        m_node.m_turns, costs, request, queued, next, before,
-        [this, &seen](DisruptionPolicy care) { return choosePlan(care, seen); }, now);
+                                      m_loadKey, side, now);
+    const auto plan = [this, &seen](DisruptionPolicy care) { return choosePlan(care, seen); };
+    const bool justArrived = std::exchange(wait.m_justArrived, false);
+    if (!request.m_forecastsTurn)
+        return decideDispatch(m_node.m_turns, costs, request, wait.m_queued, next, wait.m_obstacle,
+                              plan, now);
+    wait.m_outlook = m_node.m_turnMonitor.outlook(m_loadKey, costs, request, side, now);
+    if (justArrived)
+        wait.m_predicted = wait.m_outlook.m_turn;
+    return decideByForecast(m_node.m_turns, costs, request, wait.m_queued, next, justArrived,
+                            wait.m_outlook, plan, now);
+}
+
+void RelayRun::claimPlace()
+{
+    if (m_sentAttempts > 0 || m_returnOf || !m_node.m_turnMonitor.hasPlaces())
+        return;
+    const ReturnPlace *place = m_node.m_turnMonitor.findPlace(fingerprint(), m_arrival);
+    if (!place || !TurnMonitor::isDue(*place, m_arrival))
+        return;
+    m_returnOf = place->m_firstArrival;
+    m_node.m_turnMonitor.takePlace(fingerprint());
+    m_node.m_metrics.m_returns.add();
+}
+
+void RelayRun::adviseReturn(const TurnWait &wait)
+{
+    const TimePoint now = Clock::now();
+    const ReturnPlace *place = m_node.m_turnMonitor.findPlace(fingerprint(), now);
+    if (place && !TurnMonitor::isDue(*place, now)) {
+        m_node.m_metrics.m_earlyReturns.add();
+        m_returnAdvice = { place->m_dueAt - now, true };
+        return;
+    }
+    constexpr double NoSlack = 1;
+    const ReturnQuery query{ now, m_deadline, wait.m_outlook.m_turn, timeToComplete(NoSlack) };
+    ReturnPlace request;
+    request.m_request = fingerprint();
+    request.m_firstArrival = m_returnOf.value_or(m_arrival);
+    request.m_workMs = wait.m_queued.m_workMs;
+    m_returnAdvice = m_node.m_turnMonitor.refuse(query, request);
+    if (m_returnAdvice->m_keepsPlace)
+        m_node.m_metrics.m_placesKept.add();
 }
 
 std::optional<GangPlan> RelayRun::awaitTurn()
 {
     if (!isModelRequest())
         return choosePlan(DisruptionPolicy::Avoid, poolState());
-    const QueuedRequest queued =
+    if (forecastsTurn())
+        claimPlace();
+    TurnWait wait;
+    wait.m_queued =
         queuedRequestOf(m_node.m_turns, *m_service->m_engine, modelRequest(), poolSize());
+    const QueuedRequest &queued = wait.m_queued;
     m_node.queueOf(gapLimitMs())[m_loadKey] = queued;
     bool announced = false;
-    DispatchObstacle obstacle = DispatchObstacle::None;
     for (;;) {
         // Refused now if it cannot finish in time, so that another VM can still serve it.
         const bool cannotFinish = m_node.m_stopping || cannotFinishInDrain();
         if (!cannotFinish) {
-            DispatchDecision now = checkTurn(queued, obstacle);
+            DispatchDecision now = checkTurn(wait);
             if (now.m_plan)
                 return std::move(now.m_plan);
-            obstacle = now.m_obstacle;
+            wait.m_obstacle = now.m_obstacle;
             if (now.m_tooLate) {
-                m_failureReason = dispatchObstacleMessage(obstacle);
-                logTooLate(queued);
+                m_failureReason = dispatchObstacleMessage(wait.m_obstacle);
+                if (forecastsTurn() && m_sentAttempts == 0) {
+                    adviseReturn(wait);
+                    (announced ? m_node.m_metrics.m_refusedLater
+                               : m_node.m_metrics.m_refusedOnArrival)
+                        .add();
+                }
+                logTooLate(wait);
                 return std::nullopt;
             }
         }
@@ -224,7 +283,8 @@
         if (isBlockedBeyond(queued.m_targetAt - queued.m_minTimeToFirstEvent) && noteLimited())
             return std::nullopt;
         if (!announced)
-            m_node.announceWaiting(m_loadKey, gapLimitMs(), queued);
+            m_node.announceWaiting(m_loadKey, gapLimitMs(), queued, wait.m_predicted,
+                                   m_returnOf.has_value());
         announced = true;
         if (cannotFinish || !sleepFor(m_node.m_thread.context(), TurnPoll) || m_clientDisconnected
             || remainingTime() <= TurnPoll) {
@@ -234,25 +294,36 @@
     }
 }
 
-void RelayRun::logTooLate(const QueuedRequest &queued) const
+void RelayRun::logTooLate(const TurnWait &wait) const
 {
+    const auto millis = [](Duration duration) {
+        return std::chrono::duration_cast<Millis>(duration).count();
+    };
     const TimePoint now = Clock::now();
     const SideLoad load = sideLoad(poolState());
     const DispatchQueue &queue = m_node.queueOf(gapLimitMs());
-    DecisionLine("relay", "too late to begin")
-        .text("request", m_head.m_id.str())
+    DecisionLine line("relay", "too late to begin");
+    line.text("request", m_head.m_id.str())
         .text("why", m_failureReason)
         .number("tokens", static_cast<int64_t>(m_head.m_promptTokens))
-        .number("wait_ms", std::chrono::duration_cast<Millis>(now - m_arrival).count())
-        .number("needed_ms",
-                std::chrono::duration_cast<Millis>(queued.m_minTimeToFirstEvent).count())
+        .number("wait_ms", millis(now - m_arrival))
+        .number("needed_ms", millis(wait.m_queued.m_minTimeToFirstEvent))
         .number("ahead", requestsAhead(queue, m_loadKey, now))
         .number("waiting", static_cast<int64_t>(queue.size()))
         .number("room", allowedStarts(m_node.m_turns, load, isStrictGap(gapLimitMs())))
         .number("engines", static_cast<int64_t>(load.m_engines))
         .number("reading", load.m_activePrefills.m_prompts)
-        .number("read_ms", static_cast<int64_t>(load.m_activePrefills.m_prefillMs))
-        .write();
+        .number("read_ms", static_cast<int64_t>(load.m_activePrefills.m_prefillMs));
+    if (m_returnAdvice) {
+        line.number("expected_engines", static_cast<int64_t>(load.m_expectedEngines))
+            .number("turn_ms", millis(wait.m_outlook.m_turn))
+            .number("margin_ms", millis(wait.m_outlook.m_margin))
+            .number("share", static_cast<int64_t>(m_node.m_turnMonitor.rateShare() * 1'000))
+            .number("retry_ms", m_returnAdvice->m_delay ? millis(*m_returnAdvice->m_delay) : -1)
+            .flag("place", m_returnAdvice->m_keepsPlace)
+            .flag("returned", m_returnOf.has_value());
+    }
+    line.write();
 }
 
 void RelayRun::logPlacement(const GangPlan &plan) const
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -375,6 +375,11 @@
         logEnd(RelayOutcome::Cut, 0, m_failureReason);
         return;
     }
+    if (m_mayHaveRun == 0 && m_returnAdvice) {
+        refuse(StatusUnavailable, m_failureReason,
+               std::chrono::ceil<Millis>(m_returnAdvice->m_delay.value_or(Duration::zero())));
+        return;
+    }
     if (m_mayHaveRun == 0) {
         refuse(StatusUnavailable, m_failureReason.empty() ? "no time left" : m_failureReason,
                m_quarantineRetryAfter.value_or(m_limitedRetryAfter.value_or(retryDelay())));
@@ -441,6 +446,8 @@
                 proof.known() ? std::chrono::duration_cast<Millis>(now - proof.m_provedAt).count()
                               : -1)
         .number("tokens", static_cast<int64_t>(m_head.m_promptTokens))
+        .number("rank", m_urgency)
+        .flag("returned", m_returnOf.has_value())
         .text("parts", partNames())
         .number("placements", m_placements)
         .number("arrivals", m_sentAttempts)
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -134,8 +134,22 @@
     /// Blocks until this request may start, and returns its placement. Nothing if the request ends
     /// before, or, for a request that is never queued, if no endpoint can take it.
     std::optional<GangPlan> awaitTurn();
+    /// The state of a request that waits for its turn.
+    struct TurnWait {
+        QueuedRequest m_queued;
+        DispatchObstacle m_obstacle = DispatchObstacle::None; ///< At the last decision.
+        bool m_justArrived = true; ///< No decision has been made.
+        TurnOutlook m_outlook; ///< At the last decision, if the turn is forecast.
+        Duration m_predicted{}; ///< Time until the turn, as predicted on arrival.
+    };
     /// Checks whether the request may start now.
-    DispatchDecision checkTurn(const QueuedRequest &queued, DispatchObstacle before);
+    DispatchDecision checkTurn(TurnWait &wait);
+    /// Whether the turn of the request is forecast.
+    bool forecastsTurn() const;
+    /// Takes the place that is kept for the request, if it came back when it was told to.
+    void claimPlace();
+    /// Decides when the caller of a request that cannot start in time comes back.
+    void adviseReturn(const TurnWait &wait);
     ModelRequest modelRequest() const;
     /// The current load of the engines that serve this request's kind of stream.
     SideLoad sideLoad(const PoolState &seen) const;
@@ -157,7 +171,7 @@
                                        DisruptionPolicy care, const PoolState &seen);
     void logPlacement(const GangPlan &plan) const;
     /// Logs why a request is refused that can no longer begin in time.
-    void logTooLate(const QueuedRequest &queued) const;
+    void logTooLate(const TurnWait &wait) const;
 
     // relay_attempt.cpp
     AttemptResult attempt(const GangPlan &plan);
@@ -280,6 +294,10 @@
     SuspectHandling m_suspectHandling = SuspectHandling::None;
     /// Set once the request is not sent any more: when the client may retry.
     std::optional<Millis> m_quarantineRetryAfter;
+    /// First arrival of a request that came back to its place.
+    std::optional<TimePoint> m_returnOf;
+    /// Set if the request is refused for the forecast of its turn.
+    std::optional<ReturnAdvice> m_returnAdvice;
     /// Set if all endpoints take no request of this VM now.
     std::optional<Millis> m_limitedRetryAfter;
     TimePoint m_lastForwardedAt{}; ///< When events were last sent to the client.
--- a/tests/policy/pool_sim.cpp
+++ b/tests/policy/pool_sim.cpp
@@ -318,16 +318,9 @@
         TurnLoad load =
             turnLoadOf(m_load.m_dispatchSettings, side, workAhead(m_longQueue, prompt.m_key, now));
         m_rate.recordLoad(load, now);
-        const double ahead = load.m_aheadMs;
-        Duration turn = predictTurn(load, m_rate.share());
-        // Places that are due before the turn delay it further.
-        for (int i = 0; i < 10 && !prompt.m_request.m_returnOf; ++i) {
-            const double due = m_places.workDue(now + turn);
-            if (ahead + due <= load.m_aheadMs)
-                break;
-            load.m_aheadMs = ahead + due;
-            turn = predictTurn(load, m_rate.share());
-        }
+        const Duration turn = prompt.m_request.m_returnOf
+                                  ? predictTurn(load, m_rate.share())
+                                  : forecastTurn(load, m_places, m_rate.share(), now);
         return { turn, m_error.margin() };
     }
 
