Route table: the most urgent rank of a service

Cause: the delay of part A counts from the most urgent rank of a service, which the route table did not give. The ranks of customers were also counted for routes that need no key, and ranks above 9 were told apart although the relay treats them as 9. Before: m_ranked was set for a service that only public routes lead to, as soon as customers had different ranks, and for ranks such as 9 and 12. After: indexRoutes() sets DeclaredService::m_mostUrgentRank from the effective ranks, at most LowestRank, and m_ranked from the same set. Conclusion: both agree with the rank that the relay uses for a request.

--- a/policy/route_table.cpp
+++ b/policy/route_table.cpp
@@ -32,25 +32,32 @@
     ranks.m_someHaveNone = table.m_keys.empty();
     for (const auto &[key, owner] : table.m_keys) {
         if (owner.m_priority)
-            ranks.m_ranks.insert(*owner.m_priority);
+            ranks.m_ranks.insert(std::min(*owner.m_priority, LowestRank));
         else
             ranks.m_someHaveNone = true;
     }
     return ranks;
 }
 
-/// Whether the requests for @p service have different ranks.
-bool hasRanks(const RouteTable &table, const CustomerRanks &customers, const ServiceId &service)
+/// The ranks of the requests for @p service. The rank of a customer takes precedence over that of
+/// the route, except on routes that need no key.
+std::set<uint32_t> effectiveRanks(const RouteTable &table, const CustomerRanks &customers,
+                                  const ServiceId &service)
 {
-    std::set<uint32_t> ranks = customers.m_ranks;
+    std::set<uint32_t> ranks;
     for (const Route &route : table.m_routes) {
         const bool leads = std::any_of(
             route.m_services.begin(), route.m_services.end(),
             [&service](const WeightedService &weighted) { return weighted.m_service == service; });
-        if (leads && (customers.m_someHaveNone || route.m_public))
-            ranks.insert(route.m_priority);
+        if (!leads)
+            continue;
+        const bool needsKey = table.m_hasCustomers && !route.m_public;
+        if (needsKey)
+            ranks.insert(customers.m_ranks.begin(), customers.m_ranks.end());
+        if (!needsKey || customers.m_someHaveNone)
+            ranks.insert(std::min(route.m_priority, LowestRank));
     }
-    return ranks.size() > 1;
+    return ranks;
 }
 
 void setAdmission(RouteTable &table)
@@ -59,10 +66,12 @@
     const CustomerRanks customers = customerRanks(table);
     for (auto &[id, service] : table.m_services) {
         service.m_admission = {};
+        const std::set<uint32_t> ranks = effectiveRanks(table, customers, id);
+        service.m_mostUrgentRank = ranks.empty() ? 0 : *ranks.begin();
         if (!service.m_engine)
             continue;
         AdmissionPolicy &admission = service.m_admission;
-        admission.m_ranked = hasRanks(table, customers, id);
+        admission.m_ranked = ranks.size() > 1;
         admission.m_forecastsTurns = admission.m_ranked || isMemoryBound(*service.m_engine);
         admission.m_sharesByCustomer = admission.m_forecastsTurns && table.m_hasCustomers;
         table.m_adaptsToUnevenLoad |= admission.m_forecastsTurns;
--- a/policy/route_table.h
+++ b/policy/route_table.h
@@ -16,6 +16,9 @@
 
 namespace stackquay {
 
+/// The least urgent rank. Higher numbers in the configuration count as this one.
+constexpr uint32_t LowestRank = 9;
+
 /// How often one request of a client may run.
 enum class RouteKind {
     Safe, ///< May run any number of times.
@@ -69,6 +72,8 @@
     /// The longest latency target of the routes to this service; set by indexRoutes().
     Millis m_longestLatencyTarget{ 0 };
     AdmissionPolicy m_admission; ///< Set by indexRoutes().
+    /// The lowest number among the ranks of its requests, at most LowestRank; set by indexRoutes().
+    uint32_t m_mostUrgentRank = 0;
 };
 
 /// Limits on the requests and connections of clients.
@@ -101,8 +106,8 @@
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
 
-/// Sets m_byHost, m_adaptsToUnevenLoad, and the latency targets and admission of the services. To
-/// be called once after m_routes and m_services are filled.
+/// Sets m_byHost, m_adaptsToUnevenLoad, and the latency targets, ranks and admission of the
+/// services. To be called once after m_routes and m_services are filled.
 void indexRoutes(RouteTable &table);
 
 /// The route of @p host with the longest prefix that matches @p path; null if there is none. A port
