Waiting prompts are ordered by rank and customer's share where the configuration calls for it

The VM of a request adds the delay of policy/admission_order to its place and sends it in Waiting; Placed names the customer.

Before: two checks of starving ranks red. After: both pass. AdmissionOrderTest.TripleDemandDoesNotLowerOthers is red and listed. Conclusion: without ranks, customers and forecasts the order is unchanged (WithoutPolicyTheOrderOfDrawnQueuesIsUnchanged).

--- a/policy/admission_order.cpp
+++ b/policy/admission_order.cpp
@@ -66,7 +66,9 @@
     Duration delay{};
     const uint32_t rank = std::min(query.m_rank, LowestRank);
     if (policy.m_ranked && rank > query.m_mostUrgentRank)
-        delay += query.m_longestLatencyTarget * (rank - query.m_mostUrgentRank);
+        delay += std::chrono::duration_cast<Duration>(FloatMillis(query.m_longestLatencyTarget)
+                                                      * RankDelayShare
+                                                      * (rank - query.m_mostUrgentRank));
     if (policy.m_sharesByCustomer && query.m_usageRatio > 1) {
         const double targets = std::min(query.m_usageRatio - 1, MaxCustomerDelay);
         delay += std::chrono::duration_cast<Duration>(FloatMillis(query.m_latencyTarget) * targets);
--- a/policy/admission_order.h
+++ b/policy/admission_order.h
@@ -23,6 +23,11 @@
 /// The delay of a customer that uses more than its share is at most this many latency targets.
 constexpr double MaxCustomerDelay = 2;
 
+/// Delay of one rank, as a fraction of the longest latency target of the service. A refused request
+/// that returned is too late after about two targets, so that the delay of two ranks has to stay
+/// below for the least urgent of three ranks to have its turn.
+constexpr double RankDelayShare = 0.75;
+
 /// Engine time that each customer used within UsageWindow, as far as one VM knows.
 ///
 /// Time is divided into buckets, and the oldest one is dropped as a whole. Use is kept in whole
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -73,11 +73,13 @@
     uint32_t m_workMs = 0; ///< Waiting and ReturnPlace: see QueuedRequest.
     uint32_t m_turnMs = 0; ///< Waiting: predicted time until the turn.
     bool m_returned = false; ///< Waiting: the request came back to its place.
+    /// Placed: see partCustomerHash(); zero: not counted, or sent again.
+    uint64_t m_customer = 0;
 
     MSGPACK_DEFINE(m_change, m_key, m_parts, m_dataCentre, m_gapLimitMs, m_expiresMs, m_ageMs,
                    m_writing, m_aimMs, m_neededMs, m_fingerprints, m_suspects, m_cell, m_leadMs,
                    m_replyTo, m_services, m_slackMillis, m_processMs, m_limitMillis, m_partReports,
-                   m_workMs, m_turnMs, m_returned)
+                   m_workMs, m_turnMs, m_returned, m_customer)
 };
 
 /// Encodes @p messages as datagrams that fit into one packet each. Messages beyond the limit for
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -67,7 +67,8 @@
     for (const GangMember &member : plan.m_members)
         parts.push_back({ member.m_endpoint.m_id, member.m_prefillMs, member.m_tokens });
     m_node.place(m_loadKey, std::move(parts), gapLimitMs(), remainingTime() + LedgerSlack,
-                 m_suspectHandling == SuspectHandling::None ? std::nullopt : m_fingerprint);
+                 m_suspectHandling == SuspectHandling::None ? std::nullopt : m_fingerprint,
+                 usageCustomer());
     logPlacement(plan);
     const AttemptResult end = attemptPlaced(plan, reservations);
     m_node.end(m_loadKey);
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -167,13 +167,17 @@
 }
 
 void RelayNode::place(const LoadKey &key, std::vector<LoadPart> parts, uint32_t gapLimitMs,
-                      Duration lifetime, const std::optional<Fingerprint> &suspect)
+                      Duration lifetime, const std::optional<Fingerprint> &suspect,
+                      uint64_t customer)
 {
     const TimePoint now = Clock::now();
     AttemptLoad load{ std::move(parts), gapLimitMs, false, now, now + lifetime };
     if (suspect)
         m_suspects.beginSuspectAttempt(*suspect, key, lifetime, true);
-    m_loads.send(placedMessage(key, load, now));
+    LoadMessage message = placedMessage(key, load, now);
+    message.m_customer = customer;
+    m_loads.send(message);
+    recordUsage(message, now);
     m_turnMonitor.notePlaced(key, load, now);
     removeFromQueues(key);
     m_ledger.place(key, std::move(load));
@@ -431,10 +435,19 @@
     return taken;
 }
 
+void RelayNode::recordUsage(const LoadMessage &placed, TimePoint now)
+{
+    if (placed.m_customer == 0)
+        return;
+    for (const LoadPart &part : placed.m_parts)
+        m_usage.record(placed.m_customer, part.m_prefillMs, now - Millis(placed.m_ageMs));
+}
+
 void RelayNode::recordPlacement(const LoadMessage &message, TimePoint now)
 {
     AttemptLoad load{ message.m_parts, message.m_gapLimitMs, message.m_writing,
                       now - Millis(message.m_ageMs), now + Millis(message.m_expiresMs) };
+    recordUsage(message, now);
     m_turnMonitor.notePlaced(message.m_key, load, now);
     m_ledger.place(message.m_key, std::move(load));
 }
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -52,6 +52,7 @@
     DispatchQueue m_strictQueue; ///< Streams with a strict gap limit that wait for a slot.
     DispatchQueue m_longQueue; ///< Long prompts that wait for their prefill.
     TurnMonitor m_turnMonitor{ *this };
+    CustomerUsage m_usage; ///< Of engines, at all VMs of the cell.
     std::unordered_map<ServiceId, PoolSplit> m_splits;
     LoadExchange m_loads;
     SuspectTracker m_suspects;
@@ -78,9 +79,11 @@
     void announceWaiting(const LoadKey &key, uint32_t gapLimitMs, const QueuedRequest &queued,
                          Duration turn = {}, bool returned = false);
     /// Enters an attempt into the ledgers of all VMs; @p suspect is the request's fingerprint if it
-    /// is a suspect. @p lifetime bounds the ledger entry.
+    /// is a suspect. @p lifetime bounds the ledger entry. @p customer: its use of engines counts;
+    /// zero: it does not.
     void place(const LoadKey &key, std::vector<LoadPart> parts, uint32_t gapLimitMs,
-               Duration lifetime, const std::optional<Fingerprint> &suspect = std::nullopt);
+               Duration lifetime, const std::optional<Fingerprint> &suspect = std::nullopt,
+               uint64_t customer = 0);
     void recordFirstEvent(const LoadKey &key);
     /// Announces to all VMs that the attempt or wait has ended. Idempotent.
     void end(const LoadKey &key);
@@ -130,6 +133,7 @@
     TimePoint m_readySince{}; ///< Time of the first placement; the ledger was incomplete before.
 
     void receive(const LoadMessage &message);
+    void recordUsage(const LoadMessage &placed, TimePoint now);
     void recordPlacement(const LoadMessage &message, TimePoint now);
     void recordBrokenResponse(const EndpointId &endpoint, uint64_t vm);
     /// Records that another VM's attempt @p key received a response.
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -190,6 +190,28 @@
                              std::min(timeToComplete(NoSlack), remainingTime()));
 }
 
+uint64_t RelayRun::usageCustomer() const
+{
+    const bool counts =
+        m_service && m_service->m_admission.m_sharesByCustomer && !m_customer.empty();
+    return counts ? partCustomerHash(m_customer) : 0;
+}
+
+QueuedRequest RelayRun::queuedRequest() const
+{
+    QueuedRequest queued =
+        queuedRequestOf(m_node.m_turns, *m_service->m_engine, modelRequest(), poolSize());
+    OrderQuery query;
+    query.m_rank = m_urgency;
+    query.m_mostUrgentRank = m_service->m_mostUrgentRank;
+    query.m_longestLatencyTarget = m_service->m_longestLatencyTarget;
+    query.m_latencyTarget = m_route->m_latencyTarget;
+    if (const uint64_t customer = usageCustomer())
+        query.m_usageRatio = m_node.m_usage.ratio(customer, Clock::now());
+    applyOrderDelay(queued, orderDelay(m_service->m_admission, query));
+    return queued;
+}
+
 DispatchDecision RelayRun::checkTurn(TurnWait &wait)
 {
     const ModelRequest request = modelRequest();
@@ -251,8 +273,7 @@
     if (forecastsTurn())
         claimPlace();
     TurnWait wait;
-    wait.m_queued =
-        queuedRequestOf(m_node.m_turns, *m_service->m_engine, modelRequest(), poolSize());
+    wait.m_queued = queuedRequest();
     const QueuedRequest &queued = wait.m_queued;
     m_node.queueOf(gapLimitMs())[m_loadKey] = queued;
     bool announced = false;
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -146,6 +146,10 @@
     DispatchDecision checkTurn(TurnWait &wait);
     /// Whether the turn of the request is forecast.
     bool forecastsTurn() const;
+    /// Hash of the customer whose use of engines counts; zero: it does not.
+    uint64_t usageCustomer() const;
+    /// The request's entry in the queue.
+    QueuedRequest queuedRequest() const;
     /// Takes the place that is kept for the request, if it came back when it was told to.
     void claimPlace();
     /// Decides when the caller of a request that cannot start in time comes back.
