--- a/tests/policy/pool_sim.cpp
+++ b/tests/policy/pool_sim.cpp
@@ -260,6 +260,9 @@
                 still.push_back(index);
         }
         m_waiting = std::move(still);
+        // Without forecasts, the pool is split only when a request polls.
+        if (!m_load.m_forecastsTurns)
+            return;
         m_rate.recordLoad(turnLoadOf(m_load.m_dispatchSettings, poolView(false, now).m_side,
                                      workAhead(m_longQueue, {}, now)),
                           now);
