--- a/policy/dispatch_plan.h
+++ b/policy/dispatch_plan.h
@@ -111,10 +111,24 @@
                                 DispatchObstacle before, const GangPlanner &plan, TimePoint now);
 
 /// The same for a request whose turn is forecast. A request that just arrived is refused if its
-/// turn may come too late; one that waits, if its turn will.
+/// turn may come too late; one that waits, if its turn will. A long prompt may also start if its
+/// turn is predicted to have come, whatever @p next is.
 DispatchDecision decideByForecast(const DispatchSettings &settings, const EngineCosts &costs,
                                   const ModelRequest &request, const QueuedRequest &queued,
                                   bool next, bool justArrived, const TurnOutlook &outlook,
                                   const GangPlanner &plan, TimePoint now);
 
+/// What one poll of a waiting request observed.
+struct PollState {
+    bool m_next = false; ///< Result of mayStartNext().
+    bool m_justArrived = false; ///< It has not polled before.
+    DispatchObstacle m_before = DispatchObstacle::None; ///< At the previous decision.
+    TurnOutlook m_outlook{}; ///< Used only if its turn is forecast.
+};
+
+/// decideByForecast() if the turn of @p request is forecast, else decideDispatch().
+DispatchDecision decideStart(const DispatchSettings &settings, const EngineCosts &costs,
+                             const ModelRequest &request, const QueuedRequest &queued,
+                             const PollState &state, const GangPlanner &plan, TimePoint now);
+
 } // namespace stackquay
--- a/policy/return_schedule.cpp
+++ b/policy/return_schedule.cpp
@@ -31,25 +31,21 @@
     return work;
 }
 
-void ReturnSchedule::dropExpired(TimePoint now)
+std::vector<DueWork> ReturnSchedule::dueWork() const
 {
-    std::erase_if(m_places, [now](const auto &entry) { return entry.second.m_expiresAt <= now; });
+    std::vector<DueWork> due;
+    due.reserve(m_places.size());
+    for (const auto &[request, place] : m_places)
+        due.push_back({ place.m_dueAt, place.m_workMs });
+    std::sort(due.begin(), due.end(), [](const DueWork &left, const DueWork &right) {
+        return left.m_dueAt < right.m_dueAt;
+    });
+    return due;
 }
 
-Duration forecastTurn(TurnLoad load, const ReturnSchedule &places, double rateShare, TimePoint now)
+void ReturnSchedule::dropExpired(TimePoint now)
 {
-    // Each step adds at least one place, so that the bound only limits the time.
-    constexpr int MaxSteps = 10;
-    const double aheadMs = load.m_aheadMs;
-    Duration turn = predictTurn(load, rateShare);
-    for (int i = 0; i < MaxSteps; ++i) {
-        const double dueMs = places.workDue(now + turn);
-        if (aheadMs + dueMs <= load.m_aheadMs)
-            break;
-        load.m_aheadMs = aheadMs + dueMs;
-        turn = predictTurn(load, rateShare);
-    }
-    return turn;
+    std::erase_if(m_places, [now](const auto &entry) { return entry.second.m_expiresAt <= now; });
 }
 
 ReturnAdvice adviseReturn(const ReturnSettings &settings, const ReturnQuery &query)
--- a/policy/return_schedule.h
+++ b/policy/return_schedule.h
@@ -12,10 +12,10 @@
 
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "core/core.h"
 #include "policy/stream_ledger.h"
-#include "policy/turn_forecast.h"
 
 namespace stackquay {
 
@@ -27,6 +27,12 @@
     double m_workMs = 0; ///< See QueuedRequest.
 };
 
+/// Work that is expected at some time.
+struct DueWork {
+    TimePoint m_dueAt{};
+    double m_workMs = 0;
+};
+
 class ReturnSchedule
 {
 public:
@@ -38,6 +44,8 @@
     void release(const Fingerprint &request);
     /// Sum of m_workMs of the places that are due at @p by at the latest.
     double workDue(TimePoint by) const;
+    /// The work of all places, in the order of their due times.
+    std::vector<DueWork> dueWork() const;
     void dropExpired(TimePoint now);
     size_t size() const { return m_places.size(); }
 
@@ -45,10 +53,6 @@
     std::unordered_map<Fingerprint, ReturnPlace, FingerprintHash> m_places;
 };
 
-/// Time until the turn of a request with @p load before it. Places that are due before count as
-/// work ahead.
-Duration forecastTurn(TurnLoad load, const ReturnSchedule &places, double rateShare, TimePoint now);
-
 /// Bounds the memory of a VM; about a minute of refusals in a cell of 128 VMs.
 constexpr size_t MaxPlaces = 4'096;
 /// A caller may come back this much earlier than told, as clocks and delays vary.
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -71,7 +71,7 @@
     uint32_t m_limitMillis = 0;
     std::vector<PartReport> m_partReports{}; ///< PartsSuspected and PartsCleared.
     uint32_t m_workMs = 0; ///< Waiting and ReturnPlace: see QueuedRequest.
-    uint32_t m_turnMs = 0; ///< Waiting: predicted time until the turn.
+    uint32_t m_turnMs = 0; ///< Waiting: time after which the request is expected to start.
     bool m_returned = false; ///< Waiting: the request came back to its place.
     /// Placed: see partCustomerHash(); zero: not counted, or sent again.
     uint64_t m_customer = 0;
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -195,7 +195,7 @@
     m_suspects.endSuspectAttempt(key);
     const bool placed = m_ledger.end(key);
     const bool waited = removeFromQueues(key);
-    m_turnMonitor.noteEnded(key);
+    m_turnMonitor.noteEnded(key, Clock::now());
     if (placed || waited)
         m_loads.send(LoadMessage{ LoadEvent::Ended, key });
 }
@@ -489,7 +489,7 @@
         return;
     case LoadEvent::Ended:
         removeFromQueues(message.m_key);
-        m_turnMonitor.noteEnded(message.m_key);
+        m_turnMonitor.noteEnded(message.m_key, now);
         m_ledger.end(message.m_key);
         m_suspects.endSuspectAttempt(message.m_key);
         return;
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -75,7 +75,7 @@
     LoadKey nextKey() { return { m_origin, ++m_sequence }; }
     DispatchQueue &queueOf(uint32_t gapLimitMs);
     /// Announces to all VMs that a request waits in a queue, until place() or end(). @p turn is the
-    /// predicted time until its turn; @p returned whether it came back to its place.
+    /// time after which it is expected to start; @p returned whether it came back to its place.
     void announceWaiting(const LoadKey &key, uint32_t gapLimitMs, const QueuedRequest &queued,
                          Duration turn = {}, bool returned = false);
     /// Enters an attempt into the ledgers of all VMs; @p suspect is the request's fingerprint if it
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -223,15 +223,17 @@
                       || mayStartNext(m_node.m_turns, costs, request, m_node.queueOf(gapLimitMs()),
                                       m_loadKey, side, now);
     const auto plan = [this, &seen](DisruptionPolicy care) { return choosePlan(care, seen); };
-    const bool justArrived = std::exchange(wait.m_justArrived, false);
-    if (!request.m_forecastsTurn)
-        return decideDispatch(m_node.m_turns, costs, request, wait.m_queued, next, wait.m_obstacle,
-                              plan, now);
-    wait.m_outlook = m_node.m_turnMonitor.outlook(m_loadKey, costs, request, side, now);
-    if (justArrived)
-        wait.m_predicted = wait.m_outlook.m_turn;
-    return decideByForecast(m_node.m_turns, costs, request, wait.m_queued, next, justArrived,
-                            wait.m_outlook, plan, now);
+    PollState state;
+    state.m_next = next;
+    state.m_justArrived = std::exchange(wait.m_justArrived, false);
+    state.m_before = wait.m_obstacle;
+    if (request.m_forecastsTurn) {
+        state.m_outlook = m_node.m_turnMonitor.outlook(m_loadKey, costs, request, side, now);
+        wait.m_outlook = state.m_outlook;
+        if (state.m_justArrived)
+            wait.m_predicted = state.m_outlook.m_turn;
+    }
+    return decideStart(m_node.m_turns, costs, request, wait.m_queued, state, plan, now);
 }
 
 void RelayRun::claimPlace()
@@ -304,8 +306,7 @@
         if (isBlockedBeyond(queued.m_targetAt - queued.m_minTimeToFirstEvent) && noteLimited())
             return std::nullopt;
         if (!announced)
-            m_node.announceWaiting(m_loadKey, gapLimitMs(), queued, wait.m_predicted,
-                                   m_returnOf.has_value());
+            announceWait(wait);
         announced = true;
         if (cannotFinish || !sleepFor(m_node.m_thread.context(), TurnPoll) || m_clientDisconnected
             || remainingTime() <= TurnPoll) {
@@ -315,6 +316,16 @@
     }
 }
 
+void RelayRun::announceWait(const TurnWait &wait)
+{
+    // One that came back is expected to start by its latest start.
+    const QueuedRequest &queued = wait.m_queued;
+    const Duration expected = m_returnOf
+                                  ? queued.m_targetAt - queued.m_minTimeToFirstEvent - m_arrival
+                                  : wait.m_predicted;
+    m_node.announceWaiting(m_loadKey, gapLimitMs(), queued, expected, m_returnOf.has_value());
+}
+
 void RelayRun::logTooLate(const TurnWait &wait) const
 {
     const auto millis = [](Duration duration) {
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -152,6 +152,7 @@
     QueuedRequest queuedRequest() const;
     /// Takes the place that is kept for the request, if it came back when it was told to.
     void claimPlace();
+    void announceWait(const TurnWait &wait);
     /// Decides when the caller of a request that cannot start in time comes back.
     void adviseReturn(const TurnWait &wait);
     ModelRequest modelRequest() const;
--- a/relay/turn_monitor.cpp
+++ b/relay/turn_monitor.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-/// Messages refresh the recorded load if it is older. A VM that serves few long prompts itself
-/// would not see otherwise that prompts wait.
-constexpr Millis LoadMaxAge{ 250 };
+/// The division of the pool is computed again if it is older. To compute it for each message would
+/// cost the smallest VMs several percent of their processor.
+constexpr Millis SideMaxAge{ 250 };
 /// Waits that are followed; more than wait in a cell. Those whose end was not heard of are dropped
 /// with the others then.
 constexpr size_t MaxWaits = 4'096;
@@ -34,71 +34,74 @@
 TurnOutlook TurnMonitor::outlook(const LoadKey &key, const EngineCosts &costs,
                                  const ModelRequest &request, const SideLoad &side, TimePoint now)
 {
-    const TurnLoad load = turnLoadOf(m_node.m_turns, side, workAhead(m_node.m_longQueue, key, now));
-    recordLoad(load, now);
+    recordLoad(now);
     if (isCheapPrefill(m_node.m_turns, costs, side, request.m_promptTokens))
         return {};
     m_places.dropExpired(now);
+    const TurnLoad load = turnLoadOf(m_node.m_turns, side, workAhead(m_node.m_longQueue, key, now));
     // One that came back goes before those that are told to come back.
     const Duration turn = request.m_returnOf ? predictTurn(load, m_rate.share())
                                              : forecastTurn(load, m_places, m_rate.share(), now);
     return { turn, m_error.margin() };
 }
 
-void TurnMonitor::refreshLoad(TimePoint now)
+bool TurnMonitor::refreshSide(TimePoint now)
 {
-    if (now < m_loadAt + LoadMaxAge)
-        return;
-    m_loadAt = now;
+    if (now < m_sideAt + SideMaxAge)
+        return m_active;
+    m_sideAt = now;
+    m_active = false;
     const RelayViewPtr view = m_node.m_view.load();
     if (!view->m_routes)
-        return;
+        return false;
     for (const auto &[id, service] : view->m_routes->m_services) {
         const auto *pool = service.m_admission.m_forecastsTurns ? poolOf(*view, id) : nullptr;
         if (!pool || pool->empty())
             continue;
-        const TurnLoad load = turnLoadOf(m_node.m_turns, m_node.longSideLoad(service, *pool), 0);
-        recordLoad(load, now);
-        return;
+        m_side = m_node.longSideLoad(service, *pool);
+        m_active = true;
+        break;
     }
-    m_active = false;
+    return m_active;
 }
 
-void TurnMonitor::recordLoad(const TurnLoad &load, TimePoint now)
+bool TurnMonitor::recordLoad(TimePoint now)
 {
-    m_active = true;
-    m_loadAt = now;
+    if (!refreshSide(now))
+        return false;
+    // Only those that have been announced: others may start at once.
+    double waitingMs = 0;
+    for (const auto &[key, queued] : m_node.m_longQueue) {
+        if (queued.m_expiresAt > now && m_waits.count(key) > 0)
+            waitingMs += queued.m_workMs;
+    }
+    m_side.m_activePrefills = m_node.m_ledger.activeLongPrefills();
+    const TurnLoad load = turnLoadOf(m_node.m_turns, m_side, waitingMs);
     m_rate.recordLoad(load, now);
     m_cheapPrefillMs = load.m_limitMsPerEngine * m_node.m_turns.m_cheapPrefillBacklogs;
+    return true;
 }
 
 void TurnMonitor::noteWaiting(const LoadMessage &message, TimePoint now)
 {
-    if (!m_active || isStrictGap(message.m_gapLimitMs))
+    if (isStrictGap(message.m_gapLimitMs) || !refreshSide(now))
         return;
     if (m_waits.size() >= MaxWaits)
         m_waits.clear();
     m_waits.try_emplace(message.m_key, Wait{ now, Millis(message.m_turnMs), message.m_returned });
+    recordLoad(now);
 }
 
 void TurnMonitor::notePlaced(const LoadKey &key, const AttemptLoad &load, TimePoint now)
 {
-    if (load.strict())
-        return;
-    refreshLoad(now);
-    if (!m_active)
+    if (load.strict() || !recordLoad(now))
         return;
     repeatPlaces(now);
     const double prefillMs = prefillOf(load);
     // What bypasses the queue takes engine time from those that wait in it.
     if (prefillMs < m_cheapPrefillMs)
         m_rate.recordCompleted(-prefillMs, now);
-    const auto wait = m_waits.find(key);
-    if (wait == m_waits.end())
-        return;
-    TurnError &error = wait->second.m_returned ? m_returnError : m_error;
-    error.record(wait->second.m_predicted, now - wait->second.m_since);
-    m_waits.erase(wait);
+    noteEnded(key, now);
 }
 
 void TurnMonitor::noteFirstEvent(const LoadKey &key, TimePoint now)
@@ -106,8 +109,18 @@
     const auto load = m_node.m_ledger.loads().find(key);
     if (load == m_node.m_ledger.loads().end() || load->second.strict() || load->second.m_decoding)
         return;
-    refreshLoad(now);
-    m_rate.recordCompleted(prefillOf(load->second), now);
+    if (recordLoad(now))
+        m_rate.recordCompleted(prefillOf(load->second), now);
+}
+
+void TurnMonitor::noteEnded(const LoadKey &key, TimePoint now)
+{
+    const auto wait = m_waits.find(key);
+    if (wait == m_waits.end())
+        return;
+    TurnError &error = wait->second.m_returned ? m_returnError : m_error;
+    error.record(wait->second.m_expected, now - wait->second.m_since);
+    m_waits.erase(wait);
 }
 
 bool TurnMonitor::isDue(const ReturnPlace &place, TimePoint now)
--- a/relay/turn_monitor.h
+++ b/relay/turn_monitor.h
@@ -37,8 +37,8 @@
     void notePlaced(const LoadKey &key, const AttemptLoad &load, TimePoint now);
     /// Records a first event at any VM. Call it before the ledger records the event.
     void noteFirstEvent(const LoadKey &key, TimePoint now);
-    /// Records that a wait has ended without a placement.
-    void noteEnded(const LoadKey &key) { m_waits.erase(key); }
+    /// Records that a wait at any VM has ended.
+    void noteEnded(const LoadKey &key, TimePoint now);
 
     /// The place of @p request, if its caller was told to come back; null: none.
     const ReturnPlace *findPlace(const Fingerprint &request, TimePoint now) const
@@ -61,13 +61,14 @@
     /// A prompt that waits, at any VM.
     struct Wait {
         TimePoint m_since{};
-        Duration m_predicted{}; ///< When it arrived.
+        Duration m_expected{}; ///< Time after which it was expected to start.
         bool m_returned = false; ///< It came back to its place.
     };
 
-    /// Records the load of the long prompts' side if the recorded one is old.
-    void refreshLoad(TimePoint now);
-    void recordLoad(const TurnLoad &load, TimePoint now);
+    /// Computes m_side again if it is old. Returns whether a service forecasts turns.
+    bool refreshSide(TimePoint now);
+    /// Records the load of the long prompts' side. Returns the same.
+    bool recordLoad(TimePoint now);
     /// Sends the places of this VM again that are halfway to their due time.
     void repeatPlaces(TimePoint now);
     LoadMessage placeMessage(const ReturnPlace &place, TimePoint now) const;
@@ -81,7 +82,8 @@
     std::multimap<TimePoint, ReturnPlace> m_toRepeat;
     std::unordered_map<LoadKey, Wait, LoadKeyHash> m_waits;
     bool m_active = false; ///< A service forecasts turns.
-    TimePoint m_loadAt{}; ///< When the load was last recorded.
+    SideLoad m_side; ///< Load of the long prompts' side, as of m_sideAt.
+    TimePoint m_sideAt{};
     double m_cheapPrefillMs = 0; ///< Prompts below start without waiting.
 };
 
