Shares of customers order long prompts alone

Cause: a strict stream has about 150 ms until its latest start. Delayed by its customer's use, it is refused or late.

Conclusion: the delay applies to prompts that wait for engine time.

--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -192,8 +192,10 @@
 
 uint64_t RelayRun::usageCustomer() const
 {
-    const bool counts =
-        m_service && m_service->m_admission.m_sharesByCustomer && !m_customer.empty();
+    // Strict streams compete for slots, not for engine time, and a wait that long prompts tolerate
+    // makes them late.
+    const bool counts = m_service && m_service->m_admission.m_sharesByCustomer
+                        && !m_customer.empty() && !isStrictGap(gapLimitMs());
     return counts ? partCustomerHash(m_customer) : 0;
 }
 
--- a/tests/policy/turn_forecast_test.cpp
+++ b/tests/policy/turn_forecast_test.cpp
@@ -246,9 +246,12 @@
     EXPECT_TRUE(customers.admission().m_ranked);
     EXPECT_TRUE(customers.admission().m_sharesByCustomer);
 
+    // Requests on a public route carry no key, so the rank of a customer does not apply to them.
     AdmissionTable open(false);
     open.addRoute(0, "s", true);
     open.addKey("a", 3);
+    EXPECT_FALSE(open.admission().m_ranked);
+    open.addRoute(0);
     EXPECT_TRUE(open.admission().m_ranked);
 }
 
