--- a/policy/route_table.cpp
+++ b/policy/route_table.cpp
@@ -62,7 +62,6 @@
 
 void setAdmission(RouteTable &table)
 {
-    table.m_adaptsToUnevenLoad = false;
     const CustomerRanks customers = customerRanks(table);
     for (auto &[id, service] : table.m_services) {
         service.m_admission = {};
@@ -74,7 +73,6 @@
         admission.m_ranked = ranks.size() > 1;
         admission.m_forecastsTurns = admission.m_ranked || isMemoryBound(*service.m_engine);
         admission.m_sharesByCustomer = admission.m_forecastsTurns && table.m_hasCustomers;
-        table.m_adaptsToUnevenLoad |= admission.m_forecastsTurns;
     }
 }
 
--- a/policy/route_table.h
+++ b/policy/route_table.h
@@ -97,16 +97,13 @@
     ClientLimits m_limits;
     bool m_hasCustomers = false; ///< False: no request needs a key.
     std::unordered_map<std::string, ApiKeyOwner> m_keys;
-    /// Whether any service forecasts turns: its load is such that uneven endpoints and VMs are
-    /// taken into account, too. Set by indexRoutes().
-    bool m_adaptsToUnevenLoad = false;
     /// Indices into m_routes by host, longest prefix first; set by indexRoutes().
     std::unordered_map<std::string, std::vector<uint32_t>> m_byHost;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
 
-/// Sets m_byHost, m_adaptsToUnevenLoad, and the latency targets, ranks and admission of the
+/// Sets m_byHost, and the latency targets, ranks and admission of the
 /// services. To be called once after m_routes and m_services are filled.
 void indexRoutes(RouteTable &table);
 
--- a/tests/policy/turn_forecast_test.cpp
+++ b/tests/policy/turn_forecast_test.cpp
@@ -221,7 +221,6 @@
     of.addKey("a", std::nullopt);
     const AdmissionPolicy admission = of.admission();
     EXPECT_FALSE(admission.m_ranked || admission.m_forecastsTurns || admission.m_sharesByCustomer);
-    EXPECT_FALSE(of.m_table.m_adaptsToUnevenLoad);
 }
 
 // Guards against ranks of other services, or of routes whose rank every customer overrides.
@@ -234,7 +233,6 @@
     routes.addRoute(1);
     EXPECT_TRUE(routes.admission().m_ranked);
     EXPECT_TRUE(routes.admission().m_forecastsTurns);
-    EXPECT_TRUE(routes.m_table.m_adaptsToUnevenLoad);
     EXPECT_FALSE(routes.admission("plain").m_forecastsTurns);
 
     AdmissionTable customers(false);
