One conversion of durations for load messages

Cause: relay_node and turn_monitor each had the same function, and a comment named a cost that was not measured. Before and after: same messages. Conclusion: none other.

--- a/relay/load_exchange.cpp
+++ b/relay/load_exchange.cpp
@@ -1,5 +1,7 @@
 #include "relay/load_exchange.h"
 
+#include <algorithm>
+
 #include "peers/codec.h"
 
 namespace stackquay {
@@ -16,6 +18,12 @@
 
 } // namespace
 
+uint32_t messageMillis(Duration duration)
+{
+    const auto count = std::chrono::duration_cast<Millis>(duration).count();
+    return static_cast<uint32_t>(std::max<Millis::rep>(count, 0));
+}
+
 std::vector<std::string> packLoads(const std::vector<LoadMessage> &messages)
 {
     std::vector<std::string> datagrams;
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -82,6 +82,9 @@
                    m_workMs, m_turnMs, m_returned, m_customer)
 };
 
+/// A duration as it is sent in messages; zero if it is negative.
+uint32_t messageMillis(Duration duration);
+
 /// Encodes @p messages as datagrams that fit into one packet each. Messages beyond the limit for
 /// one peer are dropped.
 std::vector<std::string> packLoads(const std::vector<LoadMessage> &messages);
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -16,20 +16,14 @@
 /// Leaves room for new VMs: the slack is divided by the known number of VMs times this.
 constexpr double SharerMargin = 1.5;
 
-uint32_t millisOf(Duration duration)
-{
-    const auto count = std::chrono::duration_cast<Millis>(duration).count();
-    return static_cast<uint32_t>(std::max<Millis::rep>(count, 0));
-}
-
 LoadMessage waitingMessage(const LoadKey &key, uint32_t gapLimitMs, const QueuedRequest &queued,
                            TimePoint now)
 {
     LoadMessage message{ LoadEvent::Waiting, key };
     message.m_gapLimitMs = gapLimitMs;
-    message.m_expiresMs = millisOf(queued.m_expiresAt - now);
-    message.m_aimMs = millisOf(queued.m_targetAt - now);
-    message.m_neededMs = millisOf(queued.m_minTimeToFirstEvent);
+    message.m_expiresMs = messageMillis(queued.m_expiresAt - now);
+    message.m_aimMs = messageMillis(queued.m_targetAt - now);
+    message.m_neededMs = messageMillis(queued.m_minTimeToFirstEvent);
     message.m_leadMs =
         static_cast<int32_t>(std::chrono::duration_cast<Millis>(queued.m_orderLead).count());
     message.m_workMs = static_cast<uint32_t>(queued.m_workMs);
@@ -136,8 +130,8 @@
     LoadMessage message{ LoadEvent::Placed, key };
     message.m_parts = load.m_parts;
     message.m_gapLimitMs = load.m_gapLimitMs;
-    message.m_expiresMs = millisOf(load.m_expiresAt - now);
-    message.m_ageMs = millisOf(now - load.m_placedAt);
+    message.m_expiresMs = messageMillis(load.m_expiresAt - now);
+    message.m_ageMs = messageMillis(now - load.m_placedAt);
     message.m_writing = load.m_decoding;
     if (const auto suspect = m_suspects.suspectOf(key))
         message.m_fingerprints = { *suspect };
@@ -159,7 +153,7 @@
 {
     const TimePoint now = Clock::now();
     LoadMessage message = waitingMessage(key, gapLimitMs, queued, now);
-    message.m_turnMs = millisOf(turn);
+    message.m_turnMs = messageMillis(turn);
     message.m_returned = returned;
     m_loads.send(message);
     m_turnMonitor.noteWaiting(message, now);
--- a/relay/turn_monitor.cpp
+++ b/relay/turn_monitor.cpp
@@ -8,19 +8,13 @@
 
 namespace {
 
-/// The division of the pool is computed again if it is older. To compute it for each message would
-/// cost the smallest VMs several percent of their processor.
+/// The division of the pool is computed again if it is older. Small VMs cannot afford to walk the
+/// whole ledger for each message.
 constexpr Millis SideMaxAge{ 250 };
 /// Waits that are followed; more than wait in a cell. Those whose end was not heard of are dropped
 /// with the others then.
 constexpr size_t MaxWaits = 4'096;
 
-uint32_t millisOf(Duration duration)
-{
-    const auto count = std::chrono::duration_cast<Millis>(duration).count();
-    return static_cast<uint32_t>(std::max<Millis::rep>(count, 0));
-}
-
 double prefillOf(const AttemptLoad &load)
 {
     double prefillMs = 0;
@@ -132,9 +126,9 @@
 {
     LoadMessage message{ LoadEvent::ReturnPlace, m_node.nextKey() };
     message.m_fingerprints = { place.m_request };
-    message.m_aimMs = millisOf(place.m_dueAt - now);
-    message.m_expiresMs = millisOf(place.m_expiresAt - now);
-    message.m_ageMs = millisOf(now - place.m_firstArrival);
+    message.m_aimMs = messageMillis(place.m_dueAt - now);
+    message.m_expiresMs = messageMillis(place.m_expiresAt - now);
+    message.m_ageMs = messageMillis(now - place.m_firstArrival);
     message.m_workMs = static_cast<uint32_t>(place.m_workMs);
     return message;
 }
