--- a/policy/engine_costs.cpp
+++ b/policy/engine_costs.cpp
@@ -29,7 +29,8 @@
     if (costs.m_usualPromptTokens == 0)
         return false;
     const uint64_t usual = costs.m_usualPromptTokens + costs.m_usualAnswerTokens;
-    return (costs.m_slots + 1) * usual > costs.m_memoryTokens;
+    return static_cast<double>((costs.m_slots + 1) * usual)
+           > static_cast<double>(costs.m_memoryTokens) * MemoryBoundExcess;
 }
 
 } // namespace stackquay
