Ranks of customers alone do not activate forecasts

Before: any two ranks of requests for a service activated the forecast. After: different ranks of its routes, or memory that ends before slots. A test holds that ranks of customers alone change nothing; the test with real daemons uses a route of another rank.

--- a/policy/route_table.cpp
+++ b/policy/route_table.cpp
@@ -60,6 +60,19 @@
     return ranks;
 }
 
+/// Whether the routes to @p service have different ranks.
+bool hasRankedRoutes(const RouteTable &table, const ServiceId &service)
+{
+    std::set<uint32_t> ranks;
+    for (const Route &route : table.m_routes) {
+        for (const WeightedService &weighted : route.m_services) {
+            if (weighted.m_service == service)
+                ranks.insert(std::min(route.m_priority, LowestRank));
+        }
+    }
+    return ranks.size() > 1;
+}
+
 void setAdmission(RouteTable &table)
 {
     const CustomerRanks customers = customerRanks(table);
@@ -70,8 +83,9 @@
         if (!service.m_engine)
             continue;
         AdmissionPolicy &admission = service.m_admission;
-        admission.m_ranked = ranks.size() > 1;
-        admission.m_forecastsTurns = admission.m_ranked || isMemoryBound(*service.m_engine);
+        // Ranks of customers alone change nothing: they are common, and engines honour them.
+        admission.m_forecastsTurns = hasRankedRoutes(table, id) || isMemoryBound(*service.m_engine);
+        admission.m_ranked = admission.m_forecastsTurns && ranks.size() > 1;
         admission.m_sharesByCustomer = admission.m_forecastsTurns && table.m_hasCustomers;
     }
 }
