Log and count how loaded a VM itself is

'load of this VM' says it once a second in which a request was read, and the same figures are metrics. Datagrams to other VMs are counted by themselves. One timer each 100 ms on the traffic thread; on an idle VM no line.

--- a/net/datagrams.cpp
+++ b/net/datagrams.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/buffer.hpp>
 #include <fmt/format.h>
 
+#include "net/thread_traffic.h"
 #include "net/yield.h"
 
 namespace stackquay {
@@ -45,6 +46,7 @@
                     return;
                 continue;
             }
+            threadTraffic().m_received += size;
             m_receiver(fromUdp(from), { buffer.data(), size });
         }
     }
@@ -89,7 +91,15 @@
 {
     boost::system::error_code error;
     m_state->m_socket.send_to(asio::buffer(bytes.data(), bytes.size()), to, 0, error);
-    return !error;
+    ThreadTraffic &traffic = threadTraffic();
+    if (error) {
+        ++traffic.m_datagramsLost;
+        return false;
+    }
+    ++traffic.m_datagrams;
+    traffic.m_datagramBytes += bytes.size();
+    traffic.m_sent += bytes.size();
+    return true;
 }
 
 } // namespace stackquay
--- a/net/fiber_socket.h
+++ b/net/fiber_socket.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "core/core.h"
+#include "net/thread_traffic.h"
 #include "net/yield.h"
 
 namespace stackquay {
@@ -40,6 +41,7 @@
         const Waiting waiting(*this);
         const size_t size = m_socket.async_read_some(buffers, Yield{ error });
         nameTimeout(error);
+        threadTraffic().m_received += size;
         return size;
     }
 
@@ -49,6 +51,7 @@
     {
         for (;;) {
             const size_t size = m_socket.write_some(buffers, error);
+            threadTraffic().m_sent += size;
             if (error != boost::asio::error::would_block)
                 return size;
             if (!waitWritable(error))
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -100,6 +100,7 @@
     uint64_t m_lastIdle = 0;
     std::atomic<TimePoint> m_refusedAt{}; ///< When a connection was last not to be taken.
     std::set<FiberSocket *> m_reading; ///< Of whose request a part has come.
+    uint64_t m_requestsRead = 0;
     std::atomic<bool> m_draining{ false };
     std::atomic<bool> m_closing{ false }; ///< Each answer is the last of its connection.
     std::atomic<size_t> m_activeRequests{ 0 };
@@ -464,6 +465,7 @@
             --m_activeRequests;
             break;
         }
+        ++m_requestsRead;
         const bool keepAlive = parser.get().keep_alive();
         Exchange exchange(stream, buffer, toRequest(parser.release()), keepAlive, m_limits,
                           m_closing);
@@ -559,4 +561,14 @@
     return m_state->m_connections;
 }
 
+size_t HttpServer::partlyReadRequests() const
+{
+    return m_state->m_reading.size();
+}
+
+uint64_t HttpServer::requestsRead() const
+{
+    return m_state->m_requestsRead;
+}
+
 } // namespace stackquay
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -81,6 +81,10 @@
     /// Requests in progress now. Any thread.
     size_t activeRequests() const;
     size_t connections() const;
+    /// Requests of which only a part has come. On its thread.
+    size_t partlyReadRequests() const;
+    /// Requests that were read completely since the start. On its thread.
+    uint64_t requestsRead() const;
     /// Whether new connections are taken, and were for the last second. False while all that it may
     /// have are busy with requests, or the process is out of descriptors. On its thread.
     bool accepting() const;
--- a/net/net.h
+++ b/net/net.h
@@ -13,4 +13,5 @@
 #include "net/run_on.h"
 #include "net/signals.h"
 #include "net/silence.h"
+#include "net/thread_traffic.h"
 #include "net/yield.h"
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -18,3 +18,4 @@
 #include "relay/source.h"
 #include "relay/store_follower.h"
 #include "relay/suspect_tracker.h"
+#include "relay/vm_load_monitor.h"
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -187,6 +187,8 @@
         m_fleet->start();
         spawnFiber([this] { logStoreCalls(); });
     });
+    m_loadMonitor = std::make_unique<VmLoadMonitor>(m_traffic, *m_clients, m_node->m_metrics);
+    m_traffic.post([this] { m_loadMonitor->start(); });
     m_traffic.start();
     DecisionLine("main", "started")
         .text("vm", m_settings.m_vm.str())
--- a/relay/relay_daemon.h
+++ b/relay/relay_daemon.h
@@ -10,6 +10,7 @@
 #include "relay/quarantine_record.h"
 #include "relay/relay_node.h"
 #include "relay/store_follower.h"
+#include "relay/vm_load_monitor.h"
 
 namespace stackquay {
 
@@ -80,6 +81,7 @@
     std::unique_ptr<HttpServer> m_clients;
     std::unique_ptr<HttpServer> m_forward; ///< Requests that other VMs forward.
     std::unique_ptr<HttpServer> m_ready;
+    std::unique_ptr<VmLoadMonitor> m_loadMonitor;
     std::unique_ptr<KindStore> m_store;
     std::unique_ptr<StoreFollower> m_follower;
     std::unique_ptr<FleetLink> m_fleet;
--- a/relay/relay_metrics.cpp
+++ b/relay/relay_metrics.cpp
@@ -52,6 +52,21 @@
     , m_earlyReturns(
           registry.counter("stackquay_relay_early_returns_total",
                            "Requests that came back before they were told to and were refused."))
+    , m_lag(registry.gauge("stackquay_relay_lag_seconds",
+                           "Longest delay of a timer of the traffic thread in the last second."))
+    , m_connections(registry.gauge("stackquay_relay_connections", "Open connections of clients."))
+    , m_partlyRead(registry.gauge("stackquay_relay_partly_read_requests",
+                                  "Requests of clients of which only a part has been read."))
+    , m_trafficReceived(registry.counter("stackquay_relay_received_bytes_total",
+                                         "Payload received by the traffic thread."))
+    , m_trafficSent(registry.counter("stackquay_relay_sent_bytes_total",
+                                     "Payload sent by the traffic thread, datagrams included."))
+    , m_datagrams(registry.counter("stackquay_relay_datagrams_total",
+                                   "Datagrams sent to other VMs by the traffic thread."))
+    , m_datagramBytes(
+          registry.counter("stackquay_relay_datagram_bytes_total", "Payload of these datagrams."))
+    , m_datagramsLost(registry.counter("stackquay_relay_datagrams_lost_total",
+                                       "Datagrams that the socket did not take."))
     , m_registry(registry)
 {
     for (size_t kind = 0; kind < KindCount; ++kind) {
--- a/relay/relay_metrics.h
+++ b/relay/relay_metrics.h
@@ -47,6 +47,15 @@
     Counter &m_placesKept;
     Counter &m_returns;
     Counter &m_earlyReturns;
+    // Load of this VM, see VmLoadMonitor. Counters are of its traffic thread.
+    Gauge &m_lag;
+    Gauge &m_connections;
+    Gauge &m_partlyRead;
+    Counter &m_trafficReceived;
+    Counter &m_trafficSent;
+    Counter &m_datagrams;
+    Counter &m_datagramBytes;
+    Counter &m_datagramsLost;
 
 private:
     static constexpr size_t KindCount = 3;
