Load messages leave out trailing fields with default values

Cause: each load message carried all of its 24 fields, most of them empty: a first event or an end needs the event and the key. The decoder already sets missing fields to their defaults, so VMs of either build understand each other.

--- a/relay/load_exchange.cpp
+++ b/relay/load_exchange.cpp
@@ -12,10 +12,41 @@
 constexpr size_t MaxDatagramBytes = 1'200;
 /// Maximum size of the array header; a datagram is an array of messages.
 constexpr size_t ArrayHeaderBytes = 5;
+/// Fields that every message has.
+constexpr uint32_t MinFields = 2;
 /// Limit for a new peer: about 250 streams, or about 30 long prompts whose prefill is shared by 17
 /// engines. It bounds the traffic of a VM when many others start at once.
 constexpr size_t MaxDatagramsPerPeer = 16;
 
+/// Leaves out the last fields that have their default values, which are most of them: the decoder
+/// sets fields that are missing to these.
+std::string encodeLoad(const LoadMessage &message)
+{
+    static const msgpack::object_handle Defaults = [] {
+        auto zone = std::make_unique<msgpack::zone>();
+        const msgpack::object object(LoadMessage{}, *zone);
+        return msgpack::object_handle(object, std::move(zone));
+    }();
+    msgpack::zone zone;
+    msgpack::object object(message, zone);
+    const msgpack::object_array &defaults = Defaults.get().via.array;
+    msgpack::object_array &fields = object.via.array;
+    while (fields.size > MinFields && fields.ptr[fields.size - 1] == defaults.ptr[fields.size - 1])
+        --fields.size;
+    return encodeMessage(object);
+}
+
+/// A datagram of encoded messages.
+std::string joinMessages(const std::vector<std::string> &messages)
+{
+    msgpack::sbuffer header;
+    msgpack::packer<msgpack::sbuffer>(header).pack_array(static_cast<uint32_t>(messages.size()));
+    std::string datagram(header.data(), header.size());
+    for (const std::string &message : messages)
+        datagram += message;
+    return datagram;
+}
+
 } // namespace
 
 uint32_t messageMillis(Duration duration)
@@ -27,22 +58,22 @@
 std::vector<std::string> packLoads(const std::vector<LoadMessage> &messages)
 {
     std::vector<std::string> datagrams;
-    std::vector<LoadMessage> batch;
+    std::vector<std::string> batch;
     size_t size = ArrayHeaderBytes;
     for (const LoadMessage &message : messages) {
-        const size_t more = encodeMessage(message).size();
-        if (!batch.empty() && size + more > MaxDatagramBytes) {
-            datagrams.push_back(encodeMessage(batch));
+        std::string encoded = encodeLoad(message);
+        if (!batch.empty() && size + encoded.size() > MaxDatagramBytes) {
+            datagrams.push_back(joinMessages(batch));
             batch.clear();
             size = ArrayHeaderBytes;
         }
         if (datagrams.size() == MaxDatagramsPerPeer)
             return datagrams;
-        batch.push_back(message);
-        size += more;
+        size += encoded.size();
+        batch.push_back(std::move(encoded));
     }
     if (!batch.empty())
-        datagrams.push_back(encodeMessage(batch));
+        datagrams.push_back(joinMessages(batch));
     return datagrams;
 }
 
@@ -64,7 +95,7 @@
     {
         if (receivers.empty())
             return;
-        const std::string bytes = encodeMessage(std::vector<LoadMessage>{ message });
+        const std::string bytes = joinMessages({ encodeLoad(message) });
         for (const auto &receiver : receivers)
             m_socket.send(receiver, bytes);
     }
