A VM that takes most requests announces them in batches that its peers forward

Cause: a VM told each peer of each placement, first event and end in a datagram of its own. The cost is requests times peers, and all of it falls on the VM that takes the requests: with 130 requests a second and 75 peers its datagrams fill a link of 20 Mbit/s. Its connections to endpoints then time out after 200 ms, which ejects sound endpoints, makes the VM forward its requests through the same link, and lets its proofs of freshness grow old.

Now a VM that would spend more than 2,000 datagrams a second on single announcements collects them for 25 ms, and sends each batch to 6 peers, drawn at random, which forward it to the others. A batch repeats the one before, so that a peer that ends or a lost datagram hides little, and a batch that arrives late is dropped, so that nothing that has ended comes back. Below that rate nothing changes.

AnnouncementFleetTest plays 6 and 76 VMs and a cell of a fleet of 985, with lost datagrams, dead VMs and slow forwarding.

--- a/policy/policy.h
+++ b/policy/policy.h
@@ -4,6 +4,7 @@
 #include "policy/absent_endpoint.h"
 #include "policy/admission.h"
 #include "policy/admission_order.h"
+#include "policy/announcement.h"
 #include "policy/cells.h"
 #include "policy/choose_endpoint.h"
 #include "policy/chunking.h"
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -1,8 +1,9 @@
 /// Exchanges with the other VMs, over UDP, which requests each VM has placed on which endpoints.
 ///
-/// A placement, a first event and an end each take one datagram to each peer; a new peer receives
-/// several datagrams with many messages each. Nothing is acknowledged: the shared ledger is a hint,
-/// and its entries expire.
+/// A placement, a first event and an end each take one datagram to each peer, or go out in batches
+/// that some peers forward, see policy/announcement.h; a new peer receives several datagrams with
+/// many messages each. Nothing is acknowledged: the shared ledger is a hint, and its entries
+/// expire.
 #pragma once
 
 #include <map>
@@ -33,6 +34,7 @@
     PartsCleared = 15, ///< An answer has begun on suspected parts.
     EndpointLeaving = 16, ///< The process of an endpoint has announced its end.
     ReturnPlace = 17, ///< A place is kept for a refused request, or taken; see ReturnSchedule.
+    Batch = 18, ///< The first message of a datagram that is a batch; the others are its events.
 };
 
 struct LoadMessage {
@@ -75,11 +77,15 @@
     bool m_returned = false; ///< Waiting: the request came back to its place.
     /// Placed: see partCustomerHash(); zero: not counted, or sent again.
     uint64_t m_customer = 0;
+    /// Batch: the receiver forwards it to these VMs, 6 bytes each, address and port. The key is the
+    /// BatchNumber.
+    std::string m_receivers{};
+    uint32_t m_repeats = 0; ///< Batch: the first events that follow were in the batch before it.
 
     MSGPACK_DEFINE(m_change, m_key, m_parts, m_dataCentre, m_gapLimitMs, m_expiresMs, m_ageMs,
                    m_writing, m_aimMs, m_neededMs, m_fingerprints, m_suspects, m_cell, m_leadMs,
                    m_replyTo, m_services, m_slackMillis, m_processMs, m_limitMillis, m_partReports,
-                   m_workMs, m_turnMs, m_returned, m_customer)
+                   m_workMs, m_turnMs, m_returned, m_customer, m_receivers, m_repeats)
 };
 
 /// A duration as it is sent in messages; zero if it is negative.
@@ -95,9 +101,9 @@
 public:
     using Receiver = std::function<void(const LoadMessage &)>;
 
-    /// @p thread must be stopped before the exchange is destroyed. @p receiver is called for each
-    /// message.
-    LoadExchange(FiberThread &thread, Receiver receiver);
+    /// @p thread must be stopped before the exchange is destroyed. @p origin identifies this
+    /// process. @p receiver is called for each message.
+    LoadExchange(FiberThread &thread, uint64_t origin, Receiver receiver);
     ~LoadExchange();
     LoadExchange(const LoadExchange &) = delete;
     LoadExchange &operator=(const LoadExchange &) = delete;
@@ -110,7 +116,12 @@
     void setPeers(const std::vector<Address> &peers);
     /// Sets the VMs of other cells, which forward messages within their cells.
     void setContacts(const std::vector<Address> &contacts);
+    /// Sends a message of which there are few, whatever the load, to all peers now.
     void send(const LoadMessage &message);
+    /// Tells all peers of an event of a request, now or soon.
+    void announce(const LoadMessage &event);
+    /// Forgets what was received from a process that has ended.
+    void forgetProcess(uint64_t origin);
     void sendToContacts(const LoadMessage &message);
     /// Sends one message to one peer.
     void sendTo(const Address &peer, const LoadMessage &message);
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -50,7 +50,7 @@
     // Without probes: a request that waits at an endpoint has its own timeouts, and may outlast a
     // pause of the endpoint's machine.
     , m_pool(thread.context(), IdleConnections, { silenceTimeout(m_settings.m_bounds), false })
-    , m_loads(thread, [this](const LoadMessage &message) { receive(message); })
+    , m_loads(thread, m_origin, [this](const LoadMessage &message) { receive(message); })
     , m_suspects(thread, suspectHooks())
     , m_parts(thread, partHooks())
     , m_limiter([this](const LoadMessage &message) { m_loads.send(message); },
@@ -155,7 +155,7 @@
     LoadMessage message = waitingMessage(key, gapLimitMs, queued, now);
     message.m_turnMs = messageMillis(turn);
     message.m_returned = returned;
-    m_loads.send(message);
+    m_loads.announce(message);
     m_turnMonitor.noteWaiting(message, now);
     queueOf(gapLimitMs)[key] = queued;
 }
@@ -170,7 +170,7 @@
         m_suspects.beginSuspectAttempt(*suspect, key, lifetime, true);
     LoadMessage message = placedMessage(key, load, now);
     message.m_customer = customer;
-    m_loads.send(message);
+    m_loads.announce(message);
     recordUsage(message, now);
     m_turnMonitor.notePlaced(key, load, now);
     removeFromQueues(key);
@@ -181,7 +181,7 @@
 {
     m_turnMonitor.noteFirstEvent(key, Clock::now());
     m_ledger.recordFirstEvent(key);
-    m_loads.send(LoadMessage{ LoadEvent::FirstEvent, key });
+    m_loads.announce(LoadMessage{ LoadEvent::FirstEvent, key });
 }
 
 void RelayNode::end(const LoadKey &key)
@@ -191,7 +191,7 @@
     const bool waited = removeFromQueues(key);
     m_turnMonitor.noteEnded(key, Clock::now());
     if (placed || waited)
-        m_loads.send(LoadMessage{ LoadEvent::Ended, key });
+        m_loads.announce(LoadMessage{ LoadEvent::Ended, key });
 }
 
 std::unordered_set<EndpointId> RelayNode::strictSide(const ServiceId &service,
@@ -232,6 +232,7 @@
 void RelayNode::forgetProcess(uint64_t origin)
 {
     m_ledger.forgetOrigin(origin);
+    m_loads.forgetProcess(origin);
     for (DispatchQueue *queue : { &m_strictQueue, &m_longQueue }) {
         std::erase_if(*queue,
                       [origin](const auto &entry) { return entry.first.m_origin == origin; });
@@ -497,6 +498,8 @@
     case LoadEvent::ReturnPlace:
         m_turnMonitor.receivePlace(message, now);
         return;
+    case LoadEvent::Batch:
+        return; // Only within LoadExchange.
     case LoadEvent::RequestLimit:
     case LoadEvent::EndpointLeaving:
         m_limiter.receive(*m_view.load(), message);
--- a/relay/turn_monitor.cpp
+++ b/relay/turn_monitor.cpp
@@ -128,7 +128,7 @@
     m_places.release(request);
     LoadMessage message{ LoadEvent::ReturnPlace, m_node.nextKey() };
     message.m_fingerprints = { request };
-    m_node.m_loads.send(message);
+    m_node.m_loads.announce(message);
 }
 
 ReturnAdvice TurnMonitor::refuse(ReturnQuery query, ReturnPlace request)
@@ -140,7 +140,7 @@
     request.m_dueAt = query.m_now + *advice.m_delay;
     request.m_expiresAt = request.m_dueAt + ReturnGrace;
     m_places.keep(request);
-    m_node.m_loads.send(placeMessage(request, query.m_now));
+    m_node.m_loads.announce(placeMessage(request, query.m_now));
     m_toRepeat.emplace(query.m_now + *advice.m_delay / 2, request);
     return advice;
 }
@@ -151,7 +151,7 @@
         const ReturnPlace place = m_toRepeat.begin()->second;
         m_toRepeat.erase(m_toRepeat.begin());
         if (m_places.find(place.m_request, now))
-            m_node.m_loads.send(placeMessage(place, now));
+            m_node.m_loads.announce(placeMessage(place, now));
     }
 }
 
