VMs that start together are sent the requests in flight one after the other

A VM sends each VM that starts all that it has in flight, at once, so that its cost is requests times starting VMs: 621,722 bytes in 200 ms with 200 requests and 75 VMs in the test, where a link of 20 Mbit/s carries 500,000.

The states now go out one after the other, at 400 KB/s. A single VM that starts gets its state as soon as before.

AnnouncementTest.VmsThatStartTogetherAreSentTheStateOneAfterTheOther failed before with 621,722 bytes (bound 120,000), and asks that all VMs have everything in the end.

--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -13,6 +13,9 @@
 /// A VM that started within this time has not yet received all that the other VMs have in flight,
 /// because streams last longer.
 constexpr Millis LoadLearningTime{ 1'500 };
+/// Rate at which state is sent to VMs that start at the same time, so that a VM with much in flight
+/// keeps most of its link for requests.
+constexpr double StateBytesPerSecond = 400'000;
 /// Leaves room for new VMs: the slack is divided by the known number of VMs times this.
 constexpr double SharerMargin = 1.5;
 
@@ -305,6 +308,26 @@
 }
 
 void RelayNode::sendState(const Address &peer)
+{
+    if (std::find(m_stateReceivers.begin(), m_stateReceivers.end(), peer) == m_stateReceivers.end())
+        m_stateReceivers.push_back(peer);
+    if (std::exchange(m_sendingState, true))
+        return;
+    spawnFiber([this] {
+        bool waited = true;
+        while (waited && !m_stateReceivers.empty()) {
+            const uint64_t before = threadTraffic().m_sent;
+            sendStateTo(m_stateReceivers.front());
+            m_stateReceivers.pop_front();
+            const double bytes = static_cast<double>(threadTraffic().m_sent - before);
+            const std::chrono::duration<double> time(bytes / StateBytesPerSecond);
+            waited = sleepFor(m_thread.context(), std::chrono::duration_cast<Duration>(time));
+        }
+        m_sendingState = false;
+    });
+}
+
+void RelayNode::sendStateTo(const Address &peer)
 {
     const TimePoint now = Clock::now();
     std::vector<LoadMessage> messages = ownLoads(now);
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <deque>
 #include <unordered_set>
 
 #include "relay/absence_monitor.h"
@@ -97,7 +98,8 @@
     /// Whether the directory still lists the process of @p endpoint, and it is neither draining nor
     /// evacuated.
     bool acceptsWork(const EndpointRecord &endpoint) const;
-    /// Sends the requests that this VM has in flight or queued, and all suspects, to a new VM.
+    /// Sends the requests that this VM has in flight or queued, and all suspects, to a new VM; to
+    /// VMs that start at the same time one after the other.
     void sendState(const Address &peer);
     /// The engines of @p pool that currently serve strict streams.
     std::unordered_set<EndpointId> strictSide(const ServiceId &service, const EngineCosts &costs,
@@ -131,8 +133,11 @@
 
 private:
     TimePoint m_readySince{}; ///< Time of the first placement; the ledger was incomplete before.
+    std::deque<Address> m_stateReceivers; ///< To be sent the state, in this order.
+    bool m_sendingState = false;
 
     void receive(const LoadMessage &message);
+    void sendStateTo(const Address &peer);
     void recordUsage(const LoadMessage &placed, TimePoint now);
     void recordPlacement(const LoadMessage &message, TimePoint now);
     void recordBrokenResponse(const EndpointId &endpoint, uint64_t vm);
--- a/tests/relay/announcement_test.cpp
+++ b/tests/relay/announcement_test.cpp
@@ -33,6 +33,13 @@
     }
 };
 
+/// The state of a VM with many requests is larger than the memory of a link's queue.
+constexpr size_t StartingVms = 75;
+constexpr size_t RequestsInFlight = 200;
+constexpr Millis FirstPart{ 200 };
+/// In that time, a fifth of what a link of 20 Mbit/s carries in it, and one VM's state.
+constexpr uint64_t MaxFirstBytes = 120'000;
+
 /// VMs that exchange load messages over loopback; the first one takes all requests.
 class Fleet
 {
@@ -83,6 +90,32 @@
         return load;
     }
 
+    /// Sends the state to all peers at once; what is sent within FirstPart.
+    uint64_t sendStateToAll()
+    {
+        call<bool>(m_busy, [this] {
+            RelayNode &node = *m_nodes.front();
+            for (size_t i = 0; i < RequestsInFlight; ++i)
+                node.m_ledger.place(node.nextKey(), { { { EndpointId("i-75648bd6a1"), 24, 5'000 } },
+                                                      250,
+                                                      false,
+                                                      Clock::now(),
+                                                      Clock::now() + Seconds(60) });
+            for (size_t i = 1; i < m_addresses.size(); ++i)
+                node.sendState(m_addresses[i]);
+            return true;
+        });
+        std::this_thread::sleep_for(FirstPart);
+        return call<uint64_t>(m_busy, [] { return threadTraffic().m_sent; });
+    }
+
+    /// Requests known at the peer that knows fewest.
+    size_t leastKnownAtPeers()
+    {
+        const std::vector<size_t> known = knownAtPeers();
+        return *std::min_element(known.begin(), known.end());
+    }
+
 private:
     template<typename T>
     T call(FiberThread &thread, std::function<T()> function)
@@ -131,5 +164,15 @@
     }
 }
 
+TEST(AnnouncementTest, VmsThatStartTogetherAreSentTheStateOneAfterTheOther)
+{
+    Fleet fleet(StartingVms);
+    EXPECT_LE(fleet.sendStateToAll(), MaxFirstBytes);
+    const TimePoint until = Clock::now() + Seconds(5);
+    while (fleet.leastKnownAtPeers() < RequestsInFlight && Clock::now() < until)
+        std::this_thread::sleep_for(Millis(50));
+    EXPECT_EQ(fleet.leastKnownAtPeers(), RequestsInFlight);
+}
+
 } // namespace
 } // namespace stackquay
