Test: announcements are measured after the saved budget is spent

AnnouncementTest.BytesForEachRequestDoNotGrowWithTheNumberOfVms counted the first second too, in which a VM spends what it had saved on single announcements: 1,260 bytes a request with 75 peers, 644 with 8, close to the bound of twice as many. What it guards against is a cost that follows the number of VMs as long as the load lasts.

--- a/tests/relay/announcement_test.cpp
+++ b/tests/relay/announcement_test.cpp
@@ -13,6 +13,8 @@
 constexpr Millis RequestPeriod{ 8 };
 constexpr Millis FirstEventAfter{ 120 };
 constexpr Millis RequestLength{ 500 };
+/// Until the budget that was saved before the load is spent.
+constexpr Millis WarmUpTime{ 2'500 };
 constexpr Millis LoadTime{ 3'000 };
 /// Between the end of the load and the check of what the peers know.
 constexpr Millis SettleTime{ 500 };
@@ -71,13 +73,9 @@
     AnnouncedLoad run()
     {
         AnnouncedLoad load;
+        takeRequests(WarmUpTime);
         const uint64_t before = call<uint64_t>(m_busy, [] { return threadTraffic().m_sent; });
-        const TimePoint until = Clock::now() + LoadTime;
-        while (Clock::now() < until) {
-            m_busy.post([this] { takeRequest(); });
-            ++load.m_requests;
-            std::this_thread::sleep_for(RequestPeriod);
-        }
+        load.m_requests = takeRequests(LoadTime);
         const auto inFlight =
             call<size_t>(m_busy, [this] { return m_nodes.front()->m_ledger.size(); });
         for (const size_t known : knownAtPeers())
@@ -125,6 +123,19 @@
         return result.get_future().get();
     }
 
+    /// Takes requests at a constant rate; their number.
+    uint64_t takeRequests(Duration time)
+    {
+        uint64_t requests = 0;
+        const TimePoint until = Clock::now() + time;
+        while (Clock::now() < until) {
+            m_busy.post([this] { takeRequest(); });
+            ++requests;
+            std::this_thread::sleep_for(RequestPeriod);
+        }
+        return requests;
+    }
+
     void takeRequest()
     {
         RelayNode &node = *m_nodes.front();
