A busy thread takes all connections that wait, not one in each round of its fibers

Cause: the accept loop took one connection each time that its fiber ran. When the processor is busy with other requests that is once in 15 to 40 ms (lag_ms), so at most 25 to 70 connections a second are taken of the 130 and more that come, and callers leave after one second.

The loop now also takes what waits, 64 at most before other fibers run.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -32,6 +32,8 @@
 constexpr unsigned StatusUnavailable = 503;
 constexpr int ListenBacklog = 1024;
 constexpr Millis AcceptRetryDelay{ 20 };
+/// Connections accepted in a row before other fibers run.
+constexpr size_t MaxAcceptsInARow = 64;
 /// Readiness is asked for once a second: a refusal must still be known then.
 constexpr Millis RefusalKnown{ 1'000 };
 
@@ -110,7 +112,7 @@
     bool hasRoom() const { return m_connections < m_limits.m_connections || !m_idle.empty(); }
     bool closeLongestIdle();
     bool awaitRoom();
-    void acceptArrived();
+    void acceptArrived(size_t most);
     void spawnServe(Socket socket);
     void serve(Socket socket);
     bool awaitNext(FiberSocket &stream, beast::flat_buffer &buffer);
@@ -408,6 +410,8 @@
         if (!awaitRoom())
             return;
         spawnServe(std::move(socket));
+        // A busy thread comes back here late, and callers wait for one second only.
+        acceptArrived(MaxAcceptsInARow);
     }
 }
 
@@ -420,12 +424,12 @@
     });
 }
 
-/// Takes the connections that wait to be accepted, as closing the acceptor would reset them.
-void HttpServer::State::acceptArrived()
+/// Takes connections that wait to be accepted, at most @p most and as far as there is room.
+void HttpServer::State::acceptArrived(size_t most)
 {
     boost::system::error_code error;
     m_acceptor.non_blocking(true, error);
-    while (!error && m_connections < m_limits.m_connections) {
+    for (; !error && most > 0 && m_connections < m_limits.m_connections; --most) {
         Socket socket(m_thread.context());
         m_acceptor.accept(socket, error);
         if (!error)
@@ -530,7 +534,8 @@
     m_state->m_draining = true;
     m_state->m_thread.post([state = m_state] {
         boost::system::error_code ignored;
-        state->acceptArrived();
+        // Closing the acceptor would reset them.
+        state->acceptArrived(state->m_limits.m_connections);
         state->m_acceptor.close(ignored);
         for (const auto &[place, stream] : state->m_idle)
             stream->cancel();
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -100,6 +100,32 @@
     });
 }
 
+/// Callers give up a connection that is not served after one second.
+TEST_F(HttpTest, ConnectionsThatArriveTogetherAreTakenInTimeByABusyThread)
+{
+    constexpr size_t Connections = 100;
+    constexpr Millis Work{ 20 };
+    serve([](HttpExchange &exchange) { exchange.respond({ 200, {}, "" }); });
+    std::atomic<bool> busy{ true };
+    m_serverThread.post([&] {
+        while (busy && sleepFor(m_serverThread.context(), Millis(0)))
+            std::this_thread::sleep_for(Work);
+    });
+    std::atomic<size_t> answered{ 0 };
+    for (size_t i = 0; i < Connections; ++i) {
+        m_clientThread.post([&] {
+            HttpConnection connection(m_clientThread.context());
+            if (connection.connect(m_address, Seconds(1))
+                && connection.send({ "GET", "/x", {}, "" }, Seconds(1))
+                && connection.readHeader(Seconds(1)))
+                ++answered;
+        });
+    }
+    std::this_thread::sleep_for(Millis(1'500));
+    EXPECT_EQ(answered, Connections);
+    busy = false;
+}
+
 TEST_F(HttpTest, HangupReachesTheHandler)
 {
     std::promise<void> hungUp;
