--- a/relay/load_exchange.cpp
+++ b/relay/load_exchange.cpp
@@ -22,14 +22,14 @@
 /// sets fields that are missing to these.
 std::string encodeLoad(const LoadMessage &message)
 {
-    static const msgpack::object_handle Defaults = [] {
+    static const msgpack::object_handle defaultMessage = [] {
         auto zone = std::make_unique<msgpack::zone>();
         const msgpack::object object(LoadMessage{}, *zone);
         return msgpack::object_handle(object, std::move(zone));
     }();
     msgpack::zone zone;
     msgpack::object object(message, zone);
-    const msgpack::object_array &defaults = Defaults.get().via.array;
+    const msgpack::object_array &defaults = defaultMessage.get().via.array;
     msgpack::object_array &fields = object.via.array;
     while (fields.size > MinFields && fields.ptr[fields.size - 1] == defaults.ptr[fields.size - 1])
         --fields.size;
