--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -428,7 +428,6 @@
 void HttpServer::State::acceptArrived(size_t most)
 {
     boost::system::error_code error;
-    m_acceptor.non_blocking(true, error);
     for (; !error && most > 0 && m_connections < m_limits.m_connections; --most) {
         Socket socket(m_thread.context());
         m_acceptor.accept(socket, error);
@@ -510,7 +509,8 @@
     if (acceptor.bind(*endpoint, error))
         return failed();
     boundSilence(acceptor.native_handle(), m_state->m_limits.m_silence);
-    if (acceptor.listen(ListenBacklog, error))
+    // For acceptArrived().
+    if (acceptor.non_blocking(true, error) || acceptor.listen(ListenBacklog, error))
         return failed();
     Address bound = address;
     bound.m_port = acceptor.local_endpoint().port();
