Log lines and a counter tell why a silent stream is cut

Callers saw streams reset, and 504s without a reason. Nothing told whether the endpoint of a cut stream answered others at that moment, how many endpoints were silent, or whether the configuration had changed during the request.

attempt silent says it for each silence, from the bytes that endpoints send to this VM and the first events that other VMs announce (policy/endpoint_activity; no decision uses it yet). A request whose deadline passes says so in its last line.

--- a/policy/policy.h
+++ b/policy/policy.h
@@ -17,6 +17,7 @@
 #include "policy/dispatch_queue.h"
 #include "policy/drain.h"
 #include "policy/ejection.h"
+#include "policy/endpoint_activity.h"
 #include "policy/endpoint_backoff.h"
 #include "policy/endpoint_directory.h"
 #include "policy/endpoint_ledger.h"
--- a/relay/absence_monitor.cpp
+++ b/relay/absence_monitor.cpp
@@ -54,6 +54,7 @@
     for (const EndpointRecord &endpoint : departed) {
         if (endpoint.m_draining)
             m_leaving.insert(endpoint.m_id);
+        forgetActivity(m_node.m_activity, endpoint.m_id);
         const auto address = parseAddress(endpoint.m_address);
         if (address && !m_node.acceptsWork(endpoint))
             m_node.m_pool.forget(*address);
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -294,9 +294,13 @@
     if (connection.silent())
         return failSilentConnection(connection, endpoint);
     const bool silent = error.m_code == ErrorCode::DeadlineExceeded;
+    if (silent && !m_forwarding)
+        logSilence(connection, endpoint);
     // Expiry of the request's deadline is not a failure of the endpoint.
-    if (silent && Clock::now() >= m_deadline)
+    if (silent && Clock::now() >= m_deadline) {
+        m_failureReason = "no answer by the deadline";
         return AttemptResult::Failed;
+    }
     if (!silent && !m_forwarding) {
         if (!connection.reused() && connection.lastReadAt() == TimePoint{})
             noteUnreached(endpoint, RefusalWeight);
@@ -306,6 +310,35 @@
     return failAttempt(endpoint, FailureWeight::Weak, silent ? "silent" : error.m_message);
 }
 
+void RelayRun::logSilence(const HttpConnection &connection, const EndpointRecord &endpoint) const
+{
+    const TimePoint now = Clock::now();
+    const Duration silence = now - std::max(connection.sentAt(), connection.lastReadAt());
+    const RelayViewPtr view = m_node.m_view.load();
+    const auto *pool = poolOf(*view, m_serviceId);
+    PoolActivity activity;
+    if (pool) {
+        // Of the last half only: an endpoint does not write to all of its streams at the same time.
+        activity = poolActivity(m_node.m_activity, *pool, m_node.m_ledger.loads(), m_node.m_origin,
+                                now - silence / 2);
+    }
+    m_node.m_metrics.m_silences.add();
+    DecisionLine("relay", "attempt silent")
+        .text("request", m_head.m_id.str())
+        .text("endpoint", endpoint.m_id.str())
+        .flag("answered", m_answeredAt != TimePoint{})
+        .number("silent_ms", std::chrono::duration_cast<Millis>(silence).count())
+        .flag("alive", activity.m_alive.count(endpoint.m_id) > 0)
+        .number("endpoints", pool ? static_cast<int64_t>(pool->size()) : 0)
+        .number("endpoints_alive", static_cast<int64_t>(activity.m_alive.size()))
+        .number("endpoints_silent", static_cast<int64_t>(activity.m_silent.size()))
+        .flag("may_retry", mayRetry())
+        .number("version", static_cast<int64_t>(m_view->m_proof.m_version))
+        .number("version_now", static_cast<int64_t>(view->m_proof.m_version))
+        .number("left_ms", std::chrono::duration_cast<Millis>(remainingTime()).count())
+        .write();
+}
+
 void RelayRun::noteBrokenResponse(const HttpConnection &connection, const EndpointRecord &endpoint)
 {
     if (m_clientDisconnected || m_node.m_stopping)
@@ -341,6 +374,7 @@
     if (!response)
         return failRead(connection, endpoint, response.error());
     m_node.m_path.noteReached(endpoint);
+    noteAlive(m_node.m_activity, endpoint.m_id, Clock::now());
     const ResponseHead head = m_node.m_dialect.m_readResponseHead(*response);
     const bool ours = head.m_id == m_head.m_id || (head.m_id.empty() && !reused);
     if (!ours)
@@ -469,6 +503,8 @@
                                          : "the stream ended inside an event");
             break;
         }
+        if (!m_forwarding)
+            noteAlive(m_node.m_activity, endpoint.m_id, Clock::now());
         events.feed(piece);
         std::string batch;
         const bool ordered = collectEvents(events, batch);
--- a/relay/relay_metrics.cpp
+++ b/relay/relay_metrics.cpp
@@ -18,6 +18,8 @@
                                         "Retries that the retry budget refused."))
     , m_ejections(registry.counter("stackquay_relay_ejections_total",
                                    "Ejections of endpoints after failures."))
+    , m_silences(registry.counter("stackquay_relay_silent_attempts_total",
+                                  "Attempts whose endpoint sent nothing for too long."))
     , m_reservations(registry.counter("stackquay_relay_reservations_total",
                                       "Reservations of memory that engines granted."))
     , m_reservationsRefused(registry.counter("stackquay_relay_reservations_refused_total",
--- a/relay/relay_metrics.h
+++ b/relay/relay_metrics.h
@@ -33,6 +33,7 @@
     Counter &m_repeats;
     Counter &m_repeatsRefused;
     Counter &m_ejections;
+    Counter &m_silences;
     Counter &m_reservations;
     Counter &m_reservationsRefused;
     Counter &m_processExits;
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -247,6 +247,7 @@
     for (const EndpointRecord &endpoint : restarted) {
         m_ledger.forgetEndpoint(endpoint.m_id);
         recordSuccess(m_ejections, endpoint.m_id);
+        forgetActivity(m_activity, endpoint.m_id);
         m_limiter.forget(endpoint.m_id);
         const auto address = parseAddress(endpoint.m_address);
         if (address)
@@ -413,8 +414,11 @@
 void RelayNode::recordResponse(const LoadKey &key)
 {
     const auto load = m_ledger.loads().find(key);
-    if (load != m_ledger.loads().end() && !load->second.m_parts.empty())
-        recordPeerSuccess(m_ejections, load->second.m_parts.front().m_endpoint);
+    if (load == m_ledger.loads().end() || load->second.m_parts.empty())
+        return;
+    const EndpointId &endpoint = load->second.m_parts.front().m_endpoint;
+    recordPeerSuccess(m_ejections, endpoint);
+    noteAlive(m_activity, endpoint, Clock::now());
 }
 
 void RelayNode::setRetryBounds(const RelayView &view)
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -48,6 +48,7 @@
     HttpPool m_pool;
     StreamLedger m_ledger;
     EjectionTable m_ejections;
+    EndpointActivity m_activity;
     GangSettings m_gang;
     DispatchSettings m_turns;
     DispatchQueue m_strictQueue; ///< Streams with a strict gap limit that wait for a slot.
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -205,6 +205,8 @@
     /// Handles an endpoint that did not answer, or stopped during its response.
     AttemptResult failRead(const HttpConnection &connection, const EndpointRecord &endpoint,
                            const Error &error);
+    /// Logs that an attempt is silent, and whether the other endpoints of the service are, too.
+    void logSilence(const HttpConnection &connection, const EndpointRecord &endpoint) const;
     /// Handles a broken response of @p endpoint: checks whether the process of an endpoint of the
     /// attempt has exited, and reports to the other VMs.
     void noteBrokenResponse(const HttpConnection &connection, const EndpointRecord &endpoint);
