Tests: repeats of silent attempts, and clients that leave during a pause

These hold what a change of the handling of silent attempts must keep: a stream whose engine stays silent is resumed at another within the client's patience of 2 s, and the silent run is cancelled; answers of two runs are not mixed where one endpoint, or both, go on after 1.3 s; and all runs end within 500 ms of the client's departure or of the answer's end.

--- a/tests/platform/paused_endpoints_test.cpp
+++ b/tests/platform/paused_endpoints_test.cpp
@@ -124,6 +124,27 @@
     }
 
     uint32_t m_events = 80; ///< Of each stream.
+    /// The engine that has the only run.
+    size_t runningEngine() const
+    {
+        for (size_t i = 0; i < m_deployment.m_workers.size(); ++i) {
+            if (!(**m_deployment.m_workers[i]).runs().empty())
+                return i;
+        }
+        ADD_FAILURE() << "no run";
+        return 0;
+    }
+
+    /// Whether no run goes on, and all but @p whole of them were cancelled.
+    bool othersCancelled(size_t whole) const
+    {
+        const std::vector<WorkerRun> all = runs();
+        const auto ended = [](const WorkerRun &run) { return run.m_until != TimePoint{}; };
+        const auto cancelled = [](const WorkerRun &run) { return run.m_cancelled; };
+        return std::all_of(all.begin(), all.end(), ended)
+               && std::count_if(all.begin(), all.end(), cancelled) + whole == all.size();
+    }
+
     Deployment m_deployment;
     std::vector<std::future<ClientAnswer>> m_answers;
 };
@@ -182,5 +203,78 @@
     EXPECT_EQ(m_deployment.m_daemons[0]->node().m_view.load()->m_routes->m_version, 2u);
 }
 
+// A repeat that waits for an endpoint to speak again would leave the client without events.
+TEST_F(PausedEndpointsTest, StreamIsResumedElsewhereWhileItsEndpointStaysSilent)
+{
+    m_events = 10;
+    start(1, 3);
+    for (size_t i = 0; i < 3; ++i)
+        worker(i).setMode(WorkerMode::SilentMidway);
+    beginStreams(1);
+    const size_t silent = runningEngine();
+    for (size_t i = 0; i < 3; ++i) {
+        if (i != silent)
+            worker(i).setMode(WorkerMode::Serve);
+    }
+    const ClientAnswer answer = m_answers[0].get();
+    EXPECT_TRUE(answer.m_whole);
+    EXPECT_EQ(answer.m_body, eventsText(1, m_events));
+    EXPECT_LT(answer.m_took, ClientPatience);
+    EXPECT_EQ(m_deployment.totalRuns(), 2u);
+    EXPECT_TRUE(eventually([&] { return worker(silent).runs().at(0).m_cancelled; }, CancelTime));
+    EXPECT_TRUE(eventually([&] { return othersCancelled(1); }, CancelTime));
+}
+
+// The client would get events twice, or engines would go on with work for nobody.
+TEST_F(PausedEndpointsTest, AnswersOfTwoRunsAreNotMixedWhereASilentEndpointGoesOn)
+{
+    start(1, 2);
+    beginStreams(1);
+    awaitFirstEvents();
+    WorkerStandin &paused = worker(runningEngine());
+    paused.setPaused(true);
+    std::this_thread::sleep_for(Pause);
+    paused.setPaused(false);
+    expectWholeAnswers();
+    EXPECT_TRUE(eventually([&] { return othersCancelled(1); }, CancelTime));
+}
+
+// The same where the endpoints of both attempts go on at the same time.
+TEST_F(PausedEndpointsTest, AnswersOfTwoRunsAreNotMixedWhereBothEndpointsGoOn)
+{
+    constexpr size_t Streams = 8;
+    start(1, 6);
+    beginStreams(Streams);
+    awaitFirstEvents();
+    pauseAll();
+    expectWholeAnswers();
+    EXPECT_TRUE(eventually([&] { return othersCancelled(Streams); }, CancelTime));
+}
+
+// Engines would go on with work for a client that has left.
+TEST_F(PausedEndpointsTest, ClientThatLeavesEndsBothAttempts)
+{
+    constexpr Millis LeaveAfter{ 1'600 };
+    start(1, 4, 2);
+    ClientRequest stream = streamRequest("/slow/x");
+    stream.m_leaveAfter = LeaveAfter;
+    begin(stream);
+    awaitRuns();
+    awaitFirstEvents();
+    setPaused(true);
+    begin(stream);
+    ClientRequest safe;
+    safe.m_leaveAfter = LeaveAfter;
+    begin(safe);
+    const TimePoint leftAt = Clock::now() + LeaveAfter;
+    awaitRuns();
+    EXPECT_FALSE(othersCancelled(0));
+    EXPECT_TRUE(eventually([&] { return othersCancelled(0); }, leftAt + CancelTime - Clock::now()));
+    std::cout << fmt::format("[ MEASURED ] runs for 3 requests: {}\n", m_deployment.totalRuns());
+    for (auto &answer : m_answers)
+        EXPECT_FALSE(answer.get().m_whole);
+    EXPECT_TRUE(othersCancelled(0)); // Nothing was sent after they left.
+}
+
 } // namespace
 } // namespace stackquay::platform
