A stream leaves a silent engine only for a retry that is granted

What callers saw: while all engines stood still for longer than the idle timeout and two attempts to resume, streams ended with 502 "answer_cut" though their engines went on before the deadline.

Cause: the attempt was cancelled at its engine first, and only then was it asked whether the request may be retried. Requests that may not be repeated, and those beyond the retry budget, lost their answer for nothing; with one engine left there was no other to go to.

Now a stream whose last failure was a timeout goes on trying to resume until a retry is granted, the unit of the budget being taken at that time, and another engine is left. A closed or refused connection, and an engine that does not know the attempt any more, end it as before.

What it costs: a stream of an engine whose host is gone for good, which may not be retried, ends at its deadline, no longer 14 s after its last token (at the default idle timeout). What remains: once the retry is granted the old attempt is cancelled before the new one has a place.

--- a/entry/completion_run.cpp
+++ b/entry/completion_run.cpp
@@ -1,6 +1,7 @@
 #include "entry/completion_run.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -249,6 +250,7 @@
         m_attempts.push_back({ 1, EndpointReply::Nothing, true });
     if (checkShutdown(error) || deadlinePassed())
         return handleDeadline();
+    m_engineSilent = error.m_code == ErrorCode::DeadlineExceeded;
     log(LogPart::Entry)
         .info("Engine stream was interrupted. request={} engine={} at={} error={}",
               m_admitted.m_context.m_id.str(), m_placement->m_endpoint.str(), m_position,
@@ -310,8 +312,9 @@
         m_excluded.push_back(m_placement->m_endpoint);
         return RequestEvent::Gone;
     };
-    while (m_resumeAttempts < node.m_settings.m_maxResumeAttempts && !m_clientDisconnected
-           && !deadlinePassed()) {
+    while (!m_clientDisconnected && !deadlinePassed()) {
+        if (m_resumeAttempts >= node.m_settings.m_maxResumeAttempts && mayLeaveEngine())
+            return excludeEngine();
         ++m_resumeAttempts;
         node.m_entryMetrics.countResume();
         const Status resumed = m_stream->resume(timeout(node.m_settings.m_connectTimeout));
@@ -321,6 +324,7 @@
             return RequestEvent::HungUp;
         if (checkShutdown(resumed.error()))
             return handleDeadline();
+        m_engineSilent = resumed.error().m_code == ErrorCode::DeadlineExceeded;
         if (resumed.error().m_code == ErrorCode::NotFound) {
             m_mayBeRunning = false;
             return excludeEngine();
@@ -329,27 +333,56 @@
     return excludeEngine();
 }
 
+bool CompletionRun::mayLeaveEngine()
+{
+    if (!m_engineSilent)
+        return true;
+    const auto isOther = [this](const EndpointRoute &endpoint) {
+        return !endpoint.m_draining && endpoint.m_id != m_placement->m_endpoint
+               && std::find(m_excluded.begin(), m_excluded.end(), endpoint.m_id)
+                      == m_excluded.end();
+    };
+    if (std::none_of(m_route->m_endpoints.begin(), m_route->m_endpoints.end(), isOther))
+        return false;
+    const RetryQuery query = retryQuery();
+    if (m_worker.node().m_admission.mayRetry(query, Clock::now()) != RetryDecision::Retry)
+        return false;
+    m_grantedBackoff = query.m_backoff;
+    return true;
+}
+
+RetryQuery CompletionRun::retryQuery()
+{
+    const AdmissionGate &admission = m_worker.node().m_admission;
+    RetryQuery query;
+    query.m_customer = m_admitted.m_context.m_customer->m_id;
+    query.m_outcome = requestOutcome(m_attempts);
+    query.m_repeatable = m_admitted.m_context.m_repeatable;
+    query.m_anyByteSent = !nothingRan();
+    query.m_lastByteSent = attemptOutcome(m_attempts.back()) != Outcome::RefusedNotRun;
+    query.m_attemptsMade = static_cast<uint32_t>(m_attempts.size());
+    query.m_deadline = m_admitted.m_deadline;
+    query.m_backoff = admission.backoff(query.m_attemptsMade, m_worker.random());
+    return query;
+}
+
 RequestEvent CompletionRun::backOff()
 {
     Node &node = m_worker.node();
-    RetryQuery question;
-    question.m_customer = m_admitted.m_context.m_customer->m_id;
-    question.m_outcome = requestOutcome(m_attempts);
-    question.m_repeatable = m_admitted.m_context.m_repeatable;
-    question.m_anyByteSent = !nothingRan();
-    question.m_lastByteSent = attemptOutcome(m_attempts.back()) != Outcome::RefusedNotRun;
-    question.m_attemptsMade = static_cast<uint32_t>(m_attempts.size());
-    question.m_deadline = m_admitted.m_deadline;
-    question.m_backoff = node.m_admission.backoff(question.m_attemptsMade, m_worker.random());
-    const RetryDecision decision = node.m_admission.mayRetry(question, Clock::now());
-    if (decision != RetryDecision::Retry) {
-        log(LogPart::Entry)
-            .info("Request is not retried. request={} decision={}", m_admitted.m_context.m_id.str(),
-                  retryDecisionName(decision));
-        return RequestEvent::GiveUp;
+    std::optional<Duration> backoff = std::exchange(m_grantedBackoff, std::nullopt);
+    if (!backoff) {
+        const RetryQuery query = retryQuery();
+        const RetryDecision decision = node.m_admission.mayRetry(query, Clock::now());
+        if (decision != RetryDecision::Retry) {
+            log(LogPart::Entry)
+                .info("Request is not retried. request={} decision={}",
+                      m_admitted.m_context.m_id.str(), retryDecisionName(decision));
+            return RequestEvent::GiveUp;
+        }
+        backoff = query.m_backoff;
     }
     node.m_entryMetrics.countRetry();
-    if (!sleepFor(m_worker.thread().context(), question.m_backoff)) {
+    if (!sleepFor(m_worker.thread().context(), *backoff)) {
         fail(RequestError::ShuttingDown, "this VM is shutting down");
         return RequestEvent::GiveUp;
     }
--- a/entry/completion_run.h
+++ b/entry/completion_run.h
@@ -58,6 +58,10 @@
     bool forwardTokens(const TokenFrame &frame);
     RequestEvent finish(const FinalFrame &frame);
     void noteFirstToken();
+    /// Whether to leave an engine whose stream could not be resumed. One that is only silent may go
+    /// on, so it is left only for a retry that is granted, to another engine.
+    bool mayLeaveEngine();
+    RetryQuery retryQuery();
     /// Returns whether @p error means that the process shuts down, and records that.
     bool checkShutdown(const Error &error);
     void markRunning(const AttemptId &attempt);
@@ -91,6 +95,8 @@
     uint64_t m_position = 0; ///< Output tokens sent to the client or waiting for the next flush.
     uint64_t m_prefilled = 0; ///< Prompt tokens in the engine's cache.
     uint32_t m_resumeAttempts = 0; ///< Of the current attempt since its last frame.
+    bool m_engineSilent = false; ///< The last failure of the stream was a timeout.
+    std::optional<Duration> m_grantedBackoff; ///< Before a retry that was granted in advance.
     RequestError m_deadlineError = RequestError::DeadlineExceeded; ///< See handleDeadline().
     bool m_firstToken = false;
     bool m_clientDisconnected = false;
--- a/entry/node.h
+++ b/entry/node.h
@@ -17,10 +17,13 @@
     DataCentreId m_dataCentre;
     RoutingPolicy m_policy = RoutingPolicy::Steward;
     DeadlineSettings m_deadlines;
-    /// After the first token, an engine that sends nothing for this long is considered dead.
+    /// After the first token, a stream that brings nothing for this long is resumed on a new
+    /// connection.
     Millis m_streamIdleTimeout{ 10'000 };
     Millis m_connectTimeout{ 2'000 };
-    uint32_t m_maxResumeAttempts = 2; ///< Then the request is retried on another engine.
+    /// Then the request is retried on another engine. It stays with a silent one until a retry is
+    /// granted.
+    uint32_t m_maxResumeAttempts = 2;
     DrainPlan m_drain; ///< Durations only; the start of the drain is in Node.
 };
 
