Tests: engines whose streams all fail at one moment are ejected for a minute

What callers of the native daemon would see: after one event that ends the streams of all engines, such as a cut between them and the VMs, the steward grants no engine for up to a minute.

Cause: noteFailure() counts failures of an endpoint that is ejected already, and each third one doubles the ejection; and the steward, unlike the local policies, uses no ejected endpoint when all are. One cause is counted as often as there were streams, and for each engine.

Evidence: with 30 streams on each of 4 engines, all failed at once, the first grant comes after 60 s (the longest ejection), where one ejection lasts 2 s.

--- a/tests/policy/steward_test.cpp
+++ b/tests/policy/steward_test.cpp
@@ -299,5 +299,31 @@
     }
 }
 
+// All streams of all engines failed at one moment, as after a cut between them and the VMs: each
+// failure beyond the third doubled the ejection, and no engine was granted for a minute.
+TEST_F(StewardTest, EnginesThatFailTogetherAreNotAllEjectedForLong)
+{
+    constexpr int Engines = 4;
+    constexpr int StreamsOfEach = 30;
+    m_settings.m_capacity = { 1'000'000, 64, 64, 0, 3, Duration::zero() };
+    m_steward = makeSteward("vm1:1", m_settings);
+    addEndpoints(Engines);
+    std::vector<GrantId> grants;
+    for (int i = 0; i < Engines * StreamsOfEach; ++i) {
+        const auto granted = ask(request(i));
+        ASSERT_EQ(granted.m_answer, GrantAnswer::Granted);
+        grants.push_back(granted.m_grant.m_id);
+    }
+    for (const GrantId &grant : grants)
+        finish(grant, AttemptEnd::Failed);
+    const TimePoint failed = m_now;
+    auto next = request(1'000);
+    next.m_mayWait = false;
+    next.m_deadline = m_now + Seconds(180);
+    while (m_now < failed + Seconds(120) && ask(next).m_answer != GrantAnswer::Granted)
+        m_now += Millis(100);
+    EXPECT_LE(m_now - failed, m_settings.m_ejection.m_base);
+}
+
 } // namespace
 } // namespace stackquay
