Tests: a prompt that holds memory is abandoned in a pause of all engines

What callers saw in the test: 502 "the endpoint has gone" for a prompt of 250,000 tokens, 9 s before its deadline, after all engines had stood still for 1.3 s.

Cause: an attempt that holds memory on other engines is abandoned after 1 s of silence and two failed probes of 200 ms. A prompt that is being read is silent for seconds anyway, so about 0.5 s of a pause are enough. Whether another attempt is allowed or can be placed is not asked, and each engine is ejected by itself, though none of them answers.

--- a/tests/platform/gone_test.cpp
+++ b/tests/platform/gone_test.cpp
@@ -17,9 +17,16 @@
 class GoneTest : public RelayedTest
 {
 protected:
-    void start(size_t workers, const std::string &service, bool behindRelay = false)
+    /// As "/long/", with a timeout that outlasts pauses.
+    static constexpr const char *SlowRoute =
+        R"(,{"name":"slow","host":"host.example","pathPrefix":"/slow/",)"
+        R"("kind":"stream","timeoutMs":12000,"aimMs":200,"maxAttempts":2,)"
+        R"("priority":1,"service":"model","resumable":true,"gapAimMs":1000})";
+
+    void start(size_t workers, const std::string &service, bool behindRelay = false,
+               const std::string &extraRoutes = "")
     {
-        m_deployment.declare(1);
+        m_deployment.declare(1, extraRoutes);
         for (size_t i = 0; i < workers; ++i) {
             HostedWorker &worker = m_deployment.addWorker(service);
             if (behindRelay)
@@ -300,14 +307,7 @@
 TEST_F(GoneTest, MemoryIsReleasedInTimeWhileTheSilentEngineIsStillListed)
 {
     forbidRetries();
-    const std::string slow = R"(,{"name":"slow","host":"host.example","pathPrefix":"/slow/",)"
-                             R"("kind":"stream","timeoutMs":12000,"aimMs":200,"maxAttempts":2,)"
-                             R"("priority":1,"service":"model","resumable":true,"gapAimMs":1000})";
-    m_deployment.declare(1, slow);
-    for (size_t i = 0; i < 6; ++i)
-        m_deployment.addWorker("model");
-    m_deployment.addDaemon();
-    ASSERT_TRUE(m_deployment.awaitReady());
+    start(6, "model", false, SlowRoute);
     setModes(WorkerMode::Silent);
     ClientRequest request = streamRequest("/slow/x", 250'000);
     request.m_deadline = Seconds(12);
@@ -321,6 +321,31 @@
     EXPECT_EQ(answer.get().m_status, 502u);
 }
 
+// A prompt that others hold memory for lost its answer in a pause of all engines: probes of 200 ms
+// failed twice, and it was abandoned while no other attempt was allowed.
+TEST_F(GoneTest, AttemptThatHoldsMemoryIsNotAbandonedInAPauseOfAllEngines)
+{
+    constexpr Millis PauseAfterProbe{ 500 };
+    constexpr Millis Pause{ 1'300 };
+    forbidRetries();
+    start(6, "model", true, SlowRoute);
+    for (size_t i = 0; i < m_deployment.m_workers.size(); ++i)
+        worker(i).setEvents(1, Millis(3'000));
+    ClientRequest request = streamRequest("/slow/x", 250'000);
+    request.m_deadline = Seconds(12);
+    auto answer = m_deployment.begin(request);
+    const size_t first = awaitArrival();
+    ASSERT_FALSE(allReleased());
+    ASSERT_TRUE(eventually([&] { return worker(first).reports() > 0; }));
+    std::this_thread::sleep_for(PauseAfterProbe);
+    m_relay.setFault({ standin::RelayMode::Pause });
+    std::this_thread::sleep_for(Pause);
+    m_relay.setFault({ standin::RelayMode::Pass });
+    const ClientAnswer whole = answer.get();
+    EXPECT_EQ(whole.m_status, 200u) << whole.m_body;
+    EXPECT_EQ(whole.m_body, eventsText(1, 1));
+}
+
 // Users' callers got 502 within milliseconds, with seconds left: both attempts of a request went
 // across the same cut, which resets the connections to all endpoints of a data centre.
 TEST_F(GoneTest, RequestIsNotRepeatedAcrossTheCutThatEndedIt)
