The fault soak pauses endpoints of a service across a change of configuration

In an incident all engines of a service stood still for about a second while a configuration changed, and the daemons cut the streams in progress. No fault of the soak did this: its links pause one worker, and its crashes end workers. Each run now gets 1 to 3 pauses of 700 to 1,400 ms of all workers of a service, or 60% of them, each with a changed route, key or settings file during it or up to 300 ms before.

--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -402,6 +402,8 @@
         applyStore(fault);
     else if (fault.m_kind <= FaultKind::WorkerSwap)
         applyWorker(fault);
+    else if (fault.m_kind == FaultKind::EndpointsPause)
+        pauseWorkers(fault);
     else
         changeConfiguration(fault, traffic);
 }
@@ -511,6 +513,29 @@
     later(fault.m_length, [this, &slot] { startWorker(slot, slot.m_service); });
 }
 
+void Fleet::pauseWorkers(const Fault &fault)
+{
+    constexpr size_t Percent = 100;
+    std::vector<Slot *> serving;
+    for (const auto &slot : m_slots) {
+        if (slot->m_worker && slot->m_service == fault.m_service)
+            serving.push_back(slot.get());
+    }
+    const size_t count = (serving.size() * fault.m_percent + Percent - 1) / Percent;
+    for (size_t i = 0; i < count; ++i)
+        pauseWorker(fault, *serving[(fault.m_subject + i) % serving.size()]);
+}
+
+void Fleet::pauseWorker(const Fault &fault, Slot &slot)
+{
+    disrupt(Place::WorkerPause, slot.m_index, fault);
+    slot.m_worker->m_standin.setPaused(true);
+    later(fault.m_length, [&slot, worker = slot.m_id] {
+        if (slot.m_worker && slot.m_id == worker)
+            slot.m_worker->m_standin.setPaused(false);
+    });
+}
+
 void Fleet::applyProcess(const Fault &fault)
 {
     const size_t vm = fault.m_subject;
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -60,6 +60,8 @@
     void applyWorker(const Fault &fault);
     void crash(const Fault &fault, Slot &slot, const std::string &serviceAfter);
     void leave(const Fault &fault, Slot &slot);
+    void pauseWorkers(const Fault &fault);
+    void pauseWorker(const Fault &fault, Slot &slot);
     void swapWorkers(const Fault &fault);
     void applyProcess(const Fault &fault);
     void changeSettings(const Fault &fault);
--- a/tests/soak/observations.h
+++ b/tests/soak/observations.h
@@ -83,6 +83,7 @@
     Vm,
     StoreLink, ///< Of a VM.
     Worker, ///< By slot.
+    WorkerPause, ///< By slot: it delays answers and breaks none off.
     Store,
 };
 
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -52,6 +52,8 @@
     { FaultKind::WorkerSwap, "workers swap addresses", false, 1, Millis(2'500), Millis(4'000) },
     { FaultKind::Route, "route moves", true, 3, Millis(0), Millis(0) },
     { FaultKind::Key, "key replaced", true, 2, Millis(0), Millis(0) },
+    // Drawn apart, by addPauses().
+    { FaultKind::EndpointsPause, "endpoints pause", false, 0, Millis(700), Millis(1'400) },
 };
 
 static_assert(std::size(Kinds) == static_cast<size_t>(FaultKind::Last) + 1);
@@ -116,6 +118,53 @@
     return fault;
 }
 
+Fault drawPause(RandomEngine &random, Millis least, Millis most)
+{
+    constexpr uint64_t PlainOneIn = 4;
+    constexpr uint64_t ShareOneIn = 3;
+    constexpr unsigned Share = 60;
+    const KindRow &row = rowOf(FaultKind::EndpointsPause);
+    Fault fault;
+    fault.m_at = drawTime(random, least, most);
+    fault.m_kind = row.m_kind;
+    fault.m_length = drawTime(random, row.m_shortest, row.m_longest);
+    fault.m_subject = drawUpTo(random, Workers - 1);
+    fault.m_service = drawUpTo(random, PlainOneIn - 1) == 0 ? "plain" : "model";
+    if (drawUpTo(random, ShareOneIn - 1) == 0)
+        fault.m_percent = Share;
+    return fault;
+}
+
+/// During the pause or just before it.
+Fault drawChange(RandomEngine &random, const Fault &pause, size_t vms)
+{
+    constexpr FaultKind Changes[] = { FaultKind::Route, FaultKind::Key, FaultKind::Settings };
+    constexpr Millis JustBefore{ 300 };
+    Fault fault;
+    fault.m_at = drawTime(random, pause.m_at - JustBefore, pause.end());
+    fault.m_kind = Changes[drawUpTo(random, std::size(Changes) - 1)];
+    fault.m_subject = drawUpTo(random, vms - 1);
+    return fault;
+}
+
+/// Draws from a generator of their own, so that the other faults of a seed stay what they were
+/// before pauses were added.
+void addPauses(Schedule &schedule)
+{
+    constexpr uint64_t OtherStream = 0x9e37'79b9'7f4a'7c15;
+    constexpr uint64_t MostPauses = 3;
+    RandomEngine random(schedule.m_seed ^ OtherStream);
+    const uint64_t pauses = 1 + drawUpTo(random, MostPauses - 1);
+    const Millis longest = rowOf(FaultKind::EndpointsPause).m_longest;
+    const Millis part = (schedule.m_calmFrom - FirstFault) / pauses;
+    for (uint64_t i = 0; i < pauses; ++i) {
+        const Millis from = FirstFault + part * i;
+        const Fault pause = drawPause(random, from, from + part - longest);
+        schedule.m_faults.push_back(drawChange(random, pause, schedule.m_vms));
+        schedule.m_faults.push_back(pause);
+    }
+}
+
 std::string_view wayName(RelayWay way)
 {
     return way == RelayWay::ToTarget ? "to the target" : "from the target";
@@ -159,6 +208,7 @@
         if (fault.end() <= schedule.m_calmFrom)
             schedule.m_faults.push_back(fault);
     }
+    addPauses(schedule);
     std::stable_sort(schedule.m_faults.begin(), schedule.m_faults.end(),
                      [](const Fault &a, const Fault &b) { return a.m_at < b.m_at; });
     return schedule;
@@ -169,6 +219,8 @@
     std::string text =
         fmt::format("{:>6} ms {:<22} {} for {} ms", fault.m_at.count(), rowOf(fault.m_kind).m_name,
                     fault.m_subject, fault.m_length.count());
+    if (fault.m_kind == FaultKind::EndpointsPause)
+        text += fmt::format(", {}% of {}", fault.m_percent, fault.m_service);
     if (!isLink(fault.m_kind))
         return text;
     text += fmt::format(", {}", standin::relayModeName(fault.m_link.m_mode));
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -31,7 +31,8 @@
     WorkerSwap, ///< Two of different services crash and return at each other's address.
     Route, ///< A configuration in which a route goes to another service.
     Key, ///< A configuration that replaces a key.
-    Last = Key,
+    EndpointsPause, ///< Workers of one service stand still, then go on where they stood.
+    Last = EndpointsPause,
 };
 
 struct Fault {
@@ -40,6 +41,8 @@
     FaultKind m_kind = FaultKind::ClientLink;
     size_t m_subject = 0; ///< The VM or worker, by index.
     standin::RelayFault m_link; ///< For faults of links.
+    std::string m_service; ///< Whose workers pause.
+    unsigned m_percent = 100; ///< Of the workers that pause.
 
     Millis end() const { return m_at + m_length; }
 };
@@ -49,7 +52,8 @@
     size_t m_vms = 0;
     Millis m_length{ 0 };
     Millis m_calmFrom{ 0 }; ///< No fault reaches beyond.
-    bool m_plannedOnly = false; ///< Only what operators and endpoints do on purpose.
+    /// Only what operators and endpoints do on purpose, and pauses, which excuse no lost request.
+    bool m_plannedOnly = false;
     size_t m_keepers = 0; ///< Connections that clients keep using, for each VM.
     std::vector<Fault> m_faults; ///< By time.
 };
--- a/tests/soak/self_check_test.cpp
+++ b/tests/soak/self_check_test.cpp
@@ -102,6 +102,33 @@
     EXPECT_GT(countOf(judgeTraffic(m_ready.address()), "LOST"), 0u);
 }
 
+TEST_F(SelfCheckTest, WorkerThatPausesIsNotBlamedAndDelaysItsAnswers)
+{
+    constexpr Millis Pause{ 1'400 };
+    startWorker(WorkerMode::Serve);
+    TimePoint paused;
+    TimePoint resumed;
+    std::thread operation([&] {
+        std::this_thread::sleep_for(Seconds(2));
+        m_worker->setPaused(true);
+        paused = Clock::now();
+        std::this_thread::sleep_for(Pause);
+        resumed = Clock::now();
+        m_worker->setPaused(false);
+    });
+    const auto found = judgeTraffic(m_worker.address());
+    operation.join();
+    for (const char *rule : { "LOST", "TWICE", "REFUSED", "MIXED" })
+        EXPECT_EQ(countOf(found, rule), 0u) << rule;
+    constexpr Millis InProgress{ 50 }; // An answer may have passed the check before the pause.
+    size_t taken = 0;
+    for (const WorkerRun &run : m_worker->runs()) {
+        taken += run.m_from > paused && run.m_from < resumed ? 1 : 0;
+        EXPECT_FALSE(run.m_until > paused + InProgress && run.m_until < resumed);
+    }
+    EXPECT_GT(taken, 0u);
+}
+
 TEST_F(SelfCheckTest, WorkerThatRunsTwiceIsReported)
 {
     startWorker(WorkerMode::RunsTwice);
