The soak's judge takes no pause of a worker as an excuse

A pause delays answers and breaks none off: a request that a daemon cuts during or after one, before its deadline, is LOST, and the line says when its worker paused. Only where the pause alone put the answer beyond the grace of a daemon that was told to stop is the cut allowed: without the pause it would have been whole by then, and the daemon waited until the end of its grace.

--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include "tests/soak/traffic.h"
+
 namespace stackquay::soak {
 
 namespace {
@@ -85,6 +87,55 @@
     });
 }
 
+struct Span {
+    Millis m_from;
+    Millis m_until;
+};
+
+/// When the workers that ran a request stood still during its runs.
+std::vector<Span> pausesOf(const Evidence &evidence, const SentRequest &request)
+{
+    std::vector<Span> pauses;
+    for (const SeenRun *run : evidence.runsOf(request.m_id)) {
+        const Millis until = std::min(run->m_until.value_or(request.m_ended), request.m_ended);
+        for (const Disruption &one : evidence.m_seen.m_disruptions) {
+            const Span span{ std::max(one.m_from, run->m_from), std::min(one.m_until, until) };
+            if (one.m_place == Place::WorkerPause && one.m_subject == run->m_slot
+                && span.m_from < span.m_until)
+                pauses.push_back(span);
+        }
+    }
+    return pauses;
+}
+
+/// Whether a pause alone put the answer beyond the grace of a daemon that was told to stop: it
+/// would have been whole in time, and the daemon waited for it until it had to abort it.
+bool pausedBeyondGrace(const Evidence &evidence, const SentRequest &request)
+{
+    constexpr Millis GraceReserve{ 1'000 }; ///< A daemon may need this to exit.
+    const auto stop = stopAround(evidence, request);
+    const std::vector<Span> pauses = pausesOf(evidence, request);
+    if (!stop || pauses.empty()
+        || request.m_ended < *stop + evidence.m_bounds.m_grace - GraceReserve)
+        return false;
+    const PathWork work = workOf(request.m_path);
+    Millis whole =
+        evidence.runsOf(request.m_id).front()->m_from + work.m_delay + work.m_gap * work.m_events;
+    const bool inTime = whole <= request.m_ended;
+    for (const Span &pause : pauses)
+        whole += pause.m_until - pause.m_from;
+    return inTime && whole + evidence.m_bounds.m_lossSlack >= request.m_ended;
+}
+
+std::string describePauses(const Evidence &evidence, const SentRequest &request)
+{
+    std::string text;
+    for (const Span &pause : pausesOf(evidence, request))
+        text += fmt::format(", its worker paused from {} to {} ms", pause.m_from.count(),
+                            pause.m_until.count());
+    return text;
+}
+
 void checkLost(const Evidence &evidence, Found &found)
 {
     const Bounds &bounds = evidence.m_bounds;
@@ -98,7 +149,7 @@
             request.m_ended >= request.m_begun + request.m_deadline
             || evidence.disrupted(Place::Vm, request.m_vm, request.m_begun - bounds.m_contact,
                                   request.m_ended, false)
-            || workerBrokeOff(evidence, request);
+            || workerBrokeOff(evidence, request) || pausedBeyondGrace(evidence, request);
         if (crossed || excused)
             continue;
         const auto stop = stopAround(evidence, request);
@@ -106,7 +157,10 @@
             stop ? fmt::format("sent {} ms and cut {} ms after SIGTERM",
                                (*request.m_sent - *stop).count(), (request.m_ended - *stop).count())
                  : "beside no SIGTERM";
-        add(found, request, "read, and ended without a complete answer, " + when, evidence);
+        add(found, request,
+            "read, and ended without a complete answer, " + when
+                + describePauses(evidence, request),
+            evidence);
     }
 }
 
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -139,6 +139,64 @@
     EXPECT_EQ(rules(), "");
 }
 
+TEST_F(JudgeTest, ReportsAStreamCutByADaemonDuringOrAfterAPause)
+{
+    addServed("request-1", Seconds(5), Traffic::Once);
+    request().m_whole = false;
+    request().m_answer = streamText(2);
+    run().m_until = request().m_ended;
+    EXPECT_EQ(rules(), "LOST");
+    m_seen.m_disruptions.push_back(
+        { Place::WorkerPause, 1, Millis(5'100), Millis(6'200), false, "endpoints pause" });
+    EXPECT_EQ(rules(), "LOST");
+    EXPECT_NE(toString(judge(m_seen)[0]).find("its worker paused from 5100 to 5500 ms"),
+              std::string::npos);
+    m_seen.m_disruptions.back().m_until = Millis(5'300);
+    EXPECT_EQ(rules(), "LOST");
+    request().m_status = 0; // Cut before the head.
+    request().m_answer.clear();
+    EXPECT_EQ(rules(), "LOST");
+}
+
+TEST_F(JudgeTest, AllowsAClientThatLeavesAPausedStream)
+{
+    addServed("request-1", Seconds(5), Traffic::Once);
+    request().m_whole = false;
+    request().m_answer = streamText(2);
+    m_seen.m_disruptions.push_back(
+        { Place::WorkerPause, 1, Millis(5'100), Millis(6'200), false, "endpoints pause" });
+    request().m_gaveUp = true;
+    EXPECT_EQ(rules(), "");
+    request().m_gaveUp = false;
+    request().m_deadline = Millis(500);
+    EXPECT_EQ(rules(), "");
+}
+
+TEST_F(JudgeTest, AllowsOnlyAPauseThatAnswersCannotMakeUpForInTheGrace)
+{
+    addServed("request-1", Seconds(5), Traffic::Once);
+    request().m_path = run().m_path = "/once/0/60/100";
+    request().m_deadline = Seconds(20);
+    request().m_ended = Millis(11'500);
+    run().m_until = request().m_ended;
+    cutAfterStop(Millis(7'300));
+    EXPECT_EQ(rules(), "LOST");
+    m_seen.m_disruptions.push_back(
+        { Place::WorkerPause, 1, Millis(8'000), Millis(9'000), false, "endpoints pause" });
+    EXPECT_EQ(rules(), "");
+    m_seen.m_disruptions.back().m_subject = 0; // Another worker's.
+    EXPECT_EQ(rules(), "LOST");
+    m_seen.m_disruptions.back().m_subject = 1;
+    m_seen.m_disruptions.back().m_until = Millis(8'200); // There was time to make up for it.
+    EXPECT_EQ(rules(), "LOST");
+    m_seen.m_disruptions.back().m_until = Millis(9'000);
+    request().m_path = run().m_path = "/once/0/66/100"; // Too long without a pause.
+    EXPECT_EQ(rules(), "LOST");
+    request().m_path = run().m_path = "/once/0/60/100";
+    m_seen.m_exits.back().m_terminated = Millis(5'500); // Cut before the end of the grace.
+    EXPECT_EQ(rules(), "LOST");
+}
+
 TEST_F(JudgeTest, ReportsASecondRunOnlyOfWhatMayNotBeRepeated)
 {
     addServed("request-1", Seconds(5), Traffic::Safe);
