The fault soak has a service with one worker, and streams with short aims

The routes of streams that may be resumed now have aims of 500 and 250 ms, which makes it 0.9 s, and a third of these streams go to a service with one worker, which pauses with those of the models. The worker is no subject of other faults and the streams for it are not drawn, so schedules and the other traffic of a seed stay.

--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -60,6 +60,8 @@
 
 std::string serviceOf(size_t slot)
 {
+    if (slot == SoleWorker)
+        return "sole";
     if (slot < PlainWorkers)
         return "plain";
     return slot < PlainWorkers + SpareWorkers ? "spare" : "model";
@@ -78,22 +80,29 @@
 {
     constexpr const char *Plain = R"("timeoutMs":5000,"aimMs":1500)";
     constexpr const char *Once = R"("timeoutMs":20000,"aimMs":1500,"gapAimMs":400)";
+    // Daemons leave such a stream after a silence of 0.9 s: a pause may be longer.
     constexpr const char *Stream =
+        R"("timeoutMs":20000,"aimMs":500,"gapAimMs":250,"resumable":true)";
+    constexpr const char *Long =
         R"("timeoutMs":20000,"aimMs":1500,"gapAimMs":400,"resumable":true)";
     const std::string routes =
         route("safe", "safe", "plain", Plain) + "," + route("unsafe", "unsafe", "plain", Plain)
         + "," + route("moving", "safe", movingService, Plain) + ","
         + route("stream", "stream", "model", Stream) + "," + route("once", "stream", "model", Once)
-        + "," + route("long", "stream", "model", Stream);
-    constexpr const char *Services =
-        R"("services":[{"name":"plain","maxConns":100},{"name":"spare","maxConns":100},)"
-        R"({"name":"model","maxConns":100,"engine":{"slots":8,"kvCapacity":100000,"stride":2,)"
+        + "," + route("long", "stream", "model", Long) + ","
+        + route("sole", "stream", "sole", Stream);
+    constexpr const char *Engine =
+        R"("maxConns":100,"engine":{"slots":8,"kvCapacity":100000,"stride":2,)"
         R"("step_ms":20,"per_seq_ms":0.1,"context_per_k":0.01,"read_per_s":1000000.0,)"
-        R"("pairs_per_m":0.01,"chunk":2048,"usual":{"prompt":2000,"answer":110},"hopMs":0.1}}])";
+        R"("pairs_per_m":0.01,"chunk":2048,"usual":{"prompt":2000,"answer":110},"hopMs":0.1})";
+    const std::string services = fmt::format(
+        R"("services":[{{"name":"plain","maxConns":100}},{{"name":"spare","maxConns":100}},)"
+        R"({{"name":"model",{0}}},{{"name":"sole",{0}}}])",
+        Engine);
     return fmt::format(R"({{"version":{},"routes":[{}],{},"limits":{{"maxHeaderBytes":16384,)"
                        R"("maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":5000}},)"
                        R"("tenants":[{{"name":"{}","apiKeys":["{}","{}"],"priority":2}}]}})",
-                       version, routes, Services, tenantOf(version), TrafficSource::LastingKey,
+                       version, routes, services, tenantOf(version), TrafficSource::LastingKey,
                        key);
 }
 
@@ -227,7 +236,7 @@
         vm->m_store = *store;
         m_vms.push_back(std::move(vm));
     }
-    for (size_t i = 0; i < Workers; ++i) {
+    for (size_t i = 0; i <= SoleWorker; ++i) {
         auto slot = std::make_unique<Slot>();
         slot->m_index = i;
         slot->m_own = { "127.0.0.1", reserve(1) };
@@ -524,6 +533,8 @@
     const size_t count = (serving.size() * fault.m_percent + Percent - 1) / Percent;
     for (size_t i = 0; i < count; ++i)
         pauseWorker(fault, *serving[(fault.m_subject + i) % serving.size()]);
+    if (fault.m_service == "model")
+        pauseWorker(fault, *m_slots[SoleWorker]);
 }
 
 void Fleet::pauseWorker(const Fault &fault, Slot &slot)
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -296,11 +296,13 @@
     }
 }
 
-std::string serviceUnder(const SeenVersion &version, Traffic traffic)
+std::string serviceUnder(const SeenVersion &version, const SentRequest &request)
 {
-    if (traffic == Traffic::Moving)
+    if (request.m_traffic == Traffic::Moving)
         return version.m_movingService;
-    return isStream(traffic) ? "model" : "plain";
+    if (request.m_path.starts_with(fmt::format("/{}/", SoleRoute)))
+        return "sole";
+    return isStream(request.m_traffic) ? "model" : "plain";
 }
 
 /// Not before the configuration that the tenant shows, and not by one that came after the run.
@@ -314,7 +316,7 @@
         bool allowed = false;
         for (const SeenVersion &version : evidence.m_seen.m_versions) {
             if (version.m_version >= *from && version.m_at <= run.m_from
-                && serviceUnder(version, request->second->m_traffic) == run.m_service)
+                && serviceUnder(version, *request->second) == run.m_service)
                 allowed = true;
         }
         if (!allowed)
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -290,6 +290,11 @@
     EXPECT_EQ(rules(), "ROUTE"); // Before the configuration that moves it.
     run().m_service = "plain";
     EXPECT_EQ(rules(), "");
+    addServed("request-3", Seconds(5), Traffic::Stream);
+    request().m_path = run().m_path = "/sole/0/4/10";
+    EXPECT_EQ(rules(), "ROUTE");
+    run().m_service = "sole";
+    EXPECT_EQ(rules(), "");
     addServed("request-2", Millis(12'100), Traffic::Safe);
     run().m_tenant = tenantOf(1);
     EXPECT_EQ(rules(), "CONFIG");
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -75,6 +75,8 @@
 constexpr size_t SpareWorkers = 2;
 constexpr size_t ModelWorkers = 6;
 constexpr size_t Workers = PlainWorkers + SpareWorkers + ModelWorkers;
+/// The only worker of service "sole": it pauses with those of "model", and has no other fault.
+constexpr size_t SoleWorker = Workers;
 constexpr Millis TurnGap{ 1'300 }; ///< Between two VMs of TerminateInTurn.
 /// Below this no fault fits between the start and the recovery.
 constexpr Millis ShortestRun{ 30'000 };
--- a/tests/soak/traffic.cpp
+++ b/tests/soak/traffic.cpp
@@ -181,15 +181,18 @@
 {
     constexpr uint64_t NewestKeyOneIn = 4;
     constexpr uint64_t ReplacedKeyOneIn = 20;
+    constexpr uint64_t SoleOneIn = 3; ///< Not drawn, so that a seed's other traffic stays.
     constexpr Millis PlainDeadline{ 4'000 };
     constexpr Millis StreamDeadline{ 20'000 };
     SentRequest request;
     const TrafficRow &row = drawRow(random, m_longs);
     const PathWork work = drawWork(random, row.m_traffic);
-    request.m_id = fmt::format("s{}-{}", m_schedule.m_seed, ++m_nextId);
+    const uint64_t id = ++m_nextId;
+    const bool toSole = row.m_traffic == Traffic::Stream && id % SoleOneIn == 0;
+    request.m_id = fmt::format("s{}-{}", m_schedule.m_seed, id);
     request.m_traffic = row.m_traffic;
     request.m_vm = vm;
-    request.m_path = workPath(row.m_route, work);
+    request.m_path = workPath(toSole ? SoleRoute : row.m_route, work);
     request.m_body = "entry " + request.m_id;
     request.m_events = work.m_events;
     request.m_deadline = isStream(row.m_traffic) ? StreamDeadline : PlainDeadline;
--- a/tests/soak/traffic.h
+++ b/tests/soak/traffic.h
@@ -84,6 +84,9 @@
     Millis m_gap{ 0 };
 };
 
+/// The route of streams to the service that has one worker.
+constexpr const char *SoleRoute = "sole";
+
 std::string workPath(const std::string &route, const PathWork &work);
 PathWork workOf(std::string_view path);
 
