Tests: a forwarded stream is cut though no attempt may follow it

What callers saw in the test: a stream that a VM without a path to the endpoints forwards to another VM was cut 1.6 s into a silence of its endpoint, 8 s before its deadline. The endpoint went on 0.2 s later, and the other VM still waited for it.

Cause: relayStream() bounds the silence if mayRetry() finds budget and attempts left; but a forwarded attempt that fails uses up all attempts of the request (RelayRun::forward()), so that mayAttempt() refuses the next one in any case.

--- a/tests/platform/isolated_vm_test.cpp
+++ b/tests/platform/isolated_vm_test.cpp
@@ -28,9 +28,9 @@
     ~IsolatedVmTest() override { m_deployment.m_daemons.clear(); }
 
     /// Daemon 0 reaches the endpoints through the relay, the others directly.
-    void start(size_t daemons)
+    void start(size_t daemons, const std::string &extraRoutes = "")
     {
-        m_deployment.declare(1);
+        m_deployment.declare(1, extraRoutes);
         for (const char *service : { "model", "model", "model", "plain", "plain", "plain" })
             addWorker(service);
         m_detouring.m_decodeEndpoint = decodeDetour;
@@ -149,9 +149,9 @@
     RelayNode &node(size_t daemon) { return m_deployment.m_daemons[daemon]->node(); }
 
     /// Cuts daemon 0 off, and waits until it knows.
-    void isolate()
+    void isolate(const std::string &extraRoutes = "")
     {
-        start(3);
+        start(3, extraRoutes);
         cut(standin::RelayMode::Cut);
         served({}, 10);
         ASSERT_TRUE(eventually([this] { return node(0).m_isolated.load(); }));
@@ -233,6 +233,30 @@
     EXPECT_TRUE(eventually(cancelled, Millis(900)));
 }
 
+// A forwarded stream was given up after a silence of its endpoint, though no attempt may follow one
+// that was forwarded; the other VM still waited for the endpoint.
+TEST_F(IsolationTest, ForwardedStreamIsNotCutWhileTheOtherVmWaitsForItsEndpoint)
+{
+    m_deployment.m_bounds.m_retrySlack = 0;
+    m_deployment.m_bounds.m_retryRatio = 0;
+    isolate(R"(,{"name":"slow","host":"host.example","pathPrefix":"/slow/",)"
+            R"("kind":"stream","timeoutMs":12000,"aimMs":200,"maxAttempts":2,)"
+            R"("priority":1,"service":"model","resumable":true,"gapAimMs":100})");
+    RelaySettings settings;
+    settings.m_bounds.m_retrySlack = 100;
+    m_deployment.m_daemons[0]->reload(settings);
+    for (const auto &worker : m_deployment.m_workers)
+        (*worker)->setEvents(2, Millis(1'800));
+    ClientRequest request = streamRequest("/slow/x");
+    request.m_deadline = Seconds(12);
+    const size_t before = arrivals();
+    const ClientAnswer answer = m_deployment.call(request, 0);
+    EXPECT_EQ(answer.m_status, 200u);
+    EXPECT_TRUE(answer.m_whole);
+    EXPECT_EQ(answer.m_body, eventsText(1, 2));
+    EXPECT_EQ(arrivals(), before + 1);
+}
+
 TEST_F(IsolationTest, IsolatedVmsForwardNothingToEachOther)
 {
     start(1);
