--- a/net/fiber_socket.cpp
+++ b/net/fiber_socket.cpp
@@ -92,6 +92,14 @@
         m_timer->fireBy(m_deadline);
 }
 
+bool FiberSocket::waitReadable()
+{
+    const Waiting waiting(*this);
+    ErrorValue error;
+    m_socket.async_wait(Socket::wait_read, Yield{ error });
+    return !error;
+}
+
 bool FiberSocket::waitWritable(ErrorValue &error)
 {
     const Waiting waiting(*this);
--- a/net/fiber_socket.h
+++ b/net/fiber_socket.h
@@ -67,6 +67,8 @@
     // NOLINTNEXTLINE(readability-identifier-naming): the name that Asio asks for.
     size_t write_some(const Buffers &buffers);
 
+    /// Waits until something can be read, or the connection has ended; returns whether it is so.
+    bool waitReadable();
     /// Ends waiting calls with operation_aborted.
     void cancel();
     void close();
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -117,6 +117,9 @@
     bool m_refused = false;
     TimePoint m_sentAt{};
     TimePoint m_readAt{}; ///< When bytes were last read.
+    TimePoint m_readBy{}; ///< When the read in progress times out.
+    SilenceHandler m_silenceHandler;
+    TimePoint m_bytesBy = TimePoint::max(); ///< When m_silenceHandler is called next.
     Duration m_idleLimit = UnstatedIdleLimit; ///< How long the peer surely keeps it open.
     TimePoint m_idleSince{};
 
@@ -155,14 +158,31 @@
             if (!m_parser->get().body().empty())
                 return error;
         }
-        m_buffer.commit(m_stream.read_some(m_buffer.prepare(ReadBytes), error));
-        m_readAt = Clock::now();
+        m_buffer.commit(readSome(error));
         if (error == asio::error::eof) {
             error = {};
             m_parser->put_eof(error);
         }
         return error;
     }
+
+    size_t readSome(boost::system::error_code &error)
+    {
+        for (;;) {
+            m_stream.expiresAfter(std::min(m_readBy, m_bytesBy) - Clock::now());
+            const size_t size = m_stream.read_some(m_buffer.prepare(ReadBytes), error);
+            if (size > 0)
+                m_readAt = Clock::now();
+            if (error != beast::error::timeout || Clock::now() >= m_readBy || !m_silenceHandler)
+                return size;
+            const std::optional<TimePoint> next = m_silenceHandler();
+            if (!next || !m_open) {
+                error = asio::error::operation_aborted;
+                return 0;
+            }
+            m_bytesBy = *next;
+        }
+    }
 };
 
 HttpConnection::HttpConnection(asio::io_context &context)
@@ -222,12 +242,12 @@
 Result<HttpResponse> HttpConnection::readHeader(Duration timeout)
 {
     const auto state = m_state;
-    boost::system::error_code error;
-    state->m_stream.expiresAfter(timeout);
-    http::read_header(state->m_stream, state->m_buffer, *state->m_parser, error);
-    if (error)
-        return state->fail(error, "read header");
-    state->m_readAt = Clock::now();
+    state->m_readBy = Clock::now() + timeout;
+    while (!state->m_parser->is_header_done()) {
+        const boost::system::error_code error = state->parseMore();
+        if (error)
+            return state->fail(error, "read header");
+    }
     // Several chunks that came together make one piece.
     state->m_parser->eager(true);
     HttpResponse response;
@@ -248,7 +268,7 @@
     std::string &body = parser.get().body();
     piece.clear();
     body.swap(piece);
-    state->m_stream.expiresAfter(timeout);
+    state->m_readBy = Clock::now() + timeout;
     while (body.empty() && !parser.is_done()) {
         const boost::system::error_code error = state->parseMore();
         if (error)
@@ -282,6 +302,29 @@
     m_state->m_stream.close();
 }
 
+void HttpConnection::setSilenceHandler(SilenceHandler handler)
+{
+    m_state->m_silenceHandler = std::move(handler);
+    m_state->m_bytesBy = TimePoint::max();
+}
+
+void HttpConnection::expectBytesBy(TimePoint time)
+{
+    m_state->m_bytesBy = time;
+}
+
+bool HttpConnection::awaitReadable(Duration timeout)
+{
+    const auto state = m_state;
+    state->m_stream.expiresAfter(timeout);
+    return state->m_open && state->m_stream.waitReadable();
+}
+
+void HttpConnection::stopAwaiting()
+{
+    m_state->m_stream.cancel();
+}
+
 size_t HttpConnection::bytesSent() const
 {
     return m_state->m_bytesSent;
@@ -309,6 +352,18 @@
     return ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || errno != EAGAIN;
 }
 
+bool HttpConnection::hasBytes() const
+{
+    char byte = 0;
+    const int socket = m_state->m_stream.socket().native_handle();
+    return m_state->m_open && ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+bool HttpConnection::unacknowledged() const
+{
+    return m_state->m_open && unacknowledgedBytes(m_state->m_stream.socket().native_handle()) > 0;
+}
+
 bool HttpConnection::reused() const
 {
     return m_state->m_idleSince != TimePoint{};
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 #include "net/address.h"
@@ -33,6 +34,17 @@
     /// Closes the connection; a waiting call returns Cancelled.
     void cancel();
 
+    /// Called while a read waits for bytes, once the time of expectBytesBy() has come. Returns when
+    /// it is called next; nothing ends the read as cancel() does. The connection stays open
+    /// meanwhile. Empty: none.
+    using SilenceHandler = std::function<std::optional<TimePoint>()>;
+    void setSilenceHandler(SilenceHandler handler);
+    void expectBytesBy(TimePoint time);
+    /// Waits, within @p timeout, until readable(); returns whether it is. Not beside a read.
+    bool awaitReadable(Duration timeout);
+    /// Ends an awaitReadable() of another fiber.
+    void stopAwaiting();
+
     size_t bytesSent() const;
     /// Whether the last answer ended cleanly and the peer keeps the connection open.
     bool reusable() const;
@@ -59,6 +71,10 @@
     /// Whether bytes, or the end of the connection, have arrived and were not taken from the
     /// socket.
     bool readable() const;
+    /// Whether bytes have arrived that were not taken from the socket.
+    bool hasBytes() const;
+    /// Whether the peer's system has not acknowledged all that was sent.
+    bool unacknowledged() const;
 
 private:
     struct State;
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -52,6 +52,7 @@
 #include "policy/route_table.h"
 #include "policy/send_share.h"
 #include "policy/shard.h"
+#include "policy/silent_attempt.h"
 #include "policy/span_plan.h"
 #include "policy/steward.h"
 #include "policy/store_position.h"
--- a/policy/retry_window.cpp
+++ b/policy/retry_window.cpp
@@ -21,22 +21,25 @@
     window.m_requests.push_back(now);
 }
 
-bool hasRetryBudget(RetryWindows &windows, const ServiceId &service, TimePoint now)
+bool hasRetryBudget(RetryWindows &windows, const ServiceId &service, TimePoint now,
+                    RetryPurpose purpose)
 {
     const RetryWindowSettings &settings = windows.m_settings;
     RetryWindow &window = windows.m_services[service];
     removeBefore(window.m_requests, now - settings.m_window);
     removeBefore(window.m_retries, now - settings.m_window);
     const double slack = settings.m_slack / std::max(settings.m_maxSharingVms, 1u);
+    const double share = purpose == RetryPurpose::Parallel ? settings.m_parallelShare : 1;
     const double allowed =
-        settings.m_safetyFactor
+        settings.m_safetyFactor * share
         * (settings.m_ratio * static_cast<double>(window.m_requests.size()) + slack);
     return static_cast<double>(window.m_retries.size()) + 1 <= allowed;
 }
 
-bool spendRetryBudget(RetryWindows &windows, const ServiceId &service, TimePoint now)
+bool spendRetryBudget(RetryWindows &windows, const ServiceId &service, TimePoint now,
+                      RetryPurpose purpose)
 {
-    if (!hasRetryBudget(windows, service, now))
+    if (!hasRetryBudget(windows, service, now, purpose))
         return false;
     windows.m_services[service].m_retries.push_back(now);
     return true;
--- a/policy/retry_window.h
+++ b/policy/retry_window.h
@@ -21,6 +21,14 @@
     /// Fraction of the budget that is used, as the windows of the VMs and of an observer of the
     /// fleet are not aligned.
     double m_safetyFactor = 0.8;
+    /// Fraction of the budget for attempts beside a silent one. The rest is kept for requests that
+    /// have no attempt in progress any more.
+    double m_parallelShare = 0.5;
+};
+
+enum class RetryPurpose {
+    Replace, ///< The earlier attempts have failed.
+    Parallel, ///< Beside an attempt that is silent.
 };
 
 /// Recent requests and retries of one VM for one service.
@@ -39,8 +47,10 @@
 void countArrival(RetryWindows &windows, const ServiceId &service, TimePoint now);
 
 /// Whether the budget allows a retry to @p service now.
-bool hasRetryBudget(RetryWindows &windows, const ServiceId &service, TimePoint now);
+bool hasRetryBudget(RetryWindows &windows, const ServiceId &service, TimePoint now,
+                    RetryPurpose purpose = RetryPurpose::Replace);
 /// Records a retry to @p service and returns true if the budget allows it; else returns false.
-bool spendRetryBudget(RetryWindows &windows, const ServiceId &service, TimePoint now);
+bool spendRetryBudget(RetryWindows &windows, const ServiceId &service, TimePoint now,
+                      RetryPurpose purpose = RetryPurpose::Replace);
 
 } // namespace stackquay
--- a/relay/absence_monitor.cpp
+++ b/relay/absence_monitor.cpp
@@ -38,7 +38,7 @@
 {
     DecisionLine("relay", "attempt abandoned")
         .text("request", attempt.m_run->id().str())
-        .text("endpoint", attempt.m_endpoint->m_id.str())
+        .text("endpoint", attempt.endpoint().m_id.str())
         .text("listing", listingName(evidence.m_listing))
         .number("silent_ms", std::chrono::duration_cast<Millis>(evidence.m_silence).count())
         .number("probes_failed", evidence.m_failedProbes)
@@ -79,31 +79,37 @@
 {
     bool again = false;
     for (RelayRun *run : m_node.m_runs) {
-        const auto attempt = run->pendingAttempt();
-        if (!attempt)
-            continue;
-        const ProcessListing listing = listingOf(*attempt->m_endpoint);
-        if (listing == ProcessListing::Listed && !attempt->m_holdsMemory)
-            continue;
-        again = true;
-        const AbsenceEvidence evidence = evidenceOf(*attempt, listing);
-        const AbsenceDecision decision = decideAbsence(m_settings, evidence);
-        // Bytes that have arrived are the endpoint's, whether or not it is still there.
-        if (decision == AbsenceDecision::Wait || run->hasUnreadBytes())
-            continue;
-        if (decision == AbsenceDecision::Probe) {
-            probe(*attempt->m_endpoint, attempt->m_engine);
-            continue;
-        }
-        logAbandoned(*attempt, evidence);
-        m_node.m_metrics.m_abandoned.add();
-        // Other requests are still sent to a listed endpoint.
-        run->abandonAttempt(listing == ProcessListing::Listed ? FailureWeight::Strong
-                                                              : FailureWeight::None);
+        for (const PendingAttempt &attempt : run->pendingAttempts())
+            again = checkAttempt(attempt) || again;
     }
     return again;
 }
 
+bool AbsenceMonitor::checkAttempt(const PendingAttempt &pending)
+{
+    const Attempt &attempt = *pending.m_attempt;
+    const EndpointRecord &endpoint = pending.endpoint();
+    const ProcessListing listing = listingOf(endpoint);
+    if (listing == ProcessListing::Listed && !attempt.holdsMemory())
+        return false;
+    const AbsenceEvidence evidence = evidenceOf(pending, listing);
+    const AbsenceDecision decision = decideAbsence(m_settings, evidence);
+    // Bytes that have arrived are the endpoint's, whether or not it is still there.
+    if (decision == AbsenceDecision::Wait || attempt.m_connection->readable())
+        return true;
+    if (decision == AbsenceDecision::Probe) {
+        probe(endpoint, pending.m_run->isModelRequest());
+        return true;
+    }
+    logAbandoned(pending, evidence);
+    m_node.m_metrics.m_abandoned.add();
+    // Other requests are still sent to a listed endpoint.
+    pending.m_run->abandonAttempt(*pending.m_attempt, listing == ProcessListing::Listed
+                                                          ? FailureWeight::Strong
+                                                          : FailureWeight::None);
+    return true;
+}
+
 ProcessListing AbsenceMonitor::listingOf(const EndpointRecord &endpoint) const
 {
     const RelayViewPtr view = m_node.m_view.load();
@@ -112,20 +118,21 @@
     return stackquay::listingOf(*view->m_directory, endpoint, m_leaving.count(endpoint.m_id) > 0);
 }
 
-AbsenceEvidence AbsenceMonitor::evidenceOf(const PendingAttempt &attempt, ProcessListing listing)
+AbsenceEvidence AbsenceMonitor::evidenceOf(const PendingAttempt &pending, ProcessListing listing)
 {
-    const EndpointRecord &endpoint = *attempt.m_endpoint;
+    const EndpointRecord &endpoint = pending.endpoint();
+    const HttpConnection &connection = *pending.m_attempt->m_connection;
     const TimePoint now = Clock::now();
     AbsenceEvidence evidence;
     evidence.m_listing = listing;
-    evidence.m_repeatable = attempt.m_repeatable;
-    evidence.m_holdsMemory = attempt.m_holdsMemory;
-    evidence.m_silence = now - std::max(attempt.m_sentAt, attempt.m_lastReadAt);
+    evidence.m_repeatable = !pending.m_run->atMostOnce();
+    evidence.m_holdsMemory = pending.m_attempt->holdsMemory();
+    evidence.m_silence = now - std::max(connection.sentAt(), connection.lastReadAt());
     const auto known = m_probes.find(keyOf(endpoint));
     if (known == m_probes.end())
         return evidence;
     ProbeState &state = known->second;
-    if (attempt.m_lastReadAt > state.m_begunAt)
+    if (connection.lastReadAt() > state.m_begunAt)
         state.m_failed = 0;
     evidence.m_failedProbes = state.m_failed;
     if (state.m_endedAt != TimePoint{})
--- a/relay/absence_monitor.h
+++ b/relay/absence_monitor.h
@@ -43,8 +43,9 @@
 
     /// Whether an attempt in progress has to be checked again.
     bool checkAttempts();
+    bool checkAttempt(const PendingAttempt &pending);
     ProcessListing listingOf(const EndpointRecord &endpoint) const;
-    AbsenceEvidence evidenceOf(const PendingAttempt &attempt, ProcessListing listing);
+    AbsenceEvidence evidenceOf(const PendingAttempt &pending, ProcessListing listing);
     void probe(const EndpointRecord &endpoint, bool engine);
     /// Whether the process of @p endpoint answers. Blocks the fiber.
     bool answersProbe(const EndpointRecord &endpoint, bool engine);
--- a/relay/memory_reservations.h
+++ b/relay/memory_reservations.h
@@ -26,6 +26,8 @@
     /// requests cannot deadlock. After an error nothing stays reserved; see refusingEndpoint().
     /// Stops and releases what it has once @p abandoned is true. Blocks the fiber.
     Status reserve(const std::vector<GangMember> &members, const bool &abandoned);
+    /// Releases all reservations in the background.
+    void releaseAll();
     /// The reservation id on @p endpoint; empty if there is none.
     std::string ticketFor(const EndpointId &endpoint) const;
     /// The endpoint that did not grant the last reserve().
@@ -37,8 +39,6 @@
     struct Reservation;
 
 private:
-    void releaseAll();
-
     RelayNode &m_node;
     std::vector<std::shared_ptr<Reservation>> m_reservations;
     EndpointId m_refusingEndpoint;
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -24,8 +24,6 @@
 
 /// A repeat that starts after this part of the client's patience still succeeds in time.
 constexpr double PatienceShare = 0.45;
-/// Leaves another VM that serves the request time for its own repeat.
-constexpr double ForwardPatienceShare = 0.8;
 constexpr Millis MinFirstEventTimeout{ 300 };
 /// A first event is late after this multiple of its predicted time.
 constexpr double LateFactor = 2;
@@ -50,11 +48,11 @@
 
 RelayRun::AttemptResult RelayRun::attempt(const GangPlan &plan)
 {
-    m_plan = &plan;
+    m_attempt.m_plan = &plan;
     MemoryReservations reservations(m_node);
-    const Status reserved = reservations.reserve(plan.m_members, m_clientDisconnected);
+    const Status reserved = reservations.reserve(plan.m_members, m_attempt.m_cancelled);
     if (!reserved) {
-        m_node.end(m_loadKey);
+        m_node.end(m_attempt.m_loadKey);
         m_failureReason = "memory not reserved: " + reserved.error().m_message;
         if (reserved.error().m_code == ErrorCode::OutcomeUnknown)
             m_node.noteFailure(reservations.refusingEndpoint(), FailureWeight::Weak,
@@ -66,19 +64,18 @@
     std::vector<LoadPart> parts;
     for (const GangMember &member : plan.m_members)
         parts.push_back({ member.m_endpoint.m_id, member.m_prefillMs, member.m_tokens });
-    m_node.place(m_loadKey, std::move(parts), gapLimitMs(), remainingTime() + LedgerSlack,
+    m_node.place(m_attempt.m_loadKey, std::move(parts), gapLimitMs(), remainingTime() + LedgerSlack,
                  m_suspectHandling == SuspectHandling::None ? std::nullopt : m_fingerprint,
                  usageCustomer());
     logPlacement(plan);
     const AttemptResult end = attemptPlaced(plan, reservations);
-    m_node.end(m_loadKey);
+    m_node.end(m_attempt.m_loadKey);
     return end;
 }
 
 Duration RelayRun::streamSilenceTimeout() const
 {
-    const double share = m_forwarding ? ForwardPatienceShare : PatienceShare;
-    return std::chrono::duration_cast<Duration>(clientPatience() * share);
+    return std::chrono::duration_cast<Duration>(clientPatience() * PatienceShare);
 }
 
 Duration RelayRun::justUsedTime() const
@@ -92,16 +89,15 @@
     return std::max(std::min(left, m_route->m_maxAttempts), 1u);
 }
 
-bool RelayRun::mayRetry() const
+bool RelayRun::mayRunElsewhere() const
 {
-    // A slow response is better than one cancelled for a repeat that the retry budget refuses.
-    return !atMostOnce() && m_mayHaveRun < attemptLimit() && m_node.mayRetry(m_serviceId, *m_view);
+    // A request that may crash its endpoint runs at one endpoint at a time.
+    return !atMostOnce() && m_mayHaveRun < attemptLimit() && m_placements < MaxPlacements
+           && remainingTime() > Duration::zero() && !maybeSuspect();
 }
 
 Duration RelayRun::firstEventTimeout(const GangPlan &plan) const
 {
-    if (!mayRetry())
-        return remainingTime();
     if (m_route->m_kind != RouteKind::Stream)
         return std::max<Duration>(m_route->m_latencyTarget * ServiceAims, MinFirstEventTimeout);
     // With a long backlog, a late first event says little about the endpoint.
@@ -133,8 +129,8 @@
     // The client may have disconnected before its request was read, or while this fiber was
     // blocked, without a notification yet.
     m_clientDisconnected = m_clientDisconnected || m_exchange.callerLeft();
-    return !m_clientDisconnected && !m_node.m_stopping && remainingTime() > Duration::zero()
-           && !cannotFinishInDrain() && maySend();
+    return !isCancelled() && remainingTime() > Duration::zero() && !cannotFinishInDrain()
+           && maySend();
 }
 
 void RelayRun::countSentAttempt()
@@ -161,7 +157,7 @@
 }
 
 RelayRun::AttemptResult RelayRun::attemptPlaced(const GangPlan &plan,
-                                                const MemoryReservations &reservations)
+                                                MemoryReservations &reservations)
 {
     const EndpointRecord &endpoint = plan.m_members.front().m_endpoint;
     const auto address = parseAddress(endpoint.m_address);
@@ -197,11 +193,11 @@
         return AttemptResult::NotSent;
     }
     const bool reused = (*connection)->reused();
-    m_connection = connection->get();
-    m_abandoned.reset();
-    m_answeredAt = {};
-    m_holdsMemory = !reservations.empty();
-    if (m_holdsMemory)
+    m_attempt.m_connection = connection->get();
+    m_attempt.m_reservations = &reservations;
+    m_attempt.m_firstEventTimeout = firstEventTimeout(plan);
+    (*connection)->setSilenceHandler([this] { return handleSilence(); });
+    if (m_attempt.holdsMemory())
         m_node.m_absence.start();
     const HttpRequest request = upstreamRequest(plan, reservations);
     countSentAttempt();
@@ -212,12 +208,13 @@
         (*connection)->send(request, std::min<Duration>(remainingTime(), BodyTimeout));
     AttemptResult end = AttemptResult::Failed;
     if (sent) {
-        end = processResponse(**connection, endpoint, reused,
-                              std::min(Clock::now() + firstEventTimeout(plan), m_deadline));
+        (*connection)->expectBytesBy(Clock::now() + m_attempt.m_firstEventTimeout);
+        end = processResponse(**connection, endpoint, reused);
     } else {
         failRead(**connection, endpoint, sent.error());
     }
-    m_connection = nullptr;
+    m_attempt.m_connection = nullptr;
+    (*connection)->setSilenceHandler({});
     if (end == AttemptResult::Answered || end == AttemptResult::NotRun)
         m_node.m_pool.release(*address, std::move(*connection));
     return end;
@@ -226,8 +223,7 @@
 RelayRun::AttemptResult RelayRun::failAttempt(const EndpointRecord &endpoint, FailureWeight weight,
                                               std::string_view why)
 {
-    // Cancelled by this side.
-    if (m_clientDisconnected || m_node.m_stopping)
+    if (isCancelled())
         return AttemptResult::Failed;
     m_failureReason = why;
     if (m_forwarding)
@@ -239,17 +235,16 @@
         .text("print", toString(fingerprint()))
         .text("endpoint", endpoint.m_id.str())
         .text("parts", partNames())
-        .flag("answered", m_answeredAt != TimePoint{})
+        .flag("answered", m_attempt.m_answeredAt != TimePoint{})
         .text("why", why)
         .number("ms", std::chrono::duration_cast<Millis>(Clock::now() - m_arrival).count())
         .write();
     return AttemptResult::Failed;
 }
 
-RelayRun::AttemptResult RelayRun::failSilentConnection(const HttpConnection &connection,
-                                                       const EndpointRecord &endpoint)
+void RelayRun::noteSilentConnection(const HttpConnection &connection,
+                                    const EndpointRecord &endpoint)
 {
-    m_failureReason = "the connection fell silent";
     const auto address = parseAddress(endpoint.m_address);
     if (address)
         m_node.m_pool.noteSilent(*address, connection);
@@ -260,83 +255,59 @@
         .text("endpoint", endpoint.m_id.str())
         .number("ms", std::chrono::duration_cast<Millis>(Clock::now() - m_arrival).count())
         .write();
-    return AttemptResult::Failed;
 }
 
-std::optional<PendingAttempt> RelayRun::pendingAttempt()
+std::vector<PendingAttempt> RelayRun::pendingAttempts()
 {
-    if (!m_connection || m_abandoned || m_forwarding)
-        return std::nullopt;
-    PendingAttempt attempt;
-    attempt.m_run = this;
-    attempt.m_endpoint = &m_plan->m_members.front().m_endpoint;
-    attempt.m_engine = isModelRequest();
-    attempt.m_repeatable = !atMostOnce();
-    attempt.m_holdsMemory = m_holdsMemory;
-    attempt.m_sentAt = m_connection->sentAt();
-    attempt.m_lastReadAt = m_connection->lastReadAt();
-    return attempt;
+    std::vector<PendingAttempt> pending;
+    const auto add = [&](Attempt &attempt) {
+        if (attempt.m_connection && !attempt.m_abandoned && !attempt.m_cancelled)
+            pending.push_back({ this, &attempt });
+    };
+    for (Attempt &standby : m_standbys)
+        add(standby);
+    if (!m_forwarding)
+        add(m_attempt);
+    return pending;
 }
 
-void RelayRun::abandonAttempt(FailureWeight weight, const char *why)
+void RelayRun::abandonAttempt(Attempt &attempt, FailureWeight weight, const char *why)
 {
-    m_abandoned = weight;
-    m_abandonedReason = why;
-    m_connection->cancel();
+    attempt.m_abandoned = weight;
+    attempt.m_abandonedReason = why;
+    attempt.m_connection->cancel();
+    // A silent attempt ends only after the one beside it.
+    attempt.m_reservations->releaseAll();
+    m_node.end(attempt.m_loadKey);
 }
 
 RelayRun::AttemptResult RelayRun::failRead(const HttpConnection &connection,
                                            const EndpointRecord &endpoint, const Error &error)
 {
-    if (m_abandoned)
-        return failAttempt(endpoint, *m_abandoned, m_abandonedReason);
+    if (isCancelled())
+        return AttemptResult::Failed;
+    if (m_attempt.m_abandoned)
+        return failAttempt(endpoint, *m_attempt.m_abandoned, m_attempt.m_abandonedReason);
     // Not a failure of the endpoint: if it is unreachable, the next connection shows it.
-    if (connection.silent())
-        return failSilentConnection(connection, endpoint);
-    const bool silent = error.m_code == ErrorCode::DeadlineExceeded;
-    if (silent && !m_forwarding)
-        logSilence(connection, endpoint);
+    if (connection.silent()) {
+        m_failureReason = "the connection fell silent";
+        if (!m_attempt.m_silent)
+            noteSilentConnection(connection, endpoint);
+        return AttemptResult::Failed;
+    }
+    const bool late = error.m_code == ErrorCode::DeadlineExceeded;
     // Expiry of the request's deadline is not a failure of the endpoint.
-    if (silent && Clock::now() >= m_deadline) {
+    if (late && Clock::now() >= m_deadline) {
         m_failureReason = "no answer by the deadline";
         return AttemptResult::Failed;
     }
-    if (!silent && !m_forwarding) {
+    if (!late && !m_forwarding) {
         if (!connection.reused() && connection.lastReadAt() == TimePoint{})
             noteUnreached(endpoint, RefusalWeight);
         m_unreachable.insert(endpoint.m_dataCentre);
         noteBrokenResponse(connection, endpoint);
     }
-    return failAttempt(endpoint, FailureWeight::Weak, silent ? "silent" : error.m_message);
-}
-
-void RelayRun::logSilence(const HttpConnection &connection, const EndpointRecord &endpoint) const
-{
-    const TimePoint now = Clock::now();
-    const Duration silence = now - std::max(connection.sentAt(), connection.lastReadAt());
-    const RelayViewPtr view = m_node.m_view.load();
-    const auto *pool = poolOf(*view, m_serviceId);
-    PoolActivity activity;
-    if (pool) {
-        // Of the last half only: an endpoint does not write to all of its streams at the same time.
-        activity = poolActivity(m_node.m_activity, *pool, m_node.m_ledger.loads(), m_node.m_origin,
-                                now - silence / 2);
-    }
-    m_node.m_metrics.m_silences.add();
-    DecisionLine("relay", "attempt silent")
-        .text("request", m_head.m_id.str())
-        .text("endpoint", endpoint.m_id.str())
-        .flag("answered", m_answeredAt != TimePoint{})
-        .number("silent_ms", std::chrono::duration_cast<Millis>(silence).count())
-        .flag("alive", activity.m_alive.count(endpoint.m_id) > 0)
-        .number("endpoints", pool ? static_cast<int64_t>(pool->size()) : 0)
-        .number("endpoints_alive", static_cast<int64_t>(activity.m_alive.size()))
-        .number("endpoints_silent", static_cast<int64_t>(activity.m_silent.size()))
-        .flag("may_retry", mayRetry())
-        .number("version", static_cast<int64_t>(m_view->m_proof.m_version))
-        .number("version_now", static_cast<int64_t>(view->m_proof.m_version))
-        .number("left_ms", std::chrono::duration_cast<Millis>(remainingTime()).count())
-        .write();
+    return failAttempt(endpoint, FailureWeight::Weak, late ? "silent" : error.m_message);
 }
 
 void RelayRun::noteBrokenResponse(const HttpConnection &connection, const EndpointRecord &endpoint)
@@ -344,9 +315,9 @@
     if (m_clientDisconnected || m_node.m_stopping)
         return;
     // The other VMs need to know immediately that this attempt is over.
-    m_node.end(m_loadKey);
+    m_node.end(m_attempt.m_loadKey);
     BrokenAttempt attempt{ {}, fingerprint(), promptParts(), hasSoundAnswer(), Clock::now() };
-    for (const GangMember &member : m_plan->m_members)
+    for (const GangMember &member : m_attempt.m_plan->m_members)
         attempt.m_endpoints.push_back(member.m_endpoint);
     if (m_node.m_suspects.noteBrokenResponse(attempt))
         m_node.m_metrics.m_processExits.add();
@@ -366,15 +337,13 @@
 }
 
 RelayRun::AttemptResult RelayRun::processResponse(HttpConnection &connection,
-                                                  const EndpointRecord &endpoint, bool reused,
-                                                  TimePoint firstEventBy)
+                                                  const EndpointRecord &endpoint, bool reused)
 {
-    auto response =
-        connection.readHeader(std::max<Duration>(firstEventBy - Clock::now(), Millis(1)));
+    auto response = connection.readHeader(std::max<Duration>(remainingTime(), Millis(1)));
     if (!response)
         return failRead(connection, endpoint, response.error());
     m_node.m_path.noteReached(endpoint);
-    noteAlive(m_node.m_activity, endpoint.m_id, Clock::now());
+    noteActive(endpoint);
     const ResponseHead head = m_node.m_dialect.m_readResponseHead(*response);
     const bool ours = head.m_id == m_head.m_id || (head.m_id.empty() && !reused);
     if (!ours)
@@ -385,8 +354,8 @@
     if (head.m_notRun)
         return handleRefusal(connection, endpoint, head, *response, reused);
     if (m_route->m_kind == RouteKind::Stream && isSuccess(response->m_status))
-        return relayStream(connection, endpoint, head, *response, firstEventBy);
-    return relayWholeResponse(connection, endpoint, head, std::move(*response), firstEventBy);
+        return relayStream(connection, endpoint, head, *response);
+    return relayWholeResponse(connection, endpoint, head, std::move(*response));
 }
 
 RelayRun::AttemptResult RelayRun::handleRefusal(HttpConnection &connection,
@@ -394,6 +363,7 @@
                                                 const ResponseHead &head,
                                                 const HttpResponse &response, bool reused)
 {
+    connection.setSilenceHandler({});
     --m_mayHaveRun;
     m_triedEndpoints.insert(endpoint.m_id);
     m_failureReason = fmt::format("refused by the endpoint with status {}", response.m_status);
@@ -425,10 +395,9 @@
 RelayRun::AttemptResult RelayRun::relayWholeResponse(HttpConnection &connection,
                                                      const EndpointRecord &endpoint,
                                                      const ResponseHead &head,
-                                                     HttpResponse response, TimePoint firstEventBy)
+                                                     HttpResponse response)
 {
-    const TimePoint by = std::max(firstEventBy, Clock::now() + BodyTimeout);
-    auto body = connection.readWhole(std::min(by, m_deadline) - Clock::now());
+    auto body = connection.readWhole(std::max<Duration>(remainingTime(), Millis(1)));
     if (!body)
         return failRead(connection, endpoint, body.error());
     if (!head.m_signed || head.m_encoded)
@@ -438,6 +407,7 @@
     if (response.m_status < StatusServerError) {
         recordSuccess(m_node.m_ejections, endpoint.m_id);
         noteCompleted(response.m_status);
+        cancelStandbys();
         forwardResponse(response);
         return AttemptResult::Answered;
     }
@@ -461,8 +431,8 @@
 
 void RelayRun::recordFirstEvent(const EndpointRecord &endpoint)
 {
-    m_answeredAt = Clock::now();
-    m_node.recordFirstEvent(m_loadKey);
+    m_attempt.m_answeredAt = Clock::now();
+    m_node.recordFirstEvent(m_attempt.m_loadKey);
     recordSuccess(m_node.m_ejections, endpoint.m_id);
 }
 
@@ -481,7 +451,7 @@
 RelayRun::AttemptResult RelayRun::relayStream(HttpConnection &connection,
                                               const EndpointRecord &endpoint,
                                               const ResponseHead &head,
-                                              const HttpResponse &response, TimePoint firstEventBy)
+                                              const HttpResponse &response)
 {
     if (!head.m_signed || head.m_encoded)
         return failAttempt(endpoint, FailureWeight::Weak, "the answer is not the endpoint's own");
@@ -489,11 +459,8 @@
     std::string piece;
     bool first = true;
     for (;;) {
-        const TimePoint silentUntil =
-            mayRetry() ? std::min(m_deadline, Clock::now() + streamSilenceTimeout()) : m_deadline;
-        const TimePoint until = first ? firstEventBy : silentUntil;
         const Status read =
-            connection.readBody(piece, std::max<Duration>(until - Clock::now(), Millis(1)));
+            connection.readBody(piece, std::max<Duration>(remainingTime(), Millis(1)));
         if (!read)
             return failRead(connection, endpoint, read.error());
         if (piece.empty()) {
@@ -504,7 +471,7 @@
             break;
         }
         if (!m_forwarding)
-            noteAlive(m_node.m_activity, endpoint.m_id, Clock::now());
+            noteActive(endpoint);
         events.feed(piece);
         std::string batch;
         const bool ordered = collectEvents(events, batch);
@@ -521,18 +488,21 @@
         if (!ordered)
             return failAttempt(endpoint, FailureWeight::Strong, "events out of order");
     }
+    cancelStandbys();
     if (!m_streaming) {
         m_streaming = true;
         m_exchange.startStream(response.m_status, head.m_forwardedHeaders);
     }
     m_exchange.finish();
     noteCompleted(response.m_status);
+    m_answered = true;
     logEnd(RelayOutcome::Complete, response.m_status, endpoint.m_id.str());
     return AttemptResult::Answered;
 }
 
 void RelayRun::forwardEvents(const ResponseHead &head, unsigned status, const std::string &batch)
 {
+    cancelStandbys();
     const TimePoint now = Clock::now();
     Status passed;
     if (m_streaming) {
--- a/relay/relay_forward.cpp
+++ b/relay/relay_forward.cpp
@@ -86,10 +86,10 @@
     }
     if (!mayStillSend())
         return AttemptResult::NotSent;
-    m_connection = connection->get();
+    m_attempt.m_connection = connection->get();
     countSentAttempt();
     const AttemptResult end = exchangeWith(peer, **connection);
-    m_connection = nullptr;
+    m_attempt.m_connection = nullptr;
     if (end == AttemptResult::Answered || end == AttemptResult::NotRun)
         m_node.m_pool.release(*address, std::move(*connection));
     return end;
@@ -117,8 +117,8 @@
     if (!head.m_signed)
         return forwardPeerResponse(connection, vm, head, std::move(*response));
     if (m_route->m_kind == RouteKind::Stream && response->m_status < StatusRedirect)
-        return relayStream(connection, vm, head, *response, m_deadline);
-    return relayWholeResponse(connection, vm, head, std::move(*response), m_deadline);
+        return relayStream(connection, vm, head, *response);
+    return relayWholeResponse(connection, vm, head, std::move(*response));
 }
 
 RelayRun::AttemptResult RelayRun::forwardPeerResponse(HttpConnection &connection,
@@ -134,8 +134,8 @@
         --m_mayHaveRun;
         return AttemptResult::NotRun;
     }
-    // The client has got a part of a stream already.
-    if (m_streaming)
+    // The client has got a part of a stream already, or a silent attempt may still answer.
+    if (m_streaming || !m_standbys.empty())
         return AttemptResult::Failed;
     response.m_body = std::move(*body);
     response.m_headers = head.m_forwardedHeaders;
--- a/relay/relay_metrics.cpp
+++ b/relay/relay_metrics.cpp
@@ -20,6 +20,8 @@
                                    "Ejections of endpoints after failures."))
     , m_silences(registry.counter("stackquay_relay_silent_attempts_total",
                                   "Attempts whose endpoint sent nothing for too long."))
+    , m_silencesEnded(registry.counter("stackquay_relay_silent_attempts_continued_total",
+                                       "Silent attempts whose endpoint went on."))
     , m_reservations(registry.counter("stackquay_relay_reservations_total",
                                       "Reservations of memory that engines granted."))
     , m_reservationsRefused(registry.counter("stackquay_relay_reservations_refused_total",
--- a/relay/relay_metrics.h
+++ b/relay/relay_metrics.h
@@ -34,6 +34,7 @@
     Counter &m_repeatsRefused;
     Counter &m_ejections;
     Counter &m_silences;
+    Counter &m_silencesEnded;
     Counter &m_reservations;
     Counter &m_reservationsRefused;
     Counter &m_processExits;
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -443,16 +443,17 @@
     m_retryBroker.countArrival(service, now);
 }
 
-bool RelayNode::mayRetry(const ServiceId &service, const RelayView &view)
+bool RelayNode::mayRetry(const ServiceId &service, const RelayView &view, RetryPurpose purpose)
 {
     setRetryBounds(view);
-    return m_retryBroker.hasBudget(service);
+    return m_retryBroker.hasBudget(service, purpose);
 }
 
-bool RelayNode::spendRetryBudget(const ServiceId &service, const RelayView &view)
+bool RelayNode::spendRetryBudget(const ServiceId &service, const RelayView &view,
+                                 RetryPurpose purpose)
 {
     setRetryBounds(view);
-    const bool taken = m_retryBroker.spend(service);
+    const bool taken = m_retryBroker.spend(service, purpose);
     (taken ? m_metrics.m_repeats : m_metrics.m_repeatsRefused).add();
     return taken;
 }
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -49,6 +49,7 @@
     StreamLedger m_ledger;
     EjectionTable m_ejections;
     EndpointActivity m_activity;
+    SilentAttemptSettings m_silence;
     GangSettings m_gang;
     DispatchSettings m_turns;
     DispatchQueue m_strictQueue; ///< Streams with a strict gap limit that wait for a slot.
@@ -128,9 +129,11 @@
     void countArrival(const ServiceId &service, TimePoint now);
     /// Takes one retry at @p service out of the retry budget of @p view; false if it is used up.
     /// Blocks the fiber for a call to another VM in a large fleet.
-    bool spendRetryBudget(const ServiceId &service, const RelayView &view);
+    bool spendRetryBudget(const ServiceId &service, const RelayView &view,
+                          RetryPurpose purpose = RetryPurpose::Replace);
     /// Whether spendRetryBudget() would currently succeed.
-    bool mayRetry(const ServiceId &service, const RelayView &view);
+    bool mayRetry(const ServiceId &service, const RelayView &view,
+                  RetryPurpose purpose = RetryPurpose::Replace);
 
 private:
     TimePoint m_readySince{}; ///< Time of the first placement; the ledger was incomplete before.
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -30,6 +30,14 @@
         if (m_triedEndpoints.count(endpoint.m_id) == 0 && m_node.m_limiter.maySend(*view, endpoint))
             untried.push_back(endpoint);
     }
+    std::vector<EndpointRecord> active;
+    std::copy_if(untried.begin(), untried.end(), std::back_inserter(active),
+                 [this](const EndpointRecord &endpoint) {
+                     return m_silentEndpoints.count(endpoint.m_id) == 0;
+                 });
+    // Beside a silent attempt, an attempt at a silent endpoint is of no use.
+    if (!active.empty() || !m_standbys.empty())
+        untried = std::move(active);
     return healthyEndpoints(m_node.m_ejections, std::move(untried), Clock::now());
 }
 
@@ -223,14 +231,15 @@
     const SideLoad side = sideLoad(seen);
     const bool next = poolSize() == 0
                       || mayStartNext(m_node.m_turns, costs, request, m_node.queueOf(gapLimitMs()),
-                                      m_loadKey, side, now);
+                                      m_attempt.m_loadKey, side, now);
     const auto plan = [this, &seen](DisruptionPolicy care) { return choosePlan(care, seen); };
     PollState state;
     state.m_next = next;
     state.m_justArrived = std::exchange(wait.m_justArrived, false);
     state.m_before = wait.m_obstacle;
     if (request.m_forecastsTurn) {
-        state.m_outlook = m_node.m_turnMonitor.outlook(m_loadKey, costs, request, side, now);
+        state.m_outlook =
+            m_node.m_turnMonitor.outlook(m_attempt.m_loadKey, costs, request, side, now);
         wait.m_outlook = state.m_outlook;
         if (state.m_justArrived)
             wait.m_predicted = state.m_outlook.m_turn;
@@ -279,7 +288,7 @@
     TurnWait wait;
     wait.m_queued = queuedRequest();
     const QueuedRequest &queued = wait.m_queued;
-    m_node.queueOf(gapLimitMs())[m_loadKey] = queued;
+    m_node.queueOf(gapLimitMs())[m_attempt.m_loadKey] = queued;
     bool announced = false;
     for (;;) {
         // Refused now if it cannot finish in time, so that another VM can still serve it.
@@ -310,7 +319,7 @@
         if (!announced)
             announceWait(wait);
         announced = true;
-        if (cannotFinish || !sleepFor(m_node.m_thread.context(), TurnPoll) || m_clientDisconnected
+        if (cannotFinish || !sleepFor(m_node.m_thread.context(), TurnPoll) || isCancelled()
             || remainingTime() <= TurnPoll) {
             m_failureReason = "waited for its turn";
             return std::nullopt;
@@ -325,7 +334,8 @@
     const Duration expected = m_returnOf
                                   ? queued.m_targetAt - queued.m_minTimeToFirstEvent - m_arrival
                                   : wait.m_predicted;
-    m_node.announceWaiting(m_loadKey, gapLimitMs(), queued, expected, m_returnOf.has_value());
+    m_node.announceWaiting(m_attempt.m_loadKey, gapLimitMs(), queued, expected,
+                           m_returnOf.has_value());
 }
 
 void RelayRun::logTooLate(const TurnWait &wait) const
@@ -342,7 +352,7 @@
         .number("tokens", static_cast<int64_t>(m_head.m_promptTokens))
         .number("wait_ms", millis(now - m_arrival))
         .number("needed_ms", millis(wait.m_queued.m_minTimeToFirstEvent))
-        .number("ahead", requestsAhead(queue, m_loadKey, now))
+        .number("ahead", requestsAhead(queue, m_attempt.m_loadKey, now))
         .number("waiting", static_cast<int64_t>(queue.size()))
         .number("room", allowedStarts(m_node.m_turns, load, isStrictGap(gapLimitMs())))
         .number("engines", static_cast<int64_t>(load.m_engines))
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -20,9 +20,6 @@
 /// Unknown routes and keys are denied only if the configuration was proved this recently.
 constexpr Millis DenialFreshness{ 2'500 };
 
-/// Limit of placements for one request, whether sent or not.
-constexpr uint32_t MaxPlacements = 6;
-
 /// An answer that began this long ago, and goes on, shows that its engine does not crash on it: a
 /// crash follows the begin within milliseconds.
 constexpr Millis SoundAnswerAge{ 250 };
@@ -77,8 +74,7 @@
         return;
     m_exchange.onHangup([this] {
         m_clientDisconnected = true;
-        if (m_connection)
-            m_connection->cancel();
+        cancelAttempts();
     });
     attemptUntilDone();
 }
@@ -138,7 +134,8 @@
         m_suspectHandling = SuspectHandling::None;
         return true;
     }
-    const SuspectDecision verdict = m_node.m_suspects.decideAttempt(fingerprint(), m_loadKey);
+    const SuspectDecision verdict =
+        m_node.m_suspects.decideAttempt(fingerprint(), m_attempt.m_loadKey);
     m_suspectHandling = verdict.m_handling;
     if (verdict.isAllowed())
         return true;
@@ -189,7 +186,8 @@
 
 bool RelayRun::hasSoundAnswer() const
 {
-    return m_answeredAt != TimePoint{} && Clock::now() - m_answeredAt >= SoundAnswerAge;
+    return m_attempt.m_answeredAt != TimePoint{}
+           && Clock::now() - m_attempt.m_answeredAt >= SoundAnswerAge;
 }
 
 bool RelayRun::hasAnswerOn(uint64_t part)
@@ -202,10 +200,10 @@
 
 void RelayRun::abandonIfQuarantined()
 {
-    if (!m_connection || m_abandoned || m_forwarding || m_answeredAt != TimePoint{}
-        || decideParts().m_allowed)
+    if (!m_attempt.m_connection || m_attempt.m_abandoned || m_forwarding
+        || m_attempt.m_answeredAt != TimePoint{} || decideParts().m_allowed)
         return;
-    abandonAttempt(FailureWeight::None, QuarantinedPart);
+    abandonAttempt(m_attempt, FailureWeight::None, QuarantinedPart);
 }
 
 bool RelayRun::admitKey(bool fresh)
@@ -264,35 +262,34 @@
 {
     while (mayAttempt()) {
         ++m_placements;
-        if (const auto peer = forwardPeer()) {
-            if (forward(*peer) == AttemptResult::Answered)
-                return;
-            continue;
-        }
-        // An attempt of this VM's own would most likely break, and promise nothing.
-        if (!m_forwardedTo.empty() && m_node.m_path.isIsolated())
-            break;
-        m_loadKey = m_node.nextKey();
-        const auto plan = awaitTurn();
-        if (!plan)
-            m_node.end(m_loadKey);
-        if (!plan && isModelRequest())
-            break;
-        if (!plan && noteLimited())
-            break;
-        if (!plan) {
-            m_failureReason = "no endpoint can take it";
-            const bool waited = sleepFor(m_node.m_thread.context(), PlacementRetryDelay);
-            if (waited)
-                continue;
-            break;
-        }
-        if (attempt(*plan) == AttemptResult::Answered)
+        m_attempt = {};
+        const Round round = attemptOnce();
+        if (round == Round::Answered || m_answered)
             return;
+        if (round == Round::GiveUp)
+            break;
     }
     finishUnanswered();
 }
 
+RelayRun::Round RelayRun::attemptOnce()
+{
+    if (const auto peer = forwardPeer())
+        return forward(*peer) == AttemptResult::Answered ? Round::Answered : Round::Again;
+    // An attempt of this VM's own would most likely break, and promise nothing.
+    if (!m_forwardedTo.empty() && m_node.m_path.isIsolated())
+        return Round::GiveUp;
+    m_attempt.m_loadKey = m_node.nextKey();
+    const auto plan = awaitTurn();
+    if (plan)
+        return attempt(*plan) == AttemptResult::Answered ? Round::Answered : Round::Again;
+    m_node.end(m_attempt.m_loadKey);
+    if (isModelRequest() || noteLimited())
+        return Round::GiveUp;
+    m_failureReason = "no endpoint can take it";
+    return sleepFor(m_node.m_thread.context(), PlacementRetryDelay) ? Round::Again : Round::GiveUp;
+}
+
 bool RelayRun::noteLimited()
 {
     const RelayViewPtr view = m_node.m_view.load();
@@ -340,7 +337,7 @@
     }
     if (m_sentAttempts == 0 || m_retryPaid)
         return true;
-    m_retryPaid = m_node.spendRetryBudget(m_serviceId, *m_view);
+    m_retryPaid = m_node.spendRetryBudget(m_serviceId, *m_view, retryPurpose());
     if (m_retryPaid)
         return true;
     DecisionLine("relay", "retry refused by the budget")
@@ -352,6 +349,11 @@
     return false;
 }
 
+RetryPurpose RelayRun::retryPurpose() const
+{
+    return m_standbys.empty() ? RetryPurpose::Replace : RetryPurpose::Parallel;
+}
+
 bool RelayRun::isEvacuated() const
 {
     return m_node.m_view.load()->m_evacuatedServices.count(m_serviceId) > 0;
@@ -398,6 +400,7 @@
     if (m_route->m_kind != RouteKind::Stream)
         m_node.m_metrics.recordFirstEventTime(*m_route, Clock::now() - m_arrival);
     m_exchange.respond(response);
+    m_answered = true;
     logEnd(RelayOutcome::Complete, response.m_status, m_failureReason);
 }
 
@@ -476,8 +479,7 @@
 void RelayRun::abortForShutdown()
 {
     m_failureReason = "the process ends";
-    if (m_connection)
-        m_connection->cancel();
+    cancelAttempts();
     DecisionLine("relay", "request given up")
         .text("request", m_head.m_id.str())
         .text("route", m_route ? std::string_view(m_route->m_name) : std::string_view())
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -18,15 +18,37 @@
 
 class RelayRun;
 
-/// The attempt whose response a run waits for.
+/// State of one attempt of a run.
+struct Attempt {
+    static constexpr const char *EndpointGone = "the endpoint has gone";
+
+    LoadKey m_loadKey;
+    const GangPlan *m_plan = nullptr; ///< Its placement.
+    MemoryReservations *m_reservations = nullptr;
+    HttpConnection *m_connection = nullptr; ///< Set while it is at its endpoint.
+    TimePoint m_answeredAt{}; ///< First event; zero: none yet.
+    Duration m_firstEventTimeout{}; ///< Until the first event, or the answer, is late.
+    /// Set if it was abandoned, see RelayRun::abandonAttempt().
+    std::optional<FailureWeight> m_abandoned;
+    const char *m_abandonedReason = EndpointGone;
+    bool m_silent = false; ///< Its endpoint is silent, and this was recorded.
+    /// Ended by this side, because the client left or another attempt goes on: says nothing more
+    /// about its endpoint.
+    bool m_cancelled = false;
+
+    bool holdsMemory() const { return m_reservations && !m_reservations->empty(); }
+};
+
+/// An attempt whose response a run waits for.
 struct PendingAttempt {
     RelayRun *m_run = nullptr;
-    const EndpointRecord *m_endpoint = nullptr; ///< The process that answers.
-    bool m_engine = false; ///< It is a model engine.
-    bool m_repeatable = false; ///< The request may run again.
-    bool m_holdsMemory = false; ///< Memory is reserved for the attempt.
-    TimePoint m_sentAt{};
-    TimePoint m_lastReadAt{}; ///< When bytes last came on its connection; zero: never.
+    Attempt *m_attempt = nullptr; ///< Of m_run.
+
+    /// The process that answers.
+    const EndpointRecord &endpoint() const
+    {
+        return m_attempt->m_plan->m_members.front().m_endpoint;
+    }
 };
 
 /// Who sent a request to this VM.
@@ -49,13 +71,14 @@
     /// Call it after m_stopping is set, on the traffic thread.
     void abortForShutdown();
     const RequestId &id() const { return m_head.m_id; }
-    /// Nothing if the run does not wait for a response. Valid until its fiber runs.
-    std::optional<PendingAttempt> pendingAttempt();
-    /// Whether bytes of the pending attempt have arrived that its fiber has not taken yet.
-    bool hasUnreadBytes() const { return m_connection->readable(); }
-    /// Ends the pending attempt, because its endpoint has gone. @p weight: the evidence against
-    /// the endpoint. Call on the traffic thread.
-    void abandonAttempt(FailureWeight weight, const char *why = EndpointGone);
+    bool isModelRequest() const;
+    bool atMostOnce() const { return !m_route->repeatable(); }
+    /// Those that wait for a response. Valid until the run's fiber runs.
+    std::vector<PendingAttempt> pendingAttempts();
+    /// Ends an attempt of pendingAttempts(), because its endpoint has gone. @p weight: the evidence
+    /// against the endpoint. Call on the traffic thread.
+    void abandonAttempt(Attempt &attempt, FailureWeight weight,
+                        const char *why = Attempt::EndpointGone);
     /// Abandons the pending attempt if its answer has not begun and a part of its prompt is
     /// quarantined: its engine does not crash if it has not begun to write. On the traffic thread.
     void abandonIfQuarantined();
@@ -71,10 +94,11 @@
         Failed, ///< It may have run.
     };
 
-    static constexpr const char *EndpointGone = "the endpoint has gone";
     static constexpr const char *QuarantinedPart = "engines crash on a part of its prompt";
     static constexpr const char *EvacuatedReason = "its data centres are evacuated";
     static constexpr const char *LimitedReason = "the endpoints take no more requests now";
+    /// Limit of placements for one request, whether sent or not.
+    static constexpr uint32_t MaxPlacements = 6;
     /// Delay between placement attempts while no endpoint can take the request.
     static constexpr Millis PlacementRetryDelay{ 60 };
 
@@ -93,9 +117,17 @@
     /// Whether the answer of the attempt in progress began some time ago.
     bool hasSoundAnswer() const;
     void attemptUntilDone();
+    /// What follows from one round of attemptUntilDone().
+    enum class Round {
+        Answered,
+        Again, ///< Another attempt may follow.
+        GiveUp, ///< The request cannot be placed.
+    };
+    Round attemptOnce();
     /// Whether another attempt may be made; takes it out of the retry budget if one was sent
     /// before.
     bool mayAttempt();
+    RetryPurpose retryPurpose() const;
     /// Whether the rates that the endpoints name, or their wish for no requests, are what keeps the
     /// request from all of them.
     bool noteLimited();
@@ -127,7 +159,6 @@
     };
     PoolState poolState() const;
     std::optional<GangPlan> choosePlan(DisruptionPolicy care, const PoolState &seen);
-    bool isModelRequest() const;
     /// Whether all endpoints of the service are in evacuated data centres.
     bool isEvacuated() const;
     uint32_t gapLimitMs() const { return static_cast<uint32_t>(m_route->m_gapLimit.count()); }
@@ -180,23 +211,21 @@
 
     // relay_attempt.cpp
     AttemptResult attempt(const GangPlan &plan);
-    AttemptResult attemptPlaced(const GangPlan &plan, const MemoryReservations &reservations);
+    AttemptResult attemptPlaced(const GangPlan &plan, MemoryReservations &reservations);
     /// Whether the request may be sent on the connection that was opened for it.
     bool mayStillSend();
     void countSentAttempt();
     /// Counts the request at all endpoints of @p plan; false if one of them takes no more now.
     bool takeSendBudget(const GangPlan &plan);
     AttemptResult processResponse(HttpConnection &connection, const EndpointRecord &endpoint,
-                                  bool reused, TimePoint firstEventBy);
+                                  bool reused);
     AttemptResult relayWholeResponse(HttpConnection &connection, const EndpointRecord &endpoint,
-                                     const ResponseHead &head, HttpResponse response,
-                                     TimePoint firstEventBy);
+                                     const ResponseHead &head, HttpResponse response);
     AttemptResult handleRefusal(HttpConnection &connection, const EndpointRecord &endpoint,
                                 const ResponseHead &head, const HttpResponse &response,
                                 bool reused);
     AttemptResult relayStream(HttpConnection &connection, const EndpointRecord &endpoint,
-                              const ResponseHead &head, const HttpResponse &response,
-                              TimePoint firstEventBy);
+                              const ResponseHead &head, const HttpResponse &response);
     /// Whether a stream that has ended was broken off before its end, as far as its bytes show.
     bool endsBroken(const HttpConnection &connection, const EndpointRecord &endpoint,
                     const EventSplitter &events, bool withoutEvent);
@@ -205,27 +234,49 @@
     /// Handles an endpoint that did not answer, or stopped during its response.
     AttemptResult failRead(const HttpConnection &connection, const EndpointRecord &endpoint,
                            const Error &error);
-    /// Logs that an attempt is silent, and whether the other endpoints of the service are, too.
-    void logSilence(const HttpConnection &connection, const EndpointRecord &endpoint) const;
     /// Handles a broken response of @p endpoint: checks whether the process of an endpoint of the
     /// attempt has exited, and reports to the other VMs.
     void noteBrokenResponse(const HttpConnection &connection, const EndpointRecord &endpoint);
     /// Called when the endpoint's whole response has arrived.
     void noteCompleted(unsigned status);
-    AttemptResult failSilentConnection(const HttpConnection &connection,
-                                       const EndpointRecord &endpoint);
+    /// Records that a connection has lost its way, which is no failure of the endpoint.
+    void noteSilentConnection(const HttpConnection &connection, const EndpointRecord &endpoint);
     void recordFirstEvent(const EndpointRecord &endpoint);
     bool collectEvents(EventSplitter &events, std::string &batch);
     void forwardEvents(const ResponseHead &head, unsigned status, const std::string &batch);
     HttpRequest upstreamRequest(const GangPlan &plan, const MemoryReservations &reservations) const;
     /// The endpoints to which the request may be sent and run.
     uint32_t attemptLimit() const;
-    bool mayRetry() const;
+    /// Whether the request may run at another endpoint beside the attempt in progress.
+    bool mayRunElsewhere() const;
     /// Connections that were used longer ago may be dead.
     Duration justUsedTime() const;
     Duration streamSilenceTimeout() const;
     Duration firstEventTimeout(const GangPlan &plan) const;
 
+    // relay_silence.cpp
+    /// Called when the endpoint of the attempt in progress has sent nothing for some time. Returns
+    /// when to call it again; nothing if the attempt is over.
+    std::optional<TimePoint> handleSilence();
+    /// Records the silence of the attempt in progress, once for each silence.
+    void noteSilence(const SilentAttempt &silence, Duration silentFor);
+    /// Called when the endpoint of an attempt that was silent sends something again.
+    void noteActive(const EndpointRecord &endpoint);
+    /// The endpoints of the service during the last @p silentFor.
+    PoolActivity poolActivitySince(Duration silentFor) const;
+    /// Makes another attempt while the one in progress is silent, which stays open meanwhile.
+    void attemptBeside();
+    /// Cancels the attempt in progress if the silent attempt @p index of m_standbys goes on.
+    void watchStandby(size_t index, const std::shared_ptr<bool> &ended);
+    void cancelFrom(size_t index);
+    void cancel(Attempt &attempt);
+    /// Cancels the silent attempts, since the attempt in progress answers the request.
+    void cancelStandbys();
+    /// Whether the attempt in progress was ended by this side.
+    bool isCancelled() const;
+    void cancelAttempts();
+    void logSilence(const SilentAttempt &silence, Duration silentFor) const;
+
     // relay_forward.cpp
     /// The VM to which the request is forwarded now; nothing if this VM has to serve it.
     std::optional<ForwardPeer> forwardPeer();
@@ -254,7 +305,6 @@
     /// daemon does not drain.
     int64_t arrivedInDrainMs() const;
 
-    bool atMostOnce() const { return !m_route->repeatable(); }
     /// Hash of the request's method, target, customer and body; equal for each attempt of the same
     /// request.
     const Fingerprint &fingerprint();
@@ -285,14 +335,12 @@
     uint32_t m_unreached = 0; ///< Sum of the weights of noteUnreached().
     std::vector<VmId> m_forwardedTo;
     bool m_forwarding = false; ///< The attempt in progress is at another VM.
-    HttpConnection *m_connection = nullptr; ///< Connection of the attempt in progress.
-    const GangPlan *m_plan = nullptr; ///< Placement of the attempt in progress.
-    bool m_holdsMemory = false; ///< Memory is reserved for the attempt in progress.
-    /// Set if the attempt in progress was abandoned, see abandonAttempt().
-    std::optional<FailureWeight> m_abandoned;
-    const char *m_abandonedReason = EndpointGone;
-    TimePoint m_answeredAt{}; ///< First event of the attempt in progress; zero: none yet.
-    LoadKey m_loadKey;
+    Attempt m_attempt; ///< The attempt in progress.
+    /// Silent attempts, each of which stays open while the next one is made.
+    std::vector<Attempt> m_standbys;
+    /// Endpoints that were silent when the last attempt of m_standbys was.
+    std::unordered_set<EndpointId> m_silentEndpoints;
+    bool m_answered = false; ///< The client has received the whole response.
     std::optional<uint64_t> m_lastEvent; ///< Last event id that the client received.
     /// An endpoint's error response, used if no attempt succeeds.
     std::optional<HttpResponse> m_endpointFailure;
--- a/relay/retry_broker.cpp
+++ b/relay/retry_broker.cpp
@@ -104,11 +104,11 @@
     return state;
 }
 
-bool RetryBroker::hasBudget(const ServiceId &service)
+bool RetryBroker::hasBudget(const ServiceId &service, RetryPurpose purpose)
 {
     const TimePoint now = Clock::now();
     if (!isPooled(now))
-        return hasRetryBudget(m_windows, service, now);
+        return hasRetryBudget(m_windows, service, now, purpose);
     if (now - m_deniedAt < DenialMemory || now - m_poolStateAt > RetryDepositTime)
         return false;
     const auto remaining = m_poolState.m_services.find(service);
@@ -116,10 +116,10 @@
                                                      : remaining->second >= 1;
 }
 
-bool RetryBroker::spend(const ServiceId &service)
+bool RetryBroker::spend(const ServiceId &service, RetryPurpose purpose)
 {
     const TimePoint now = Clock::now();
-    if (!isPooled(now) && spendRetryBudget(m_windows, service, now))
+    if (!isPooled(now) && spendRetryBudget(m_windows, service, now, purpose))
         return true;
     if (!poolsRetries(m_windows.m_settings) || m_holders.size() < 2)
         return false;
--- a/relay/retry_broker.h
+++ b/relay/retry_broker.h
@@ -27,9 +27,9 @@
     void setHolders(const std::vector<RetryHolder> &holders);
     void countArrival(const ServiceId &service, TimePoint now);
     /// Whether spend() is expected to succeed.
-    bool hasBudget(const ServiceId &service);
+    bool hasBudget(const ServiceId &service, RetryPurpose purpose);
     /// Takes one retry out of the budget. Blocks the fiber while a holder is asked.
-    bool spend(const ServiceId &service);
+    bool spend(const ServiceId &service, RetryPurpose purpose);
     void receive(const LoadMessage &message);
 
 private:
