An event without end ends the attempt

An event that an endpoint never ends was kept without bound, and searched from its start at each piece, so that the traffic thread fell behind all time-outs: a stream was still without an answer after 6.0 s of a deadline of 2.5 s, 40 MiB were read, memory had grown by 63 MiB, and a resumable stream with a second endpoint was cut after three events in four of four tries.

An attempt whose unfinished event is longer than 1 MiB fails, as one whose stream ends inside an event does. Before the first event the client gets 502, after it a cut stream; a resumable stream goes on at another endpoint. The bound also limits the repeated search.

--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -21,6 +21,8 @@
 constexpr int JustUsedShare = 12;
 /// For the rest of a response whose head has arrived.
 constexpr Millis BodyTimeout{ 1'000 };
+/// Of one event that is not complete. An event has some tens of tokens, a few KB.
+constexpr size_t MaxEventBytes = 1024 * 1024;
 
 /// A repeat that starts after this part of the client's patience still succeeds in time.
 constexpr double PatienceShare = 0.45;
@@ -488,6 +490,8 @@
             return AttemptResult::Failed;
         if (!ordered)
             return failAttempt(endpoint, FailureWeight::Strong, "events out of order");
+        if (events.pending() > MaxEventBytes)
+            return failAttempt(endpoint, FailureWeight::Weak, "an event is too long");
     }
     cancelStandbys();
     if (!m_streaming) {
--- a/tests/platform/endless_answer_test.cpp
+++ b/tests/platform/endless_answer_test.cpp
@@ -171,5 +171,35 @@
         EXPECT_EQ(m_deployment.call({}).m_status, 200u) << i;
 }
 
+TEST_F(EndlessAnswerTest, EndlessFirstEventEndsTheAttempt)
+{
+    start("model");
+    sendEndless(headWith("Connection: close\r\n\r\nid: 1\ndata: "), "a");
+    expectFailed(streamRequest("/once/x"), BufferedBytes);
+}
+
+TEST_F(EndlessAnswerTest, EndlessEventIsCutAtTheBound)
+{
+    start("model");
+    sendEndless(headWith("Connection: close\r\n\r\n") + eventsText(1, 3) + "id: 4\n",
+                "data: " + std::string(40, 'a') + "\n");
+    const ClientAnswer answer = callMeasured(streamRequest("/once/x"));
+    EXPECT_EQ(answer.m_body, eventsText(1, 3));
+    EXPECT_FALSE(answer.m_whole);
+    EXPECT_LT(answer.m_took, Promptly);
+    EXPECT_LT(m_endpoint.longestSent(), BufferedBytes);
+}
+
+TEST_F(EndlessAnswerTest, EndlessEventIsResumedElsewhere)
+{
+    start("model", true);
+    sendEndless(headWith("Connection: close\r\n\r\n") + eventsText(1, 3) + "id: 4\ndata: ", "a");
+    for (int i = 0; i < 4; ++i) {
+        const ClientAnswer answer = m_deployment.call(streamRequest());
+        EXPECT_EQ(answer.m_body, eventsText(1, 6));
+        EXPECT_TRUE(answer.m_whole);
+    }
+}
+
 } // namespace
 } // namespace stackquay::platform
