A stream whose bytes are always there ends at its deadline

A read that finds bytes never waits, so its time-out does not come: complete events without end went on to the client for as long as the endpoint sent them, 14 s and 4,976 MiB (where the test gave up reading) under a route time-out of 2.5 s, and beyond 60 s to a client that read slowly. Memory was flat.

The remaining time is now checked after each piece.

--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -492,6 +492,9 @@
             return failAttempt(endpoint, FailureWeight::Strong, "events out of order");
         if (events.pending() > MaxEventBytes)
             return failAttempt(endpoint, FailureWeight::Weak, "an event is too long");
+        // With bytes always there, no read waits until the deadline.
+        if (remainingTime() <= Duration::zero())
+            return AttemptResult::Failed;
     }
     cancelStandbys();
     if (!m_streaming) {
--- a/tests/platform/endless_answer_test.cpp
+++ b/tests/platform/endless_answer_test.cpp
@@ -201,5 +201,32 @@
     }
 }
 
+TEST_F(EndlessAnswerTest, EndlessEventsKeepMemoryFlat)
+{
+    start("model");
+    sendEndless(headWith("Connection: close\r\n\r\n"), "data: " + std::string(100, 'a') + "\n\n",
+                UnlimitedBytes);
+    ClientRequest request = streamRequest("/once/x");
+    request.m_keepBody = false;
+    const ClientAnswer answer = callMeasured(request);
+    EXPECT_EQ(answer.m_status, 200u);
+    EXPECT_FALSE(answer.m_whole);
+    EXPECT_LT(answer.m_took, request.m_deadline + Promptly);
+}
+
+TEST_F(EndlessAnswerTest, EndlessEventsToASlowReaderKeepMemoryFlat)
+{
+    start("model");
+    sendEndless(headWith("Connection: close\r\n\r\n"), "data: " + std::string(100, 'a') + "\n\n",
+                UnlimitedBytes);
+    ClientRequest request = streamRequest("/once/x");
+    request.m_keepBody = false;
+    request.m_readPause = Millis(5);
+    const ClientAnswer answer = callMeasured(request);
+    EXPECT_EQ(answer.m_status, 200u);
+    EXPECT_FALSE(answer.m_whole);
+    EXPECT_LT(answer.m_took, request.m_deadline + Promptly);
+}
+
 } // namespace
 } // namespace stackquay::platform
