Bodies of refusals, probes, reservations, peers and the store have bounds of their own

The body of a refusal is read only to reuse its connection, but was read for a second or to its end: 300 MiB, memory grew by 511 MiB, and the request went on to another endpoint 1.06 to 1.18 s late. An answer of the store without end made memory grow by 634 MiB; with the general bound of 16 MiB by 34 MiB.

Refusals, other VMs' own responses, answers to probes and to reservations are bounded at 64 KiB, the store's at 4 MiB. Beyond it the connection is closed; a refusal still counts as not run.

The bounds of probes, reservations and other VMs' responses have no test of their own.

--- a/relay/memory_reservations.cpp
+++ b/relay/memory_reservations.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Of an endpoint's answer to a reservation, a renewal or a release.
+constexpr size_t MaxOrderResponseBytes = 64 * 1024;
+
 /// Engines answer within a round trip; a request without an answer may still be carried out late.
 constexpr Duration ReservationTimeout = Millis(400);
 /// Reservations are idempotent by id, so a request may be sent again on a new connection.
@@ -42,6 +45,7 @@
         return makeError(ErrorCode::Unavailable, "the endpoint's process is another one now");
     HttpCallOptions options;
     options.m_timeout = ReservationTimeout;
+    options.m_bodyLimit = MaxOrderResponseBytes;
     options.m_replaceAfter = ReplaceConnectionAfter;
     auto answer = node.m_pool.call(reservation.m_address, request, options);
     if (answer)
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -23,6 +23,8 @@
 constexpr Millis BodyTimeout{ 1'000 };
 /// Of one event that is not complete. An event has some tens of tokens, a few KB.
 constexpr size_t MaxEventBytes = 1024 * 1024;
+/// Of the body of a refusal, which is read only to reuse the connection.
+constexpr size_t MaxRefusalBytes = 64 * 1024;
 
 /// A repeat that starts after this part of the client's patience still succeeds in time.
 constexpr double PatienceShare = 0.45;
@@ -388,7 +390,8 @@
         .flag("reused", reused)
         .write();
     // Reads the whole body, so that the connection can be reused.
-    const auto body = connection.readWhole(std::min<Duration>(remainingTime(), BodyTimeout));
+    const auto body =
+        connection.readWhole(std::min<Duration>(remainingTime(), BodyTimeout), MaxRefusalBytes);
     if (!body)
         connection.cancel();
     return AttemptResult::NotRun;
--- a/relay/relay_forward.cpp
+++ b/relay/relay_forward.cpp
@@ -13,6 +13,8 @@
 constexpr Millis ConnectTimeout{ 200 };
 /// For a response that is not a stream, and for one of the other VM's own.
 constexpr Millis BodyTimeout{ 1'000 };
+/// Of a response of the other VM's own, which is a short message.
+constexpr size_t MaxRefusalBytes = 64 * 1024;
 /// Sum of the weights of what a request does not reach before it is forwarded, if the VM is not
 /// known to be isolated.
 constexpr uint32_t MaxUnreached = 2;
@@ -126,7 +128,8 @@
                                                       const ResponseHead &head,
                                                       HttpResponse response)
 {
-    auto body = connection.readWhole(std::min<Duration>(remainingTime(), BodyTimeout));
+    auto body =
+        connection.readWhole(std::min<Duration>(remainingTime(), BodyTimeout), MaxRefusalBytes);
     if (!body)
         return failRead(connection, vm, body.error());
     m_failureReason = fmt::format("refused by another VM with status {}", response.m_status);
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Of an endpoint's answer to a probe.
+constexpr size_t MaxReportBytes = 64 * 1024;
+
 /// Idle connections kept per endpoint.
 constexpr size_t IdleConnections = 8;
 /// A VM that started within this time has not yet received all that the other VMs have in flight,
@@ -362,6 +365,7 @@
     }
     HttpCallOptions options;
     options.m_timeout = timeout;
+    options.m_bodyLimit = MaxReportBytes;
     constexpr bool OnNewConnection = false;
     auto answer = m_pool.call(*address, m_dialect.m_probe(endpoint.m_id), options, OnNewConnection);
     if (answer)
--- a/store/store_channel.cpp
+++ b/store/store_channel.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// An object has 1 MiB at most; a list of some thousand objects is shorter.
+constexpr size_t MaxStoreResponseBytes = 4 * 1024 * 1024;
+
 constexpr size_t IdleConnections = 8;
 constexpr unsigned StatusTooManyRequests = 429;
 constexpr unsigned StatusServerError = 500;
@@ -131,6 +134,7 @@
         return makeError(ErrorCode::Unavailable, "no address of the store is configured");
     HttpCallOptions options;
     options.m_timeout = timeout;
+    options.m_bodyLimit = MaxStoreResponseBytes;
     // A watch may receive nothing for a long time, so silence does not replace its connection; the
     // connection is probed instead. On a new connection the watch resumes from the same revision,
     // without loss, and with its full timeout.
@@ -164,7 +168,7 @@
     auto response = (*connection)->readHeader(remaining());
     if (!response)
         return tl::unexpected(lostResponse(response.error(), call.m_kind));
-    auto body = (*connection)->readWhole(remaining());
+    auto body = (*connection)->readWhole(remaining(), MaxStoreResponseBytes);
     if (!body)
         return tl::unexpected(lostResponse(body.error(), call.m_kind));
     response->m_body = std::move(*body);
--- a/tests/platform/endless_answer_test.cpp
+++ b/tests/platform/endless_answer_test.cpp
@@ -201,6 +201,31 @@
     }
 }
 
+TEST_F(EndlessAnswerTest, EndlessRefusalBodyClosesTheConnection)
+{
+    start("plain");
+    sendEndless("HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: request-1\r\n"
+                "X-Not-Executed: 1\r\nConnection: close\r\n\r\n",
+                "a");
+    const ClientAnswer answer = callMeasured(unsafeRequest());
+    EXPECT_EQ(answer.m_status, 503u);
+    EXPECT_LT(answer.m_took, Promptly);
+    EXPECT_LT(m_endpoint.longestSent(), BufferedBytes);
+}
+
+TEST_F(EndlessAnswerTest, EndlessRefusalBodyIsAnsweredByAnotherEndpoint)
+{
+    start("plain", true);
+    sendEndless("HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: request-1\r\n"
+                "X-Not-Executed: 1\r\nConnection: close\r\n\r\n",
+                "a");
+    for (int i = 0; i < 4; ++i) {
+        const ClientAnswer answer = m_deployment.call(unsafeRequest());
+        EXPECT_EQ(answer.m_status, 200u);
+        EXPECT_LT(answer.m_took, Promptly);
+    }
+}
+
 TEST_F(EndlessAnswerTest, EndlessEventsKeepMemoryFlat)
 {
     start("model");
@@ -228,5 +253,18 @@
     EXPECT_LT(answer.m_took, request.m_deadline + Promptly);
 }
 
+TEST_F(EndlessAnswerTest, EndlessAnswersOfTheStoreKeepMemoryFlat)
+{
+    sendEndless("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "a");
+    const MemoryWatch memory;
+    m_deployment.addDaemon(m_endpoint.address());
+    EXPECT_TRUE(eventually([this] { return m_endpoint.cutAnswers() >= 3; }, Seconds(10)));
+    EXPECT_LT(memory.growth(), MaxGrowth);
+    std::cout << "[ MEASURED ] answers cut " << m_endpoint.cutAnswers() << ", store sent "
+              << m_endpoint.longestSent() / Mebibyte << " MiB, memory grew by "
+              << memory.growth() / Mebibyte << " MiB\n";
+    EXPECT_NE(m_deployment.readyStatus(), 200u);
+}
+
 } // namespace
 } // namespace stackquay::platform
