The header of a chunk and the trailers of an answer are bounded like its head

Beast's parser bounds the head only. A chunk extension or trailer without end was kept until the attempt's time-out: memory grew by 494 MiB (plain answers) and 511 MiB (streams), 300 MiB were read.

Bytes that the parser cannot use yet are bounded at 64 KiB; beyond it the answer is a ProtocolError. Measured: 502 after 3 to 4 ms, memory grew by 2 MiB.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -19,6 +19,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr size_t ReadBytes = 16 * 1024;
+/// Of a head, of one chunk's header and of the trailers.
 constexpr uint32_t HeaderLimit = 64 * 1024;
 // Answers are read in pieces; the reader bounds what it keeps.
 constexpr uint64_t BodyLimit = uint64_t(1) << 40;
@@ -157,6 +158,9 @@
             error = {};
             if (!m_parser->get().body().empty())
                 return error;
+            // The parser itself bounds the head only.
+            if (m_buffer.size() > HeaderLimit)
+                return http::error::header_limit;
         }
         m_buffer.commit(readSome(error));
         if (error == asio::error::eof) {
--- a/tests/platform/endless_answer_test.cpp
+++ b/tests/platform/endless_answer_test.cpp
@@ -163,6 +163,20 @@
     expectFailed(unsafeRequest(), BufferedBytes + MaxResponseBytes);
 }
 
+TEST_F(EndlessAnswerTest, EndlessChunkHeaderIsCutAtTheBound)
+{
+    start("plain");
+    sendEndless(headWith("Transfer-Encoding: chunked\r\n\r\n2;name="), "a");
+    expectFailed(unsafeRequest(), BufferedBytes);
+}
+
+TEST_F(EndlessAnswerTest, EndlessTrailerIsCutAtTheBound)
+{
+    start("plain");
+    sendEndless(headWith("Transfer-Encoding: chunked\r\n\r\n0\r\n"), "X-Filler: a\r\n");
+    expectFailed(unsafeRequest(), BufferedBytes);
+}
+
 TEST_F(EndlessAnswerTest, EndlessBodiesAreReplacedByAnotherEndpoint)
 {
     start("plain", true);
@@ -190,6 +204,13 @@
     EXPECT_LT(m_endpoint.longestSent(), BufferedBytes);
 }
 
+TEST_F(EndlessAnswerTest, EndlessChunkHeaderInAStreamIsCutAtTheBound)
+{
+    start("model");
+    sendEndless(headWith("Transfer-Encoding: chunked\r\n\r\n2;name="), "a");
+    expectFailed(streamRequest("/once/x"), BufferedBytes);
+}
+
 TEST_F(EndlessAnswerTest, EndlessEventIsResumedElsewhere)
 {
     start("model", true);
