Interim responses before an answer are skipped, up to 16

An endpoint that sent 100 or 103 before its answer got its attempt failed, and the client a 502 with "the answer is not the endpoint's own": the interim response was taken for the answer. Interim responses without end failed the same way.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -21,6 +21,8 @@
 constexpr size_t ReadBytes = 16 * 1024;
 /// Of a head, of one chunk's header and of the trailers.
 constexpr uint32_t HeaderLimit = 64 * 1024;
+/// Responses with status 1xx before an answer. Servers send one or two of them.
+constexpr size_t MaxInterimResponses = 16;
 // Answers are read in pieces; the reader bounds what it keeps.
 constexpr uint64_t BodyLimit = uint64_t(1) << 40;
 /// A peer that states no idle timeout is trusted for this long.
@@ -100,6 +102,13 @@
     return std::chrono::duration_cast<Duration>(Seconds(seconds) * IdleLimitShare);
 }
 
+/// 101 is the last response of its connection.
+bool isInterim(unsigned status)
+{
+    return status >= 100 && status < 200
+           && status != static_cast<unsigned>(http::status::switching_protocols);
+}
+
 } // namespace
 
 struct HttpConnection::State {
@@ -146,6 +155,29 @@
             m_parser->is_done() && m_parser->keep_alive() && m_open && m_buffer.size() == 0;
     }
 
+    void beginResponse()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(HeaderLimit);
+        m_parser->body_limit(BodyLimit);
+    }
+
+    /// Reads the head of the final response; interim responses before it are dropped.
+    boost::system::error_code readFinalHead()
+    {
+        for (size_t interim = 0; interim <= MaxInterimResponses; ++interim) {
+            while (!m_parser->is_header_done()) {
+                const boost::system::error_code error = parseMore();
+                if (error)
+                    return error;
+            }
+            if (!isInterim(m_parser->get().result_int()))
+                return {};
+            beginResponse();
+        }
+        return http::error::header_limit;
+    }
+
     /// Parses what was read before, or else reads more. An end of the connection ends only a body
     /// without announced length.
     boost::system::error_code parseMore()
@@ -231,9 +263,7 @@
     message.body() = beast::span<const char>(request.m_body.data(), request.m_body.size());
     message.prepare_payload();
     state->m_reusable = false;
-    state->m_parser.emplace();
-    state->m_parser->header_limit(HeaderLimit);
-    state->m_parser->body_limit(BodyLimit);
+    state->beginResponse();
     boost::system::error_code error;
     state->m_sentAt = Clock::now();
     state->m_stream.expiresAfter(timeout);
@@ -247,11 +277,9 @@
 {
     const auto state = m_state;
     state->m_readBy = Clock::now() + timeout;
-    while (!state->m_parser->is_header_done()) {
-        const boost::system::error_code error = state->parseMore();
-        if (error)
-            return state->fail(error, "read header");
-    }
+    const boost::system::error_code error = state->readFinalHead();
+    if (error)
+        return state->fail(error, "read header");
     // Several chunks that came together make one piece.
     state->m_parser->eager(true);
     HttpResponse response;
--- a/tests/platform/endless_answer_test.cpp
+++ b/tests/platform/endless_answer_test.cpp
@@ -247,6 +247,24 @@
     }
 }
 
+TEST_F(EndlessAnswerTest, EndlessInterimResponsesEndTheAttempt)
+{
+    start("plain");
+    sendEndless("", "HTTP/1.1 103 Early Hints\r\nX-Request-Id: request-1\r\n\r\n");
+    expectFailed(unsafeRequest(), BufferedBytes);
+}
+
+TEST_F(EndlessAnswerTest, InterimResponsesBeforeAnAnswerAreSkipped)
+{
+    start("plain");
+    m_endpoint.setAnswer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                             + headWith("Content-Length: 9\r\n\r\nan answer"),
+                         RawEnd::Close);
+    const ClientAnswer answer = m_deployment.call(unsafeRequest());
+    EXPECT_EQ(answer.m_status, 200u);
+    EXPECT_EQ(answer.m_body, "an answer");
+}
+
 TEST_F(EndlessAnswerTest, EndlessEventsKeepMemoryFlat)
 {
     start("model");
