--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -367,6 +367,84 @@
     });
 }
 
+/// Sends what it is told to the first connection, piece by piece, until the peer closes it.
+class RawPeer
+{
+public:
+    RawPeer(std::string start, std::string repeated, Millis pause)
+        : m_thread([this, start = std::move(start), repeated = std::move(repeated), pause] {
+            boost::asio::ip::tcp::socket socket = m_acceptor.accept();
+            std::array<char, 4096> request;
+            boost::system::error_code error;
+            socket.read_some(boost::asio::buffer(request), error);
+            boost::asio::write(socket, boost::asio::buffer(start), error);
+            while (!error) {
+                boost::asio::write(socket, boost::asio::buffer(repeated), error);
+                std::this_thread::sleep_for(pause);
+            }
+        })
+    { }
+    ~RawPeer() { m_thread.join(); }
+    RawPeer(const RawPeer &) = delete;
+    RawPeer &operator=(const RawPeer &) = delete;
+
+    Address address() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+
+private:
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor{ m_context,
+                                               { boost::asio::ip::address_v4::loopback(), 0 } };
+    std::thread m_thread;
+};
+
+TEST_F(HttpTest, HeadsThatComeAByteAtATimeEndAtTheirDeadline)
+{
+    constexpr Millis Timeout{ 300 };
+    const RawPeer peer("HTTP/1.1 200 OK\r\nX-Filler: ", "a", Millis(5));
+    m_clientThread.start();
+    onClient([&] {
+        HttpConnection connection(m_clientThread.context());
+        ASSERT_TRUE(connection.connect(peer.address(), Seconds(5)));
+        ASSERT_TRUE(connection.send({ "GET", "/", {}, "" }, Seconds(5)));
+        const TimePoint startedAt = Clock::now();
+        const auto header = connection.readHeader(Timeout);
+        ASSERT_FALSE(header);
+        EXPECT_EQ(header.error().m_code, ErrorCode::DeadlineExceeded);
+        EXPECT_LT(Clock::now() - startedAt, Timeout * 3);
+    });
+}
+
+TEST_F(HttpTest, InterimResponsesThatComeSlowlyEndAtTheirDeadline)
+{
+    constexpr Millis Timeout{ 300 };
+    const RawPeer peer("", "HTTP/1.1 102 Processing\r\n\r\n", Millis(50));
+    m_clientThread.start();
+    onClient([&] {
+        HttpConnection connection(m_clientThread.context());
+        ASSERT_TRUE(connection.connect(peer.address(), Seconds(5)));
+        ASSERT_TRUE(connection.send({ "GET", "/", {}, "" }, Seconds(5)));
+        const auto header = connection.readHeader(Timeout);
+        ASSERT_FALSE(header);
+        EXPECT_EQ(header.error().m_code, ErrorCode::DeadlineExceeded);
+    });
+}
+
+TEST_F(HttpTest, EndlessChunkHeadersAreProtocolErrors)
+{
+    const RawPeer peer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;name=",
+                       std::string(1'000, 'a'), Millis(0));
+    m_clientThread.start();
+    onClient([&] {
+        HttpConnection connection(m_clientThread.context());
+        ASSERT_TRUE(connection.connect(peer.address(), Seconds(5)));
+        ASSERT_TRUE(connection.send({ "GET", "/", {}, "" }, Seconds(5)));
+        ASSERT_TRUE(connection.readHeader(Seconds(5)));
+        const auto body = connection.readWhole(Seconds(5));
+        ASSERT_FALSE(body);
+        EXPECT_EQ(body.error().m_code, ErrorCode::ProtocolError);
+    });
+}
+
 TEST_F(HttpTest, BytesAfterAnAnswerEndTheConnectionsUse)
 {
     boost::asio::io_context context;
