The soak's judge reports errors for requests that a paused worker had taken

LOST looked at answers that are not complete only, so a daemon that gave up a request at a paused worker before its head, and answered 502 or 504 with time left, broke no rule. The workers of the soak answer neither status.

--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -27,6 +27,12 @@
     return status == 429 || status == 503 || status == 408 || status == 421;
 }
 
+/// Statuses that the soak's workers never answer: a daemon gave an attempt up.
+bool isGatewayError(unsigned status)
+{
+    return status == 502 || status == 504;
+}
+
 bool isDenial(unsigned status)
 {
     return status == 401 || status == 403 || status == 404;
@@ -127,6 +133,13 @@
     return inTime && whole + evidence.m_bounds.m_lossSlack >= request.m_ended;
 }
 
+/// Whether a daemon answered an error of its own to what a paused worker had taken.
+bool gaveUpAtPause(const Evidence &evidence, const SentRequest &request)
+{
+    return request.m_whole && isGatewayError(request.m_status)
+           && !pausesOf(evidence, request).empty();
+}
+
 std::string describePauses(const Evidence &evidence, const SentRequest &request)
 {
     std::string text;
@@ -140,7 +153,8 @@
 {
     const Bounds &bounds = evidence.m_bounds;
     for (const SentRequest &request : evidence.m_seen.m_requests) {
-        if (!request.m_sent || request.m_whole || request.m_gaveUp)
+        const bool gaveUp = gaveUpAtPause(evidence, request);
+        if (!request.m_sent || (request.m_whole && !gaveUp) || request.m_gaveUp)
             continue;
         const bool reached = !evidence.runsOf(request.m_id).empty();
         const bool crossed = !reached && request.m_status == 0
@@ -157,10 +171,9 @@
             stop ? fmt::format("sent {} ms and cut {} ms after SIGTERM",
                                (*request.m_sent - *stop).count(), (request.m_ended - *stop).count())
                  : "beside no SIGTERM";
-        add(found, request,
-            "read, and ended without a complete answer, " + when
-                + describePauses(evidence, request),
-            evidence);
+        const std::string what = gaveUp ? "read, and given up with an error, "
+                                        : "read, and ended without a complete answer, ";
+        add(found, request, what + when + describePauses(evidence, request), evidence);
     }
 }
 
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -158,6 +158,21 @@
     EXPECT_EQ(rules(), "LOST");
 }
 
+TEST_F(JudgeTest, ReportsAnErrorForARequestThatAPausedWorkerHadTaken)
+{
+    addServed("request-1", Seconds(5), Traffic::Unsafe);
+    request().m_status = 502;
+    EXPECT_EQ(rules(), "");
+    m_seen.m_disruptions.push_back(
+        { Place::WorkerPause, 0, Millis(5'100), Millis(6'200), false, "endpoints pause" });
+    EXPECT_EQ(rules(), "LOST");
+    request().m_status = 200; // Delayed, and served.
+    EXPECT_EQ(rules(), "");
+    request().m_status = 504;
+    request().m_deadline = Millis(500);
+    EXPECT_EQ(rules(), "");
+}
+
 TEST_F(JudgeTest, AllowsAClientThatLeavesAPausedStream)
 {
     addServed("request-1", Seconds(5), Traffic::Once);
