--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -125,8 +125,11 @@
         || request.m_ended < *stop + evidence.m_bounds.m_grace - GraceReserve)
         return false;
     const PathWork work = workOf(request.m_path);
-    Millis whole =
-        evidence.runsOf(request.m_id).front()->m_from + work.m_delay + work.m_gap * work.m_events;
+    const auto &runs = evidence.runsOf(request.m_id);
+    const auto first =
+        std::min_element(runs.begin(), runs.end(),
+                         [](const SeenRun *a, const SeenRun *b) { return a->m_from < b->m_from; });
+    Millis whole = (*first)->m_from + work.m_delay + work.m_gap * work.m_events;
     const bool inTime = whole <= request.m_ended;
     for (const Span &pause : pauses)
         whole += pause.m_until - pause.m_from;
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -212,6 +212,24 @@
     EXPECT_EQ(rules(), "LOST");
 }
 
+TEST_F(JudgeTest, CountsTheGraceOfAMovedStreamFromItsFirstRun)
+{
+    addServed("request-1", Seconds(5), Traffic::Stream);
+    request().m_path = run().m_path = "/stream/0/60/100";
+    request().m_ended = Millis(11'500);
+    request().m_deadline = Seconds(20);
+    run().m_until = request().m_ended;
+    cutAfterStop(Millis(7'300));
+    SeenRun first = run();
+    run().m_from = first.m_until.emplace(Millis(8'900)); // Workers are not seen in order of time.
+    first.m_slot = 2;
+    m_seen.m_runs.push_back(first);
+    EXPECT_EQ(rules(), "LOST");
+    m_seen.m_disruptions.push_back(
+        { Place::WorkerPause, 2, Millis(8'000), Millis(9'000), false, "endpoints pause" });
+    EXPECT_EQ(rules(), "");
+}
+
 TEST_F(JudgeTest, ReportsASecondRunOnlyOfWhatMayNotBeRepeated)
 {
     addServed("request-1", Seconds(5), Traffic::Safe);
