A listed endpoint has to fail its probes for half of the memory bound

Cause: an attempt that holds memory was abandoned after 1 s of silence, which a prompt that is being read has anyway, and two failed probes of 200 ms.

All probes now have to fail for half of the time within which the memory has to be free (2 s of 4 s), so that the rest is left for the release.

--- a/policy/absent_endpoint.cpp
+++ b/policy/absent_endpoint.cpp
@@ -17,6 +17,12 @@
     return cheap ? settings.m_minFailedProbes : settings.m_minFailedProbesIfCostly;
 }
 
+bool failedLongEnough(const AbsenceSettings &settings, const AbsenceEvidence &evidence)
+{
+    const bool listed = evidence.m_listing == ProcessListing::Listed;
+    return !listed || evidence.m_failingFor >= settings.m_minListedFailing;
+}
+
 } // namespace
 
 ProcessListing listingOf(const EndpointDirectory &directory, const EndpointRecord &record,
@@ -42,7 +48,8 @@
         return AbsenceDecision::Wait;
     if (evidence.m_listing == ProcessListing::Replaced)
         return AbsenceDecision::Abandon;
-    if (evidence.m_failedProbes >= minFailedProbes(settings, evidence))
+    if (evidence.m_failedProbes >= minFailedProbes(settings, evidence)
+        && failedLongEnough(settings, evidence))
         return AbsenceDecision::Abandon;
     const bool answered = evidence.m_failedProbes == 0;
     return answered && evidence.m_sinceProbe < settings.m_probeInterval ? AbsenceDecision::Wait
--- a/policy/absent_endpoint.h
+++ b/policy/absent_endpoint.h
@@ -32,6 +32,9 @@
     /// are checked there, because that memory has to be free soon after the endpoint's end, and its
     /// entry expires only shortly before.
     Millis m_minListedSilence{ 1'000 };
+    /// All probes of a listed endpoint have to fail for so long, because one that pauses goes on. A
+    /// part of the time within which the memory has to be free.
+    Millis m_minListedFailing{ 2'000 };
     /// Between probes of an endpoint that answers. Each VM with a silent attempt there probes it.
     Millis m_probeInterval{ 1'000 };
     /// Consecutive probes that have to fail, as one can be lost with a packet.
@@ -48,6 +51,7 @@
     bool m_holdsMemory = false; ///< Memory on other endpoints is reserved for the attempt.
     Duration m_silence{}; ///< Since the attempt was sent or last received bytes.
     uint32_t m_failedProbes = 0; ///< Consecutive, since the endpoint last sent anything.
+    Duration m_failingFor{}; ///< Since the first of them began.
     Duration m_sinceProbe = Duration::max(); ///< Since the last probe ended; max(): none.
 };
 
--- a/relay/absence_monitor.cpp
+++ b/relay/absence_monitor.cpp
@@ -67,6 +67,8 @@
     if (m_running)
         return;
     m_running = true;
+    m_settings.m_minListedFailing =
+        std::chrono::duration_cast<Millis>(m_node.m_view.load()->m_bounds.m_memoryReleaseTime / 2);
     spawnFiber([this] {
         while (checkAttempts() && sleepFor(m_node.m_thread.context(), CheckPeriod)) { }
         m_running = false;
@@ -135,6 +137,8 @@
     if (connection.lastReadAt() > state.m_begunAt)
         state.m_failed = 0;
     evidence.m_failedProbes = state.m_failed;
+    if (state.m_failed > 0)
+        evidence.m_failingFor = now - state.m_failingSince;
     if (state.m_endedAt != TimePoint{})
         evidence.m_sinceProbe = now - state.m_endedAt;
     return evidence;
@@ -158,8 +162,8 @@
         ended.m_endedAt = now;
         if (answered)
             ended.m_failed = 0;
-        else if (!delayed)
-            ++ended.m_failed;
+        else if (!delayed && ended.m_failed++ == 0)
+            ended.m_failingSince = begun;
         DecisionLine("relay", "endpoint probed")
             .text("endpoint", endpoint.m_id.str())
             .flag("answered", answered)
--- a/relay/absence_monitor.h
+++ b/relay/absence_monitor.h
@@ -38,6 +38,7 @@
         uint32_t m_failed = 0; ///< Consecutive failures.
         bool m_inProgress = false;
         TimePoint m_begunAt{}; ///< Of the last probe. Zero: none.
+        TimePoint m_failingSince{}; ///< When the first of m_failed began.
         TimePoint m_endedAt{};
     };
 
--- a/tests/policy/absent_endpoint_test.cpp
+++ b/tests/policy/absent_endpoint_test.cpp
@@ -31,6 +31,7 @@
     evidence.m_repeatable = true;
     evidence.m_silence = Seconds(2);
     evidence.m_failedProbes = 1;
+    evidence.m_failingFor = Seconds(2);
     evidence.m_sinceProbe = Millis(50);
     return evidence;
 }
@@ -142,6 +143,18 @@
     }
 }
 
+TEST(AbsentEndpointTest, ListedEndpointThatPausesIsNotAbandoned)
+{
+    AbsenceEvidence evidence = goneEvidence();
+    evidence.m_listing = ProcessListing::Listed;
+    evidence.m_holdsMemory = true;
+    evidence.m_failedProbes = 5;
+    evidence.m_failingFor = Millis(1'400);
+    EXPECT_EQ(decide(evidence), AbsenceDecision::Probe);
+    evidence.m_failingFor = Millis(2'000);
+    EXPECT_EQ(decide(evidence), AbsenceDecision::Abandon);
+}
+
 TEST(AbsentEndpointTest, ListedEndpointIsCheckedOnlyForMemoryAndLater)
 {
     AbsenceEvidence evidence = goneEvidence();
