--- a/policy/endpoint_activity.cpp
+++ b/policy/endpoint_activity.cpp
@@ -34,9 +34,12 @@
                           const AttemptLoads &loads, uint64_t origin, TimePoint since)
 {
     std::unordered_set<EndpointId> owing;
+    std::unordered_set<EndpointId> used;
     for (const auto &[key, load] : loads) {
         if (!load.m_parts.empty() && owesAnswer(key, load, origin, since))
             owing.insert(load.m_parts.front().m_endpoint);
+        for (const LoadPart &part : load.m_parts)
+            used.insert(part.m_endpoint);
     }
     PoolActivity result;
     for (const EndpointRecord &endpoint : pool) {
@@ -45,6 +48,8 @@
             result.m_alive.insert(endpoint.m_id);
         else if (owing.count(endpoint.m_id) > 0)
             result.m_silent.insert(endpoint.m_id);
+        else if (used.count(endpoint.m_id) == 0)
+            ++result.m_unused;
     }
     return result;
 }
--- a/policy/endpoint_activity.h
+++ b/policy/endpoint_activity.h
@@ -23,10 +23,11 @@
 void noteAlive(EndpointActivity &activity, const EndpointId &endpoint, TimePoint now);
 void forgetActivity(EndpointActivity &activity, const EndpointId &endpoint);
 
-/// What the endpoints of a pool did since some moment. Those in neither set owed no answer.
+/// What the endpoints of a pool did since some moment. Of the others, nothing is known.
 struct PoolActivity {
     std::unordered_set<EndpointId> m_alive; ///< Sent something.
     std::unordered_set<EndpointId> m_silent; ///< Owed an answer all the while, and sent nothing.
+    size_t m_unused = 0; ///< Endpoints without any attempt, and without a sign of life.
 };
 
 /// The activity of @p pool since @p since. An attempt in @p loads is owed its first event from
--- a/policy/retry_window.cpp
+++ b/policy/retry_window.cpp
@@ -29,11 +29,13 @@
     removeBefore(window.m_requests, now - settings.m_window);
     removeBefore(window.m_retries, now - settings.m_window);
     const double slack = settings.m_slack / std::max(settings.m_maxSharingVms, 1u);
-    const double share = purpose == RetryPurpose::Parallel ? settings.m_parallelShare : 1;
     const double allowed =
-        settings.m_safetyFactor * share
+        settings.m_safetyFactor
         * (settings.m_ratio * static_cast<double>(window.m_requests.size()) + slack);
-    return static_cast<double>(window.m_retries.size()) + 1 <= allowed;
+    // A VM with few requests may use its only retry for either purpose.
+    const double parallel = std::max(settings.m_parallelShare * allowed, std::min(allowed, 1.0));
+    return static_cast<double>(window.m_retries.size()) + 1
+           <= (purpose == RetryPurpose::Parallel ? parallel : allowed);
 }
 
 bool spendRetryBudget(RetryWindows &windows, const ServiceId &service, TimePoint now,
--- a/policy/silent_attempt.cpp
+++ b/policy/silent_attempt.cpp
@@ -4,12 +4,14 @@
 
 namespace stackquay {
 
-SilenceDecision decideSilence(const SilentAttempt &attempt)
+SilenceDecision decideSilence(const SilentAttemptSettings &settings, const SilentAttempt &attempt)
 {
     if (!attempt.m_mayRunElsewhere || !attempt.m_hasBudget)
         return SilenceDecision::Wait;
     // Where all that owe answers are silent, another one would be, too.
-    const bool allSilent = attempt.m_aliveEndpoints == 0 && attempt.m_silentEndpoints > 1;
+    const double fewUnused = settings.m_maxFailingShare * static_cast<double>(attempt.m_endpoints);
+    const bool allSilent = attempt.m_aliveEndpoints == 0 && attempt.m_silentEndpoints > 1
+                           && static_cast<double>(attempt.m_unusedEndpoints) <= fewUnused;
     if (allSilent && !attempt.m_unacknowledged)
         return SilenceDecision::Wait;
     return SilenceDecision::AttemptElsewhere;
--- a/policy/silent_attempt.h
+++ b/policy/silent_attempt.h
@@ -15,7 +15,7 @@
     /// Time between decisions about an attempt that stays silent.
     Millis m_period{ 100 };
     /// If more than this share of the endpoints in use is silent, the cause is not a single
-    /// endpoint.
+    /// endpoint. Unused endpoints up to this share of all are taken for silent, too.
     double m_maxFailingShare = 0.2;
 };
 
@@ -27,6 +27,8 @@
     bool m_unacknowledged = false;
     size_t m_aliveEndpoints = 0; ///< Endpoints that sent something.
     size_t m_silentEndpoints = 0; ///< Those that owe answers and sent nothing, with its own.
+    size_t m_unusedEndpoints = 0; ///< Those without any attempt.
+    size_t m_endpoints = 0; ///< All of the service.
 };
 
 enum class SilenceDecision {
@@ -34,7 +36,7 @@
     AttemptElsewhere, ///< Make another attempt beside it.
 };
 
-SilenceDecision decideSilence(const SilentAttempt &attempt);
+SilenceDecision decideSilence(const SilentAttemptSettings &settings, const SilentAttempt &attempt);
 
 /// The evidence of the silence against its endpoint: none if many are silent together, or if the
 /// connection lost its way.
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -280,9 +280,7 @@
     attempt.m_abandoned = weight;
     attempt.m_abandonedReason = why;
     attempt.m_connection->cancel();
-    // A silent attempt ends only after the one beside it.
-    attempt.m_reservations->releaseAll();
-    m_node.end(attempt.m_loadKey);
+    releaseLoad(attempt);
 }
 
 RelayRun::AttemptResult RelayRun::failRead(const HttpConnection &connection,
@@ -346,6 +344,8 @@
     auto response = connection.readHeader(std::max<Duration>(remainingTime(), Millis(1)));
     if (!response)
         return failRead(connection, endpoint, response.error());
+    if (isCancelled())
+        return AttemptResult::Failed;
     m_node.m_path.noteReached(endpoint);
     noteActive(endpoint);
     const ResponseHead head = m_node.m_dialect.m_readResponseHead(*response);
@@ -406,8 +406,13 @@
         connection.readWhole(std::max<Duration>(remainingTime(), Millis(1)), MaxResponseBytes);
     if (!body)
         return failRead(connection, endpoint, body.error());
+    if (isCancelled())
+        return AttemptResult::Failed;
     if (!head.m_signed || head.m_encoded)
         return failAttempt(endpoint, FailureWeight::Weak, "the answer is not the endpoint's own");
+    if (m_streaming)
+        return failAttempt(endpoint, FailureWeight::None,
+                           "the answer to a resumption is no stream");
     response.m_body = std::move(*body);
     response.m_headers = head.m_forwardedHeaders;
     if (response.m_status < StatusServerError) {
@@ -469,6 +474,9 @@
             connection.readBody(piece, std::max<Duration>(remainingTime(), Millis(1)));
         if (!read)
             return failRead(connection, endpoint, read.error());
+        // It may have been cancelled after its bytes had come.
+        if (isCancelled())
+            return AttemptResult::Failed;
         if (piece.empty()) {
             if (endsBroken(connection, endpoint, events, first))
                 return failAttempt(endpoint, FailureWeight::Weak,
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -270,6 +270,8 @@
     void watchStandby(size_t index, const std::shared_ptr<bool> &ended);
     void cancelFrom(size_t index);
     void cancel(Attempt &attempt);
+    /// Releases the memory of an attempt, and ends it in the ledgers of all VMs.
+    void releaseLoad(const Attempt &attempt);
     /// Cancels the silent attempts, since the attempt in progress answers the request.
     void cancelStandbys();
     /// Whether the attempt in progress was ended by this side.
@@ -340,6 +342,7 @@
     std::vector<Attempt> m_standbys;
     /// Endpoints that were silent when the last attempt of m_standbys was.
     std::unordered_set<EndpointId> m_silentEndpoints;
+    uint32_t m_vainRounds = 0; ///< Times that no attempt could be sent beside a silent one.
     bool m_answered = false; ///< The client has received the whole response.
     std::optional<uint64_t> m_lastEvent; ///< Last event id that the client received.
     /// An endpoint's error response, used if no attempt succeeds.
--- a/relay/relay_silence.cpp
+++ b/relay/relay_silence.cpp
@@ -1,8 +1,17 @@
 /// Part of RelayRun: attempts whose endpoint has sent nothing for some time.
+#include <algorithm>
+
 #include "relay/relay_run.h"
 
 namespace stackquay {
 
+namespace {
+
+/// The period between decisions grows up to so many times, while no attempt can be sent.
+constexpr uint32_t MaxPeriods = 10;
+
+} // namespace
+
 std::optional<TimePoint> RelayRun::handleSilence()
 {
     const HttpConnection &connection = *m_attempt.m_connection;
@@ -14,16 +23,21 @@
     if (now < lateAt)
         return lateAt;
     const Duration silentFor = now - silentSince;
-    const PoolActivity activity = poolActivitySince(silentFor);
     SilentAttempt silence;
     silence.m_mayRunElsewhere = mayRunElsewhere();
     silence.m_hasBudget =
         m_retryPaid || m_node.mayRetry(m_serviceId, *m_view, RetryPurpose::Parallel);
+    const Duration period = m_node.m_silence.m_period * std::min(m_vainRounds + 1, MaxPeriods);
+    if (m_attempt.m_silent && !(silence.m_mayRunElsewhere && silence.m_hasBudget))
+        return now + period;
+    const PoolActivity activity = poolActivitySince(silentFor);
     silence.m_unacknowledged = connection.unacknowledged();
     silence.m_aliveEndpoints = activity.m_alive.size();
     silence.m_silentEndpoints = activity.m_silent.size();
+    silence.m_unusedEndpoints = activity.m_unused;
+    silence.m_endpoints = poolSize();
     noteSilence(silence, silentFor);
-    if (decideSilence(silence) == SilenceDecision::AttemptElsewhere) {
+    if (decideSilence(m_node.m_silence, silence) == SilenceDecision::AttemptElsewhere) {
         m_silentEndpoints = activity.m_silent;
         if (silence.m_unacknowledged)
             m_silentEndpoints.erase(m_attempt.m_plan->m_members.front().m_endpoint.m_id);
@@ -31,7 +45,7 @@
     }
     if (isCancelled())
         return std::nullopt;
-    return Clock::now() + m_node.m_silence.m_period;
+    return Clock::now() + period;
 }
 
 PoolActivity RelayRun::poolActivitySince(Duration silentFor) const
@@ -84,9 +98,13 @@
     watchStandby(m_standbys.size() - 1, ended);
     const uint32_t sent = m_sentAttempts;
     // A retry is paid for only if there is a place for it now.
-    if (choosePlan(DisruptionPolicy::Avoid, poolState()) && mayAttempt())
+    const bool hasPlace = forwardPeer() || choosePlan(DisruptionPolicy::Avoid, poolState());
+    if (hasPlace && mayAttempt() && !isCancelled())
         attemptOnce();
-    m_placements += m_sentAttempts > sent ? 1 : 0;
+    if (m_sentAttempts > sent)
+        ++m_placements;
+    else
+        ++m_vainRounds;
     *ended = true;
     m_attempt = m_standbys.back();
     m_standbys.pop_back();
@@ -99,9 +117,12 @@
     spawnFiber([this, index, ended, connection = m_standbys[index].m_connection] {
         if (*ended || !connection->awaitReadable(remainingTime()) || *ended)
             return;
-        // An end of the connection leaves the attempt beside it as the only one.
-        if (connection->hasBytes())
+        if (connection->hasBytes()) {
             cancelFrom(index + 1);
+            return;
+        }
+        // The connection has ended, which leaves the attempt beside it as the only one.
+        releaseLoad(m_standbys[index]);
     });
 }
 
@@ -117,7 +138,12 @@
     if (std::exchange(attempt.m_cancelled, true) || !attempt.m_connection)
         return;
     attempt.m_connection->cancel();
-    // The attempt itself ends only after the one beside it.
+    releaseLoad(attempt);
+}
+
+/// A silent attempt itself ends only after the one beside it.
+void RelayRun::releaseLoad(const Attempt &attempt)
+{
     if (attempt.m_reservations)
         attempt.m_reservations->releaseAll();
     m_node.end(attempt.m_loadKey);
--- a/tests/policy/silent_attempt_test.cpp
+++ b/tests/policy/silent_attempt_test.cpp
@@ -31,31 +31,45 @@
     attempt.m_hasBudget = true;
     attempt.m_aliveEndpoints = alive;
     attempt.m_silentEndpoints = silent;
+    attempt.m_endpoints = alive + silent;
     return attempt;
 }
 
 TEST(SilentAttemptTest, NothingIsAttemptedElsewhereWhileAllEndpointsAreSilent)
 {
-    EXPECT_EQ(decideSilence(silence(0, 18)), SilenceDecision::Wait);
-    EXPECT_EQ(decideSilence(silence(7, 11)), SilenceDecision::AttemptElsewhere);
-    EXPECT_EQ(decideSilence(silence(0, 1)), SilenceDecision::AttemptElsewhere);
+    EXPECT_EQ(decideSilence({}, silence(0, 18)), SilenceDecision::Wait);
+    EXPECT_EQ(decideSilence({}, silence(7, 11)), SilenceDecision::AttemptElsewhere);
+    EXPECT_EQ(decideSilence({}, silence(0, 1)), SilenceDecision::AttemptElsewhere);
 }
 
 TEST(SilentAttemptTest, AttemptIsKeptWithoutABudgetOrAnotherRun)
 {
     SilentAttempt attempt = silence(17, 1);
     attempt.m_hasBudget = false;
-    EXPECT_EQ(decideSilence(attempt), SilenceDecision::Wait);
+    EXPECT_EQ(decideSilence({}, attempt), SilenceDecision::Wait);
     attempt = silence(17, 1);
     attempt.m_mayRunElsewhere = false;
-    EXPECT_EQ(decideSilence(attempt), SilenceDecision::Wait);
+    EXPECT_EQ(decideSilence({}, attempt), SilenceDecision::Wait);
+}
+
+TEST(SilentAttemptTest, UnusedEndpointsAreTriedWhereTheOnesInUseAreSilent)
+{
+    SilentAttempt attempt = silence(0, 2);
+    EXPECT_EQ(decideSilence({}, attempt), SilenceDecision::Wait);
+    attempt.m_unusedEndpoints = 6;
+    attempt.m_endpoints = 8;
+    EXPECT_EQ(decideSilence({}, attempt), SilenceDecision::AttemptElsewhere);
+    attempt = silence(0, 9);
+    attempt.m_unusedEndpoints = 3;
+    attempt.m_endpoints = 18;
+    EXPECT_EQ(decideSilence({}, attempt), SilenceDecision::Wait);
 }
 
 TEST(SilentAttemptTest, ConnectionThatLostItsWayIsReplacedWhileAllEndpointsSeemSilent)
 {
     SilentAttempt attempt = silence(0, 18);
     attempt.m_unacknowledged = true;
-    EXPECT_EQ(decideSilence(attempt), SilenceDecision::AttemptElsewhere);
+    EXPECT_EQ(decideSilence({}, attempt), SilenceDecision::AttemptElsewhere);
     EXPECT_EQ(silenceWeight({}, attempt), FailureWeight::None);
 }
 
@@ -91,6 +105,7 @@
     PoolActivity seen = poolActivity(activity, pool, loads, Here, since);
     EXPECT_EQ(seen.m_silent, (std::unordered_set<EndpointId>{ pool[0].m_id, pool[2].m_id }));
     EXPECT_TRUE(seen.m_alive.empty());
+    EXPECT_EQ(seen.m_unused, 0u);
     noteAlive(activity, pool[0].m_id, since);
     noteAlive(activity, pool[2].m_id, since + Millis(1));
     seen = poolActivity(activity, pool, loads, Here, since);
@@ -288,10 +303,12 @@
         attempt.m_hasBudget = hasBudget(stream.m_vm);
         attempt.m_aliveEndpoints = seen.m_alive.size();
         attempt.m_silentEndpoints = seen.m_silent.size();
+        attempt.m_unusedEndpoints = seen.m_unused;
+        attempt.m_endpoints = m_pool.size();
         if (!std::exchange(stream.m_blamed, true)
             && silenceWeight({}, attempt) != FailureWeight::None)
             ++m_outcome.m_blamed;
-        if (decideSilence(attempt) == SilenceDecision::Wait)
+        if (decideSilence({}, attempt) == SilenceDecision::Wait)
             return;
         const size_t other = draw(static_cast<int64_t>(m_pool.size()));
         if (seen.m_silent.count(m_pool[other].m_id) > 0 || (!stream.m_paid && !spend(stream.m_vm)))
