--- a/relay/event_splitter.cpp
+++ b/relay/event_splitter.cpp
@@ -1,5 +1,6 @@
 #include "relay/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace stackquay {
@@ -7,6 +8,7 @@
 namespace {
 
 constexpr std::string_view IdField = "id:";
+constexpr size_t LongestBlankLine = 3;
 
 /// The length of the blank line that starts at @p position; zero if there is none.
 size_t blankLineAt(std::string_view text, size_t position)
@@ -44,6 +46,7 @@
 void EventSplitter::feed(std::string_view bytes)
 {
     m_buffer.erase(0, m_consumed);
+    m_searched -= m_consumed;
     m_consumed = 0;
     m_buffer.append(bytes);
 }
@@ -51,7 +54,7 @@
 std::optional<RawEvent> EventSplitter::next()
 {
     const std::string_view text = m_buffer;
-    for (size_t position = text.find('\n', m_consumed); position != std::string_view::npos;
+    for (size_t position = text.find('\n', m_searched); position != std::string_view::npos;
          position = text.find('\n', position + 1)) {
         const size_t blank = blankLineAt(text, position);
         if (blank == 0)
@@ -61,8 +64,12 @@
         event.m_bytes = std::string(text.substr(m_consumed, end - m_consumed));
         event.m_id = parseId(event.m_bytes);
         m_consumed = end;
+        m_searched = end;
         return event;
     }
+    // The last bytes may be the start of a blank line.
+    const size_t searched = text.size() - std::min(text.size(), LongestBlankLine - 1);
+    m_searched = std::max(m_consumed, searched);
     return std::nullopt;
 }
 
--- a/relay/event_splitter.h
+++ b/relay/event_splitter.h
@@ -28,6 +28,7 @@
 private:
     std::string m_buffer;
     size_t m_consumed = 0;
+    size_t m_searched = 0; ///< No event ends before it; the search goes on from here.
 };
 
 } // namespace stackquay
--- a/tests/relay/event_splitter_test.cpp
+++ b/tests/relay/event_splitter_test.cpp
@@ -1,3 +1,5 @@
+#include <iostream>
+
 #include <gtest/gtest.h>
 
 #include "relay/relay.h"
@@ -36,5 +38,29 @@
     EXPECT_FALSE(splitter.empty());
 }
 
+/// Looking through all of an unfinished event at each piece takes seconds here.
+TEST(EventSplitterTest, EndlessEventIsSearchedOnlyOnce)
+{
+    constexpr size_t Pieces = 40'000;
+    const std::string piece = "data: 1\ndata: 2\ndata: 3\n";
+    EventSplitter splitter;
+    const TimePoint startedAt = Clock::now();
+    for (size_t i = 0; i < Pieces; ++i) {
+        splitter.feed(piece);
+        ASSERT_FALSE(splitter.next());
+    }
+    const auto took = std::chrono::duration_cast<Millis>(Clock::now() - startedAt);
+    std::cout << "[ MEASURED ] " << took.count() << " ms\n";
+    EXPECT_LT(took, Seconds(1));
+    EXPECT_EQ(splitter.pending(), Pieces * piece.size());
+    splitter.feed("\r");
+    EXPECT_FALSE(splitter.next());
+    splitter.feed("\n");
+    const auto event = splitter.next();
+    ASSERT_TRUE(event);
+    EXPECT_EQ(event->m_bytes.size(), Pieces * piece.size() + 2);
+    EXPECT_TRUE(splitter.empty());
+}
+
 } // namespace
 } // namespace stackquay
