A connection that ends without a byte is no answer

Before its first byte the parser takes that for an empty response with status 200. Daemons refused such an answer as not the endpoint's own, so no caller of theirs got it, but a process that had ended was not recognized by it.

Now an end before the first byte is end_of_stream, as it was. HttpTest 23 of 23, with EndOfAConnectionWithoutAByteIsNoAnswer.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -196,8 +196,10 @@
         }
         m_buffer.commit(readSome(error));
         if (error == asio::error::eof) {
-            error = {};
-            m_parser->put_eof(error);
+            // The parser would take an end before the first byte for an empty response.
+            error = m_parser->got_some() ? boost::system::error_code() : http::error::end_of_stream;
+            if (!error)
+                m_parser->put_eof(error);
         }
         return error;
     }
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -397,6 +397,30 @@
     std::thread m_thread;
 };
 
+TEST_F(HttpTest, EndOfAConnectionWithoutAByteIsNoAnswer)
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context, { boost::asio::ip::address_v4::loopback(), 0 });
+    const Address address{ "127.0.0.1", acceptor.local_endpoint().port() };
+    std::thread peer([&acceptor] {
+        tcp::socket socket = acceptor.accept();
+        std::array<char, 4096> request;
+        boost::system::error_code error;
+        socket.read_some(boost::asio::buffer(request), error);
+    });
+    m_clientThread.start();
+    onClient([&] {
+        HttpConnection connection(m_clientThread.context());
+        ASSERT_TRUE(connection.connect(address, Seconds(5)));
+        ASSERT_TRUE(connection.send({ "GET", "/", {}, "" }, Seconds(5)));
+        const auto header = connection.readHeader(Seconds(5));
+        ASSERT_FALSE(header);
+        EXPECT_EQ(header.error().m_code, ErrorCode::Unavailable);
+    });
+    peer.join();
+}
+
 TEST_F(HttpTest, HeadsThatComeAByteAtATimeEndAtTheirDeadline)
 {
     constexpr Millis Timeout{ 300 };
