Tests of answers without end share their steps

Each pair now calls one step of its fixture. All checks stay; the test of slow interim responses has the bound on its time as well, which its twin had.

--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -35,6 +35,23 @@
         done.get_future().wait();
     }
 
+    /// The head of an answer by @p peer, which never ends it, times out at its deadline.
+    void expectHeadEndsAtItsDeadline(const Address &peer)
+    {
+        constexpr Millis Timeout{ 300 };
+        m_clientThread.start();
+        onClient([&] {
+            HttpConnection connection(m_clientThread.context());
+            ASSERT_TRUE(connection.connect(peer, Seconds(5)));
+            ASSERT_TRUE(connection.send({ "GET", "/", {}, "" }, Seconds(5)));
+            const TimePoint startedAt = Clock::now();
+            const auto header = connection.readHeader(Timeout);
+            ASSERT_FALSE(header);
+            EXPECT_EQ(header.error().m_code, ErrorCode::DeadlineExceeded);
+            EXPECT_LT(Clock::now() - startedAt, Timeout * 3);
+        });
+    }
+
     void TearDown() override
     {
         m_clientThread.stop();
@@ -423,34 +440,14 @@
 
 TEST_F(HttpTest, HeadsThatComeAByteAtATimeEndAtTheirDeadline)
 {
-    constexpr Millis Timeout{ 300 };
     const RawPeer peer("HTTP/1.1 200 OK\r\nX-Filler: ", "a", Millis(5));
-    m_clientThread.start();
-    onClient([&] {
-        HttpConnection connection(m_clientThread.context());
-        ASSERT_TRUE(connection.connect(peer.address(), Seconds(5)));
-        ASSERT_TRUE(connection.send({ "GET", "/", {}, "" }, Seconds(5)));
-        const TimePoint startedAt = Clock::now();
-        const auto header = connection.readHeader(Timeout);
-        ASSERT_FALSE(header);
-        EXPECT_EQ(header.error().m_code, ErrorCode::DeadlineExceeded);
-        EXPECT_LT(Clock::now() - startedAt, Timeout * 3);
-    });
+    expectHeadEndsAtItsDeadline(peer.address());
 }
 
 TEST_F(HttpTest, InterimResponsesThatComeSlowlyEndAtTheirDeadline)
 {
-    constexpr Millis Timeout{ 300 };
     const RawPeer peer("", "HTTP/1.1 102 Processing\r\n\r\n", Millis(50));
-    m_clientThread.start();
-    onClient([&] {
-        HttpConnection connection(m_clientThread.context());
-        ASSERT_TRUE(connection.connect(peer.address(), Seconds(5)));
-        ASSERT_TRUE(connection.send({ "GET", "/", {}, "" }, Seconds(5)));
-        const auto header = connection.readHeader(Timeout);
-        ASSERT_FALSE(header);
-        EXPECT_EQ(header.error().m_code, ErrorCode::DeadlineExceeded);
-    });
+    expectHeadEndsAtItsDeadline(peer.address());
 }
 
 TEST_F(HttpTest, EndlessChunkHeadersAreProtocolErrors)
--- a/tests/platform/endless_answer_test.cpp
+++ b/tests/platform/endless_answer_test.cpp
@@ -85,6 +85,13 @@
         m_endpoint.setEndlessAnswer(start, repeated, mostBytes);
     }
 
+    void sendEndlessRefusal()
+    {
+        sendEndless("HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: request-1\r\n"
+                    "X-Not-Executed: 1\r\nConnection: close\r\n\r\n",
+                    "a");
+    }
+
     /// Calls, checks the memory and that the endpoint's connection was closed, and prints figures.
     ClientAnswer callMeasured(const ClientRequest &request)
     {
@@ -111,6 +118,22 @@
         EXPECT_LT(m_endpoint.longestSent(), mostSent);
     }
 
+    /// A stream of complete events without end is passed on until its deadline, to a client that
+    /// waits for @p readPause before each piece.
+    void expectEventsEndAtTheDeadline(Millis readPause)
+    {
+        start("model");
+        sendEndless(headWith("Connection: close\r\n\r\n"),
+                    "data: " + std::string(100, 'a') + "\n\n", UnlimitedBytes);
+        ClientRequest request = streamRequest("/once/x");
+        request.m_keepBody = false;
+        request.m_readPause = readPause;
+        const ClientAnswer answer = callMeasured(request);
+        EXPECT_EQ(answer.m_status, 200u);
+        EXPECT_FALSE(answer.m_whole);
+        EXPECT_LT(answer.m_took, request.m_deadline + Promptly);
+    }
+
     Deployment m_deployment;
     RawEndpoint m_endpoint;
 };
@@ -225,9 +248,7 @@
 TEST_F(EndlessAnswerTest, EndlessRefusalBodyClosesTheConnection)
 {
     start("plain");
-    sendEndless("HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: request-1\r\n"
-                "X-Not-Executed: 1\r\nConnection: close\r\n\r\n",
-                "a");
+    sendEndlessRefusal();
     const ClientAnswer answer = callMeasured(unsafeRequest());
     EXPECT_EQ(answer.m_status, 503u);
     EXPECT_LT(answer.m_took, Promptly);
@@ -237,9 +258,7 @@
 TEST_F(EndlessAnswerTest, EndlessRefusalBodyIsAnsweredByAnotherEndpoint)
 {
     start("plain", true);
-    sendEndless("HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: request-1\r\n"
-                "X-Not-Executed: 1\r\nConnection: close\r\n\r\n",
-                "a");
+    sendEndlessRefusal();
     for (int i = 0; i < 4; ++i) {
         const ClientAnswer answer = m_deployment.call(unsafeRequest());
         EXPECT_EQ(answer.m_status, 200u);
@@ -267,29 +286,12 @@
 
 TEST_F(EndlessAnswerTest, EndlessEventsKeepMemoryFlat)
 {
-    start("model");
-    sendEndless(headWith("Connection: close\r\n\r\n"), "data: " + std::string(100, 'a') + "\n\n",
-                UnlimitedBytes);
-    ClientRequest request = streamRequest("/once/x");
-    request.m_keepBody = false;
-    const ClientAnswer answer = callMeasured(request);
-    EXPECT_EQ(answer.m_status, 200u);
-    EXPECT_FALSE(answer.m_whole);
-    EXPECT_LT(answer.m_took, request.m_deadline + Promptly);
+    expectEventsEndAtTheDeadline(Millis(0));
 }
 
 TEST_F(EndlessAnswerTest, EndlessEventsToASlowReaderKeepMemoryFlat)
 {
-    start("model");
-    sendEndless(headWith("Connection: close\r\n\r\n"), "data: " + std::string(100, 'a') + "\n\n",
-                UnlimitedBytes);
-    ClientRequest request = streamRequest("/once/x");
-    request.m_keepBody = false;
-    request.m_readPause = Millis(5);
-    const ClientAnswer answer = callMeasured(request);
-    EXPECT_EQ(answer.m_status, 200u);
-    EXPECT_FALSE(answer.m_whole);
-    EXPECT_LT(answer.m_took, request.m_deadline + Promptly);
+    expectEventsEndAtTheDeadline(Millis(5));
 }
 
 TEST_F(EndlessAnswerTest, EndlessAnswersOfTheStoreKeepMemoryFlat)
