--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,7 +5,7 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "common"))
+sys.path.insert(0, os.path.join(HERE, ".."))
 import harness  # noqa: E402
 
 CALM = 6.0  # Seconds of traffic before the disruption; contactMs is 3 s.
--- a/review/common/harness.py
+++ b/review/harness.py
@@ -14,7 +14,7 @@
 import tomllib
 import uuid
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 READY_PERIOD = 1.0  # PROTOCOL.md, Ingress: once per second; out after two misses.
 HEARTBEAT = 1.2  # heartbeatMs of the settings.
 RESTART_DELAY = 0.5  # DEPLOY.md: a process that exits is restarted after a short delay.
