--- a/control/command_json.cpp
+++ b/control/command_json.cpp
@@ -1,5 +1,7 @@
 #include "control/command_json.h"
 
+#include "core/json_fields.h"
+
 namespace stackquay {
 
 namespace {
@@ -8,10 +10,10 @@
 
 Result<IntentJson> parseObject(std::string_view text)
 {
-    IntentJson json = IntentJson::parse(text, nullptr, false);
-    if (!json.is_object())
+    auto json = parseJson<IntentJson>(text);
+    if (!json || !json->is_object())
         return makeError(ErrorCode::InvalidArgument, "The body is no JSON object.");
-    return json;
+    return *std::move(json);
 }
 
 std::string textField(const IntentJson &json, const char *name)
--- a/control/control_state.cpp
+++ b/control/control_state.cpp
@@ -1,6 +1,6 @@
 #include "control/control_state.h"
 
-#include <nlohmann/json.hpp>
+#include "core/json_fields.h"
 
 #include "control/command_store.h"
 
@@ -39,9 +39,10 @@
 
 std::optional<ReportedLoad> parseLoad(const std::string &body)
 {
-    const auto json = nlohmann::json::parse(body, nullptr, false);
-    if (!json.is_object())
+    const auto parsed = parseJsonObject(body);
+    if (!parsed)
         return std::nullopt;
+    const Json &json = *parsed;
     ReportedLoad load;
     load.m_running = json.value("running", 0u);
     load.m_waiting = json.value("waiting", 0u);
--- a/control/engine_orders.cpp
+++ b/control/engine_orders.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "core/json_fields.h"
+
 namespace stackquay {
 
 namespace {
@@ -36,7 +38,7 @@
 
 Result<EngineReport> parseReport(const std::string &body)
 {
-    const IntentJson json = IntentJson::parse(body, nullptr, false);
+    const IntentJson json = parseJson<IntentJson>(body).value_or(IntentJson::value_t::discarded);
     if (!json.is_object() || !json.contains("models") || !json["models"].is_array())
         return makeError(ErrorCode::ProtocolError, "the engine's state is malformed");
     EngineReport report;
--- a/control/parser.cpp
+++ b/control/parser.cpp
@@ -7,6 +7,7 @@
 #include <tao/pegtl/contrib/parse_tree.hpp>
 
 #include "control/grammar.h"
+#include "core/json_fields.h"
 
 namespace stackquay {
 
@@ -125,7 +126,7 @@
 
 IntentJson jsonOf(const std::string &text)
 {
-    return IntentJson::parse(text, nullptr, false);
+    return parseJson<IntentJson>(text).value_or(IntentJson::value_t::discarded);
 }
 
 /// A whole number stays one however it was written, such as 1e6.
--- a/core/json_fields.cpp
+++ b/core/json_fields.cpp
@@ -17,8 +17,8 @@
 
 Result<Json> parseJsonObject(std::string_view text)
 {
-    Json parsed = Json::parse(text, nullptr, false);
-    if (!parsed.is_object())
+    auto parsed = parseJson(text);
+    if (parsed && !parsed->is_object())
         return makeError(ErrorCode::ProtocolError, "not a JSON object");
     return parsed;
 }
--- a/endpoint/engine_frame.cpp
+++ b/endpoint/engine_frame.cpp
@@ -1,13 +1,11 @@
 #include "endpoint/engine_frame.h"
 
-#include <nlohmann/json.hpp>
+#include "core/json_fields.h"
 
 namespace stackquay {
 
 namespace {
 
-using Json = nlohmann::json;
-
 uint64_t numberField(const Json &object, const char *key)
 {
     const auto found = object.find(key);
@@ -44,9 +42,10 @@
 
 Result<EngineFrame> parseEngineFrame(std::string_view json, const AttemptId &attempt)
 {
-    const Json object = Json::parse(json, nullptr, false);
-    if (!object.is_object())
-        return makeError(ErrorCode::ProtocolError, "frame is not a JSON object");
+    const auto parsed = parseJsonObject(json);
+    if (!parsed)
+        return makeError(ErrorCode::ProtocolError, "frame: " + parsed.error().m_message);
+    const Json &object = *parsed;
     if (textField(object, "attempt") != attempt.str())
         return makeError(ErrorCode::ProtocolError, "frame belongs to another attempt");
     if (hasField(object, "done"))
--- a/endpoint/engine_stream.cpp
+++ b/endpoint/engine_stream.cpp
@@ -1,14 +1,13 @@
 #include "endpoint/engine_stream.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
+
+#include "core/json_fields.h"
 
 namespace stackquay {
 
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusTooLarge = 413;
@@ -40,10 +39,10 @@
 
 std::string refusalReason(std::string_view body)
 {
-    const Json object = Json::parse(body, nullptr, false);
-    if (!object.is_object() || !object.contains("error") || !object["error"].is_object())
+    const auto object = parseJsonObject(body);
+    if (!object || !object->contains("error") || !object->at("error").is_object())
         return {};
-    return object["error"].value("reason", std::string());
+    return object->at("error").value("reason", std::string());
 }
 
 StartFailure failure(bool notRun, std::string reason, ErrorCode code, std::string message)
@@ -212,8 +211,8 @@
     const auto response = pool.call(address, request, { timeout });
     if (!response)
         return tl::unexpected(response.error());
-    const Json answer = Json::parse(response->m_body, nullptr, false);
-    return answer.is_object() && answer.value("cancelled", false);
+    const auto answer = parseJsonObject(response->m_body);
+    return answer && boolField(*answer, "cancelled");
 }
 
 } // namespace stackquay
--- a/entry/completion_request.cpp
+++ b/entry/completion_request.cpp
@@ -1,14 +1,13 @@
 #include "entry/completion_request.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
+
+#include "core/json_fields.h"
 
 namespace stackquay {
 
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr uint64_t DefaultMaxTokens = 256;
 constexpr uint64_t MaxOutputTokens = 1'000'000;
 
@@ -104,9 +103,10 @@
 
 Result<CompletionRequest> parseCompletionRequest(ApiShape shape, std::string_view text)
 {
-    Json body = Json::parse(text, nullptr, false);
-    if (body.is_discarded())
-        return invalid("the body is not valid JSON");
+    auto parsed = parseJson(text);
+    if (!parsed)
+        return invalid("the body is not valid JSON: " + parsed.error().m_message);
+    Json &body = *parsed;
     if (!body.is_object())
         return invalid("the body must be a JSON object");
     CompletionRequest request;
--- a/entry/recorded_outcome.cpp
+++ b/entry/recorded_outcome.cpp
@@ -1,14 +1,13 @@
 #include "entry/recorded_outcome.h"
 
-#include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
+#include "core/json_fields.h"
+
 namespace stackquay {
 
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr size_t PlainGroup = 3; ///< Bytes of one base64 group.
 constexpr size_t CodedGroup = 4; ///< Characters of one base64 group.
 
@@ -63,9 +62,10 @@
 
 tl::expected<HttpResponse, Refusal> decodeRecordedOutcome(const std::string &text)
 {
-    const Json json = Json::parse(text, nullptr, false);
-    if (!json.is_object())
+    const auto parsed = parseJsonObject(text);
+    if (!parsed)
         return tl::unexpected(unknownOutcome("the recorded outcome is not valid"));
+    const Json &json = *parsed;
     if (json.contains("failed"))
         return tl::unexpected(unknownOutcome("the call with this key failed and may have run"));
     HttpResponse response;
--- a/entry/steward_service.cpp
+++ b/entry/steward_service.cpp
@@ -1,15 +1,12 @@
 #include "entry/steward_service.h"
 
-#include <nlohmann/json.hpp>
-
+#include "core/json_fields.h"
 #include "entry/shards.h"
 
 namespace stackquay {
 
 namespace {
 
-using Json = nlohmann::json;
-
 /// Longest wait of one call for a grant. The node then calls again, which detects a lost steward.
 constexpr Millis WaitSlice{ 1'000 };
 constexpr Millis ExpirePeriod{ 100 };
@@ -250,9 +247,10 @@
     const auto managed = m_managedEndpoints.find(id);
     if (!response || managed == m_managedEndpoints.end())
         return;
-    const Json state = Json::parse(response->m_body, nullptr, false);
-    if (!state.is_object())
+    const auto parsed = parseJsonObject(response->m_body);
+    if (!parsed)
         return;
+    const Json &state = *parsed;
     managed->second.m_facts.m_memoryTokens = state.value("memory_total", uint64_t(0));
     const bool draining = state.value("draining", false);
     if (draining != managed->second.m_reportedDraining && m_onDrainingChanged)
@@ -273,9 +271,10 @@
     const auto managed = m_managedEndpoints.find(id);
     if (!response || managed == m_managedEndpoints.end())
         return;
-    const Json answer = Json::parse(response->m_body, nullptr, false);
-    if (!answer.is_object() || !answer.contains("events"))
+    const auto parsed = parseJsonObject(response->m_body);
+    if (!parsed || !parsed->contains("events"))
         return;
+    const Json &answer = *parsed;
     managed->second.m_nextEvent = answer.value("next", from);
     for (const Json &event : answer["events"]) {
         const auto block = parseBlockName(event.value("block", std::string()));
--- a/policy/intent_json.cpp
+++ b/policy/intent_json.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <fmt/ranges.h>
 
+#include "core/json_fields.h"
 #include "policy/intent_fields.h"
 
 namespace stackquay {
@@ -264,7 +265,11 @@
 Result<Intent> decodeIntent(std::string_view text, UnknownFields unknown)
 {
     try {
-        return intentFromJson(IntentJson::parse(text), unknown);
+        bool tooDeep = false;
+        const auto json = IntentJson::parse(text, limitDepth<IntentJson>(tooDeep));
+        if (tooDeep)
+            return makeError(ErrorCode::InvalidArgument, "JSON nested too deeply.");
+        return intentFromJson(json, unknown);
     } catch (const IntentJson::parse_error &error) {
         const size_t byte = error.byte > 0 ? error.byte - 1 : 0;
         return makeError(ErrorCode::InvalidArgument,
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -1,5 +1,8 @@
 // What the adapter decodes and encodes, and what it does with input that is none of it.
 
+#include <functional>
+#include <future>
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -366,6 +369,54 @@
     EXPECT_EQ(events->m_events.size(), 1u);
 }
 
+/// Runs @p function on a fiber, whose stack is small.
+void runOnFiber(const std::function<void()> &function)
+{
+    FiberThread thread("codec");
+    thread.start();
+    std::promise<void> done;
+    thread.post([&] {
+        function();
+        done.set_value();
+    });
+    done.get_future().get();
+}
+
+std::string listOf(const std::string &spec)
+{
+    return R"({"items":[{"metadata":{"name":"other","revision":4},"spec":)" + spec
+           + R"(},{"metadata":{"name":"i-1","revision":5},"spec":)" + Entry
+           + R"(}],"currentRev":9})";
+}
+
+std::string nestedEntry(size_t levels)
+{
+    return R"({"service":"a","state":"ready","models":)" + std::string(levels, '[')
+           + std::string(levels, ']') + "}";
+}
+
+// An entry of another writer that is nested deeply ended the process: its spec was written back to
+// text level by level on the stack of a fiber.
+TEST(ObjectCodecTest, DeeplyNestedEntryDoesNotOverflowTheStack)
+{
+    runOnFiber([] {
+        for (const size_t levels : { 100u, 20'000u, 250'000u }) {
+            const std::string spec = nestedEntry(levels);
+            const auto page = kindDialect().m_readPage(listOf(spec));
+            ASSERT_TRUE(page);
+            ASSERT_EQ(page->m_objects.size(), 2u);
+            EXPECT_EQ(page->m_objects[0].m_spec, spec);
+            EXPECT_FALSE(relaySource().m_decodeEndpoint(page->m_objects[0]));
+            EXPECT_TRUE(relaySource().m_decodeEndpoint(page->m_objects[1]));
+            const auto object =
+                kindDialect().m_readObject(R"({"metadata":{"name":"n"},"spec":)" + spec + "}");
+            ASSERT_TRUE(object);
+            EXPECT_FALSE(relaySource().m_decodeRoutes(object->m_spec));
+            EXPECT_FALSE(kindDialect().m_replace("k", *object).m_body.empty());
+        }
+    });
+}
+
 /// Changes some bytes of @p text: drops, doubles or replaces them.
 std::string spoil(std::string text, RandomEngine &random)
 {
