--- a/policy/crash_suspects.h
+++ b/policy/crash_suspects.h
@@ -4,11 +4,16 @@
 /// counts as crashed, and all these requests become suspects; the one at fault is present at each
 /// crash. Suspects are placed on different engines, so that the next crash tells them apart, and
 /// the number of concurrent attempts of a suspect is limited, so that it causes at most
-/// m_quarantineThreshold crashes. A suspect that completes is cleared. One that was present at
-/// m_quarantineThreshold crashes is quarantined: it is not sent any more, except for a few probes
-/// much later, which lift the quarantine once the engine is repaired or if the request was
-/// suspected wrongly. Log events, metrics and stored records call this state "condemned", crashes
-/// "ends" and probes "trials".
+/// m_quarantineThreshold crashes. A suspect that completes is cleared.
+///
+/// One that was present at m_quarantineThreshold crashes is isolated: one probe of it is in flight
+/// at a time. Processes of one rack, zone or service that fail together end under the same popular
+/// request, so crashes whose attempts overlap are one event. If all crashes are one event, probes
+/// are sent at once. After crashes at several events the request is quarantined: it is not sent any
+/// more, except for a few probes much later, which lift the quarantine once the engine is repaired
+/// or if the request was suspected wrongly. Only a probe under which the process crashes prolongs
+/// it. Log events, metrics and stored records call this state "condemned", crashes "ends" and
+/// probes "trials".
 ///
 /// Only a crash adds an entry, so a caller cannot fill the table without crashing processes.
 ///
@@ -24,19 +29,40 @@
 #include <msgpack.hpp>
 
 #include "core/core.h"
+#include "policy/cells.h"
 #include "policy/stream_ledger.h"
 
 namespace stackquay {
 
 struct SuspectSettings {
-    /// Crashes at which a suspect is quarantined. A request may cause at most three.
+    /// Crashes at which a suspect is isolated. A request may cause at most three.
     uint32_t m_quarantineThreshold = 3;
-    /// From the last crash to the first probe; doubled by each probe. Engines are repaired by an
-    /// operator or a release, which takes minutes.
+    /// Separate events at which an isolated suspect is quarantined.
+    uint32_t m_minEvents = 2;
+    /// An attempt that begins sooner after a crash belongs to the same event: the process may have
+    /// ended already.
+    Millis m_minCrashInterval{ 50 };
+    /// The same for a request that was answered lately. Processes of a rack that loses power may
+    /// end one after the other within this time, and a popular request is sent to each of them.
+    Millis m_outageDuration{ 1'000 };
+    /// Answers are remembered for this time at least, and for twice as long at most.
+    Seconds m_answerMemory{ 30 };
+    /// Answered requests that are remembered, of about 32 bytes each.
+    size_t m_maxAnswered = 4'096;
+    /// From the last crash of a quarantined suspect to the first probe; doubled by each probe that
+    /// crashed. Engines are repaired by an operator or a release, which takes minutes.
     Seconds m_probeDelay{ 600 };
-    /// Probes after the quarantine began. A request may be sent at most three times after the third
-    /// crash.
+    /// Probes that may crash before the next one is sent only after m_retention.
     uint32_t m_maxProbes = 3;
+    /// For this time a VM may send the probe of a quarantined suspect; then the next VM may. Also
+    /// the time between two probes whose outcome is unknown.
+    Seconds m_probeTurn{ 60 };
+    /// The same for a suspect whose crashes are one event.
+    Millis m_earlyProbeTurn{ 250 };
+    /// Of each cell, one VM in this many may send an early probe.
+    size_t m_vmsPerEarlyProbe = 16;
+    /// Their number doubles after this time, as rare requests may not arrive at them.
+    Seconds m_earlyProbeSpread{ 10 };
     /// Suspects without a crash or probe for this long are dropped.
     Seconds m_retention{ 86'400 };
     /// Limit for suspects and for cleared requests, each of about 200 bytes. Beyond it, the suspect
@@ -46,10 +72,21 @@
     size_t m_maxClearedCrashes = 16;
 };
 
+/// A crash of a process while a request was in progress on it.
+struct SuspectCrash {
+    uint64_t m_process = 0; ///< By processKey().
+    TimePoint m_begun{}; ///< When the request was sent to the process.
+    TimePoint m_at{}; ///< When its response broke off.
+    /// False: this VM reached no other endpoint either, so the path may have failed.
+    bool m_confirmed = true;
+};
+
 struct Suspect {
-    std::vector<uint64_t> m_crashes; ///< Crashed processes, by processKey(); up to the threshold.
-    uint32_t m_probesMade = 0; ///< Probes since it was quarantined.
-    TimePoint m_lastAt{}; ///< Last crash or probe.
+    std::vector<SuspectCrash> m_crashes;
+    uint32_t m_failedProbes = 0; ///< Probes since it was quarantined under which a process crashed.
+    bool m_answeredBefore = false; ///< It was answered not long before the crashes.
+    TimePoint m_lastAt{}; ///< Last crash.
+    TimePoint m_probedAt{}; ///< Last probe; zero: none.
 };
 
 /// Crashes that a request did not cause, as it completed after them.
@@ -62,7 +99,14 @@
 struct SuspectAttempt {
     Fingerprint m_fingerprint;
     TimePoint m_until{}; ///< Treated as ended from this time on.
-    bool m_isProbe = false; ///< Begun while the suspect was quarantined.
+    bool m_isProbe = false; ///< Begun while the suspect was isolated.
+};
+
+/// Requests that were answered lately, by Fingerprint::m_low.
+struct AnsweredRequests {
+    std::unordered_set<uint64_t> m_latest;
+    std::unordered_set<uint64_t> m_earlier;
+    TimePoint m_latestSince{};
 };
 
 struct SuspectTable {
@@ -72,6 +116,7 @@
     std::unordered_map<uint64_t, uint32_t> m_suspectsPerOutline; ///< By Fingerprint::m_outline.
     std::unordered_map<Fingerprint, ClearedCrashes, FingerprintHash> m_cleared;
     std::unordered_set<uint64_t> m_excused; ///< Processes whose crashes have another known cause.
+    AnsweredRequests m_answered;
 
     /// Whether there are no suspects.
     bool empty() const { return m_suspects.empty(); }
@@ -80,14 +125,27 @@
     bool mayContain(uint64_t outline) const { return m_suspectsPerOutline.count(outline) > 0; }
 };
 
+/// Ages of the moments of a SuspectCrash.
+struct SuspectCrashAges {
+    uint64_t m_begunMs = 0;
+    uint64_t m_endedMs = 0;
+
+    bool operator==(const SuspectCrashAges &) const = default;
+    MSGPACK_DEFINE(m_begunMs, m_endedMs)
+};
+
 /// State of a suspect as sent to other VMs, and as stored for a quarantined one.
 struct SuspectReport {
     Fingerprint m_fingerprint;
-    std::vector<uint64_t> m_crashes;
-    uint32_t m_probesMade = 0;
-    uint64_t m_ageMs = 0; ///< Since the last crash or probe.
-
-    MSGPACK_DEFINE(m_fingerprint, m_crashes, m_probesMade, m_ageMs)
+    std::vector<uint64_t> m_crashes; ///< Crashed processes, by processKey().
+    uint32_t m_failedProbes = 0;
+    uint64_t m_ageMs = 0; ///< Since the last crash.
+    /// One for each of m_crashes. VMs of an earlier version send none: then the crashes count as
+    /// one event.
+    std::vector<SuspectCrashAges> m_ages{};
+    bool m_answeredBefore = false;
+
+    MSGPACK_DEFINE(m_fingerprint, m_crashes, m_failedProbes, m_ageMs, m_ages, m_answeredBefore)
 };
 
 /// How an attempt of a request may be placed.
@@ -95,7 +153,7 @@
     None, ///< Not a suspect: anywhere.
     Separate, ///< On an engine without another suspect.
     LowLoad, ///< As Separate, and on an engine with little load.
-    Busy, ///< Not now: too many attempts of it are in flight.
+    Busy, ///< Not now: too many attempts of it are in flight, or another VM may probe.
     Quarantined, ///< Not at all, except for probes.
 };
 
@@ -114,16 +172,18 @@
 enum class SuspectChange {
     None,
     Known, ///< A new suspect, or a change to a known one.
-    Quarantined, ///< The crash limit is reached: the suspect is not sent any more.
+    Quarantined, ///< It is not sent any more, or a probe of it crashed.
 };
 
 /// Identifies one process of an endpoint; @p startedMs: its start, Unix time in ms.
 uint64_t processKey(const EndpointId &endpoint, uint64_t startedMs);
 
-/// Records that @p process crashed while the request was in progress on it. Reports of the same
+/// Records that a process crashed while the request was in progress on it. Reports of the same
 /// crash count once; crashes before the request was cleared do not count.
-SuspectChange recordCrash(SuspectTable &table, const Fingerprint &fingerprint, uint64_t process,
-                          TimePoint now);
+SuspectChange recordCrash(SuspectTable &table, const Fingerprint &fingerprint,
+                          const SuspectCrash &crash, TimePoint now);
+/// Records that the request was answered.
+void recordAnswer(SuspectTable &table, const Fingerprint &fingerprint, TimePoint now);
 /// Merges a peer's report. Reports may arrive in any order and repeatedly.
 SuspectChange mergeSuspectReport(SuspectTable &table, const SuspectReport &report, TimePoint now);
 /// Removes a suspect without remembering its crashes. False if it was not a suspect.
@@ -136,21 +196,28 @@
 /// Replaces the processes of an earlier call.
 void excuseCrashes(SuspectTable &table, const std::unordered_set<uint64_t> &processes);
 /// Decides whether an attempt of the request may be made, and where. Its own attempt @p own, if it
-/// is in flight already, does not count against it.
+/// is in flight already, does not count against it. @p mayProbe: this VM may send a probe that is
+/// due, see mayProbeSuspect().
 SuspectDecision decideAttempt(const SuspectTable &table, const Fingerprint &fingerprint,
-                              const LoadKey &own, TimePoint now);
+                              const LoadKey &own, bool mayProbe, TimePoint now);
+/// Whether @p self is a VM that may send a probe of the request now. @p peers: the other live VMs
+/// of its cell.
+bool mayProbeSuspect(const SuspectTable &table, const Fingerprint &fingerprint, const VmId &self,
+                     const std::vector<VmId> &peers, const CellView &cell, TimePoint now);
 /// Placement of an attempt, regardless of the number in flight: None, Separate or LowLoad.
 SuspectHandling suspectHandling(const SuspectTable &table, const Fingerprint &fingerprint);
 /// Records an attempt of a suspect as in flight until endSuspectAttempt(), or until @p until at the
-/// latest. An attempt of a quarantined one counts as a probe. Ignored if the request is not a
-/// suspect.
+/// latest. An attempt of an isolated one is a probe. Ignored if the request is not a suspect.
 void beginSuspectAttempt(SuspectTable &table, const Fingerprint &fingerprint, const LoadKey &key,
                          TimePoint until, TimePoint now);
 void endSuspectAttempt(SuspectTable &table, const LoadKey &key);
+/// The report of one suspect; without crashes if it is not a suspect or none is confirmed.
+SuspectReport suspectReport(const SuspectTable &table, const Fingerprint &fingerprint,
+                            TimePoint now);
 /// Reports of at most @p most suspects, ordered by number of crashes (most first), then by age.
 std::vector<SuspectReport> suspectReports(const SuspectTable &table, size_t most, TimePoint now);
-/// Whether the suspect of the report is quarantined.
-bool isQuarantined(const SuspectTable &table, const SuspectReport &report);
+/// Whether the request is quarantined.
+bool isQuarantined(const SuspectTable &table, const Fingerprint &fingerprint);
 /// Drops suspects that are older than SuspectSettings::m_retention.
 void dropExpiredSuspects(SuspectTable &table, TimePoint now);
 
--- a/policy/crashing_parts.cpp
+++ b/policy/crashing_parts.cpp
@@ -4,6 +4,8 @@
 #include <string>
 #include <tuple>
 
+#include "policy/probe_turn.h"
+
 namespace stackquay {
 
 namespace {
@@ -403,13 +405,9 @@
     const Duration late = now - probeDue(table.m_settings, *quarantine);
     if (late < Duration::zero())
         return false;
-    const auto turn = static_cast<uint64_t>(late / table.m_settings.m_probeTurn);
-    const std::string topic = std::to_string(quarantine->m_parts.front() + turn);
-    if (stableHash(topic) % std::max(cell.m_cells, 1u) != cell.m_cell)
-        return false;
-    const uint64_t own = rendezvousScore(topic, self.str());
-    return std::all_of(peers.begin(), peers.end(),
-                       [&](const VmId &peer) { return rendezvousScore(topic, peer.str()) < own; });
+    const ProbeTurn turn =
+        probeTurn(quarantine->m_parts.front(), late, table.m_settings.m_probeTurn);
+    return isCellsTurn(turn, cell) && isAmongFirst(turn, self, peers, 1);
 }
 
 std::vector<PartReport> partReports(const PartTable &table, const std::vector<PartKey> &keys,
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -44,6 +44,7 @@
 #include "policy/pool_split.h"
 #include "policy/prefill_group.h"
 #include "policy/prefix.h"
+#include "policy/probe_turn.h"
 #include "policy/reconcile.h"
 #include "policy/retry.h"
 #include "policy/retry_pool.h"
--- a/policy/stream_ledger.h
+++ b/policy/stream_ledger.h
@@ -23,6 +23,7 @@
     uint64_t m_sequence = 0; ///< Unique within the process.
 
     bool operator==(const LoadKey &) const = default;
+    auto operator<=>(const LoadKey &) const = default;
     MSGPACK_DEFINE(m_origin, m_sequence)
 };
 
--- a/relay/quarantine_record.cpp
+++ b/relay/quarantine_record.cpp
@@ -21,7 +21,7 @@
 bool covers(const SuspectReport &known, const SuspectReport &report)
 {
     return known.m_crashes.size() >= report.m_crashes.size()
-           && known.m_probesMade >= report.m_probesMade;
+           && known.m_failedProbes >= report.m_failedProbes;
 }
 
 /// Whether @p known contains everything that @p reports contains.
@@ -34,6 +34,33 @@
     });
 }
 
+/// Ages of the crashes; empty if they are not stored, as by an earlier version.
+Result<std::vector<SuspectCrashAges>> readAges(const Json &entry, WallTime now)
+{
+    std::vector<SuspectCrashAges> ages;
+    const auto ageOf = [now](const Json &at) {
+        return static_cast<uint64_t>(std::max<int64_t>(millisOf(now) - at.get<int64_t>(), 0));
+    };
+    for (const Json &times : arrayField(entry, "times")) {
+        if (!times.is_array() || times.size() != 2 || !times[0].is_number_integer()
+            || !times[1].is_number_integer())
+            return makeError(ErrorCode::InvalidArgument, "the times of an end are no two numbers");
+        ages.push_back({ ageOf(times[0]), ageOf(times[1]) });
+    }
+    return ages;
+}
+
+Json timesOf(const SuspectReport &report, WallTime now)
+{
+    const auto timeOf = [now](uint64_t ageMs) {
+        return millisOf(now) - static_cast<int64_t>(ageMs);
+    };
+    Json times = Json::array();
+    for (const SuspectCrashAges &ages : report.m_ages)
+        times.push_back({ timeOf(ages.m_begunMs), timeOf(ages.m_endedMs) });
+    return times;
+}
+
 Result<SuspectReport> readEntry(const Json &entry, WallTime now)
 {
     if (!entry.is_object())
@@ -54,12 +81,25 @@
             return makeError(ErrorCode::InvalidArgument, "an end is no name of a process");
         report.m_crashes.push_back(end.get<uint64_t>());
     }
-    report.m_probesMade = trials->get<uint32_t>();
+    report.m_failedProbes = trials->get<uint32_t>();
+    const auto ages = readAges(entry, now);
+    if (!ages)
+        return tl::unexpected(ages.error());
+    report.m_ages = *ages;
+    report.m_answeredBefore = boolField(entry, "answered_before");
     report.m_ageMs =
         static_cast<uint64_t>(std::max<int64_t>(millisOf(now) - at->get<int64_t>(), 0));
     return report;
 }
 
+std::vector<SuspectReport> subtractQuarantined(std::vector<SuspectReport> known,
+                                               const std::vector<SuspectReport> &removed)
+{
+    std::erase_if(
+        known, [&removed](const SuspectReport &report) { return coversAll(removed, { report }); });
+    return known;
+}
+
 } // namespace
 
 std::string encodeQuarantined(const std::vector<SuspectReport> &quarantined, WallTime now)
@@ -68,7 +108,9 @@
     for (const SuspectReport &report : quarantined) {
         entries.push_back({ { "print", toString(report.m_fingerprint) },
                             { "ends", report.m_crashes },
-                            { "trials", report.m_probesMade },
+                            { "trials", report.m_failedProbes },
+                            { "times", timesOf(report, now) },
+                            { "answered_before", report.m_answeredBefore },
                             { "at_ms", millisOf(now) - static_cast<int64_t>(report.m_ageMs) } });
     }
     return Json({ { "condemned", entries } }).dump();
@@ -123,7 +165,7 @@
              decodeQuarantined,
              mergeQuarantined,
              coversAll,
-             nullptr };
+             subtractQuarantined };
 }
 
 } // namespace stackquay
--- a/relay/quarantine_record.h
+++ b/relay/quarantine_record.h
@@ -1,8 +1,9 @@
 /// Stores the quarantined requests in the object store, so that they survive a restart of all VMs.
 ///
 /// The fleet shares one object with at most MaxEntries entries. A VM writes it only if it observed
-/// the process exit that led to a quarantine, or if it retries a quarantined request. A VM reads it
-/// once, when it first becomes a store watcher; the other VMs receive the content from that VM.
+/// the process exit that led to a quarantine or that a probe caused, or if a quarantined request
+/// completed on it. A VM reads it once, when it first becomes a store watcher; the other VMs
+/// receive the content from that VM.
 #pragma once
 
 #include <vector>
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -40,6 +40,10 @@
 constexpr uint32_t RefusalWeight = 1;
 constexpr uint32_t SilenceWeight = 2;
 
+/// Requests with a longer body are not remembered as answered: the whole body would be hashed for
+/// each of them, and popular resources have none.
+constexpr size_t MaxRememberedBytes = 1024;
+
 /// Ledger entries expire this long after the deadline of their request.
 constexpr Millis LedgerSlack{ 500 };
 
@@ -139,6 +143,7 @@
 
 void RelayRun::countSentAttempt()
 {
+    m_attempt.m_sentAt = Clock::now();
     ++m_sentAttempts;
     ++m_mayHaveRun;
     m_retryPaid = false;
@@ -316,13 +321,18 @@
 {
     if (m_clientDisconnected || m_node.m_stopping)
         return;
-    // The other VMs need to know immediately that this attempt is over.
-    m_node.end(m_attempt.m_loadKey);
-    BrokenAttempt attempt{ {}, fingerprint(), promptParts(), hasSoundAnswer(), Clock::now() };
+    // The other VMs need to know immediately that this attempt is over. That of a suspect is over
+    // once it is known whether the process exited: until then no other one may begin.
+    if (m_suspectHandling == SuspectHandling::None)
+        m_node.end(m_attempt.m_loadKey);
+    BrokenAttempt attempt{
+        {}, fingerprint(), promptParts(), hasSoundAnswer(), m_attempt.m_sentAt, Clock::now()
+    };
     for (const GangMember &member : m_attempt.m_plan->m_members)
         attempt.m_endpoints.push_back(member.m_endpoint);
     if (m_node.m_suspects.noteBrokenResponse(attempt))
         m_node.m_metrics.m_processExits.add();
+    m_node.end(m_attempt.m_loadKey);
     // No successes are reported for plain services, so their failures are not reported either.
     if (isModelRequest() && !connection.reused())
         m_node.reportBrokenResponse(endpoint.m_id);
@@ -332,7 +342,7 @@
 {
     if (!isSuccess(status))
         return;
-    if (maybeSuspect())
+    if (maybeSuspect() || m_exchange.request().m_body.size() <= MaxRememberedBytes)
         m_node.m_suspects.noteCompleted(fingerprint());
     if (!m_node.m_parts.empty())
         m_node.m_parts.noteAnswered(promptParts());
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -122,6 +122,15 @@
                 m_quarantineRecord->save(quarantined);
         });
     };
+    m_node->m_quarantineCleared = [this](const SuspectReport &cleared,
+                                         const std::vector<SuspectReport> &remaining,
+                                         bool observed) {
+        m_control.post([this, cleared, remaining, observed] {
+            m_quarantined = remaining;
+            if (observed)
+                m_quarantineRecord->remove({ cleared });
+        });
+    };
     m_partRecord = std::make_unique<PartRecord>(
         m_control, *m_store, partFormat(m_adapter.m_source),
         [this](const std::vector<PartReport> &quarantined) { addQuarantinedParts(quarantined); });
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -115,9 +115,22 @@
 SuspectHooks RelayNode::suspectHooks()
 {
     SuspectHooks hooks;
+    hooks.m_mayProbe = [this](const SuspectTable &table, const Fingerprint &fingerprint) {
+        const RelayViewPtr view = m_view.load();
+        return mayProbeSuspect(table, fingerprint, m_settings.m_vm, view->m_peers, view->m_cell,
+                               Clock::now());
+    };
     hooks.m_reachesOthers = [this](const EndpointRecord &endpoint) {
         return m_path.reachesOthers(endpoint);
     };
+    hooks.m_isGone = [this](const EndpointRecord &endpoint) {
+        const EndpointDirectoryPtr directory = m_view.load()->m_directory;
+        if (!directory)
+            return false;
+        const auto listed = directory->m_endpoints.find(endpoint.m_id);
+        return listed == directory->m_endpoints.end()
+               || listed->second.m_startedMs > endpoint.m_startedMs;
+    };
     hooks.m_fleet = crashBroadcast();
     hooks.m_exited = [this](const BrokenAttempt &attempt, const EndpointRecord &endpoint) {
         return noteExit(attempt, endpoint);
@@ -127,6 +140,11 @@
         if (m_quarantined)
             m_quarantined(quarantined, observed);
     };
+    hooks.m_cleared = [this](const SuspectReport &cleared,
+                             const std::vector<SuspectReport> &remaining, bool observed) {
+        if (m_quarantineCleared)
+            m_quarantineCleared(cleared, remaining, observed);
+    };
     return hooks;
 }
 
@@ -173,7 +191,7 @@
     const TimePoint now = Clock::now();
     AttemptLoad load{ std::move(parts), gapLimitMs, false, now, now + lifetime };
     if (suspect)
-        m_suspects.beginSuspectAttempt(*suspect, key, lifetime, true);
+        m_suspects.beginSuspectAttempt(*suspect, key, lifetime);
     LoadMessage message = placedMessage(key, load, now);
     message.m_customer = customer;
     m_loads.announce(message);
@@ -502,8 +520,7 @@
         removeFromQueues(message.m_key);
         recordPlacement(message, now);
         for (const Fingerprint &suspect : message.m_fingerprints)
-            m_suspects.beginSuspectAttempt(suspect, message.m_key, Millis(message.m_expiresMs),
-                                           false);
+            m_suspects.beginSuspectAttempt(suspect, message.m_key, Millis(message.m_expiresMs));
         return;
     case LoadEvent::BrokenOff:
         if (!message.m_parts.empty())
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -69,6 +69,9 @@
     bool m_watchesStore = false;
     /// See SuspectHooks. Set before the thread starts.
     std::function<void(const std::vector<SuspectReport> &, bool observed)> m_quarantined;
+    std::function<void(const SuspectReport &cleared, const std::vector<SuspectReport> &remaining,
+                       bool observed)>
+        m_quarantineCleared;
     /// See PartHooks::m_changed and m_released. Set before the thread starts.
     std::function<void(const std::vector<PartReport> &, bool store)> m_partsChanged;
     std::function<void(const std::vector<PartReport> &)> m_partsReleased;
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -26,6 +26,7 @@
     const GangPlan *m_plan = nullptr; ///< Its placement.
     MemoryReservations *m_reservations = nullptr;
     HttpConnection *m_connection = nullptr; ///< Set while it is at its endpoint.
+    TimePoint m_sentAt{}; ///< When the request was sent to its endpoint.
     TimePoint m_answeredAt{}; ///< First event; zero: none yet.
     Duration m_firstEventTimeout{}; ///< Until the first event, or the answer, is late.
     /// Set if it was abandoned, see RelayRun::abandonAttempt().
--- a/relay/suspect_tracker.cpp
+++ b/relay/suspect_tracker.cpp
@@ -13,6 +13,9 @@
 /// engine writes a core dump. The later check is well within the time in which the exit must be
 /// known.
 constexpr std::array<Millis, 2> RecheckDelays{ Millis(20), Millis(150) };
+/// Entries expire after three heartbeats, 3.6 s, and a watcher hears of it within seconds.
+constexpr Millis GonePoll{ 200 };
+constexpr Millis GoneTimeout{ 10'000 };
 /// The suspects of one exit each wait for a random time in this range before they are sent again,
 /// so that they receive each other's placements.
 constexpr Millis MinResendDelay{ 5 };
@@ -56,11 +59,15 @@
     SuspectTable m_table;
 
     void noteExit(const BrokenAttempt &attempt, const EndpointRecord &endpoint);
+    bool recordCrash(const BrokenAttempt &attempt, const EndpointRecord &endpoint, bool confirmed);
+    void confirmOnceGone(const BrokenAttempt &attempt, const EndpointRecord &endpoint);
     void delayResend();
-    void recheck(const BrokenAttempt &attempt);
+    bool recheck(const BrokenAttempt &attempt);
     bool noteIfExited(const BrokenAttempt &attempt);
     void logChange(const Fingerprint &fingerprint, SuspectChange change);
+    std::vector<SuspectReport> quarantined() const;
     void reportQuarantined(bool observed);
+    bool clear(const Fingerprint &fingerprint, const std::vector<uint64_t> &crashes, bool observed);
     bool merge(const std::vector<SuspectReport> &reports);
 };
 
@@ -73,17 +80,35 @@
                  change == SuspectChange::Quarantined ? "request condemned" : "request suspected")
         .text("print", toString(fingerprint))
         .number("ends", static_cast<int64_t>(suspect->second.m_crashes.size()))
-        .number("trials", suspect->second.m_probesMade)
+        .number("trials", suspect->second.m_failedProbes)
+        .flag("answered_before", suspect->second.m_answeredBefore)
         .number("suspects", static_cast<int64_t>(m_table.m_suspects.size()))
         .write();
 }
 
+std::vector<SuspectReport> SuspectTracker::State::quarantined() const
+{
+    std::vector<SuspectReport> reports = suspectReports(m_table, MaxSuspectsSent, Clock::now());
+    std::erase_if(reports, [this](const SuspectReport &report) {
+        return !isQuarantined(m_table, report.m_fingerprint);
+    });
+    return reports;
+}
+
 void SuspectTracker::State::reportQuarantined(bool observed)
 {
-    std::vector<SuspectReport> quarantined = suspectReports(m_table, MaxSuspectsSent, Clock::now());
-    std::erase_if(quarantined,
-                  [this](const SuspectReport &report) { return !isQuarantined(m_table, report); });
-    m_hooks.m_quarantined(quarantined, observed);
+    m_hooks.m_quarantined(quarantined(), observed);
+}
+
+bool SuspectTracker::State::clear(const Fingerprint &fingerprint,
+                                  const std::vector<uint64_t> &crashes, bool observed)
+{
+    const SuspectReport known = suspectReport(m_table, fingerprint, Clock::now());
+    const bool wasQuarantined = isQuarantined(m_table, fingerprint);
+    const bool changed = markCleared(m_table, fingerprint, crashes, Clock::now());
+    if (wasQuarantined)
+        m_hooks.m_cleared(known, quarantined(), observed);
+    return changed;
 }
 
 void SuspectTracker::State::noteExit(const BrokenAttempt &attempt, const EndpointRecord &endpoint)
@@ -98,19 +123,43 @@
     if (!m_hooks.m_exited(attempt, endpoint))
         return;
     dropExpiredSuspects(m_table, now);
-    const SuspectChange change = stackquay::recordCrash(
-        m_table, fingerprint, processKey(endpoint.m_id, endpoint.m_startedMs), now);
+    std::ignore = recordCrash(attempt, endpoint, true);
+}
+
+/// Returns whether this crash of the suspect was not known, or not confirmed.
+bool SuspectTracker::State::recordCrash(const BrokenAttempt &attempt,
+                                        const EndpointRecord &endpoint, bool confirmed)
+{
+    const Fingerprint &fingerprint = attempt.m_fingerprint;
+    const SuspectCrash crash{ processKey(endpoint.m_id, endpoint.m_startedMs), attempt.m_begun,
+                              attempt.m_at, confirmed };
+    const SuspectChange change = stackquay::recordCrash(m_table, fingerprint, crash, Clock::now());
     if (change == SuspectChange::None)
-        return;
+        return false;
     logChange(fingerprint, change);
-    const Suspect &suspect = m_table.m_suspects[fingerprint];
+    if (!confirmed)
+        return true;
     LoadMessage message{ LoadEvent::Suspected };
-    message.m_suspects = { { fingerprint, suspect.m_crashes, suspect.m_probesMade, 0 } };
+    message.m_suspects = { suspectReport(m_table, fingerprint, Clock::now()) };
     broadcast(m_hooks.m_fleet, message);
     if (change != SuspectChange::Quarantined)
-        return;
+        return true;
     broadcastAgain(m_thread, m_hooks.m_fleet, message);
     reportQuarantined(true);
+    return true;
+}
+
+/// All endpoints may have ended together, or the path of this VM has failed: the store tells.
+void SuspectTracker::State::confirmOnceGone(const BrokenAttempt &attempt,
+                                            const EndpointRecord &endpoint)
+{
+    const TimePoint until = Clock::now() + GoneTimeout;
+    while (sleepFor(m_thread.context(), GonePoll) && Clock::now() < until) {
+        if (!m_hooks.m_isGone(endpoint))
+            continue;
+        noteExit(attempt, endpoint);
+        return;
+    }
 }
 
 bool SuspectTracker::State::merge(const std::vector<SuspectReport> &reports)
@@ -133,20 +182,30 @@
 bool SuspectTracker::State::noteIfExited(const BrokenAttempt &attempt)
 {
     for (const EndpointRecord &endpoint : attempt.m_endpoints) {
-        if (!m_exitProbe.hasExited(endpoint) || !m_hooks.m_reachesOthers(endpoint))
+        if (!m_exitProbe.hasExited(endpoint))
             continue;
+        if (!m_hooks.m_reachesOthers(endpoint)) {
+            if (recordCrash(attempt, endpoint, false))
+                spawnFiber([self = shared_from_this(), attempt, endpoint] {
+                    self->confirmOnceGone(attempt, endpoint);
+                });
+            continue;
+        }
         noteExit(attempt, endpoint);
         return true;
     }
     return false;
 }
 
-void SuspectTracker::State::recheck(const BrokenAttempt &attempt)
+bool SuspectTracker::State::recheck(const BrokenAttempt &attempt)
 {
     for (const Millis after : RecheckDelays) {
-        if (!sleepFor(m_thread.context(), after) || noteIfExited(attempt))
-            return;
+        if (!sleepFor(m_thread.context(), after))
+            return false;
+        if (noteIfExited(attempt))
+            return true;
     }
+    return false;
 }
 
 void SuspectTracker::State::delayResend()
@@ -174,11 +233,13 @@
 bool SuspectTracker::noteBrokenResponse(const BrokenAttempt &attempt)
 {
     const auto state = m_state;
-    if (state->noteIfExited(attempt)) {
+    const bool isSuspect = state->m_table.m_suspects.count(attempt.m_fingerprint) > 0;
+    if (state->noteIfExited(attempt) || (isSuspect && state->recheck(attempt))) {
         state->delayResend();
         return true;
     }
-    spawnFiber([state, attempt] { state->recheck(attempt); });
+    if (!isSuspect)
+        spawnFiber([state, attempt] { std::ignore = state->recheck(attempt); });
     return false;
 }
 
@@ -190,13 +251,16 @@
 void SuspectTracker::noteCompleted(const Fingerprint &fingerprint)
 {
     SuspectTable &table = m_state->m_table;
+    recordAnswer(table, fingerprint, Clock::now());
     const auto suspect = table.m_suspects.find(fingerprint);
     if (suspect == table.m_suspects.end())
         return;
     LoadMessage message{ LoadEvent::Cleared };
     message.m_fingerprints = { fingerprint };
-    message.m_suspects = { { fingerprint, suspect->second.m_crashes, 0, 0 } };
-    markCleared(table, fingerprint, {}, Clock::now());
+    message.m_suspects = { { fingerprint, {}, 0, 0 } };
+    for (const SuspectCrash &crash : suspect->second.m_crashes)
+        message.m_suspects.front().m_crashes.push_back(crash.m_process);
+    m_state->clear(fingerprint, {}, true);
     DecisionLine("relay", "request cleared").text("print", toString(fingerprint)).write();
     broadcast(m_state->m_hooks.m_fleet, std::move(message));
 }
@@ -204,18 +268,15 @@
 SuspectDecision SuspectTracker::decideAttempt(const Fingerprint &fingerprint,
                                               const LoadKey &own) const
 {
-    return stackquay::decideAttempt(m_state->m_table, fingerprint, own, Clock::now());
+    const bool mayProbe = m_state->m_hooks.m_mayProbe(m_state->m_table, fingerprint);
+    return stackquay::decideAttempt(m_state->m_table, fingerprint, own, mayProbe, Clock::now());
 }
 
 void SuspectTracker::beginSuspectAttempt(const Fingerprint &fingerprint, const LoadKey &key,
-                                         Duration lifetime, bool own)
+                                         Duration lifetime)
 {
     const TimePoint now = Clock::now();
     stackquay::beginSuspectAttempt(m_state->m_table, fingerprint, key, now + lifetime, now);
-    const auto attempt = m_state->m_table.m_attempts.find(key);
-    // The number of probes must survive an exit of all VMs.
-    if (own && attempt != m_state->m_table.m_attempts.end() && attempt->second.m_isProbe)
-        m_state->reportQuarantined(true);
 }
 
 void SuspectTracker::endSuspectAttempt(const LoadKey &key)
@@ -267,12 +328,10 @@
     }
     bool cleared = false;
     for (const SuspectReport &report : message.m_suspects)
-        cleared =
-            markCleared(m_state->m_table, report.m_fingerprint, report.m_crashes, Clock::now())
-            || cleared;
+        cleared = m_state->clear(report.m_fingerprint, report.m_crashes, false) || cleared;
     // VMs of an earlier version send no process exits.
     for (const Fingerprint &fingerprint : message.m_fingerprints)
-        cleared = markCleared(m_state->m_table, fingerprint, {}, Clock::now()) || cleared;
+        cleared = m_state->clear(fingerprint, {}, false) || cleared;
     if (cleared)
         forward(m_state->m_hooks.m_fleet, message);
 }
--- a/relay/suspect_tracker.h
+++ b/relay/suspect_tracker.h
@@ -20,20 +20,30 @@
     Fingerprint m_fingerprint;
     PromptParts m_parts;
     bool m_answered = false; ///< The answer had begun.
+    TimePoint m_begun{}; ///< When the request was sent.
     TimePoint m_at{};
 };
 
 /// Connections to the other VMs and to the daemon.
 struct SuspectHooks {
+    /// Returns whether this VM may send a probe of a suspect that is due.
+    std::function<bool(const SuspectTable &table, const Fingerprint &fingerprint)> m_mayProbe;
     /// Returns whether this VM reaches an endpoint other than @p endpoint now. Blocks the fiber.
     std::function<bool(const EndpointRecord &endpoint)> m_reachesOthers;
+    /// Returns whether the store shows that the process of @p endpoint is gone.
+    std::function<bool(const EndpointRecord &endpoint)> m_isGone;
     CrashBroadcast m_fleet;
     /// Called when the process of @p endpoint, one of the attempt's, has exited. Returns whether
     /// the request may have caused it.
     std::function<bool(const BrokenAttempt &attempt, const EndpointRecord &endpoint)> m_exited;
-    /// Called when the set of quarantined requests changed; @p observed: this VM itself observed
-    /// the exit that led to it.
+    /// Called when a request was quarantined, or a probe of it failed; @p observed: this VM itself
+    /// observed the exit that led to it.
     std::function<void(const std::vector<SuspectReport> &quarantined, bool observed)> m_quarantined;
+    /// Called when a quarantined request was cleared; @p remaining: those that still are.
+    /// @p observed: it completed on this VM.
+    std::function<void(const SuspectReport &cleared, const std::vector<SuspectReport> &remaining,
+                       bool observed)>
+        m_cleared;
 };
 
 /// Used on the traffic thread only.
@@ -53,17 +63,18 @@
     /// To be called when the response of an attempt broke off. Returns whether the process of one
     /// of its endpoints has exited, which makes the request a suspect. Blocks the fiber for a
     /// connection attempt, and after an exit for some milliseconds more, so that the suspects of
-    /// one exit see each other's placements. If no exit is seen, checks again in the background.
+    /// one exit see each other's placements. If no exit is seen, checks again: of a suspect before
+    /// it returns, of others in the background.
     bool noteBrokenResponse(const BrokenAttempt &attempt);
     /// Clears the suspects of the exits of @p processes, whose cause is known to be another.
     void excuse(const std::unordered_set<uint64_t> &processes);
-    /// To be called when the request received a whole successful response.
+    /// To be called when the request received a whole successful response; for one that is no
+    /// suspect as well, if its fingerprint is cheap.
     void noteCompleted(const Fingerprint &fingerprint);
     /// Decides how an attempt with the key @p own may run.
     SuspectDecision decideAttempt(const Fingerprint &fingerprint, const LoadKey &own) const;
-    /// Records an attempt of a suspect; @p own: it is an attempt of this VM.
-    void beginSuspectAttempt(const Fingerprint &fingerprint, const LoadKey &key, Duration lifetime,
-                             bool own);
+    /// Records an attempt of a suspect, of this VM or another one.
+    void beginSuspectAttempt(const Fingerprint &fingerprint, const LoadKey &key, Duration lifetime);
     void endSuspectAttempt(const LoadKey &key);
     /// The suspect that the attempt in flight belongs to; nothing if it belongs to none.
     std::optional<Fingerprint> suspectOf(const LoadKey &key) const;
--- a/tests/relay/suspect_tracker_test.cpp
+++ b/tests/relay/suspect_tracker_test.cpp
@@ -81,7 +81,9 @@
         hooks.m_fleet.m_sendToOtherCells = [this, vm](const LoadMessage &message) {
             sendToContacts(vm, message);
         };
+        hooks.m_mayProbe = [](const auto &, const auto &) { return true; };
         hooks.m_quarantined = [](const auto &, bool) {};
+        hooks.m_cleared = [](const auto &, const auto &, bool) {};
         return hooks;
     }
 
