--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -248,6 +248,7 @@
 FollowerHooks RelayDaemon::followerHooks()
 {
     FollowerHooks hooks;
+    hooks.m_onUnreadable = [this] { m_node->m_metrics.m_unreadableEntries.add(); };
     hooks.m_onRoutes = [this](const RouteTablePtr &routes, const std::string &spec) {
         packRoutes(spec);
         updateView([&](RelayView &view) {
--- a/relay/relay_metrics.cpp
+++ b/relay/relay_metrics.cpp
@@ -38,6 +38,9 @@
     , m_blocked(
           registry.counter("stackquay_relay_barred_total",
                            "Requests not sent because endpoint processes had exited under them."))
+    , m_unreadableEntries(
+          registry.counter("stackquay_relay_unreadable_entries_total",
+                           "Changes of endpoints' entries that could not be decoded."))
     , m_abandoned(registry.counter("stackquay_relay_attempts_abandoned_total",
                                    "Attempts abandoned because their endpoint had gone."))
     , m_absenceProbes(registry.counter("stackquay_relay_absence_probes_total",
--- a/relay/relay_metrics.h
+++ b/relay/relay_metrics.h
@@ -41,6 +41,7 @@
     Counter &m_quarantined;
     Counter &m_quarantinedParts;
     Counter &m_blocked;
+    Counter &m_unreadableEntries;
     Counter &m_abandoned;
     Counter &m_absenceProbes;
     // Of requests whose turn is forecast, see TurnMonitor.
--- a/relay/store_follower.cpp
+++ b/relay/store_follower.cpp
@@ -115,6 +115,8 @@
     EndpointDirectory m_directory;
     Evacuations m_evacuations;
     std::unordered_map<EndpointId, ProcessStart> m_processStarts;
+    /// Entries that could not be decoded, and the revisions of them that were logged.
+    std::unordered_map<EndpointId, uint64_t> m_unreadableRevisions;
     /// Unconfirmed endpoints, and when they are removed.
     std::unordered_map<EndpointId, TimePoint> m_pendingRemovals;
     TimePoint m_startedAt{};
@@ -147,6 +149,7 @@
     void noteColdPeriod(const EndpointRecord &endpoint);
     void applyEndpoint(const KindObject &object);
     void dropUnreadable(const KindObject &object, const Error &error);
+    void noteReadable(const EndpointId &endpoint);
     void forgetOldProcesses();
     void noteDepartures(const EndpointMap &before);
     bool isStaleAfterRestore(const KindObject &object);
@@ -281,7 +284,15 @@
             return;
         if (!events) {
             const bool historyGone = events.error().m_code == ErrorCode::NotFound;
-            if (historyGone)
+            const bool unreadable = events.error().m_code == ErrorCode::ProtocolError;
+            if (unreadable && failures == 0)
+                DecisionLine("store", "watch not understood")
+                    .text("kind", followed.m_kind)
+                    .number("revision", static_cast<int64_t>(position.m_revision))
+                    .text("error", events.error().m_message)
+                    .write();
+            // The same events would come again from the same position.
+            if (historyGone || unreadable)
                 position = {};
             if (historyGone ? !pause(failures++) : !backOff(failures++) || !awaitAnswer(generation))
                 return;
@@ -467,7 +478,7 @@
         dropUnreadable(object, endpoint.error());
         return;
     }
-    m_directory.m_unreadable.erase(endpoint->m_id);
+    noteReadable(endpoint->m_id);
     if (isFromEarlierProcess(*endpoint))
         return;
     m_directory.m_unconfirmed.erase(endpoint->m_id);
@@ -486,21 +497,33 @@
     known = std::move(*endpoint);
 }
 
-/// An entry that cannot be decoded removes the endpoint. Logged once, because the writer may write
-/// it again at each heartbeat.
+/// An entry that cannot be decoded removes the endpoint. Logged once for each change of the entry:
+/// lists contain it again and again.
 void StoreFollower::State::dropUnreadable(const KindObject &object, const Error &error)
 {
     const EndpointId id(object.m_name);
     m_directory.m_endpoints.erase(id);
     m_directory.m_unconfirmed.erase(id);
-    if (!m_directory.m_unreadable.insert(id).second)
+    m_directory.m_unreadable.insert(id);
+    const uint64_t revision = object.m_position.m_revision;
+    const auto [logged, added] = m_unreadableRevisions.try_emplace(id, revision);
+    if (!added && std::exchange(logged->second, revision) == revision)
         return;
+    m_hooks.m_onUnreadable();
     DecisionLine("store", "endpoint not understood")
+        .text("kind", m_source.m_endpointsKind)
         .text("endpoint", object.m_name)
+        .number("revision", static_cast<int64_t>(revision))
         .text("error", error.m_message)
         .write();
 }
 
+void StoreFollower::State::noteReadable(const EndpointId &endpoint)
+{
+    m_directory.m_unreadable.erase(endpoint);
+    m_unreadableRevisions.erase(endpoint);
+}
+
 /// Called once for all entries that arrive together, as there may be thousands.
 void StoreFollower::State::forgetOldProcesses()
 {
@@ -570,7 +593,7 @@
 
 void StoreFollower::State::removeEndpoint(const EndpointId &endpoint)
 {
-    m_directory.m_unreadable.erase(endpoint);
+    noteReadable(endpoint);
     if (m_directory.m_endpoints.count(endpoint) == 0)
         return;
     if (inRecoveryGrace(Clock::now())) {
@@ -657,6 +680,10 @@
     }
     for (const EndpointId &id : missing)
         removeEndpoint(id);
+    std::erase_if(m_directory.m_unreadable,
+                  [&listed](const EndpointId &id) { return listed.count(id) == 0; });
+    std::erase_if(m_unreadableRevisions,
+                  [&listed](const auto &entry) { return listed.count(entry.first) == 0; });
     position = page->m_position;
     publishDirectory(position);
     return true;
--- a/relay/store_follower.h
+++ b/relay/store_follower.h
@@ -24,6 +24,8 @@
     std::function<FreshnessProof()> m_bestProof;
     /// Returns whether this VM watches the store for others, or has no peers.
     std::function<bool()> m_watchesStore;
+    /// Called for each change of an endpoint's entry that cannot be decoded.
+    std::function<void()> m_onUnreadable;
     /// Called after this VM was frozen or suspended.
     std::function<void()> m_onSuspension;
 };
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -417,6 +417,79 @@
     });
 }
 
+/// The value of a field that another writer may leave in an entry. Keeps the nesting of @p text
+/// around it whole, as the store does.
+std::string drawValue(RandomEngine &random)
+{
+    static const std::vector<std::string> values = {
+        R"("\ud83d")",
+        R"("\u0000")",
+        "1e999",
+        "-0",
+        "-1e-999",
+        "1" + std::string(400, '0'),
+        "\"\xff\xfe\"",
+        "\"\xc3\"",
+        std::string("\"\0\"", 3),
+        "\"\n\"",
+        R"("\\")",
+        R"("\"]}")",
+        "nul",
+        R"({"a":1,"a":2})",
+        R"({"":{}})",
+        "[1,2",
+        "01",
+        "\"" + std::string(20'000, 'x') + "\"",
+    };
+    std::string value = values[random() % values.size()];
+    if (std::count(value.begin(), value.end(), '[') > std::count(value.begin(), value.end(), ']'))
+        value += "]";
+    const size_t levels = random() % 3 == 0 ? random() % 30'000 : 0;
+    return std::string(levels, '[') + value + std::string(levels, ']');
+}
+
+// One changed entry of a list takes nothing from the others, which are read byte for byte.
+TEST(CodecFuzzTest, EntryOfAnotherWriterAffectsNoOther)
+{
+    const char *wanted = std::getenv("STACKQUAY_FUZZ_INPUTS");
+    const int inputs = wanted ? std::atoi(wanted) : 500;
+    runOnFiber([inputs] {
+        RandomEngine random(20261204);
+        constexpr size_t Entries = 12;
+        for (int i = 0; i < inputs; ++i) {
+            const size_t bad = random() % Entries;
+            std::string body = R"({"items":[)";
+            std::string events = R"({"events":[)";
+            const std::string sound = entryWith("service", R"("caf\u00e9 ü")");
+            for (size_t n = 0; n < Entries; ++n) {
+                std::string spec = sound;
+                if (n == bad)
+                    spec.insert(1, "\"field\":" + drawValue(random) + ",");
+                const std::string object = fmt::format(
+                    R"({{"metadata":{{"name":"i-{}","revision":{}}},"spec":{},"status":{}}})", n,
+                    n + 1, spec, n == bad ? drawValue(random) : "null");
+                body += (n > 0 ? "," : "") + object;
+                events += (n > 0 ? "," : "") + (R"({"removed":false,"object":)" + object) + "}";
+            }
+            const auto page = kindDialect().m_readPage(body + R"(],"currentRev":9})");
+            const auto changes = kindDialect().m_readEvents(events + R"(],"currentRev":9})");
+            ASSERT_TRUE(page && changes) << body.substr(0, 2'000);
+            ASSERT_EQ(page->m_objects.size(), Entries);
+            ASSERT_EQ(changes->m_events.size(), Entries);
+            for (size_t n = 0; n < Entries; ++n) {
+                const KindObject &object = page->m_objects[n];
+                const auto endpoint = relaySource().m_decodeEndpoint(object);
+                EXPECT_EQ(object.m_spec, changes->m_events[n].m_object.m_spec);
+                if (n == bad)
+                    continue;
+                EXPECT_EQ(object.m_spec, sound);
+                ASSERT_TRUE(endpoint);
+                EXPECT_EQ(endpoint->m_service.str(), "café ü");
+            }
+        }
+    });
+}
+
 /// Changes some bytes of @p text: drops, doubles or replaces them.
 std::string spoil(std::string text, RandomEngine &random)
 {
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -303,6 +303,33 @@
     }
 }
 
+// The failure: one entry of another writer that is no readable JSON hid all changes among the
+// endpoints, for VMs that run and for those that start, and new endpoints were never used.
+TEST_F(FleetTest, UnreadableEntryHidesNoOtherEndpoint)
+{
+    start();
+    const auto known = [&](size_t daemon) { return view(daemon)->m_directory->m_endpoints.size(); };
+    const std::string deep = std::string(20'000, '[') + std::string(20'000, ']');
+    size_t workers = known(0);
+    for (const std::string &value : { std::string(R"("caf\u00e9 \ud83d")"), std::string("1e999"),
+                                      std::string("\"\xff\xfe\""), deep }) {
+        SCOPED_TRACE(value.substr(0, 20));
+        m_deployment.m_store->put("servers", "from-another-writer",
+                                  R"({"service":"plain","note":)" + value + "}");
+        m_deployment.addWorker("plain");
+        ++workers;
+        EXPECT_TRUE(
+            eventually([&] { return known(0) == workers && known(1) == workers; }, Seconds(2)));
+    }
+    const auto &unreadable = view(0)->m_directory->m_unreadable;
+    EXPECT_EQ(unreadable.count(EndpointId("from-another-writer")), 1u);
+    m_deployment.addDaemon();
+    ASSERT_TRUE(m_deployment.awaitReady());
+    EXPECT_TRUE(eventually([&] { return known(2) == workers; }, Seconds(2)));
+    m_deployment.m_store->remove("servers", "from-another-writer");
+    EXPECT_TRUE(eventually([&] { return view(0)->m_directory->m_unreadable.empty(); }, Seconds(2)));
+}
+
 // An order for memory that a former process held is not sent to the one that runs now.
 TEST_F(FleetTest, FormerProcessOfAnEndpointIsSentNoOrder)
 {
