An exception in a request's handler ends that request only

Cause: prepare_payload() of the HTTP library throws where a method may have no body, and an exception on a fiber was caught nowhere.

Change: a request with a body gets its Content-Length by name, for any method. HttpServer catches an exception of its handler: the request ends with 500, or, once its answer has begun, with a closed connection that does not look complete, and a line `request handler failed`. Exceptions of other fibers, which keep the control state, still end the process.

Why it works: 500 promises nothing about the run, so it is true whatever the handler had done, and the handler's own objects end as in any return.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -263,7 +263,11 @@
             message.insert(header.m_name, header.m_value);
     }
     message.body() = beast::span<const char>(request.m_body.data(), request.m_body.size());
-    message.prepare_payload();
+    // prepare_payload() throws if a method may have no body, such as TRACE.
+    if (request.m_body.empty())
+        message.prepare_payload();
+    else
+        message.content_length(request.m_body.size());
     state->m_reusable = false;
     state->beginResponse();
     boost::system::error_code error;
--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -114,6 +114,7 @@
     bool awaitRoom();
     void acceptArrived(size_t most);
     void spawnServe(Socket socket);
+    void handle(HttpExchange &exchange);
     void serve(Socket socket);
     bool awaitNext(FiberSocket &stream, beast::flat_buffer &buffer);
 };
@@ -451,6 +452,21 @@
     return m_draining && (buffer.size() > 0 || stream.socket().available(ignored) > 0);
 }
 
+/// An exception ends its own request, not the process with all others.
+void HttpServer::State::handle(HttpExchange &exchange)
+{
+    try {
+        m_handler(exchange);
+    } catch (const std::exception &error) {
+        DecisionLine("net", "request handler failed")
+            .text("method", exchange.request().m_method)
+            .text("error", error.what())
+            .write();
+        if (exchange.started())
+            exchange.abort();
+    }
+}
+
 void HttpServer::State::serve(Socket socket)
 {
     boost::system::error_code error;
@@ -472,7 +488,7 @@
         const bool keepAlive = parser.get().keep_alive();
         Exchange exchange(stream, buffer, toRequest(parser.release()), keepAlive, m_limits,
                           m_closing);
-        m_handler(exchange);
+        handle(exchange);
         if (!exchange.started())
             exchange.respond({ 500,
                                { { "Content-Type", "application/json" } },
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -164,6 +164,49 @@
     hungUp.get_future().wait();
 }
 
+// The failure: TRACE with a body ended the process, by an exception of the HTTP library.
+TEST_F(HttpTest, TraceWithABodyIsSent)
+{
+    serve([](HttpExchange &exchange) {
+        exchange.respond({ 200, {}, exchange.request().m_method + exchange.request().m_body });
+    });
+    onClient([this] {
+        HttpConnection connection(m_clientThread.context());
+        ASSERT_TRUE(connection.connect(m_address, Seconds(5)));
+        ASSERT_TRUE(connection.send({ "TRACE", "/", {}, "b" }, Seconds(5)));
+        ASSERT_TRUE(connection.readHeader(Seconds(5)));
+        EXPECT_EQ(connection.readWhole(Seconds(5), 100).value_or(""), "TRACEb");
+    });
+}
+
+// The failure: an exception in a handler ended the process, and with it the requests of all others.
+TEST_F(HttpTest, ExceptionInAHandlerEndsItsRequestOnly)
+{
+    serve([](HttpExchange &exchange) {
+        if (exchange.request().m_target == "/stream")
+            exchange.startStream(200, {});
+        if (exchange.request().m_target != "/sound")
+            throw std::runtime_error("a fault of the handler");
+        exchange.respond({ 200, {}, "sound" });
+    });
+    onClient([this] {
+        for (const char *target : { "/whole", "/stream", "/sound" }) {
+            HttpConnection connection(m_clientThread.context());
+            ASSERT_TRUE(connection.connect(m_address, Seconds(5)));
+            ASSERT_TRUE(connection.send({ "GET", target, {}, "" }, Seconds(5)));
+            const auto header = connection.readHeader(Seconds(5));
+            ASSERT_TRUE(header) << target;
+            const auto body = connection.readWhole(Seconds(5), 1'000);
+            if (target == std::string("/whole"))
+                EXPECT_EQ(header->m_status, 500u);
+            else if (target == std::string("/stream"))
+                EXPECT_FALSE(body) << "it must not look complete";
+            else
+                EXPECT_EQ(body.value_or(""), "sound");
+        }
+    });
+}
+
 TEST_F(HttpTest, OversizedBodyGets413)
 {
     HttpServerLimits limits;
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -59,6 +59,18 @@
     EXPECT_GT(left, 2'000);
 }
 
+// The failure: this request ended the daemon, with the requests of all others.
+TEST_F(RelayTest, PassesTraceWithABodyOn)
+{
+    start(1, 0);
+    ClientRequest request;
+    request.m_method = "TRACE";
+    request.m_body = "b";
+    const ClientAnswer answer = m_deployment.call(request);
+    EXPECT_EQ(answer.m_status, 200u);
+    EXPECT_EQ(answer.m_body, "answer of worker-1 to b");
+}
+
 TEST_F(RelayTest, PassesWholeStreamOn)
 {
     start(0, 1);
