A rack that ends over a second quarantines no part of prompts

What callers would see: the engines of a rack end one after the other within a second, and the part that every prompt of a customer lists is refused for ten minutes.

Cause: crashes 50 ms apart counted as independent, and whatever all requests share is present at each of them, as with popular requests.

Change: crashes of a part on which an answer ended in the last 30 to 60 s have to be 1 s apart. policy/recent_answers, split off the suspects, remembers what was answered; a report of a part tells it to other VMs, and the stored object keeps it. A table full of crashes in one moment left no room for later ones, so that such a part was never found: one that does not count makes room for one that does.

Ruled out: overlap of attempts, as for requests. Prompts run for seconds, parts have no state of one probe at a time, and a crashing part that is asked for often would end an engine with each copy until the intervals no longer overlap.

--- a/policy/crash_suspects.cpp
+++ b/policy/crash_suspects.cpp
@@ -61,12 +61,6 @@
                   >= table.m_settings.m_minEvents;
 }
 
-bool wasAnswered(const SuspectTable &table, const Fingerprint &fingerprint)
-{
-    return table.m_answered.m_latest.count(fingerprint.m_low) > 0
-           || table.m_answered.m_earlier.count(fingerprint.m_low) > 0;
-}
-
 /// If the table is full, removes the suspect with the fewest crashes, the oldest one of several.
 void evictSuspect(SuspectTable &table)
 {
@@ -91,7 +85,7 @@
     evictSuspect(table);
     ++table.m_suspectsPerOutline[fingerprint.m_outline];
     Suspect &suspect = table.m_suspects[fingerprint];
-    suspect.m_answeredBefore = wasAnswered(table, fingerprint);
+    suspect.m_answeredBefore = wasAnswered(table.m_answered, fingerprint.m_low);
     return suspect;
 }
 
@@ -259,17 +253,6 @@
                                                                    : SuspectChange::Known;
 }
 
-void recordAnswer(SuspectTable &table, const Fingerprint &fingerprint, TimePoint now)
-{
-    AnsweredRequests &answered = table.m_answered;
-    if (now - answered.m_latestSince > table.m_settings.m_answerMemory
-        || answered.m_latest.size() >= table.m_settings.m_maxAnswered / 2) {
-        answered.m_earlier = std::exchange(answered.m_latest, {});
-        answered.m_latestSince = now;
-    }
-    answered.m_latest.insert(fingerprint.m_low);
-}
-
 SuspectChange mergeSuspectReport(SuspectTable &table, const SuspectReport &report, TimePoint now)
 {
     const TimePoint lastAt = timeOf(table.m_settings, report.m_ageMs, now);
--- a/policy/crash_suspects.h
+++ b/policy/crash_suspects.h
@@ -30,6 +30,7 @@
 
 #include "core/core.h"
 #include "policy/cells.h"
+#include "policy/recent_answers.h"
 #include "policy/stream_ledger.h"
 
 namespace stackquay {
@@ -45,10 +46,6 @@
     /// The same for a request that was answered lately. Processes of a rack that loses power may
     /// end one after the other within this time, and a popular request is sent to each of them.
     Millis m_outageDuration{ 1'000 };
-    /// Answers are remembered for this time at least, and for twice as long at most.
-    Seconds m_answerMemory{ 30 };
-    /// Answered requests that are remembered, of about 32 bytes each.
-    size_t m_maxAnswered = 4'096;
     /// From the last crash of a quarantined suspect to the first probe; doubled by each probe that
     /// crashed. Engines are repaired by an operator or a release, which takes minutes.
     Seconds m_probeDelay{ 600 };
@@ -102,13 +99,6 @@
     bool m_isProbe = false; ///< Begun while the suspect was isolated.
 };
 
-/// Requests that were answered lately, by Fingerprint::m_low.
-struct AnsweredRequests {
-    std::unordered_set<uint64_t> m_latest;
-    std::unordered_set<uint64_t> m_earlier;
-    TimePoint m_latestSince{};
-};
-
 struct SuspectTable {
     SuspectSettings m_settings;
     std::unordered_map<Fingerprint, Suspect, FingerprintHash> m_suspects;
@@ -116,7 +106,7 @@
     std::unordered_map<uint64_t, uint32_t> m_suspectsPerOutline; ///< By Fingerprint::m_outline.
     std::unordered_map<Fingerprint, ClearedCrashes, FingerprintHash> m_cleared;
     std::unordered_set<uint64_t> m_excused; ///< Processes whose crashes have another known cause.
-    AnsweredRequests m_answered;
+    RecentAnswers m_answered; ///< By Fingerprint::m_low.
 
     /// Whether there are no suspects.
     bool empty() const { return m_suspects.empty(); }
@@ -182,8 +172,6 @@
 /// crash count once; crashes before the request was cleared do not count.
 SuspectChange recordCrash(SuspectTable &table, const Fingerprint &fingerprint,
                           const SuspectCrash &crash, TimePoint now);
-/// Records that the request was answered.
-void recordAnswer(SuspectTable &table, const Fingerprint &fingerprint, TimePoint now);
 /// Merges a peer's report. Reports may arrive in any order and repeatedly.
 SuspectChange mergeSuspectReport(SuspectTable &table, const SuspectReport &report, TimePoint now);
 /// Removes a suspect without remembering its crashes. False if it was not a suspect.
--- a/policy/crashing_parts.cpp
+++ b/policy/crashing_parts.cpp
@@ -27,6 +27,7 @@
     std::vector<Crash> m_crashes; ///< In the order of their times.
     uint32_t m_probesMade = 0;
     TimePoint m_lastAt{};
+    bool m_answeredBefore = false;
 };
 
 /// Which part explains the exit of a process.
@@ -43,6 +44,12 @@
     return candidate.m_customer ? settings.m_customerThreshold : settings.m_fleetThreshold;
 }
 
+/// Crashes closer to each other may have one cause outside the part.
+Millis crashInterval(const PartSettings &settings, bool answeredBefore)
+{
+    return answeredBefore ? settings.m_outageDuration : settings.m_minCrashInterval;
+}
+
 /// The crashes of @p candidate that count: of different processes, under different requests, at
 /// different moments, and not explained by another part.
 uint32_t countIndependentCrashes(const PartSettings &settings, const Candidate &candidate,
@@ -52,10 +59,11 @@
     std::unordered_set<uint64_t> requests;
     std::unordered_map<uint64_t, uint32_t> ofCustomer;
     std::optional<TimePoint> last;
+    const Millis interval = crashInterval(settings, candidate.m_answeredBefore);
     for (const auto &[customer, crash] : candidate.m_crashes) {
         if (isExplainedByOther(explained, crash.m_process, candidate.m_part)
             || processes.count(crash.m_process) > 0 || requests.count(crash.m_request) > 0
-            || (last && crash.m_at - *last < settings.m_minCrashInterval))
+            || (last && crash.m_at - *last < interval))
             continue;
         if (!candidate.m_customer && ofCustomer[customer] >= settings.m_maxCrashesOfCustomer)
             continue;
@@ -86,6 +94,7 @@
         candidate.m_crashes.push_back({ customer, crash });
     candidate.m_probesMade = std::max(candidate.m_probesMade, suspect.m_probesMade);
     candidate.m_lastAt = std::max(candidate.m_lastAt, suspect.m_lastAt);
+    candidate.m_answeredBefore = candidate.m_answeredBefore || suspect.m_answeredBefore;
 }
 
 /// The candidates with enough crashes, those with the most processes first.
@@ -227,7 +236,31 @@
     if (known != table.m_suspects.end())
         return known->second;
     evictPart(table);
-    return table.m_suspects[key];
+    SuspectPart &suspect = table.m_suspects[key];
+    suspect.m_answeredBefore = wasAnswered(table.m_answered, key.m_part);
+    return suspect;
+}
+
+/// Makes room for @p crash if it is at another moment than all of @p crashes, by removing one that
+/// is too close to another one to count. False if there is none.
+bool makeRoom(std::vector<PartCrash> &crashes, const PartCrash &crash, Millis interval)
+{
+    const bool counts = std::all_of(crashes.begin(), crashes.end(), [&](const PartCrash &one) {
+        return std::max(one.m_at, crash.m_at) - std::min(one.m_at, crash.m_at) >= interval;
+    });
+    if (!counts)
+        return false;
+    std::sort(crashes.begin(), crashes.end(),
+              [](const PartCrash &left, const PartCrash &right) { return left.m_at < right.m_at; });
+    TimePoint last = crashes.front().m_at;
+    for (auto one = crashes.begin() + 1; one != crashes.end(); ++one) {
+        if (one->m_at - last < interval) {
+            crashes.erase(one);
+            return true;
+        }
+        last = one->m_at;
+    }
+    return false;
 }
 
 /// Adds a crash, or moves a known one to its earlier time. False if nothing changed.
@@ -241,7 +274,8 @@
         known->m_at = std::min(known->m_at, crash.m_at);
         return false;
     }
-    if (crashes.size() >= table.m_settings.m_maxCrashes)
+    const Millis interval = crashInterval(table.m_settings, suspect.m_answeredBefore);
+    if (crashes.size() >= table.m_settings.m_maxCrashes && !makeRoom(crashes, crash, interval))
         return false;
     crashes.push_back(crash);
     return true;
@@ -303,7 +337,9 @@
     if (crashes.empty() || now - lastAt >= table.m_settings.m_retention)
         return PartChange::None;
     SuspectPart &suspect = findOrAddPart(table, report.m_key);
-    bool changed = report.m_probesMade > suspect.m_probesMade;
+    bool changed = report.m_probesMade > suspect.m_probesMade
+                   || (report.m_answeredBefore && !suspect.m_answeredBefore);
+    suspect.m_answeredBefore = suspect.m_answeredBefore || report.m_answeredBefore;
     suspect.m_probesMade = std::max(suspect.m_probesMade, report.m_probesMade);
     suspect.m_lastAt = std::max(suspect.m_lastAt, lastAt);
     for (const PartCrash &crash : crashes)
@@ -425,6 +461,7 @@
                 { crash.m_process, crash.m_request, ageOf(crash.m_at, now) });
         report.m_probesMade = suspect->second.m_probesMade;
         report.m_ageMs = ageOf(suspect->second.m_lastAt, now);
+        report.m_answeredBefore = suspect->second.m_answeredBefore;
         reports.push_back(std::move(report));
     }
     return reports;
--- a/policy/crashing_parts.h
+++ b/policy/crashing_parts.h
@@ -25,6 +25,7 @@
 
 #include "core/core.h"
 #include "policy/cells.h"
+#include "policy/recent_answers.h"
 
 namespace stackquay {
 
@@ -38,6 +39,9 @@
     /// Crashes closer to each other than this count once: a rack that loses power ends many
     /// processes together, whatever they run.
     Millis m_minCrashInterval{ 50 };
+    /// The same for a part on which an answer was written lately. The processes of a rack may end
+    /// one after the other within this time, and common parts are in progress at each of them.
+    Millis m_outageDuration{ 1'000 };
     /// From the last crash to the first probe; doubled by each probe.
     Seconds m_probeDelay{ 600 };
     uint32_t m_maxProbes = 3;
@@ -49,7 +53,7 @@
     /// Limit for suspects and for cleared parts. Beyond it, the suspect with the fewest crashes or
     /// the oldest cleared part is evicted.
     size_t m_maxParts = 512;
-    /// Crashes kept of one part; the first that are known.
+    /// Crashes kept of one part: the first that are known, and later ones at other moments.
     size_t m_maxCrashes = 16;
 };
 
@@ -86,6 +90,7 @@
     std::vector<PartCrash> m_crashes;
     uint32_t m_probesMade = 0; ///< Probes since it was quarantined.
     TimePoint m_lastAt{}; ///< Last crash or probe.
+    bool m_answeredBefore = false; ///< An answer was written on it not long before the crashes.
 };
 
 /// Requests that list all of m_parts are not sent any more, except for probes.
@@ -108,6 +113,7 @@
     std::vector<PartQuarantine> m_quarantines; ///< Derived from m_suspects.
     /// Processes that exited under a quarantined part. Derived from m_suspects.
     std::unordered_set<uint64_t> m_explained;
+    RecentAnswers m_answered; ///< Parts of all customers.
 
     bool empty() const { return m_suspects.empty(); }
 };
@@ -126,8 +132,9 @@
     std::vector<PartCrashReport> m_crashes;
     uint32_t m_probesMade = 0;
     uint64_t m_ageMs = 0; ///< Since the last crash or probe.
+    bool m_answeredBefore = false;
 
-    MSGPACK_DEFINE(m_key, m_crashes, m_probesMade, m_ageMs)
+    MSGPACK_DEFINE(m_key, m_crashes, m_probesMade, m_ageMs, m_answeredBefore)
 };
 
 enum class PartChange {
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -45,6 +45,7 @@
 #include "policy/prefill_group.h"
 #include "policy/prefix.h"
 #include "policy/probe_turn.h"
+#include "policy/recent_answers.h"
 #include "policy/reconcile.h"
 #include "policy/retry.h"
 #include "policy/retry_pool.h"
--- a/relay/part_record.cpp
+++ b/relay/part_record.cpp
@@ -73,6 +73,7 @@
     report.m_key = { (*numbers)[0], (*numbers)[1] };
     report.m_probesMade = static_cast<uint32_t>((*numbers)[2]);
     report.m_ageMs = ageOf(entry["at_ms"], now);
+    report.m_answeredBefore = boolField(entry, "answered_before");
     for (const Json &one : entry["crashes"]) {
         const auto crash = numbersOf(one, { "process", "request", "at_ms" });
         if (!crash)
@@ -91,6 +92,7 @@
 {
     known.m_ageMs = std::min(known.m_ageMs, report.m_ageMs);
     known.m_probesMade = std::max(known.m_probesMade, report.m_probesMade);
+    known.m_answeredBefore = known.m_answeredBefore || report.m_answeredBefore;
     for (const PartCrashReport &crash : report.m_crashes) {
         if (!contains(known.m_crashes, crash) && known.m_crashes.size() < MaxCrashes)
             known.m_crashes.push_back(crash);
@@ -120,6 +122,7 @@
                             { "customer", report.m_key.m_customer },
                             { "probes", report.m_probesMade },
                             { "at_ms", timeOf(report.m_ageMs, now) },
+                            { "answered_before", report.m_answeredBefore },
                             { "crashes", crashes } });
     }
     return Json({ { "parts", entries } }).dump();
--- a/relay/part_tracker.cpp
+++ b/relay/part_tracker.cpp
@@ -190,7 +190,12 @@
 
 void PartTracker::noteAnswered(const PromptParts &prompt)
 {
-    dropExpiredParts(m_state->m_table, Clock::now());
+    const TimePoint now = Clock::now();
+    for (const uint64_t part : prompt.m_parts)
+        recordAnswer(m_state->m_table.m_answered, part, now);
+    if (empty())
+        return;
+    dropExpiredParts(m_state->m_table, now);
     m_state->clear(suspectKeysOf(m_state->m_table, prompt));
 }
 
--- a/relay/part_tracker.h
+++ b/relay/part_tracker.h
@@ -41,7 +41,8 @@
     /// To be called when @p process exited at @p at, before it began to answer the request.
     void noteCrash(const PromptParts &prompt, uint64_t process, const Fingerprint &request,
                    TimePoint at);
-    /// To be called when an engine has written a whole answer to a request.
+    /// To be called when an engine has written a whole answer to a request, also if no part is
+    /// suspected.
     void noteAnswered(const PromptParts &prompt);
     /// To be called when a quarantined request is sent as a probe.
     void noteProbe(const PromptParts &prompt);
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -344,7 +344,7 @@
         return;
     if (maybeSuspect() || m_exchange.request().m_body.size() <= MaxRememberedBytes)
         m_node.m_suspects.noteCompleted(fingerprint());
-    if (!m_node.m_parts.empty())
+    if (!m_head.m_promptParts.empty())
         m_node.m_parts.noteAnswered(promptParts());
 }
 
--- a/relay/suspect_tracker.cpp
+++ b/relay/suspect_tracker.cpp
@@ -251,7 +251,7 @@
 void SuspectTracker::noteCompleted(const Fingerprint &fingerprint)
 {
     SuspectTable &table = m_state->m_table;
-    recordAnswer(table, fingerprint, Clock::now());
+    recordAnswer(table.m_answered, fingerprint.m_low, Clock::now());
     const auto suspect = table.m_suspects.find(fingerprint);
     if (suspect == table.m_suspects.end())
         return;
--- a/tests/policy/crash_suspects_test.cpp
+++ b/tests/policy/crash_suspects_test.cpp
@@ -99,7 +99,7 @@
 // is sent to each of them.
 TEST_F(CrashSuspectsTest, AnsweredRequestIsNotQuarantinedByARollingFailure)
 {
-    recordAnswer(m_table, Bystander, Start);
+    recordAnswer(m_table.m_answered, Bystander.m_low, Start);
     for (uint64_t process = 1; process <= 3; ++process)
         crash(Bystander, process, Millis(300) * process);
     EXPECT_EQ(care(Bystander, Millis(900)), SuspectHandling::Busy);
@@ -110,20 +110,6 @@
     EXPECT_EQ(care(Culprit, Millis(900)), SuspectHandling::Quarantined);
 }
 
-TEST_F(CrashSuspectsTest, AnswersAreForgotten)
-{
-    const Seconds memory = m_table.m_settings.m_answerMemory;
-    recordAnswer(m_table, Bystander, Start);
-    recordAnswer(m_table, Culprit, Start + memory + Seconds(1));
-    recordAnswer(m_table, Culprit, Start + memory * 2 + Seconds(3));
-    failTogether(Bystander);
-    EXPECT_FALSE(m_table.m_suspects.at(Bystander).m_answeredBefore);
-    for (uint64_t i = 0; i < 100'000; ++i)
-        recordAnswer(m_table, { i, i, i }, Start);
-    EXPECT_LE(m_table.m_answered.m_latest.size() + m_table.m_answered.m_earlier.size(),
-              m_table.m_settings.m_maxAnswered);
-}
-
 TEST_F(CrashSuspectsTest, ProbeThatCrashesAfterOneEventQuarantines)
 {
     failTogether(Culprit);
--- a/tests/policy/crashing_parts_test.cpp
+++ b/tests/policy/crashing_parts_test.cpp
@@ -81,6 +81,42 @@
     EXPECT_FALSE(refuses({ Shared }));
 }
 
+// The failure: the processes of a rack that loses power end within a second, and the part that
+// every request lists was refused for ten minutes.
+TEST_F(CrashingPartsTest, EnginesThatEndWithinASecondQuarantineNoAnsweredPart)
+{
+    recordAnswer(m_table.m_answered, Shared, m_now);
+    for (int i = 0; i < 9; ++i)
+        crash({ Shared });
+    EXPECT_FALSE(refuses({ Shared }));
+    // One that crashes engines again and again is found out all the same.
+    for (int i = 0; i < 30; ++i)
+        crash({ Shared });
+    EXPECT_TRUE(refuses({ Shared }));
+}
+
+TEST_F(CrashingPartsTest, OtherVmsLearnThatAPartWasAnsweredBefore)
+{
+    recordAnswer(m_table.m_answered, Shared, m_now);
+    for (int i = 0; i < 4; ++i)
+        crash({ Shared });
+    PartTable other;
+    for (const PartReport &report : partReports(m_table, suspectPartKeys(m_table), m_now))
+        EXPECT_EQ(mergePartReport(other, report, m_now), PartChange::Known);
+    EXPECT_TRUE(other.m_quarantines.empty());
+}
+
+TEST_F(CrashingPartsTest, ManyCrashesAtOnceLeaveRoomForLaterOnes)
+{
+    for (uint64_t process = 1; process <= 40; ++process)
+        recordPartCrash(m_table, { Crashing, One }, { process, process, m_now }, m_now);
+    EXPECT_FALSE(refuses({ Crashing }));
+    m_process = 100;
+    crash({ Crashing });
+    crash({ Crashing });
+    EXPECT_TRUE(refuses({ Crashing }));
+}
+
 TEST_F(CrashingPartsTest, BystandersAreNotRefused)
 {
     for (int i = 0; i < 6; ++i)
--- a/tests/policy/part_fleet_test.cpp
+++ b/tests/policy/part_fleet_test.cpp
@@ -193,8 +193,10 @@
     void finish(const Request &request)
     {
         Vm &vm = m_vms[request.m_vm];
-        for (const uint64_t part : request.m_prompt.m_parts)
+        for (const uint64_t part : request.m_prompt.m_parts) {
             vm.m_answered.erase(vm.m_answered.find(part));
+            recordAnswer(vm.m_table.m_answered, part, m_now);
+        }
         clear(request.m_vm, suspectKeysOf(vm.m_table, request.m_prompt));
     }
 
--- a/tests/policy/suspect_fleet_test.cpp
+++ b/tests/policy/suspect_fleet_test.cpp
@@ -222,7 +222,7 @@
         end(*attempt);
         const size_t vm = attempt->m_run->m_vm;
         SuspectTable &table = m_vms[vm].m_table;
-        recordAnswer(table, Subject, m_now);
+        recordAnswer(table.m_answered, Subject.m_low, m_now);
         std::vector<uint64_t> crashes;
         if (table.m_suspects.count(Subject) > 0) {
             for (const SuspectCrash &crash : table.m_suspects.at(Subject).m_crashes)
