--- a/tests/policy/suspect_fleet_test.cpp
+++ b/tests/policy/suspect_fleet_test.cpp
@@ -44,6 +44,12 @@
         , m_vms(load.m_vms)
         , m_workers(load.m_workers)
     {
+        for (size_t vm = 0; vm < load.m_vms; ++vm) {
+            for (size_t peer = 0; peer < load.m_vms; ++peer) {
+                if (peer != vm)
+                    m_vms[vm].m_peers.push_back(nameOf(peer));
+            }
+        }
         for (size_t i = 0; i < load.m_callers; ++i)
             at(m_now + between(0, 100), [this] { arrive(); });
     }
@@ -99,6 +105,7 @@
     struct Vm {
         SuspectTable m_table;
         uint64_t m_sequence = 0;
+        std::vector<VmId> m_peers;
     };
 
     struct Worker {
@@ -130,13 +137,9 @@
 
     SuspectDecision decide(size_t vm, const LoadKey &own)
     {
-        std::vector<VmId> peers;
-        for (size_t i = 0; i < m_vms.size(); ++i) {
-            if (i != vm)
-                peers.push_back(nameOf(i));
-        }
         const SuspectTable &table = m_vms[vm].m_table;
-        const bool mayProbe = mayProbeSuspect(table, Subject, nameOf(vm), peers, {}, m_now);
+        const bool mayProbe =
+            mayProbeSuspect(table, Subject, nameOf(vm), m_vms[vm].m_peers, {}, m_now);
         return decideAttempt(table, Subject, own, mayProbe, m_now);
     }
 
