Log lines name the attempts of a request and what is known of each

RelayRun kept two counters, one of which was decremented by each refusal. It keeps a record of each attempt that was sent now, with AttemptFacts (policy/outcome) as the native half has them, and counts what may have run from these. A count cannot wrap, and a refusal belongs to one attempt. No decision changes.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -435,6 +435,13 @@
     return m_state->m_refused;
 }
 
+uint16_t HttpConnection::localPort() const
+{
+    boost::system::error_code error;
+    const auto local = m_state->m_stream.socket().local_endpoint(error);
+    return error ? uint16_t(0) : local.port();
+}
+
 TimePoint HttpConnection::sentAt() const
 {
     return m_state->m_sentAt;
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -69,6 +69,8 @@
     bool silent() const;
     /// Whether connect() failed because nobody listens at the address.
     bool refused() const;
+    /// This side's port; zero: not open.
+    uint16_t localPort() const;
     /// When the last request was sent.
     TimePoint sentAt() const;
     /// When bytes of the peer were last read; zero: never.
--- a/policy/outcome.cpp
+++ b/policy/outcome.cpp
@@ -71,6 +71,14 @@
     return mayHaveRun ? Outcome::FailedMayHaveRun : Outcome::RefusedNotRun;
 }
 
+uint32_t countPossibleRuns(std::span<const AttemptFacts> attempts)
+{
+    uint32_t runs = 0;
+    for (const AttemptFacts &attempt : attempts)
+        runs += attemptOutcome(attempt) == Outcome::RefusedNotRun ? 0 : attempt.m_possibleRuns;
+    return runs;
+}
+
 std::string_view outcomeName(Outcome outcome)
 {
     switch (outcome) {
--- a/policy/outcome.h
+++ b/policy/outcome.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
@@ -33,6 +34,8 @@
     /// The reply certainly belongs to this attempt: it echoed the attempt's id, or the connection
     /// carried no earlier attempt. Otherwise the reply is ignored.
     bool m_replyMatchesAttempt = false;
+    /// Endpoints that may have run it: several if another VM made attempts of its own for it.
+    uint32_t m_possibleRuns = 1;
 };
 
 Outcome attemptOutcome(const AttemptFacts &attempt);
@@ -41,6 +44,10 @@
 /// was run. Without any attempt, nothing was sent: RefusedNotRun.
 Outcome requestOutcome(std::span<const AttemptFacts> attempts);
 
+/// How often one of @p attempts may have run in all, at different endpoints. Zero exactly if
+/// requestOutcome() is RefusedNotRun.
+uint32_t countPossibleRuns(std::span<const AttemptFacts> attempts);
+
 /// Value of the header Stackquay-Outcome: "not-run" or "may-have-run"; "complete" only in logs.
 std::string_view outcomeName(Outcome outcome);
 
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -100,7 +100,7 @@
 bool RelayRun::mayRunElsewhere() const
 {
     // A request that may crash its endpoint runs at one endpoint at a time.
-    return !atMostOnce() && m_mayHaveRun < attemptLimit() && m_placements < MaxPlacements
+    return !atMostOnce() && possibleRuns() < attemptLimit() && m_placements < MaxPlacements
            && remainingTime() > Duration::zero() && !maybeSuspect();
 }
 
@@ -141,14 +141,44 @@
            && maySend();
 }
 
-void RelayRun::countSentAttempt()
+void RelayRun::recordSentAttempt(const std::string &target, const HttpConnection &connection)
 {
+    const HttpRequest &request = m_exchange.request();
+    SentAttempt sent{ target, connection.localPort(), connection.reused() };
+    sent.m_facts.m_bytesSent =
+        request.m_method.size() + request.m_target.size() + request.m_body.size();
+    m_sent.push_back(std::move(sent));
+    m_attempt.m_number = m_sent.size();
     m_attempt.m_sentAt = Clock::now();
-    ++m_sentAttempts;
-    ++m_mayHaveRun;
     m_retryPaid = false;
 }
 
+void RelayRun::recordReply(const HttpResponse &response, EndpointReply reply, bool matches)
+{
+    SentAttempt &sent = recordOf(m_attempt);
+    sent.m_status = response.m_status;
+    sent.m_facts.m_reply = reply;
+    sent.m_facts.m_replyMatchesAttempt = matches;
+}
+
+uint32_t RelayRun::possibleRuns() const
+{
+    std::vector<AttemptFacts> facts;
+    for (const SentAttempt &sent : m_sent)
+        facts.push_back(sent.m_facts);
+    return countPossibleRuns(facts);
+}
+
+std::string RelayRun::describeAttempts() const
+{
+    std::string text;
+    for (const SentAttempt &sent : m_sent)
+        text += fmt::format("{}{}:{}/{}/{}", text.empty() ? "" : " ", sent.m_target,
+                            sent.m_localPort, sent.m_status,
+                            outcomeName(attemptOutcome(sent.m_facts)));
+    return text;
+}
+
 bool RelayRun::takeSendBudget(const GangPlan &plan)
 {
     const RelayViewPtr view = m_node.m_view.load();
@@ -173,7 +203,7 @@
     if (!address)
         return failAttempt(endpoint, FailureWeight::Strong, "no address");
     // A dead connection is also costly if memory is reserved on other endpoints meanwhile.
-    const bool proved = atMostOnce() || m_sentAttempts > 0 || !reservations.empty();
+    const bool proved = atMostOnce() || !m_sent.empty() || !reservations.empty();
     auto connection =
         m_node.m_pool.acquire(*address, std::min<Duration>(remainingTime(), ConnectTimeout), false,
                               proved ? justUsedTime() : Duration::max());
@@ -209,7 +239,7 @@
     if (m_attempt.holdsMemory())
         m_node.m_absence.start();
     const HttpRequest request = upstreamRequest(plan, reservations);
-    countSentAttempt();
+    recordSentAttempt(endpoint.m_id.str(), **connection);
     if (decideParts().m_isProbe)
         m_node.m_parts.noteProbe(promptParts());
     m_node.m_metrics.m_attempts.add();
@@ -239,8 +269,12 @@
         return AttemptResult::Failed;
     m_triedEndpoints.insert(endpoint.m_id);
     m_node.noteFailure(endpoint.m_id, weight, why);
+    const bool sent = m_attempt.m_number > 0;
     DecisionLine("relay", "attempt failed")
         .text("request", m_head.m_id.str())
+        .number("attempt", static_cast<int64_t>(m_attempt.m_number))
+        .number("local_port", sent ? recordOf(m_attempt).m_localPort : 0)
+        .number("status", sent ? recordOf(m_attempt).m_status : 0)
         .text("print", toString(fingerprint()))
         .text("endpoint", endpoint.m_id.str())
         .text("parts", partNames())
@@ -340,6 +374,7 @@
 
 void RelayRun::noteCompleted(unsigned status)
 {
+    recordOf(m_attempt).m_facts.m_reply = EndpointReply::Whole;
     if (!isSuccess(status))
         return;
     if (maybeSuspect() || m_exchange.request().m_body.size() <= MaxRememberedBytes)
@@ -360,6 +395,7 @@
     noteActive(endpoint);
     const ResponseHead head = m_node.m_dialect.m_readResponseHead(*response);
     const bool ours = head.m_id == m_head.m_id || (head.m_id.empty() && !reused);
+    recordReply(*response, head.m_notRun ? EndpointReply::NotRun : EndpointReply::Partial, ours);
     if (!ours)
         return failAttempt(endpoint, FailureWeight::Weak, "the answer belongs to another request");
     m_node.noteAnswer(endpoint, head);
@@ -378,7 +414,6 @@
                                                 const HttpResponse &response, bool reused)
 {
     connection.setSilenceHandler({});
-    --m_mayHaveRun;
     m_triedEndpoints.insert(endpoint.m_id);
     m_failureReason = fmt::format("refused by the endpoint with status {}", response.m_status);
     EndpointId faulty = endpoint.m_id;
@@ -394,6 +429,8 @@
                        m_failureReason);
     DecisionLine("relay", "attempt refused")
         .text("request", m_head.m_id.str())
+        .number("attempt", static_cast<int64_t>(m_attempt.m_number))
+        .number("local_port", recordOf(m_attempt).m_localPort)
         .text("endpoint", endpoint.m_id.str())
         .text("faulty", faulty.str())
         .number("status", response.m_status)
--- a/relay/relay_forward.cpp
+++ b/relay/relay_forward.cpp
@@ -58,15 +58,13 @@
     m_forwarding = true;
     const AttemptResult end = forwardTo(peer);
     m_forwarding = false;
-    // The other VM may have made all of the attempts.
-    if (end == AttemptResult::Failed)
-        m_mayHaveRun = attemptLimit();
     DecisionLine("relay", "request forwarded")
         .text("request", m_head.m_id.str())
+        .number("attempt", static_cast<int64_t>(m_attempt.m_number))
         .text("vm", peer.m_vm.str())
         .flag("isolated", m_node.m_path.isIsolated())
         .flag("answered", end == AttemptResult::Answered)
-        .flag("may_have_run", m_mayHaveRun > 0)
+        .flag("may_have_run", possibleRuns() > 0)
         .text("why", end == AttemptResult::Answered ? std::string_view() : m_failureReason)
         .number("ms", std::chrono::duration_cast<Millis>(Clock::now() - m_arrival).count())
         .write();
@@ -78,7 +76,7 @@
     const auto address = parseAddress(peer.m_address);
     if (!address)
         return AttemptResult::NotSent;
-    const bool proved = atMostOnce() || m_sentAttempts > 0;
+    const bool proved = atMostOnce() || !m_sent.empty();
     auto connection =
         m_node.m_pool.acquire(*address, std::min<Duration>(remainingTime(), ConnectTimeout), false,
                               proved ? justUsedTime() : Duration::max());
@@ -89,7 +87,16 @@
     if (!mayStillSend())
         return AttemptResult::NotSent;
     m_attempt.m_connection = connection->get();
-    countSentAttempt();
+    const uint32_t left = attemptLimit() - std::min(possibleRuns(), attemptLimit());
+    recordSentAttempt(peer.m_vm.str(), **connection);
+    // The other VM may make all of the attempts that are left.
+    recordOf(m_attempt).m_facts.m_possibleRuns = std::max(left, 1u);
+    DecisionLine("relay", "sent to another VM")
+        .text("request", m_head.m_id.str())
+        .number("attempt", static_cast<int64_t>(m_attempt.m_number))
+        .text("vm", peer.m_vm.str())
+        .number("local_port", recordOf(m_attempt).m_localPort)
+        .write();
     const AttemptResult end = exchangeWith(peer, **connection);
     m_attempt.m_connection = nullptr;
     if (end == AttemptResult::Answered || end == AttemptResult::NotRun)
@@ -100,9 +107,8 @@
 RelayRun::AttemptResult RelayRun::exchangeWith(const ForwardPeer &peer, HttpConnection &connection)
 {
     const HttpRequest &request = m_exchange.request();
-    // This attempt counts already.
     const ForwardHead forward{ std::chrono::duration_cast<Millis>(remainingTime()),
-                               attemptLimit() - m_mayHaveRun + 1, m_lastEvent };
+                               recordOf(m_attempt).m_facts.m_possibleRuns, m_lastEvent };
     const HttpHeaders headers = m_node.m_dialect.m_writeForwardHeaders(request, forward);
     const EndpointRecord vm{ EndpointId(peer.m_vm.str()), {}, peer.m_address, peer.m_dataCentre };
     const Status sent =
@@ -114,7 +120,10 @@
     if (!response)
         return failRead(connection, vm, response.error());
     const ResponseHead head = m_node.m_dialect.m_readResponseHead(*response);
-    if (head.m_id != m_head.m_id)
+    const bool ours = head.m_id == m_head.m_id;
+    const bool refused = ours && !head.m_signed && promisesNotRun(response->m_status);
+    recordReply(*response, refused ? EndpointReply::NotRun : EndpointReply::Partial, ours);
+    if (!ours)
         return failAttempt(vm, FailureWeight::None, "the answer belongs to another request");
     if (!head.m_signed)
         return forwardPeerResponse(connection, vm, head, std::move(*response));
@@ -133,10 +142,8 @@
     if (!body)
         return failRead(connection, vm, body.error());
     m_failureReason = fmt::format("refused by another VM with status {}", response.m_status);
-    if (promisesNotRun(response.m_status)) {
-        --m_mayHaveRun;
+    if (promisesNotRun(response.m_status))
         return AttemptResult::NotRun;
-    }
     // The client has got a part of a stream already, or a silent attempt may still answer.
     if (m_streaming || !m_standbys.empty())
         return AttemptResult::Failed;
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -124,7 +124,7 @@
     request.m_patience = clientPatience();
     request.m_arrival = m_arrival;
     request.m_deadline = m_deadline;
-    request.m_isRetry = m_sentAttempts > 0;
+    request.m_isRetry = !m_sent.empty();
     request.m_forecastsTurn = forecastsTurn();
     request.m_returnOf = m_returnOf;
     return request;
@@ -188,7 +188,7 @@
 bool RelayRun::cannotFinishInDrain() const
 {
     // A request that may have run is finished here: only this VM can still answer it.
-    if (m_mayHaveRun > 0 || m_streaming)
+    if (possibleRuns() > 0 || m_streaming)
         return false;
     const RelayViewPtr view = m_node.m_view.load();
     if (!isDraining(view->m_drain))
@@ -249,7 +249,7 @@
 
 void RelayRun::claimPlace()
 {
-    if (m_sentAttempts > 0 || m_returnOf || !m_node.m_turnMonitor.hasPlaces())
+    if (!m_sent.empty() || m_returnOf || !m_node.m_turnMonitor.hasPlaces())
         return;
     const ReturnPlace *place = m_node.m_turnMonitor.findPlace(fingerprint(), m_arrival);
     if (!place || !TurnMonitor::isDue(*place, m_arrival))
@@ -300,7 +300,7 @@
             wait.m_obstacle = now.m_obstacle;
             if (now.m_tooLate) {
                 m_failureReason = dispatchObstacleMessage(wait.m_obstacle);
-                if (forecastsTurn() && m_sentAttempts == 0) {
+                if (forecastsTurn() && m_sent.empty()) {
                     adviseReturn(wait);
                     (announced ? m_node.m_metrics.m_refusedLater
                                : m_node.m_metrics.m_refusedOnArrival)
@@ -375,6 +375,7 @@
     const GangMember &first = plan.m_members.front();
     DecisionLine("relay", "placed")
         .text("request", m_head.m_id.str())
+        .number("attempt", static_cast<int64_t>(m_sent.size()) + 1)
         .text("endpoint", first.m_endpoint.m_id.str())
         .number("width", static_cast<int64_t>(plan.m_members.size()))
         .number("part_ms", static_cast<int64_t>(first.m_prefillMs))
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -329,13 +329,14 @@
         return false;
     if (cannotFinishInDrain())
         return false;
-    if (m_mayHaveRun > 0 && (atMostOnce() || m_mayHaveRun >= attemptLimit()))
+    const uint32_t runs = possibleRuns();
+    if (runs > 0 && (atMostOnce() || runs >= attemptLimit()))
         return false;
     if (isEvacuated()) {
         m_failureReason = EvacuatedReason;
         return false;
     }
-    if (m_sentAttempts == 0 || m_retryPaid)
+    if (m_sent.empty() || m_retryPaid)
         return true;
     m_retryPaid = m_node.spendRetryBudget(m_serviceId, *m_view, retryPurpose());
     if (m_retryPaid)
@@ -343,7 +344,7 @@
     DecisionLine("relay", "retry refused by the budget")
         .text("request", m_head.m_id.str())
         .text("service", m_serviceId.str())
-        .number("arrivals", m_sentAttempts)
+        .number("arrivals", static_cast<int64_t>(m_sent.size()))
         .number("left_ms", std::chrono::duration_cast<Millis>(remainingTime()).count())
         .write();
     return false;
@@ -377,12 +378,13 @@
         logEnd(RelayOutcome::Cut, 0, m_failureReason);
         return;
     }
-    if (m_mayHaveRun == 0 && m_returnAdvice) {
+    const bool mayHaveRun = possibleRuns() > 0;
+    if (!mayHaveRun && m_returnAdvice) {
         refuse(StatusUnavailable, m_failureReason,
                std::chrono::ceil<Millis>(m_returnAdvice->m_delay.value_or(Duration::zero())));
         return;
     }
-    if (m_mayHaveRun == 0) {
+    if (!mayHaveRun) {
         refuse(StatusUnavailable, m_failureReason.empty() ? "no time left" : m_failureReason,
                m_quarantineRetryAfter.value_or(m_limitedRetryAfter.value_or(retryDelay())));
         return;
@@ -453,7 +455,9 @@
         .flag("returned", m_returnOf.has_value())
         .text("parts", partNames())
         .number("placements", m_placements)
-        .number("arrivals", m_sentAttempts)
+        .number("arrivals", static_cast<int64_t>(m_sent.size()))
+        .text("attempts", describeAttempts())
+        .flag("from_vm", m_source == RequestSource::Vm)
         .number("first_ms", std::chrono::duration_cast<Millis>(m_firstEventDelay).count())
         .number("longest_gap_ms", std::chrono::duration_cast<Millis>(m_longestGap).count())
         .number("aim_ms", m_route ? m_route->m_latencyTarget.count() : 0)
@@ -484,7 +488,8 @@
         .text("request", m_head.m_id.str())
         .text("route", m_route ? std::string_view(m_route->m_name) : std::string_view())
         .flag("streaming", m_streaming)
-        .number("may_have_run", m_mayHaveRun)
+        .number("may_have_run", possibleRuns())
+        .text("attempts", describeAttempts())
         .number("drain_ms", arrivedInDrainMs())
         .number("ms", std::chrono::duration_cast<Millis>(Clock::now() - m_arrival).count())
         .write();
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -22,6 +22,7 @@
 struct Attempt {
     static constexpr const char *EndpointGone = "the endpoint has gone";
 
+    size_t m_number = 0; ///< Place in RelayRun::m_sent, from one on; zero: not sent.
     LoadKey m_loadKey;
     const GangPlan *m_plan = nullptr; ///< Its placement.
     MemoryReservations *m_reservations = nullptr;
@@ -40,6 +41,15 @@
     bool holdsMemory() const { return m_reservations && !m_reservations->empty(); }
 };
 
+/// An attempt that was sent to an endpoint, or to another VM, and what is known of it.
+struct SentAttempt {
+    std::string m_target; ///< Id of the endpoint or VM.
+    uint16_t m_localPort = 0; ///< Of its connection.
+    bool m_reused = false; ///< The connection had carried another request.
+    unsigned m_status = 0; ///< Of its response; zero: none.
+    AttemptFacts m_facts;
+};
+
 /// An attempt whose response a run waits for.
 struct PendingAttempt {
     RelayRun *m_run = nullptr;
@@ -215,7 +225,16 @@
     AttemptResult attemptPlaced(const GangPlan &plan, MemoryReservations &reservations);
     /// Whether the request may be sent on the connection that was opened for it.
     bool mayStillSend();
-    void countSentAttempt();
+    /// Records an attempt that is about to be sent. From here on it may run.
+    void recordSentAttempt(const std::string &target, const HttpConnection &connection);
+    /// Records the head of the response to the attempt in progress.
+    void recordReply(const HttpResponse &response, EndpointReply reply, bool matches);
+    /// The record of @p attempt, which was sent.
+    SentAttempt &recordOf(const Attempt &attempt) { return m_sent[attempt.m_number - 1]; }
+    /// How often the request may have run.
+    uint32_t possibleRuns() const;
+    /// The attempts that were sent, with what is known of each, for log lines.
+    std::string describeAttempts() const;
     /// Counts the request at all endpoints of @p plan; false if one of them takes no more now.
     bool takeSendBudget(const GangPlan &plan);
     AttemptResult processResponse(HttpConnection &connection, const EndpointRecord &endpoint,
@@ -331,8 +350,7 @@
     std::unordered_set<EndpointId> m_triedEndpoints; ///< Endpoints that are not tried again.
     /// Data centres to which a connection of this request failed.
     std::unordered_set<DataCentreId> m_unreachable;
-    uint32_t m_sentAttempts = 0; ///< Attempts sent to an endpoint.
-    uint32_t m_mayHaveRun = 0; ///< Of those, the ones that were not refused.
+    std::vector<SentAttempt> m_sent; ///< In the order of sending.
     uint32_t m_placements = 0;
     bool m_retryPaid = false; ///< The retry budget allows the next attempt that is sent.
     uint32_t m_unreached = 0; ///< Sum of the weights of noteUnreached().
--- a/relay/relay_silence.cpp
+++ b/relay/relay_silence.cpp
@@ -96,12 +96,12 @@
     m_standbys.push_back(std::exchange(m_attempt, {}));
     const auto ended = std::make_shared<bool>(false);
     watchStandby(m_standbys.size() - 1, ended);
-    const uint32_t sent = m_sentAttempts;
+    const size_t sent = m_sent.size();
     // A retry is paid for only if there is a place for it now.
     const bool hasPlace = forwardPeer() || choosePlan(DisruptionPolicy::Avoid, poolState());
     if (hasPlace && mayAttempt() && !isCancelled())
         attemptOnce();
-    if (m_sentAttempts > sent)
+    if (m_sent.size() > sent)
         ++m_placements;
     else
         ++m_vainRounds;
