A status that promises "not run" is sent only if it is true (REFUSED)

Callers saw: 429 or 503 (408) for a request that may run only once, and it had run. They come back with it, and the work is done twice.

Cause: relayWholeResponse() handed an endpoint's signed response on as it came: one below 500 as a success, others as the failure to fall back on. 408, 421, 429 and 503 are promises to a client, whoever sends them; an endpoint says that it did not run a request in another way, which handleRefusal() reads. The same held for a response by way of another VM.

Such a response is a failed attempt now. What may be repeated is sent elsewhere within its attempts; otherwise the client gets the daemon's own 502, which promises nothing. It carries no signature of the endpoint, whose status it is not.

The statuses stand once, in policy/outcome. Whether the users' workers answered so is not known.

--- a/policy/outcome.cpp
+++ b/policy/outcome.cpp
@@ -71,6 +71,12 @@
     return mayHaveRun ? Outcome::FailedMayHaveRun : Outcome::RefusedNotRun;
 }
 
+bool promisesNotRun(unsigned status)
+{
+    constexpr std::array<unsigned, 4> Promises = { 408, 421, 429, 503 };
+    return std::find(Promises.begin(), Promises.end(), status) != Promises.end();
+}
+
 uint32_t countPossibleRuns(std::span<const AttemptFacts> attempts)
 {
     uint32_t runs = 0;
--- a/policy/outcome.h
+++ b/policy/outcome.h
@@ -44,6 +44,10 @@
 /// was run. Without any attempt, nothing was sent: RefusedNotRun.
 Outcome requestOutcome(std::span<const AttemptFacts> attempts);
 
+/// Whether a client takes an HTTP status for the promise that its request has not run and never
+/// will.
+bool promisesNotRun(unsigned status);
+
 /// How often one of @p attempts may have run in all, at different endpoints. Zero exactly if
 /// requestOutcome() is RefusedNotRun.
 uint32_t countPossibleRuns(std::span<const AttemptFacts> attempts);
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -460,6 +460,10 @@
     if (m_streaming)
         return failAttempt(endpoint, FailureWeight::None,
                            "the answer to a resumption is no stream");
+    // Not handed on: the client would take it for a promise, which the endpoint has not made.
+    if (promisesNotRun(response.m_status))
+        return failAttempt(endpoint, FailureWeight::None,
+                           fmt::format("status {}, but it may have run", response.m_status));
     response.m_body = std::move(*body);
     response.m_headers = head.m_forwardedHeaders;
     if (response.m_status < StatusServerError) {
--- a/relay/relay_forward.cpp
+++ b/relay/relay_forward.cpp
@@ -21,15 +21,6 @@
 constexpr size_t MaxForwards = 2;
 
 constexpr unsigned StatusRedirect = 300;
-constexpr unsigned StatusTimeout = 408;
-constexpr unsigned StatusTooManyRequests = 429;
-constexpr unsigned StatusUnavailable = 503;
-
-bool promisesNotRun(unsigned status)
-{
-    return status == StatusTimeout || status == StatusTooManyRequests
-           || status == StatusUnavailable;
-}
 
 } // namespace
 
