--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -141,8 +141,18 @@
            && maySend();
 }
 
-void RelayRun::recordSentAttempt(const std::string &target, const HttpConnection &connection)
+Result<std::unique_ptr<HttpConnection>> RelayRun::connectTo(const Address &address,
+                                                            Duration timeout, bool proved)
 {
+    const bool fresh = m_sentAddresses.count(toString(address)) > 0;
+    return m_node.m_pool.acquire(address, std::min<Duration>(remainingTime(), timeout), fresh,
+                                 proved ? justUsedTime() : Duration::max());
+}
+
+void RelayRun::recordSentAttempt(const std::string &target, const Address &address,
+                                 const HttpConnection &connection)
+{
+    m_sentAddresses.insert(toString(address));
     const HttpRequest &request = m_exchange.request();
     SentAttempt sent{ target, connection.localPort(), connection.reused() };
     sent.m_facts.m_bytesSent =
@@ -204,9 +214,7 @@
         return failAttempt(endpoint, FailureWeight::Strong, "no address");
     // A dead connection is also costly if memory is reserved on other endpoints meanwhile.
     const bool proved = atMostOnce() || !m_sent.empty() || !reservations.empty();
-    auto connection =
-        m_node.m_pool.acquire(*address, std::min<Duration>(remainingTime(), ConnectTimeout), false,
-                              proved ? justUsedTime() : Duration::max());
+    auto connection = connectTo(*address, ConnectTimeout, proved);
     if (!connection) {
         const bool silent = connection.error().m_code == ErrorCode::DeadlineExceeded;
         noteUnreached(endpoint, silent ? SilenceWeight : RefusalWeight);
@@ -239,7 +247,7 @@
     if (m_attempt.holdsMemory())
         m_node.m_absence.start();
     const HttpRequest request = upstreamRequest(plan, reservations);
-    recordSentAttempt(endpoint.m_id.str(), **connection);
+    recordSentAttempt(endpoint.m_id.str(), *address, **connection);
     if (decideParts().m_isProbe)
         m_node.m_parts.noteProbe(promptParts());
     m_node.m_metrics.m_attempts.add();
--- a/relay/relay_forward.cpp
+++ b/relay/relay_forward.cpp
@@ -68,9 +68,7 @@
     if (!address)
         return AttemptResult::NotSent;
     const bool proved = atMostOnce() || !m_sent.empty();
-    auto connection =
-        m_node.m_pool.acquire(*address, std::min<Duration>(remainingTime(), ConnectTimeout), false,
-                              proved ? justUsedTime() : Duration::max());
+    auto connection = connectTo(*address, ConnectTimeout, proved);
     if (!connection) {
         m_failureReason = connection.error().m_message;
         return AttemptResult::NotSent;
@@ -79,7 +77,7 @@
         return AttemptResult::NotSent;
     m_attempt.m_connection = connection->get();
     const uint32_t left = attemptLimit() - std::min(possibleRuns(), attemptLimit());
-    recordSentAttempt(peer.m_vm.str(), **connection);
+    recordSentAttempt(peer.m_vm.str(), *address, **connection);
     // The other VM may make all of the attempts that are left.
     recordOf(m_attempt).m_facts.m_possibleRuns = std::max(left, 1u);
     DecisionLine("relay", "sent to another VM")
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -226,7 +226,11 @@
     /// Whether the request may be sent on the connection that was opened for it.
     bool mayStillSend();
     /// Records an attempt that is about to be sent. From here on it may run.
-    void recordSentAttempt(const std::string &target, const HttpConnection &connection);
+    void recordSentAttempt(const std::string &target, const Address &address,
+                           const HttpConnection &connection);
+    /// A connection to @p address on which any response to the request is one to the next attempt.
+    Result<std::unique_ptr<HttpConnection>> connectTo(const Address &address, Duration timeout,
+                                                      bool proved);
     /// Records the head of the response to the attempt in progress.
     void recordReply(const HttpResponse &response, EndpointReply reply, bool matches);
     /// The record of @p attempt, which was sent.
@@ -348,6 +352,9 @@
     uint32_t m_urgency = 0;
     TimePoint m_deadline{};
     std::unordered_set<EndpointId> m_triedEndpoints; ///< Endpoints that are not tried again.
+    /// Addresses to which an attempt was sent. A further one takes a new connection: responses
+    /// name the request, not the attempt, so a late one would be taken for its own.
+    std::unordered_set<std::string> m_sentAddresses;
     /// Data centres to which a connection of this request failed.
     std::unordered_set<DataCentreId> m_unreachable;
     std::vector<SentAttempt> m_sent; ///< In the order of sending.
--- a/tests/platform/not_run_test.cpp
+++ b/tests/platform/not_run_test.cpp
@@ -75,5 +75,40 @@
 
 INSTANTIATE_TEST_SUITE_P(Statuses, UnmarkedStatusTest, testing::Values(408u, 429u, 503u));
 
+// The failure: a second refusal of the same request, late on a kept connection, was taken for the
+// answer to the next attempt, which ran.
+class LateRefusalTest : public NotRunTest
+{
+protected:
+    /// The worker with the first address takes the place of a process of which the store still has
+    /// the entry. Sends a request that the entry misdirects.
+    ClientAnswer callAcrossAddressReuse(size_t workers)
+    {
+        start(workers, 0);
+        worker(0).setMode(WorkerMode::RepeatsRefusal);
+        m_deployment.m_store->put("servers", "worker-0",
+                                  R"({"service":"plain","address":")"
+                                      + toString(m_deployment.m_workers[0]->address())
+                                      + R"(","zone":"here","version":"v1","slots":8,)"
+                                        R"("state":"ready","coldLeftMs":0,"seq":1})");
+        EXPECT_TRUE(eventually([&] { return m_deployment.poolSize("plain") == workers + 1; }));
+        const ClientAnswer answer = m_deployment.call(unsafeRequest());
+        EXPECT_EQ(worker(0).arrivals(), 2u); // The first attempt expected the earlier process.
+        return answer;
+    }
+};
+
+TEST_F(LateRefusalTest, IsNoPromiseForTheNextAttempt)
+{
+    EXPECT_EQ(callAcrossAddressReuse(1).m_status, 200u);
+    EXPECT_EQ(m_deployment.totalRuns(), 1u);
+}
+
+TEST_F(LateRefusalTest, DoesNotRunARequestTwice)
+{
+    EXPECT_EQ(callAcrossAddressReuse(2).m_status, 200u);
+    EXPECT_EQ(m_deployment.totalRuns(), 1u);
+}
+
 } // namespace
 } // namespace stackquay::platform
