A request that is given up is not delivered afterwards

Callers saw: a request answered 504 ran later, when its link was back; endpoints got requests after they had reported their leaving, or whose clients had left.

Cause: HttpConnection closed the socket of a request that was given up in the ordinary way. The kernel goes on sending what the peer has not received for minutes, and anything between the two hosts passes it on.

A connection whose response is not complete is reset. The kernel then drops what it has not sent, and the endpoint sees the end of its caller at once. Idle connections are closed as before.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -116,7 +116,10 @@
         : m_stream(FiberSocket::Socket(context))
     { }
 
+    ~State() { close(); }
+
     FiberSocket m_stream;
+    bool m_inExchange = false; ///< A request was sent, and its response is not complete.
     beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     std::string m_host;
@@ -143,14 +146,26 @@
         m_refused = error == asio::error::connection_refused;
         m_reusable = false;
         m_open = false;
-        m_stream.close();
+        close();
         return tl::unexpected(toError(error, step));
     }
 
+    /// Resets the connection if its request is given up: what the peer has not received yet would
+    /// else still be delivered, after any delay, and run.
+    void close()
+    {
+        boost::system::error_code ignored;
+        if (m_inExchange)
+            m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        m_inExchange = false;
+        m_stream.close();
+    }
+
     /// After the end of an answer the connection can be used again, unless bytes follow that belong
     /// to no request.
     void noteEnd()
     {
+        m_inExchange = m_inExchange && !m_parser->is_done();
         m_reusable =
             m_parser->is_done() && m_parser->keep_alive() && m_open && m_buffer.size() == 0;
     }
@@ -269,6 +284,7 @@
     else
         message.content_length(request.m_body.size());
     state->m_reusable = false;
+    state->m_inExchange = true;
     state->beginResponse();
     boost::system::error_code error;
     state->m_sentAt = Clock::now();
@@ -345,7 +361,7 @@
 {
     m_state->m_open = false;
     m_state->m_reusable = false;
-    m_state->m_stream.close();
+    m_state->close();
 }
 
 void HttpConnection::setSilenceHandler(SilenceHandler handler)
--- a/tests/platform/not_run_test.cpp
+++ b/tests/platform/not_run_test.cpp
@@ -110,5 +110,27 @@
     EXPECT_EQ(m_deployment.totalRuns(), 1u);
 }
 
+// The failure: what was written to a connection that was given up was delivered once the link was
+// back, and ran.
+TEST_F(NotRunTest, RequestThatWasGivenUpDoesNotReachItsEndpointLater)
+{
+    m_deployment.declare(1);
+    HostedWorker &worker = m_deployment.addWorker("plain");
+    m_deployment.describe(worker, "plain", "ready", relayed(worker.address()));
+    m_deployment.addDaemon();
+    ASSERT_TRUE(m_deployment.awaitReady());
+    ASSERT_EQ(m_deployment.call(unsafeRequest()).m_status, 200u);
+    standin::RelayFault fault;
+    fault.m_mode = standin::RelayMode::Pause;
+    m_relay.setFault(fault);
+    ClientRequest request = unsafeRequest();
+    request.m_id = "request-late";
+    request.m_deadline = Millis(500);
+    EXPECT_EQ(m_deployment.call(request).m_status, 504u);
+    m_relay.setFault({});
+    std::this_thread::sleep_for(Millis(300));
+    EXPECT_EQ(runsOf("request-late"), 0u);
+}
+
 } // namespace
 } // namespace stackquay::platform
