--- a/policy/watch_duty.h
+++ b/policy/watch_duty.h
@@ -26,6 +26,16 @@
 /// VMs, of all data centres.
 bool isStoreWatcher(const DutyCandidate &self, const std::vector<DutyCandidate> &peers);
 
+/// Watchers send heartbeats within their data centre each half of a second. After a silence of this
+/// length the next VM takes over: changes have to be known everywhere within two seconds.
+constexpr Millis WatcherSilenceTimeout{ 1'200 };
+
+/// Whether @p self takes the watch over although other VMs precede it, because no watcher of its
+/// data centre was heard for @p silence. Those that precede it may have exited with the watcher,
+/// and each has a short time of its own to take over first.
+bool takesOverWatch(const DutyCandidate &self, const std::vector<DutyCandidate> &peers,
+                    Duration silence);
+
 /// How long a VM that starts waits for a watcher before it becomes one, from the time at which it
 /// found @p peers in the store. VMs that start together do not all list the store: each waits for
 /// those that precede it, for longer the slower it is, because a slow VM also hears of the others
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -41,7 +41,8 @@
 /// size, so that peers notice its failure soon and do not assume it in a large fleet. In a fleet of
 /// 295 VMs, with a period of 7 s, one VM took and lost the role 7 times in 20 s without this.
 constexpr Millis WatcherHeartbeatPeriod{ 500 };
-constexpr Millis WatcherSilenceTimeout{ 3'200 };
+/// A VM that stood still for longer may have heartbeats to read before it judges a silence.
+constexpr Millis StallThreshold{ 500 };
 /// A VM that starts waits at most this part of the recovery time for a store watcher: after a crash
 /// of all VMs their objects are still in the store, and those that precede it may not come back.
 constexpr int ElectionShare = 2;
@@ -130,6 +131,9 @@
     std::vector<Address> m_contacts; ///< Load message addresses in other cells.
     TimePoint m_lastElected{}; ///< The last time that it was elected store watcher.
     TimePoint m_electableFrom{}; ///< It is not elected earlier.
+    TimePoint m_watcherHeardAt{}; ///< The last heartbeat of a store watcher of the data centre.
+    TimePoint m_roleUpdatedAt{};
+    TimePoint m_resumedAt{}; ///< When this VM last went on after it had stood still.
     TimePoint m_listedAt{}; ///< When the objects of the other VMs were first read.
     bool m_peersKnown = false; ///< See FleetView.
     RandomEngine m_random{ std::random_device{}() };
@@ -160,6 +164,7 @@
     const Peer *peerWithNewerState();
     bool fetchState(const Address &peer);
     void updateWatcherRole();
+    Duration silenceSince(TimePoint heardAt) const;
     Duration period() const;
     Duration maxElectionDelay() const { return m_settings.m_bounds.m_recoveryTime / ElectionShare; }
 };
@@ -274,6 +279,8 @@
     peer.m_lastHeartbeat = heartbeat;
     peer.m_lastHeardAt = Clock::now();
     peer.m_alive = !heartbeat.m_gone;
+    if (heartbeat.m_watchesStore && heartbeat.m_dataCentre == m_settings.m_dataCentre)
+        m_watcherHeardAt = peer.m_lastHeardAt;
     updateWatcherRole();
     m_hooks.m_era(heartbeat.m_stateSummary.m_era);
     if (begins || drains || heartbeat.m_gone) {
@@ -480,12 +487,14 @@
 void FleetLink::State::updateWatcherRole()
 {
     const TimePoint now = Clock::now();
+    if (now - std::exchange(m_roleUpdatedAt, now) > StallThreshold)
+        m_resumedAt = now;
     std::vector<DutyCandidate> candidates;
     for (const auto &[address, peer] : m_peers) {
         if (!peer.isAvailable())
             continue;
-        const bool silent =
-            peer.m_lastHeartbeat.m_watchesStore && now - peer.m_lastHeardAt > WatcherSilenceTimeout;
+        const bool silent = peer.m_lastHeartbeat.m_watchesStore
+                            && silenceSince(peer.m_lastHeardAt) > WatcherSilenceTimeout;
         candidates.push_back({ peer.m_lastHeartbeat.m_vm, peer.m_lastHeartbeat.m_dataCentre,
                                peer.m_lastHeartbeat.m_stateSummary.m_reachesStore && !silent,
                                peer.m_lastHeartbeat.m_watchesStore,
@@ -494,12 +503,24 @@
     const DutyCandidate self{ m_settings.m_vm, m_settings.m_dataCentre,
                               m_hooks.m_ownSummary().m_reachesStore, m_watchesStore,
                               m_settings.m_millicores };
-    if (!m_draining && now >= m_electableFrom && isStoreWatcher(self, candidates))
+    const bool takesOver = m_watcherHeardAt != TimePoint{}
+                           && takesOverWatch(self, candidates, silenceSince(m_watcherHeardAt));
+    if (!m_draining && now >= m_electableFrom && (takesOver || isStoreWatcher(self, candidates)))
         m_lastElected = now;
     const bool before = m_watchesStore;
     m_watchesStore = m_lastElected != TimePoint{} && now - m_lastElected < WatcherHandover;
-    if (before != m_watchesStore)
-        publish();
+    if (before == m_watchesStore)
+        return;
+    publish();
+    // Before the others take over as well.
+    if (m_watchesStore)
+        sendHeartbeats(false);
+}
+
+/// Time without a heartbeat since @p heardAt in which this VM could have received one.
+Duration FleetLink::State::silenceSince(TimePoint heardAt) const
+{
+    return Clock::now() - std::max(heardAt, m_resumedAt);
 }
 
 bool FleetLink::State::writeObject()
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -398,6 +398,27 @@
 }
 
 // Each of them has to compute the same order, whatever its fraction of a core.
+// The failure: VMs whose store watcher was killed sent requests to an endpoint up to 2.4 s after it
+// had reported that it was draining.
+TEST_F(FleetTest, DrainingEndpointIsKnownInTimeAfterTheStoreWatcherWasKilled)
+{
+    constexpr size_t Vms = 5;
+    constexpr size_t Killed = 2; // The watcher, and the VM that would be the next.
+    start(Vms, Vms);
+    ASSERT_TRUE(eventually([this] { return view(Vms - 1)->m_pools.size() == 1; }));
+    auto &daemons = m_deployment.m_daemons;
+    std::sort(daemons.begin(), daemons.end(), [](const auto &left, const auto &right) {
+        return left->node().m_watchesStore > right->node().m_watchesStore;
+    });
+    ASSERT_TRUE(daemons.front()->node().m_watchesStore);
+    for (size_t i = 0; i < Killed; ++i)
+        daemons.erase(daemons.begin());
+    std::this_thread::sleep_for(Millis(50));
+    m_deployment.describe(*m_deployment.m_workers[0], "plain", "draining");
+    constexpr Millis DrainBound{ 2'000 };
+    EXPECT_TRUE(eventually([this] { return allKnow(1); }, DrainBound));
+}
+
 TEST_F(FleetTest, VmsWithAFractionOfACoreAgreeOnOneStoreWatcher)
 {
     m_deployment.m_millicores = 120;
--- a/tests/policy/watch_duty_test.cpp
+++ b/tests/policy/watch_duty_test.cpp
@@ -48,6 +48,26 @@
     EXPECT_FALSE(isStoreWatcher(watcher, { vm("1"), vm("2") }));
 }
 
+TEST(WatchDutyTest, VmsThatPrecedeDelayTheTakeoverForAShortTimeOnly)
+{
+    const std::vector<DutyCandidate> others = { vm("1"), vm("2"), vm("4") };
+    const DutyCandidate self = vm("3");
+    EXPECT_FALSE(takesOverWatch(vm("0"), others, WatcherSilenceTimeout));
+    EXPECT_TRUE(takesOverWatch(vm("0"), others, WatcherSilenceTimeout + Millis(1)));
+    EXPECT_FALSE(takesOverWatch(self, others, WatcherSilenceTimeout + Millis(100)));
+    EXPECT_TRUE(takesOverWatch(self, others, WatcherSilenceTimeout + Millis(101)));
+    EXPECT_FALSE(takesOverWatch(vm("3", "a", false), others, Seconds(60)));
+}
+
+// The bound for changes is 2 s, of which the new watcher needs some for its list.
+TEST(WatchDutyTest, TakeoverDoesNotGrowWithTheNumberOfVms)
+{
+    std::vector<DutyCandidate> others;
+    for (int i = 1'000; i < 2'000; ++i)
+        others.push_back(vm(std::to_string(i)));
+    EXPECT_TRUE(takesOverWatch(vm("9"), others, Millis(1'700)));
+}
+
 // After a network partition there may be two watchers.
 TEST(WatchDutyTest, OfTwoWatchersTheLowestIdStays)
 {
