A forwarded request runs once even if the other VM's configuration allows more (TWICE)

Callers saw: a request that may run only once ran at two endpoints.

Cause: a VM that reaches no endpoint forwards the request with the attempts that its route allows (`maxAttempts`), which for a route of that kind says how many endpoints may refuse it. The other VM judges by its own configuration. If that is older and its route is repeatable, it uses them all.

Not the users' case: their routes of that kind allow one attempt.

The VM that took the request from the client passes on one attempt where the request may run once. Refusals do not count, as before.

--- a/relay/relay_forward.cpp
+++ b/relay/relay_forward.cpp
@@ -76,7 +76,9 @@
     if (!mayStillSend())
         return AttemptResult::NotSent;
     m_attempt.m_connection = connection->get();
-    const uint32_t left = attemptLimit() - std::min(possibleRuns(), attemptLimit());
+    // The other VM's configuration may allow more.
+    const uint32_t limit = atMostOnce() ? 1 : attemptLimit();
+    const uint32_t left = limit - std::min(possibleRuns(), limit);
     recordSentAttempt(peer.m_vm.str(), *address, **connection);
     // The other VM may make all of the attempts that are left.
     recordOf(m_attempt).m_facts.m_possibleRuns = std::max(left, 1u);
--- a/tests/platform/isolated_vm_test.cpp
+++ b/tests/platform/isolated_vm_test.cpp
@@ -21,6 +21,17 @@
     return endpoint;
 }
 
+/// The routes of a VM whose configuration, an older one, lets all requests be repeated.
+Result<RouteTable> decodeAllSafe(const std::string &spec)
+{
+    auto table = relaySource().m_decodeRoutes(spec);
+    for (Route &route : table->m_routes) {
+        if (route.m_kind == RouteKind::Unsafe)
+            route.m_kind = RouteKind::Safe;
+    }
+    return table;
+}
+
 class IsolatedVmTest : public RelayedTest
 {
 protected:
@@ -36,7 +47,7 @@
         m_detouring.m_decodeEndpoint = decodeDetour;
         for (size_t i = 0; i < daemons; ++i) {
             m_deployment.m_dataCentre = "zone-" + std::to_string(i);
-            m_deployment.m_source = i == 0 ? &m_detouring : nullptr;
+            m_deployment.m_source = i == 0 ? &m_detouring : &m_direct;
             m_deployment.addDaemon();
         }
         ASSERT_TRUE(m_deployment.awaitReady());
@@ -118,6 +129,7 @@
     }
 
     RelaySource m_detouring = relaySource();
+    RelaySource m_direct = relaySource(); ///< Of the daemons that are not cut off.
     std::map<std::string, std::string> m_services; ///< By worker.
     uint32_t m_slots = 8; ///< Of each worker, as last described.
 };
@@ -198,6 +210,19 @@
     EXPECT_EQ(arrivals() - before, 1u);
 }
 
+// The failure: another VM, with an older configuration, ran it at two endpoints.
+TEST_F(IsolationTest, UnsafeRequestRunsOnceIfTheOtherVmsConfigurationAllowsMore)
+{
+    m_direct.m_decodeRoutes = decodeAllSafe;
+    isolate();
+    for (const auto &worker : m_deployment.m_workers)
+        (*worker)->setMode(WorkerMode::ServerError);
+    const size_t before = arrivals();
+    const ClientAnswer answer = m_deployment.call(unsafeRequest(), 0);
+    EXPECT_EQ(answer.m_status, 500u);
+    EXPECT_EQ(arrivals() - before, 1u);
+}
+
 TEST_F(IsolationTest, RefusalOfAnotherVmPromisesThatTheRequestDidNotRun)
 {
     isolate();
