Ages in reports between VMs are computed in one place

ageOf() and timeOf() stood in policy/crash_suspects and policy/crashing_parts, alike but for the settings. policy/report_age has them now, with the retention as an argument.

--- a/policy/crash_suspects.cpp
+++ b/policy/crash_suspects.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "policy/probe_turn.h"
+#include "policy/report_age.h"
 
 namespace stackquay {
 
@@ -201,19 +202,6 @@
     return { SuspectHandling::Quarantined, table.m_settings.m_probeTurn };
 }
 
-/// @p ageMs before @p now; ages beyond the retention are cut, so that none overflows.
-TimePoint timeOf(const SuspectSettings &settings, uint64_t ageMs, TimePoint now)
-{
-    const auto most = static_cast<uint64_t>(Millis(settings.m_retention).count());
-    return now - Millis(std::min(ageMs, most));
-}
-
-uint64_t ageOf(TimePoint at, TimePoint now)
-{
-    const auto age = std::chrono::duration_cast<Millis>(now - at).count();
-    return static_cast<uint64_t>(std::max<Millis::rep>(age, 0));
-}
-
 std::vector<SuspectCrash> crashesOf(const SuspectReport &report, const SuspectSettings &settings,
                                     TimePoint now)
 {
@@ -222,8 +210,8 @@
         const bool known = i < report.m_ages.size();
         const SuspectCrashAges ages =
             known ? report.m_ages[i] : SuspectCrashAges{ report.m_ageMs, report.m_ageMs };
-        crashes.push_back({ report.m_crashes[i], timeOf(settings, ages.m_begunMs, now),
-                            timeOf(settings, ages.m_endedMs, now) });
+        crashes.push_back({ report.m_crashes[i], timeOf(ages.m_begunMs, settings.m_retention, now),
+                            timeOf(ages.m_endedMs, settings.m_retention, now) });
     }
     return crashes;
 }
@@ -255,7 +243,7 @@
 
 SuspectChange mergeSuspectReport(SuspectTable &table, const SuspectReport &report, TimePoint now)
 {
-    const TimePoint lastAt = timeOf(table.m_settings, report.m_ageMs, now);
+    const TimePoint lastAt = timeOf(report.m_ageMs, table.m_settings.m_retention, now);
     std::vector<SuspectCrash> crashes = crashesOf(report, table.m_settings, now);
     std::erase_if(crashes, [&](const SuspectCrash &crash) {
         return isCleared(table, report.m_fingerprint, crash.m_process);
--- a/policy/crashing_parts.cpp
+++ b/policy/crashing_parts.cpp
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include "policy/probe_turn.h"
+#include "policy/report_age.h"
 
 namespace stackquay {
 
@@ -288,19 +289,6 @@
     return refusesMore(table, before) ? PartChange::Quarantined : PartChange::Known;
 }
 
-uint64_t ageOf(TimePoint at, TimePoint now)
-{
-    const auto age = std::chrono::duration_cast<Millis>(now - at).count();
-    return static_cast<uint64_t>(std::max<Millis::rep>(age, 0));
-}
-
-/// @p ageMs before @p now; ages beyond the retention are cut, so that none overflows.
-TimePoint timeOf(const PartSettings &settings, uint64_t ageMs, TimePoint now)
-{
-    const auto most = static_cast<uint64_t>(Millis(settings.m_retention).count());
-    return now - Millis(std::min(ageMs, most));
-}
-
 } // namespace
 
 uint64_t partHash(std::string_view name)
@@ -327,12 +315,12 @@
 
 PartChange mergePartReport(PartTable &table, const PartReport &report, TimePoint now)
 {
-    const TimePoint lastAt = timeOf(table.m_settings, report.m_ageMs, now);
+    const TimePoint lastAt = timeOf(report.m_ageMs, table.m_settings.m_retention, now);
     std::vector<PartCrash> crashes;
     for (const PartCrashReport &crash : report.m_crashes) {
         if (!isCleared(table, report.m_key, crash.m_process))
-            crashes.push_back(
-                { crash.m_process, crash.m_request, timeOf(table.m_settings, crash.m_ageMs, now) });
+            crashes.push_back({ crash.m_process, crash.m_request,
+                                timeOf(crash.m_ageMs, table.m_settings.m_retention, now) });
     }
     if (crashes.empty() || now - lastAt >= table.m_settings.m_retention)
         return PartChange::None;
