--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -183,9 +183,9 @@
 {
     std::string text;
     for (const SentAttempt &sent : m_sent)
-        text += fmt::format("{}{}:{}/{}/{}", text.empty() ? "" : " ", sent.m_target,
-                            sent.m_localPort, sent.m_status,
-                            outcomeName(attemptOutcome(sent.m_facts)));
+        text +=
+            fmt::format("{}{}:{}/{}/{}", text.empty() ? "" : " ", sent.m_target, sent.m_localPort,
+                        sent.m_status, outcomeName(attemptOutcome(sent.m_facts)));
     return text;
 }
 
