--- a/standin/fault_relay.cpp
+++ b/standin/fault_relay.cpp
@@ -44,20 +44,23 @@
 
 /// One relayed target: its listening socket and connections, or its datagrams.
 struct FaultRelay::Target : std::enable_shared_from_this<FaultRelay::Target> {
-    explicit Target(asio::io_context &context)
+    Target(asio::io_context &context, const SourceOf &sourceOf)
         : m_context(context)
+        , m_sourceOf(sourceOf)
         , m_placeholder(context)
         , m_acceptor(context)
         , m_shared(std::make_shared<RelayShared>())
     { }
 
     asio::io_context &m_context;
+    const SourceOf &m_sourceOf;
     /// Bound but not listening: keeps the port while connections are refused.
     tcp::acceptor m_placeholder;
     tcp::acceptor m_acceptor;
     tcp::endpoint m_endpoint;
     Address m_listen;
     std::shared_ptr<RelayShared> m_shared;
+    std::map<size_t, std::shared_ptr<RelayShared>> m_bySource; ///< Those that are known.
     std::list<std::shared_ptr<RelayConnection>> m_connections;
     std::shared_ptr<UdpRelay> m_datagrams; ///< Of a UDP target, which uses no more than this.
 
@@ -104,8 +107,9 @@
     void start(tcp::socket socket)
     {
         ++m_shared->m_accepted;
+        const auto shared = sharedOf(socket);
         const auto connection =
-            std::make_shared<RelayConnection>(m_context, std::move(socket), m_shared);
+            std::make_shared<RelayConnection>(m_context, std::move(socket), shared);
         const auto place = m_connections.insert(m_connections.end(), connection);
         spawnFiber([self = shared_from_this(), connection, place] {
             connection->run();
@@ -113,9 +117,36 @@
         });
     }
 
+    std::shared_ptr<RelayShared> sharedOf(const tcp::socket &socket)
+    {
+        boost::system::error_code error;
+        const auto from = socket.remote_endpoint(error);
+        const auto source =
+            error || !m_sourceOf ? std::nullopt : m_sourceOf(from.port(), m_endpoint.port());
+        return source ? sharedOf(*source) : m_shared;
+    }
+
+    std::shared_ptr<RelayShared> sharedOf(size_t source)
+    {
+        auto &shared = m_bySource[source];
+        if (!shared)
+            shared = std::make_shared<RelayShared>(*m_shared);
+        return shared;
+    }
+
+    void setSourceFault(const RelayFault &fault, size_t source)
+    {
+        sharedOf(source)->m_fault = fault;
+        const auto connections = m_connections;
+        for (const auto &connection : connections)
+            connection->faultChanged();
+    }
+
     void setFault(const RelayFault &fault)
     {
         m_shared->m_fault = fault;
+        for (const auto &[source, shared] : m_bySource)
+            shared->m_fault = fault;
         if (m_datagrams)
             return;
         const auto connections = m_connections;
@@ -162,7 +193,7 @@
 
 Result<Address> FaultRelay::addTarget(const Address &target, const Address &listen)
 {
-    const auto added = std::make_shared<Target>(m_thread.context());
+    const auto added = std::make_shared<Target>(m_thread.context(), m_sourceOf);
     added->m_shared->m_target = target;
     const Status opened = added->open(listen);
     if (!opened)
@@ -174,7 +205,7 @@
 
 Result<Address> FaultRelay::addUdpTarget(const Address &target, const Address &listen)
 {
-    const auto added = std::make_shared<Target>(m_thread.context());
+    const auto added = std::make_shared<Target>(m_thread.context(), m_sourceOf);
     added->m_shared->m_target = target;
     added->m_datagrams = std::make_shared<UdpRelay>(m_thread.context(), added->m_shared);
     const auto bound = added->m_datagrams->open(listen);
@@ -201,6 +232,17 @@
     done.get_future().wait();
 }
 
+void FaultRelay::setSourceFault(RelayFault fault, size_t target, size_t source)
+{
+    std::promise<void> done;
+    m_thread.post([&] {
+        if (target < m_targets.size())
+            m_targets[target]->setSourceFault(fault, source);
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
 std::vector<RelayStats> FaultRelay::stats()
 {
     std::promise<std::vector<RelayStats>> answer;
--- a/standin/fault_relay.h
+++ b/standin/fault_relay.h
@@ -1,8 +1,10 @@
 /// A relay of TCP connections and datagrams that injects faults between two processes.
 #pragma once
 
+#include <functional>
 #include <future>
 #include <list>
+#include <map>
 
 #include "standin/json_http.h"
 #include "standin/relay_connection.h"
@@ -41,8 +43,16 @@
     /// Opens the admin port.
     Result<Address> listen(const Address &address);
 
+    /// Tells the sources of connections apart: @p sourceOf names the one that connected from a
+    /// port to the relay's port @p listen; nothing: unknown. Call before the thread starts.
+    using SourceOf = std::function<std::optional<size_t>(uint16_t from, uint16_t listen)>;
+    void identifySources(SourceOf sourceOf) { m_sourceOf = std::move(sourceOf); }
+
     /// Sets the fault of all targets, or of the one with an index in the order of adding.
     void setFault(RelayFault fault, std::optional<size_t> target = std::nullopt);
+    /// Sets the fault between a source and a target, until the target's is set. Connections of a
+    /// source are accepted in any mode.
+    void setSourceFault(RelayFault fault, size_t target, size_t source);
     std::vector<RelayStats> stats();
 
 private:
@@ -54,6 +64,7 @@
 
     FiberThread &m_thread;
     HttpServer m_server;
+    SourceOf m_sourceOf;
     std::vector<std::shared_ptr<Target>> m_targets;
 };
 
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -1,5 +1,6 @@
 #include "tests/soak/fleet.h"
 
+#include <atomic>
 #include <csignal>
 #include <fstream>
 
@@ -11,6 +12,7 @@
 namespace {
 
 using platform::StoreMode;
+using platform::WorkerMode;
 using platform::WorkerStandin;
 using platform::WorkerTask;
 using standin::RelayFault;
@@ -111,18 +113,59 @@
     return fmt::format("key-{}", number);
 }
 
-WorkerTask taskOf(const HttpRequest &request)
+WorkerTask usualTask(const HttpRequest &request)
 {
     const PathWork work = workOf(request.path());
-    return { work.m_delay, work.m_events, work.m_gap };
+    return { work.m_delay, work.m_events, work.m_gap, {}, 0 };
+}
+
+/// What a worker that fails does with a request: nothing that the platform does not allow.
+struct FailureRow {
+    WorkerMode m_mode;
+    unsigned m_status = 0;
+};
+
+constexpr FailureRow Failures[] = {
+    { WorkerMode::Full },
+    { WorkerMode::FullTwice },
+    { WorkerMode::FullTwice },
+    { WorkerMode::Misdirected },
+    { WorkerMode::ServerError, 500 },
+    { WorkerMode::ServerError, 503 },
+    { WorkerMode::ServerError, 429 },
+    { WorkerMode::ServerError, 408 },
+    { WorkerMode::CutBefore },
+    { WorkerMode::CutMidway },
+    { WorkerMode::AnswersTwice },
+    { WorkerMode::AnswersTwice },
+    { WorkerMode::WrongId },
+    { WorkerMode::Unsigned },
+    { WorkerMode::SkipsEvent },
+};
+
+WorkerTask failingTask(const HttpRequest &request, const std::string &worker, unsigned percent)
+{
+    constexpr size_t Percent = 100;
+    WorkerTask task = usualTask(request);
+    const std::string id(findHeader(request.m_headers, "X-Request-Id"));
+    // The same for each look at a request, and another one at each worker.
+    const size_t draw = std::hash<std::string>()(id + worker);
+    if (draw % Percent >= percent)
+        return task;
+    const FailureRow &failure = Failures[draw / Percent % std::size(Failures)];
+    task.m_mode = failure.m_mode;
+    task.m_failureStatus = failure.m_status;
+    return task;
 }
 
 /// A stand-in on a thread of its own, at a port that it may have had before.
 struct RunningWorker {
-    RunningWorker(std::string id, const Address &address)
-        : m_standin(m_thread, std::move(id))
+    RunningWorker(const std::string &id, const Address &address)
+        : m_standin(m_thread, id)
     {
-        m_standin.setScript(taskOf);
+        m_standin.setScript([this, id](const HttpRequest &request) {
+            return failingTask(request, id, m_failingPercent);
+        });
         const auto bound = m_standin.listen(address);
         if (!bound)
             log(LogPart::Standin).error("Cannot listen. error={}", toString(bound.error()));
@@ -135,6 +178,7 @@
         m_thread.join();
     }
 
+    std::atomic<unsigned> m_failingPercent{ 0 };
     FiberThread m_thread{ "worker" };
     WorkerStandin m_standin;
 };
@@ -246,10 +290,21 @@
         slot->m_relayed = *relayed;
         m_slots.push_back(std::move(slot));
     }
+    m_relay.identifySources([this](uint16_t from, uint16_t to) { return vmOf(from, to); });
     m_relayThread.start();
     return {};
 }
 
+std::optional<size_t> Fleet::vmOf(uint16_t from, uint16_t to) const
+{
+    const bool toWorker = std::any_of(m_slots.begin(), m_slots.end(), [to](const auto &slot) {
+        return slot->m_relayed.m_port == to;
+    });
+    if (m_schedule.m_profile != Profile::Attempts || !toWorker)
+        return std::nullopt;
+    return m_owners.ownerOf(from, to);
+}
+
 Status Fleet::start()
 {
     m_begun = Clock::now();
@@ -323,6 +378,7 @@
     if (!process)
         return tl::unexpected(process.error());
     vm.m_process = std::move(*process);
+    m_owners.set(index, vm.m_process->pid());
     vm.m_terminated.reset();
     vm.m_killed.reset();
     vm.m_overdue = false;
@@ -413,6 +469,12 @@
         applyWorker(fault);
     else if (fault.m_kind == FaultKind::EndpointsPause)
         pauseWorkers(fault);
+    else if (fault.m_kind == FaultKind::WorkerFails)
+        failWorker(fault, *m_slots[fault.m_subject]);
+    else if (fault.m_kind == FaultKind::VmLink)
+        cutVm(fault);
+    else if (fault.m_kind == FaultKind::KillTogether)
+        killTogether(fault);
     else
         changeConfiguration(fault, traffic);
 }
@@ -522,6 +584,54 @@
     later(fault.m_length, [this, &slot] { startWorker(slot, slot.m_service); });
 }
 
+void Fleet::failWorker(const Fault &fault, Slot &slot)
+{
+    if (!slot.m_worker)
+        return;
+    disrupt(Place::Worker, slot.m_index, fault);
+    slot.m_worker->m_failingPercent = fault.m_percent;
+    later(fault.m_length, [&slot, worker = slot.m_id] {
+        if (slot.m_worker && slot.m_id == worker)
+            slot.m_worker->m_failingPercent = 0;
+    });
+}
+
+void Fleet::cutVm(const Fault &fault)
+{
+    disrupt(Place::Vm, fault.m_subject, fault);
+    const auto set = [this, fault](const RelayFault &link) {
+        for (const auto &slot : m_slots) {
+            if (!fault.m_worker || *fault.m_worker == slot->m_index)
+                m_relay.setSourceFault(link, workerTarget(m_vms.size(), slot->m_index),
+                                       fault.m_subject);
+        }
+    };
+    set(fault.m_link);
+    later(fault.m_length, [set, fault] {
+        // What has lost bytes is over.
+        RelayFault reset;
+        reset.m_mode = standin::RelayMode::Reset;
+        if (fault.m_link.m_mode == standin::RelayMode::HalfOpen)
+            set(reset);
+        set({});
+    });
+}
+
+void Fleet::killTogether(const Fault &fault)
+{
+    constexpr Millis JustAfter{ 50 };
+    for (size_t i = 0; i < fault.m_count; ++i)
+        kill((fault.m_subject + i) % m_vms.size());
+    later(JustAfter, [this, fault] {
+        constexpr Millis LeaveTime{ 5'500 };
+        Fault leaves;
+        leaves.m_kind = FaultKind::WorkerLeaves;
+        leaves.m_subject = *fault.m_worker;
+        leaves.m_length = LeaveTime;
+        applyWorker(leaves);
+    });
+}
+
 void Fleet::pauseWorkers(const Fault &fault)
 {
     constexpr size_t Percent = 100;
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -12,6 +12,7 @@
 #include "standin/hosted.h"
 #include "tests/soak/observations.h"
 #include "tests/soak/schedule.h"
+#include "tests/soak/socket_owners.h"
 #include "tests/soak/traffic.h"
 #include "tests/support/process.h"
 
@@ -46,6 +47,8 @@
     struct Slot;
 
     Status startRelays();
+    /// The VM whose process connected from the port @p from to @p to.
+    std::optional<size_t> vmOf(uint16_t from, uint16_t to) const;
     Status startVm(size_t index);
     void writeSettings(size_t index, bool readable = true);
     void declare();
@@ -60,6 +63,9 @@
     void applyWorker(const Fault &fault);
     void crash(const Fault &fault, Slot &slot, const std::string &serviceAfter);
     void leave(const Fault &fault, Slot &slot);
+    void failWorker(const Fault &fault, Slot &slot);
+    void cutVm(const Fault &fault);
+    void killTogether(const Fault &fault);
     void pauseWorkers(const Fault &fault);
     void pauseWorker(const Fault &fault, Slot &slot);
     void swapWorkers(const Fault &fault);
@@ -83,6 +89,7 @@
     const std::string m_daemon;
     const Bounds m_bounds;
     TimePoint m_begun;
+    SocketOwners m_owners; ///< Of the daemons' processes.
     FiberThread m_relayThread{ "relays" };
     standin::FaultRelay m_relay{ m_relayThread };
     standin::Hosted<platform::StoreStandin> m_store;
--- a/tests/soak/program/stackquay_soak.cpp
+++ b/tests/soak/program/stackquay_soak.cpp
@@ -31,6 +31,7 @@
     int64_t m_seconds = 45;
     uint64_t m_vms = 3;
     Mode m_mode = Mode::Platform;
+    Profile m_profile = Profile::Usual;
     std::string m_logs = "soak-logs";
     std::string m_daemon = "stackquayd";
 };
@@ -53,6 +54,10 @@
                  std::vector<SettingsTable<SoakSettings>::Choice<Mode>>{
                      { "platform", Mode::Platform }, { "native", Mode::Native } },
                  "What the daemons are started as.");
+    table.choice("profile", &SoakSettings::m_profile,
+                 std::vector<SettingsTable<SoakSettings>::Choice<Profile>>{
+                     { "usual", Profile::Usual }, { "attempts", Profile::Attempts } },
+                 "Which faults are drawn; attempts: also those of single attempts.");
     table.text("logs", &SoakSettings::m_logs, "Directory for what a violation keeps.");
     table.text("daemon", &SoakSettings::m_daemon,
                "Path of another daemon than the one built beside, such as an older one.");
@@ -207,7 +212,8 @@
 
 Outcome runSeed(const SoakSettings &settings, uint64_t seed, const sigset_t &signals)
 {
-    const Schedule schedule = drawSchedule(seed, Seconds(settings.m_seconds), settings.m_vms);
+    const Schedule schedule =
+        drawSchedule(seed, Seconds(settings.m_seconds), settings.m_vms, settings.m_profile);
     const std::string text = soak::toString(schedule);
     std::fputs(text.c_str(), stdout);
     std::fflush(stdout);
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -54,6 +54,10 @@
     { FaultKind::Key, "key replaced", true, 2, Millis(0), Millis(0) },
     // Drawn apart, by addPauses().
     { FaultKind::EndpointsPause, "endpoints pause", false, 0, Millis(700), Millis(1'400) },
+    // Drawn apart, by addAttemptFaults().
+    { FaultKind::WorkerFails, "worker fails", false, 0, Millis(1'000), Millis(7'000) },
+    { FaultKind::VmLink, "link of VM", false, 0, Millis(500), Millis(5'000) },
+    { FaultKind::KillTogether, "SIGKILL together", false, 0, Millis(1'000), Millis(1'000) },
 };
 
 static_assert(std::size(Kinds) == static_cast<size_t>(FaultKind::Last) + 1);
@@ -165,6 +169,42 @@
     }
 }
 
+Fault drawAttemptFault(RandomEngine &random, Millis at, size_t vms)
+{
+    constexpr FaultKind Kinds[] = { FaultKind::WorkerFails, FaultKind::WorkerFails,
+                                    FaultKind::VmLink, FaultKind::VmLink, FaultKind::KillTogether };
+    constexpr uint64_t OneWorkerOneIn = 2;
+    constexpr unsigned LeastPercent = 20;
+    constexpr unsigned MostPercent = 80;
+    Fault fault = drawFault(random, Kinds[drawUpTo(random, std::size(Kinds) - 1)], at, vms);
+    fault.m_percent = LeastPercent + drawUpTo(random, MostPercent - LeastPercent);
+    if (fault.m_kind == FaultKind::WorkerFails)
+        fault.m_subject = drawUpTo(random, Workers - 1);
+    if (fault.m_kind == FaultKind::KillTogether || drawUpTo(random, OneWorkerOneIn - 1) == 0)
+        fault.m_worker = drawUpTo(random, Workers - 1);
+    fault.m_count = 1 + drawUpTo(random, vms - 1);
+    return fault;
+}
+
+/// Draws from a generator of their own, as addPauses() does.
+void addAttemptFaults(Schedule &schedule)
+{
+    constexpr uint64_t OtherStream = 0xd1b5'4a32'd192'ed03;
+    constexpr Millis AttemptFaultGap{ 800 };
+    constexpr size_t HurriedPerVm = 8;
+    /// A worker that leaves after a kill takes so long.
+    constexpr Millis LongestLeave{ 6'000 };
+    schedule.m_hurried = HurriedPerVm;
+    RandomEngine random(schedule.m_seed ^ OtherStream);
+    for (Millis at = FirstFault; at < schedule.m_calmFrom;
+         at += drawTime(random, Millis(0), 2 * AttemptFaultGap)) {
+        const Fault fault = drawAttemptFault(random, at, schedule.m_vms);
+        const Millis leave = fault.m_kind == FaultKind::KillTogether ? LongestLeave : Millis(0);
+        if (fault.end() + leave <= schedule.m_calmFrom)
+            schedule.m_faults.push_back(fault);
+    }
+}
+
 std::string_view wayName(RelayWay way)
 {
     return way == RelayWay::ToTarget ? "to the target" : "from the target";
@@ -172,7 +212,7 @@
 
 bool isLink(FaultKind kind)
 {
-    return kind <= FaultKind::WorkerLink;
+    return kind <= FaultKind::WorkerLink || kind == FaultKind::VmLink;
 }
 
 } // namespace
@@ -182,7 +222,7 @@
     return rowOf(kind).m_planned;
 }
 
-Schedule drawSchedule(uint64_t seed, Millis length, size_t vms)
+Schedule drawSchedule(uint64_t seed, Millis length, size_t vms, Profile profile)
 {
     constexpr uint64_t PlannedOnlyOneIn = 3;
     constexpr uint64_t HeavyOneIn = 4;
@@ -195,7 +235,9 @@
     schedule.m_vms = vms;
     schedule.m_length = length;
     schedule.m_calmFrom = length - Bounds().m_recovery - Measured;
-    schedule.m_plannedOnly = drawUpTo(random, PlannedOnlyOneIn - 1) == 0;
+    schedule.m_profile = profile;
+    schedule.m_plannedOnly =
+        drawUpTo(random, PlannedOnlyOneIn - 1) == 0 && profile == Profile::Usual;
     const size_t keepers = drawUpTo(random, HeavyOneIn - 1) == 0 ? ManyKeepers : FewKeepers;
     schedule.m_keepers = std::max<size_t>(keepers * UsualVms / vms, 1);
     const Millis lastRestart = schedule.m_calmFrom - RestartTime;
@@ -209,6 +251,8 @@
             schedule.m_faults.push_back(fault);
     }
     addPauses(schedule);
+    if (profile == Profile::Attempts)
+        addAttemptFaults(schedule);
     std::stable_sort(schedule.m_faults.begin(), schedule.m_faults.end(),
                      [](const Fault &a, const Fault &b) { return a.m_at < b.m_at; });
     return schedule;
@@ -219,6 +263,12 @@
     std::string text =
         fmt::format("{:>6} ms {:<22} {} for {} ms", fault.m_at.count(), rowOf(fault.m_kind).m_name,
                     fault.m_subject, fault.m_length.count());
+    if (fault.m_kind == FaultKind::WorkerFails)
+        text += fmt::format(", {}% of its requests", fault.m_percent);
+    if (fault.m_kind == FaultKind::VmLink)
+        text += fault.m_worker ? fmt::format(" to worker {}", *fault.m_worker) : " to all workers";
+    if (fault.m_kind == FaultKind::KillTogether)
+        text += fmt::format(", {} VMs, worker {} leaves", fault.m_count, *fault.m_worker);
     if (fault.m_kind == FaultKind::EndpointsPause)
         text += fmt::format(", {}% of {}", fault.m_percent, fault.m_service);
     if (!isLink(fault.m_kind))
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -1,6 +1,7 @@
 /// Which faults a run of the soak meets, and when: drawn from one seed.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,7 +33,11 @@
     Route, ///< A configuration in which a route goes to another service.
     Key, ///< A configuration that replaces a key.
     EndpointsPause, ///< Workers of one service stand still, then go on where they stood.
-    Last = EndpointsPause,
+    // Of the profile Attempts only.
+    WorkerFails, ///< It refuses, fails or spoils a share of its requests.
+    VmLink, ///< Between one VM and one worker, or all workers.
+    KillTogether, ///< SIGKILL to some VMs at once; a worker leaves just after.
+    Last = KillTogether,
 };
 
 struct Fault {
@@ -42,19 +47,30 @@
     size_t m_subject = 0; ///< The VM or worker, by index.
     standin::RelayFault m_link; ///< For faults of links.
     std::string m_service; ///< Whose workers pause.
-    unsigned m_percent = 100; ///< Of the workers that pause.
+    unsigned m_percent = 100; ///< Of the workers that pause, of the requests that fail.
+    std::optional<size_t> m_worker; ///< Of VmLink and KillTogether; nothing: all workers.
+    size_t m_count = 1; ///< VMs that are killed.
 
     Millis end() const { return m_at + m_length; }
 };
 
+enum class Profile {
+    Usual,
+    /// Besides, workers fail in every way that is allowed, VMs lose the path to workers, and
+    /// clients send many short requests that may run only once.
+    Attempts,
+};
+
 struct Schedule {
     uint64_t m_seed = 0;
+    Profile m_profile = Profile::Usual;
     size_t m_vms = 0;
     Millis m_length{ 0 };
     Millis m_calmFrom{ 0 }; ///< No fault reaches beyond.
     /// Only what operators and endpoints do on purpose, and pauses, which excuse no lost request.
     bool m_plannedOnly = false;
     size_t m_keepers = 0; ///< Connections that clients keep using, for each VM.
+    size_t m_hurried = 0; ///< The same, with short requests one after the other.
     std::vector<Fault> m_faults; ///< By time.
 };
 
@@ -81,7 +97,7 @@
 /// Below this no fault fits between the start and the recovery.
 constexpr Millis ShortestRun{ 30'000 };
 
-Schedule drawSchedule(uint64_t seed, Millis length, size_t vms);
+Schedule drawSchedule(uint64_t seed, Millis length, size_t vms, Profile profile = Profile::Usual);
 /// Whether operators or endpoints do it on purpose: it excuses no lost request.
 bool isPlanned(FaultKind kind);
 std::string toString(const Fault &fault);
--- a/tests/soak/schedule_test.cpp
+++ b/tests/soak/schedule_test.cpp
@@ -39,11 +39,35 @@
         }
         EXPECT_GE(stops, 1u);
     }
-    EXPECT_EQ(kinds.size(), static_cast<size_t>(FaultKind::Last) + 1);
+    EXPECT_EQ(kinds.size(), static_cast<size_t>(FaultKind::EndpointsPause) + 1);
     EXPECT_GT(overlapping, 0u);
     EXPECT_GT(plannedOnly, 0u);
 }
 
+TEST(ScheduleTest, AttemptFaultsComeBesideTheUsualOnes)
+{
+    std::set<FaultKind> kinds;
+    std::set<bool> linksOfAllWorkers;
+    for (uint64_t seed = 0; seed < 50; ++seed) {
+        const Schedule schedule = drawSchedule(seed, Length, 3, Profile::Attempts);
+        EXPECT_FALSE(schedule.m_plannedOnly);
+        EXPECT_GT(schedule.m_hurried, 0u);
+        for (const Fault &fault : schedule.m_faults) {
+            kinds.insert(fault.m_kind);
+            EXPECT_LE(fault.end(), schedule.m_calmFrom);
+            if (fault.m_kind == FaultKind::VmLink)
+                linksOfAllWorkers.insert(!fault.m_worker);
+            if (fault.m_kind == FaultKind::KillTogether) {
+                EXPECT_TRUE(fault.m_worker);
+                EXPECT_GE(fault.m_count, 1u);
+                EXPECT_LE(fault.m_count, schedule.m_vms);
+            }
+        }
+    }
+    EXPECT_EQ(kinds.size(), static_cast<size_t>(FaultKind::Last) + 1);
+    EXPECT_EQ(linksOfAllWorkers.size(), 2u);
+}
+
 /// The faults of seed 5 before pauses were added.
 constexpr const char *SeedFive[] = {
     "  1500 ms store's watches deaf   1 for 700 ms",
--- a/tests/soak/self_check_test.cpp
+++ b/tests/soak/self_check_test.cpp
@@ -135,6 +135,13 @@
     EXPECT_GT(countOf(judgeTraffic(m_worker.address()), "TWICE"), 0u);
 }
 
+TEST_F(SelfCheckTest, WorkerThatRefusesWhatItRanIsReported)
+{
+    m_worker->setFailureStatus(503);
+    startWorker(WorkerMode::ServerError);
+    EXPECT_GT(countOf(judgeTraffic(m_worker.address()), "REFUSED"), 0u);
+}
+
 TEST_F(SelfCheckTest, AnswersOfOtherRequestsAndUnsignedOnesAreReported)
 {
     startWorker(WorkerMode::WrongId);
--- a/tests/soak/traffic.cpp
+++ b/tests/soak/traffic.cpp
@@ -18,6 +18,7 @@
 constexpr Millis LongestIdle{ 3'900 };
 constexpr Millis ReopenPause{ 400 };
 constexpr Millis FreshPause{ 1'800 };
+constexpr Millis HurriedPause{ 150 };
 constexpr Millis EngineStep{ 20 }; ///< As the configuration says of the service.
 constexpr uint64_t LongPrompt = 250'000; ///< Of an engine's memory of 100,000.
 constexpr uint64_t UsualPrompt = 2'000;
@@ -143,6 +144,10 @@
     }
     for (size_t i = 0; i < m_schedule.m_keepers / 2; ++i)
         m_thread.post([this, random = RandomEngine(++seed)] { openForEach(random); });
+    for (size_t vm = 0; vm < m_doors.size(); ++vm) {
+        for (size_t i = 0; i < m_schedule.m_hurried; ++i)
+            m_thread.post([this, vm, random = RandomEngine(++seed)] { hurry(vm, random); });
+    }
 }
 
 bool TrafficSource::pause(RandomEngine &random, Millis most, Millis least)
@@ -161,7 +166,7 @@
         HttpConnection connection(m_thread.context());
         if (!connection.connect(m_doors[vm].m_front, ConnectPatience))
             continue;
-        while (pause(random, LongestIdle, least) && exchange(connection, vm, random)) { }
+        while (pause(random, LongestIdle, least) && exchange(connection, draw(vm, random))) { }
     }
 }
 
@@ -173,14 +178,23 @@
             continue;
         HttpConnection connection(m_thread.context());
         if (connection.connect(m_doors[vm].m_front, ConnectPatience))
-            exchange(connection, vm, random);
+            exchange(connection, draw(vm, random));
+    }
+}
+
+/// Does not wait for a VM to be ready: connections are used until its process is gone.
+void TrafficSource::hurry(size_t vm, RandomEngine random)
+{
+    while (pause(random, ReopenPause)) {
+        HttpConnection connection(m_thread.context());
+        if (!connection.connect(m_doors[vm].m_front, ConnectPatience))
+            continue;
+        while (pause(random, HurriedPause) && exchange(connection, drawShort(vm, random))) { }
     }
 }
 
 SentRequest TrafficSource::draw(size_t vm, RandomEngine &random)
 {
-    constexpr uint64_t NewestKeyOneIn = 4;
-    constexpr uint64_t ReplacedKeyOneIn = 20;
     constexpr uint64_t SoleOneIn = 3; ///< Not drawn, so that a seed's other traffic stays.
     constexpr Millis PlainDeadline{ 4'000 };
     constexpr Millis StreamDeadline{ 20'000 };
@@ -196,13 +210,38 @@
     request.m_body = "entry " + request.m_id;
     request.m_events = work.m_events;
     request.m_deadline = isStream(row.m_traffic) ? StreamDeadline : PlainDeadline;
+    drawKey(request, random);
+    return request;
+}
+
+SentRequest TrafficSource::drawShort(size_t vm, RandomEngine &random)
+{
+    constexpr uint64_t SafeOneIn = 4;
+    constexpr Millis ShortDeadline{ 1'500 };
+    SentRequest request;
+    const bool safe = drawUpTo(random, SafeOneIn - 1) == 0;
+    PathWork work;
+    work.m_delay = Millis(1 + drawUpTo(random, 40));
+    request.m_id = fmt::format("s{}-{}", m_schedule.m_seed, ++m_nextId);
+    request.m_traffic = safe ? Traffic::Safe : Traffic::Unsafe;
+    request.m_vm = vm;
+    request.m_path = workPath(safe ? "safe" : "unsafe", work);
+    request.m_body = "entry " + request.m_id;
+    request.m_deadline = ShortDeadline;
+    request.m_key = LastingKey;
+    return request;
+}
+
+void TrafficSource::drawKey(SentRequest &request, RandomEngine &random)
+{
+    constexpr uint64_t NewestKeyOneIn = 4;
+    constexpr uint64_t ReplacedKeyOneIn = 20;
     request.m_key = LastingKey;
     const std::lock_guard lock(m_mutex);
     if (drawUpTo(random, NewestKeyOneIn - 1) == 0)
         request.m_key = m_keys.m_newest;
     else if (drawUpTo(random, ReplacedKeyOneIn - 1) == 0 && !m_keys.m_replaced.empty())
         request.m_key = m_keys.m_replaced;
-    return request;
 }
 
 HttpRequest TrafficSource::messageOf(const SentRequest &request) const
@@ -226,9 +265,8 @@
     return message;
 }
 
-bool TrafficSource::exchange(HttpConnection &connection, size_t vm, RandomEngine &random)
+bool TrafficSource::exchange(HttpConnection &connection, SentRequest request)
 {
-    SentRequest request = draw(vm, random);
     ++m_open;
     request.m_begun = now();
     if (connection.send(messageOf(request), request.m_deadline)) {
--- a/tests/soak/traffic.h
+++ b/tests/soak/traffic.h
@@ -54,10 +54,13 @@
     void pollReadiness(size_t vm);
     void keepUsing(size_t vm, RandomEngine random);
     void openForEach(RandomEngine random);
+    void hurry(size_t vm, RandomEngine random);
     bool pause(RandomEngine &random, Millis most, Millis least = Millis(0));
     /// Whether the connection can be used for another request.
-    bool exchange(HttpConnection &connection, size_t vm, RandomEngine &random);
+    bool exchange(HttpConnection &connection, SentRequest request);
     SentRequest draw(size_t vm, RandomEngine &random);
+    SentRequest drawShort(size_t vm, RandomEngine &random);
+    void drawKey(SentRequest &request, RandomEngine &random);
     HttpRequest messageOf(const SentRequest &request) const;
     void readAnswer(HttpConnection &connection, SentRequest &request);
     Duration timeLeft(const SentRequest &request) const;
