--- a/tests/platform/not_run_test.cpp
+++ b/tests/platform/not_run_test.cpp
@@ -55,7 +55,7 @@
         worker(i).setFailureStatus(GetParam());
         worker(i).setMode(WorkerMode::ServerError);
     }
-    for (ClientRequest request :
+    for (const ClientRequest &request :
          { ClientRequest{}, unsafeRequest(), streamRequest(), onceRequest() }) {
         const ClientAnswer answer = m_deployment.call(request);
         EXPECT_FALSE(promisesNotRun(answer.m_status)) << request.m_path << " " << answer.m_status;
