A request's attempts are kept in one place

m_sentAddresses repeated what m_sent can tell, m_reused of an attempt was never read, and both callers of connectTo() computed the same condition with a ConnectTimeout of their own, 200 ms each. An attempt's record has its address now, and connectTo() decides both. No decision changes.

--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -142,19 +142,24 @@
 }
 
 Result<std::unique_ptr<HttpConnection>> RelayRun::connectTo(const Address &address,
-                                                            Duration timeout, bool proved)
+                                                            bool holdsMemory)
 {
-    const bool fresh = m_sentAddresses.count(toString(address)) > 0;
-    return m_node.m_pool.acquire(address, std::min<Duration>(remainingTime(), timeout), fresh,
-                                 proved ? justUsedTime() : Duration::max());
+    // Responses name the request, not the attempt: a late one to an earlier attempt would be taken
+    // for the answer to this one.
+    const bool fresh =
+        std::any_of(m_sent.begin(), m_sent.end(), [&address](const SentAttempt &sent) {
+            return sent.m_address == toString(address);
+        });
+    const bool proved = atMostOnce() || !m_sent.empty() || holdsMemory;
+    return m_node.m_pool.acquire(address, std::min<Duration>(remainingTime(), ConnectTimeout),
+                                 fresh, proved ? justUsedTime() : Duration::max());
 }
 
 void RelayRun::recordSentAttempt(const std::string &target, const Address &address,
                                  const HttpConnection &connection)
 {
-    m_sentAddresses.insert(toString(address));
     const HttpRequest &request = m_exchange.request();
-    SentAttempt sent{ target, connection.localPort(), connection.reused() };
+    SentAttempt sent{ target, toString(address), connection.localPort() };
     sent.m_facts.m_bytesSent =
         request.m_method.size() + request.m_target.size() + request.m_body.size();
     m_sent.push_back(std::move(sent));
@@ -212,9 +217,7 @@
     const auto address = parseAddress(endpoint.m_address);
     if (!address)
         return failAttempt(endpoint, FailureWeight::Strong, "no address");
-    // A dead connection is also costly if memory is reserved on other endpoints meanwhile.
-    const bool proved = atMostOnce() || !m_sent.empty() || !reservations.empty();
-    auto connection = connectTo(*address, ConnectTimeout, proved);
+    auto connection = connectTo(*address, !reservations.empty());
     if (!connection) {
         const bool silent = connection.error().m_code == ErrorCode::DeadlineExceeded;
         noteUnreached(endpoint, silent ? SilenceWeight : RefusalWeight);
--- a/relay/relay_forward.cpp
+++ b/relay/relay_forward.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr Millis ConnectTimeout{ 200 };
 /// For a response that is not a stream, and for one of the other VM's own.
 constexpr Millis BodyTimeout{ 1'000 };
 /// Of a response of the other VM's own, which is a short message.
@@ -67,8 +66,7 @@
     const auto address = parseAddress(peer.m_address);
     if (!address)
         return AttemptResult::NotSent;
-    const bool proved = atMostOnce() || !m_sent.empty();
-    auto connection = connectTo(*address, ConnectTimeout, proved);
+    auto connection = connectTo(*address, false);
     if (!connection) {
         m_failureReason = connection.error().m_message;
         return AttemptResult::NotSent;
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -44,8 +44,8 @@
 /// An attempt that was sent to an endpoint, or to another VM, and what is known of it.
 struct SentAttempt {
     std::string m_target; ///< Id of the endpoint or VM.
+    std::string m_address;
     uint16_t m_localPort = 0; ///< Of its connection.
-    bool m_reused = false; ///< The connection had carried another request.
     unsigned m_status = 0; ///< Of its response; zero: none.
     AttemptFacts m_facts;
 };
@@ -229,8 +229,8 @@
     void recordSentAttempt(const std::string &target, const Address &address,
                            const HttpConnection &connection);
     /// A connection to @p address on which any response to the request is one to the next attempt.
-    Result<std::unique_ptr<HttpConnection>> connectTo(const Address &address, Duration timeout,
-                                                      bool proved);
+    /// A dead one is costly if @p holdsMemory: memory is reserved on endpoints meanwhile.
+    Result<std::unique_ptr<HttpConnection>> connectTo(const Address &address, bool holdsMemory);
     /// Records the head of the response to the attempt in progress.
     void recordReply(const HttpResponse &response, EndpointReply reply, bool matches);
     /// The record of @p attempt, which was sent.
@@ -352,9 +352,6 @@
     uint32_t m_urgency = 0;
     TimePoint m_deadline{};
     std::unordered_set<EndpointId> m_triedEndpoints; ///< Endpoints that are not tried again.
-    /// Addresses to which an attempt was sent. A further one takes a new connection: responses
-    /// name the request, not the attempt, so a late one would be taken for its own.
-    std::unordered_set<std::string> m_sentAddresses;
     /// Data centres to which a connection of this request failed.
     std::unordered_set<DataCentreId> m_unreachable;
     std::vector<SentAttempt> m_sent; ///< In the order of sending.
