--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -67,6 +67,16 @@
     return request;
 }
 
+size_t Deployment::runsOf(const std::string &requestId) const
+{
+    size_t runs = 0;
+    for (const auto &worker : m_workers) {
+        for (const WorkerRun &run : (**worker).runs())
+            runs += run.m_requestId == requestId ? 1 : 0;
+    }
+    return runs;
+}
+
 size_t Deployment::totalRuns() const
 {
     size_t runs = 0;
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -85,6 +85,8 @@
     size_t poolSize(const std::string &service, size_t daemon = 0);
     /// Of all workers.
     size_t totalRuns() const;
+    /// The same, of one request.
+    size_t runsOf(const std::string &requestId) const;
 
     HostedStore m_store;
     std::vector<std::unique_ptr<HostedWorker>> m_workers;
--- a/tests/platform/drain_test.cpp
+++ b/tests/platform/drain_test.cpp
@@ -51,16 +51,6 @@
         m_deployment.m_daemons.clear();
     }
 
-    size_t runsOf(const std::string &id) const
-    {
-        size_t runs = 0;
-        for (const auto &one : m_deployment.m_workers) {
-            for (const WorkerRun &run : (**one).runs())
-                runs += run.m_requestId == id ? 1 : 0;
-        }
-        return runs;
-    }
-
     size_t arrivals() const
     {
         size_t arrivals = 0;
@@ -93,7 +83,7 @@
     size_t whole = 0;
     for (int i = 0; i < Connections; ++i) {
         const ClientAnswer answer = answers[i].get();
-        const size_t runs = runsOf("request-" + std::to_string(i));
+        const size_t runs = m_deployment.runsOf("request-" + std::to_string(i));
         SCOPED_TRACE(testing::Message() << "sent " << (Step * i).count() << " ms after SIGTERM: "
                                         << answer.m_status << ", " << runs << " runs");
         if (answer.m_status == 200) {
@@ -165,9 +155,9 @@
     EXPECT_LT(Clock::now() - begun, Grace);
     EXPECT_EQ(answer.m_status, 200u);
     EXPECT_FALSE(answer.m_whole);
-    EXPECT_EQ(runsOf(after.m_id), 1u);
+    EXPECT_EQ(m_deployment.runsOf(after.m_id), 1u);
     endDaemon();
-    EXPECT_EQ(runsOf(after.m_id), 1u);
+    EXPECT_EQ(m_deployment.runsOf(after.m_id), 1u);
 }
 
 // From an incident: the attempt that the end of the process broke off counted as an endpoint's
--- a/tests/platform/not_run_test.cpp
+++ b/tests/platform/not_run_test.cpp
@@ -32,16 +32,6 @@
     }
 
     WorkerStandin &worker(size_t index) { return **m_deployment.m_workers[index]; }
-
-    size_t runsOf(const std::string &id)
-    {
-        size_t runs = 0;
-        for (const auto &one : m_deployment.m_workers) {
-            for (const WorkerRun &run : (**one).runs())
-                runs += run.m_requestId == id ? 1 : 0;
-        }
-        return runs;
-    }
 };
 
 class UnmarkedStatusTest : public NotRunTest, public testing::WithParamInterface<unsigned>
@@ -129,7 +119,7 @@
     EXPECT_EQ(m_deployment.call(request).m_status, 504u);
     m_relay.setFault({});
     std::this_thread::sleep_for(Millis(300));
-    EXPECT_EQ(runsOf("request-late"), 0u);
+    EXPECT_EQ(m_deployment.runsOf("request-late"), 0u);
 }
 
 } // namespace
