Soak: links of one VM are set as all others are

cutVm() had a copy of setLink()'s rule that a connection which lost bytes is reset before bytes pass again. The copy looked at the fault that ended only: of two overlapping faults of one link, the end of the other let bytes pass after a hole, which no network gives. setLink() serves both.

Read in the code, not seen in a run.

--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -497,16 +497,25 @@
     later(fault.m_length, [this, target] { setLink(target, RelayFault{}); });
 }
 
-void Fleet::setLink(size_t target, const RelayFault &fault)
+void Fleet::setLink(size_t target, const RelayFault &fault, std::optional<size_t> source)
 {
+    const auto set = [&](const RelayFault &link) {
+        if (source)
+            m_relay.setSourceFault(link, target, *source);
+        else
+            m_relay.setFault(link, target);
+    };
     // No network gives the bytes of a connection with a hole in them: what has lost some is over.
     RelayFault reset;
     reset.m_mode = standin::RelayMode::Reset;
-    if (m_swallowing.erase(target) > 0)
-        m_relay.setFault(reset, target);
+    const auto isSet = [&](const auto &entry) {
+        return entry.first == target && (!source || !entry.second || entry.second == source);
+    };
+    if (std::erase_if(m_swallowing, isSet) > 0)
+        set(reset);
     if (fault.m_mode == standin::RelayMode::HalfOpen)
-        m_swallowing.insert(target);
-    m_relay.setFault(fault, target);
+        m_swallowing.emplace(target, source);
+    set(fault);
 }
 
 void Fleet::applyStore(const Fault &fault)
@@ -602,19 +611,11 @@
     const auto set = [this, fault](const RelayFault &link) {
         for (const auto &slot : m_slots) {
             if (!fault.m_worker || *fault.m_worker == slot->m_index)
-                m_relay.setSourceFault(link, workerTarget(m_vms.size(), slot->m_index),
-                                       fault.m_subject);
+                setLink(workerTarget(m_vms.size(), slot->m_index), link, fault.m_subject);
         }
     };
     set(fault.m_link);
-    later(fault.m_length, [set, fault] {
-        // What has lost bytes is over.
-        RelayFault reset;
-        reset.m_mode = standin::RelayMode::Reset;
-        if (fault.m_link.m_mode == standin::RelayMode::HalfOpen)
-            set(reset);
-        set({});
-    });
+    later(fault.m_length, [set] { set({}); });
 }
 
 void Fleet::killTogether(const Fault &fault)
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -58,7 +58,9 @@
     void removeEntry(const std::string &worker);
     void collectRuns(const Slot &slot, std::optional<TimePoint> cut);
     void applyLink(const Fault &fault);
-    void setLink(size_t target, const standin::RelayFault &fault);
+    /// Of the connections of the VM @p source only, if given.
+    void setLink(size_t target, const standin::RelayFault &fault,
+                 std::optional<size_t> source = std::nullopt);
     void applyStore(const Fault &fault);
     void applyWorker(const Fault &fault);
     void crash(const Fault &fault, Slot &slot, const std::string &serviceAfter);
@@ -95,7 +97,8 @@
     standin::Hosted<platform::StoreStandin> m_store;
     std::vector<std::unique_ptr<Vm>> m_vms;
     std::vector<std::unique_ptr<Slot>> m_slots;
-    std::set<size_t> m_swallowing; ///< Targets of the relay whose connections lose bytes.
+    /// Targets of the relay, and sources if set apart, whose connections lose bytes.
+    std::set<std::pair<size_t, std::optional<size_t>>> m_swallowing;
     std::multimap<Millis, std::function<void()>> m_due;
     Observations m_seen;
     uint64_t m_version = 0;
