--- a/tests/policy/outcome_test.cpp
+++ b/tests/policy/outcome_test.cpp
@@ -39,6 +39,19 @@
     EXPECT_EQ(requestOutcome(std::array{ inconclusive, complete }), Outcome::Complete);
 }
 
+// If it were zero for a request that may have run, "not run" would be promised.
+TEST(Outcome, PossibleRunsAreThoseOfAttemptsThatMayHaveRun)
+{
+    const AttemptFacts unsent{};
+    const AttemptFacts refused{ 10, EndpointReply::NotRun, true };
+    const AttemptFacts late{ 10, EndpointReply::NotRun, false };
+    const AttemptFacts forwarded{ 10, EndpointReply::Nothing, false, 3 };
+    EXPECT_EQ(countPossibleRuns({}), 0u);
+    EXPECT_EQ(countPossibleRuns(std::array{ unsent, refused }), 0u);
+    EXPECT_EQ(countPossibleRuns(std::array{ refused, late }), 1u);
+    EXPECT_EQ(countPossibleRuns(std::array{ late, forwarded, refused }), 4u);
+}
+
 TEST(Outcome, ErrorsHaveUniqueCodesAndAnErrorStatus)
 {
     std::set<std::string_view> codes;
