Tests: what callers experience in a simulated pool, by kind of prompt

The simulation told which prompts earned their worth. No product code changes.

Found on the way: callers that arrived within the last poll interval of a load were neither served nor counted; the simulation now goes on until all have arrived.

--- a/tests/policy/pool_sim.cpp
+++ b/tests/policy/pool_sim.cpp
@@ -16,11 +16,6 @@
 
 /// Interval at which a waiting request polls, as at a VM.
 constexpr Millis PollInterval{ 12 };
-/// Clients give up after the longest of these silences, as in the users' specification.
-constexpr Millis MinPatience{ 2'000 };
-constexpr int PatienceTargets = 4;
-constexpr int PatienceGaps = 8;
-
 double secondsOf(std::chrono::duration<double> duration)
 {
     return duration.count();
@@ -78,7 +73,8 @@
         drawArrivals();
         const TimePoint end = Start + m_load.m_length;
         size_t next = 0;
-        for (TimePoint now = Start; now < end || !m_waiting.empty() || !m_returning.empty();
+        for (TimePoint now = Start;
+             now < end || next < m_prompts.size() || !m_waiting.empty() || !m_returning.empty();
              now += PollInterval) {
             runEngines(now);
             if (m_load.m_missingEngines > 0 && m_pool.size() == m_engines.size()
@@ -203,8 +199,7 @@
         request.m_promptTokens = prompt.m_outcome.m_tokens;
         request.m_gapLimitMs = of.m_gapLimitMs;
         request.m_latencyTarget = of.m_latencyTarget;
-        request.m_patience = std::max({ MinPatience, of.m_latencyTarget * PatienceTargets,
-                                        Millis(of.m_gapLimitMs) * PatienceGaps });
+        request.m_patience = patienceOf(of);
         request.m_arrival =
             Start + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(at));
         request.m_deadline = request.m_arrival + of.m_deadline;
@@ -483,6 +478,7 @@
             prompt.m_callerGone || silence > request.m_patience || now > request.m_deadline;
         if (first) {
             m_ledger.recordFirstEvent(prompt.m_key);
+            prompt.m_outcome.m_firstEventAt = now;
             if (!request.strict())
                 m_rate.recordCompleted(prompt.m_queueEntry.m_workMs, now);
             prompt.m_outcome.m_inTarget = silence <= request.m_latencyTarget;
@@ -497,6 +493,7 @@
         engine.m_context -= request.m_promptTokens;
         m_ledger.end(prompt.m_key);
         prompt.m_outcome.m_served = !prompt.m_callerGone;
+        prompt.m_outcome.m_leftInSilence = prompt.m_callerGone;
         prompt.m_outcome.m_inTarget = prompt.m_outcome.m_inTarget && prompt.m_outcome.m_served;
     }
 
@@ -535,8 +532,19 @@
     return static_cast<double>(served) / static_cast<double>(to - from);
 }
 
+/// Callers leave after the longest of these silences, as in the users' specification.
+constexpr Millis MinPatience{ 2'000 };
+constexpr int PatienceTargets = 4;
+constexpr int PatienceGaps = 8;
+
 } // namespace
 
+Duration patienceOf(const PromptKind &kind)
+{
+    return std::max({ MinPatience, kind.m_latencyTarget * PatienceTargets,
+                      Millis(kind.m_gapLimitMs) * PatienceGaps });
+}
+
 PoolRun simulatePool(const PoolLoad &load, uint64_t seed)
 {
     return PoolSim(load, seed).play();
--- a/tests/policy/pool_sim.h
+++ b/tests/policy/pool_sim.h
@@ -53,7 +53,9 @@
     bool m_served = false; ///< Its caller received the complete answer.
     /// And in time since its last arrival, with all gaps within the limit.
     bool m_inTarget = false;
+    bool m_leftInSilence = false; ///< Its caller left after it had started.
     TimePoint m_arrival{};
+    TimePoint m_firstEventAt{}; ///< Zero: none came.
     Duration m_wait{}; ///< From its arrival to its start or refusal.
     DispatchObstacle m_obstacle = DispatchObstacle::None; ///< Reason of a refusal.
     std::vector<Duration> m_refusals{}; ///< Wait before each refusal.
@@ -82,6 +84,9 @@
 constexpr TimePoint PoolStart{ Seconds(1'000) };
 constexpr Millis IdleSlice{ 120 }; ///< Ten polls.
 
+/// Silence after which callers of @p kind leave.
+Duration patienceOf(const PromptKind &kind);
+
 PoolRun simulatePool(const PoolLoad &load, uint64_t seed);
 
 /// Value of one answered prompt of @p tokens; larger ones are worth more.
