Clients' patience is decoded once, with the route

Callers see no difference. How long clients stay in a silent stream was computed in the relay from the latency target, so the target had to be known wherever a wait was bounded, and got used for other bounds there.

Test: ConfigCodecTest.ClientsLeaveAfterTheLongestOfTheStatedSilences (does not compile before: the route had no such time).

--- a/policy/route_table.h
+++ b/policy/route_table.h
@@ -41,6 +41,7 @@
     /// Latency target: a first answer or event within this time earns full credit.
     Millis m_latencyTarget{ 1'000 };
     Millis m_gapLimit{ 0 }; ///< Longest tolerated gap between events; zero: none declared.
+    Millis m_clientPatience{ 2'000 }; ///< Clients leave a stream after this long without an event.
     uint32_t m_maxAttempts = 1; ///< Max number of endpoints that one request may be sent to.
     uint32_t m_priority = 5; ///< 0 is the most urgent.
     bool m_public = false; ///< Requests need no key.
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -83,7 +83,7 @@
 
 Duration RelayRun::streamSilenceTimeout() const
 {
-    return std::chrono::duration_cast<Duration>(clientPatience() * PatienceShare);
+    return std::chrono::duration_cast<Duration>(m_route->m_clientPatience * PatienceShare);
 }
 
 Duration RelayRun::justUsedTime() const
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -121,7 +121,7 @@
     request.m_promptTokens = static_cast<double>(m_head.m_promptTokens);
     request.m_gapLimitMs = gapLimitMs();
     request.m_latencyTarget = m_route->m_latencyTarget;
-    request.m_patience = clientPatience();
+    request.m_patience = m_route->m_clientPatience;
     request.m_arrival = m_arrival;
     request.m_deadline = m_deadline;
     request.m_isRetry = !m_sent.empty();
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -24,11 +24,6 @@
 /// crash follows the begin within milliseconds.
 constexpr Millis SoundAnswerAge{ 250 };
 
-/// Clients leave a stream after the longest of these silences.
-constexpr Millis MinClientPatience{ 2'000 };
-constexpr int PatienceAims = 4;
-constexpr int PatienceGaps = 8;
-
 /// Retry-After values: a queue slot frees within some engine steps, a start takes a second.
 constexpr Millis RetryAfterBusy{ 250 };
 constexpr Millis RetryAfterStart{ 500 };
@@ -360,12 +355,6 @@
     return m_node.m_view.load()->m_evacuatedServices.count(m_serviceId) > 0;
 }
 
-Duration RelayRun::clientPatience() const
-{
-    return std::max({ MinClientPatience, m_route->m_latencyTarget * PatienceAims,
-                      m_route->m_gapLimit * PatienceGaps });
-}
-
 void RelayRun::finishUnanswered()
 {
     if (m_clientDisconnected) {
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -315,8 +315,6 @@
     /// Records that @p endpoint was not reached, with @p weight against this VM's own path.
     void noteUnreached(const EndpointRecord &endpoint, uint32_t weight);
 
-    /// How long the client waits without an event before it disconnects.
-    Duration clientPatience() const;
     Duration remainingTime() const;
     void finishUnanswered();
     void refuse(unsigned status, std::string_view why, Millis retryAfter);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -258,6 +258,22 @@
     EXPECT_EQ(table->m_limits.m_idleTimeout, Millis(15'000));
 }
 
+// Guards against requests that are given up while their clients still wait, or kept after that.
+TEST(ConfigCodecTest, ClientsLeaveAfterTheLongestOfTheStatedSilences)
+{
+    const auto patience = [](int aimMs, int gapAimMs) {
+        const auto table = relaySource().m_decodeRoutes(fmt::format(
+            R"({{"version":7,"routes":[{{"name":"r","host":"h","pathPrefix":"/p/","kind":"stream",
+                 "service":"a","aimMs":{},"gapAimMs":{}}}],"services":[{{"name":"a"}}]}})",
+            aimMs, gapAimMs));
+        return table ? table->m_routes.front().m_clientPatience : Millis(0);
+    };
+    EXPECT_EQ(patience(300, 0), Seconds(2));
+    EXPECT_EQ(patience(300, 250), Seconds(2));
+    EXPECT_EQ(patience(1'500, 600), Seconds(6));
+    EXPECT_EQ(patience(500, 1'000), Seconds(8));
+}
+
 TEST(ConfigCodecTest, RefusesWhatHasNoVersionOrAnIncompleteRoute)
 {
     EXPECT_FALSE(relaySource().m_decodeRoutes(R"({"routes":[]})"));
