Engines of strict streams help a long prompt by its work, not by its latency target

What callers saw: the same long prompt, on the same pool, was read by engines of short prompts once half of the time to its latency target had passed, and not before. A short latency target slowed down the short prompts beside it; a long one left idle engines unused.

Cause: GangSettings::m_maxOwnSideShare compared the first event that the own side predicts with half of the time left until the target. The comparison is now with the time that a prompt of its length is expected to take on a pool of this size: the own side suffices unless it is behind that.

--- a/policy/dispatch_plan.cpp
+++ b/policy/dispatch_plan.cpp
@@ -179,14 +179,14 @@
     return sides;
 }
 
-GangQuery gangQueryOf(const EngineCosts &costs, const ModelRequest &request,
-                      DisruptionPolicy disruption, TimePoint now)
+GangQuery gangQueryOf(const DispatchSettings &settings, const EngineCosts &costs,
+                      const ModelRequest &request, DisruptionPolicy disruption, size_t engines)
 {
     GangQuery query;
     query.m_promptTokens = request.m_promptTokens;
     query.m_answerTokens = static_cast<double>(costs.m_usualAnswerTokens);
     query.m_gapLimitMs = request.m_gapLimitMs;
-    query.m_timeLeft = request.m_arrival + request.m_latencyTarget - now;
+    query.m_expectedFirstEvent = minTimeToFirstEvent(settings, costs, request, engines);
     query.m_disruption = disruption;
     return query;
 }
--- a/policy/dispatch_plan.h
+++ b/policy/dispatch_plan.h
@@ -67,9 +67,9 @@
 GangSides splitPool(const std::vector<EndpointRecord> &pool,
                     const std::unordered_set<EndpointId> &strictSide, bool strict);
 
-/// The inputs of planGang() for @p request, without m_candidateQuery.
-GangQuery gangQueryOf(const EngineCosts &costs, const ModelRequest &request,
-                      DisruptionPolicy disruption, TimePoint now);
+/// The inputs of planGang() for @p request on a pool of @p engines, without m_candidateQuery.
+GangQuery gangQueryOf(const DispatchSettings &settings, const EngineCosts &costs,
+                      const ModelRequest &request, DisruptionPolicy disruption, size_t engines);
 
 /// What determines when a long prompt with @p aheadMs of prefill time before it may start.
 TurnLoad turnLoadOf(const DispatchSettings &settings, const SideLoad &load, double aheadMs);
--- a/policy/gang_plan.cpp
+++ b/policy/gang_plan.cpp
@@ -129,7 +129,7 @@
                                    query.m_disruption);
     };
     auto group = soonest(engines);
-    if (group && group->m_firstEvent <= query.m_timeLeft * settings.m_maxOwnSideShare)
+    if (group && group->m_firstEvent <= query.m_expectedFirstEvent)
         return group;
     engines = own;
     engines.insert(engines.end(), others.begin(), others.end());
--- a/policy/gang_plan.h
+++ b/policy/gang_plan.h
@@ -4,7 +4,7 @@
 /// Several engines prefill a long prompt in equal parts, so that the first event comes early and no
 /// engine is blocked for long. Strict streams and long prompts use separate engines, which
 /// strictEngines() assigns. Engines of strict streams prefill long prompts only if their streams
-/// tolerate it and the other engines would use too much of the remaining time.
+/// tolerate it and the other engines would take longer than expected.
 #pragma once
 
 #include <optional>
@@ -20,10 +20,6 @@
     /// Longest part of a strict stream's prompt on one engine. Together with a pass of 45 ms and
     /// another such part, the gap between events stays below 250 ms.
     FloatMillis m_maxStrictPart{ 60 };
-    /// Engines of strict streams may help with a long prompt, as far as their streams tolerate it,
-    /// if its own side would take more than this fraction of the remaining time. That frees the own
-    /// side earlier for the prompts that follow.
-    double m_maxOwnSideShare = 0.5;
     /// A long prompt that needs up to this fraction of an engine's memory may be answered by an
     /// engine of strict streams, whose passes are short. Its own side prefills most of it.
     double m_guestAnswerShare = 0.3;
@@ -34,7 +30,10 @@
     double m_promptTokens = 0;
     double m_answerTokens = 0; ///< Expected.
     uint32_t m_gapLimitMs = 0; ///< Longest tolerated gap between events; 0: no limit.
-    FloatMillis m_timeLeft{ 1'000 }; ///< Until the latency target of the first event.
+    /// Time from sending to the first event that a prompt of its length is expected to take.
+    /// Engines of strict streams help with a long prompt, as far as their streams tolerate it, if
+    /// its own side would take longer.
+    FloatMillis m_expectedFirstEvent{ 0 };
     DisruptionPolicy m_disruption = DisruptionPolicy::Avoid; ///< For long prompts only.
     CandidateQuery m_candidateQuery;
 
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -101,7 +101,7 @@
     }
     const EngineCosts &costs = *m_service->m_engine;
     const ModelRequest request = modelRequest();
-    GangQuery question = gangQueryOf(costs, request, care, Clock::now());
+    GangQuery question = gangQueryOf(m_node.m_turns, costs, request, care, poolSize());
     question.m_candidateQuery.m_dataCentre = here;
     question.m_candidateQuery.m_drawJitter = [this] {
         return std::uniform_real_distribution<double>(0, 1)(m_node.m_random);
