Two reasons by price are replaced by those of callers and links

No decision changes. A VM of the same data centre is preferred for forwarding because the links between data centres are slower and may be cut; strict streams keep engines under overload because short prompts have to stay fast while long ones are served, and a stream that waits for a slot delays those that follow. The comments named a price and a worth. The factor of 2 and the fill of 0.85 stand as they were; that 0.85 follows from no property of the engines is noted as open.

--- a/policy/path_health.cpp
+++ b/policy/path_health.cpp
@@ -15,7 +15,8 @@
     return dataCentres;
 }
 
-/// Traffic between data centres is priced.
+/// The way to a VM of the same data centre does not use the links between data centres, which are
+/// slower and may be cut.
 constexpr double LocalPreference = 2;
 
 double weightOf(const ForwardPeer &peer, const DataCentreId &dataCentre)
--- a/policy/pool_split.h
+++ b/policy/pool_split.h
@@ -24,8 +24,8 @@
     double m_maxStrictShare = 0.85;
     double m_strictPerFullSlot = 11.0 / 16;
     /// If the demand of both sides exceeds the pool, strict streams get at least the engines that
-    /// they fill up to this fraction of the slots. Per engine time, a strict stream in time is
-    /// worth about twice as much as a long prompt, and late streams delay those that follow.
+    /// they fill up to this fraction of the slots. Short prompts have to stay fast while long ones
+    /// are served, and a stream that waits for a slot delays those that follow.
     double m_strictPerOverloadedSlot = 0.85;
     /// Strict streams in flight count as demand up to this many times the number that arrives in
     /// the declared duration of one. More than one, as streams last longer than declared on full
