A silent attempt is late by its service and its attempts, not by shares of a target

What callers saw: an attempt at a plain service was taken for silent after two latency targets of its route, 300 to 600 ms for work of 30 to 60 ms on one deployment as on the next, whatever the service needs; a stream after 0.45 of its caller's patience, however many attempts its route allows. A draining VM expected a plain request to take twice the latency target.

Cause: ServiceAims and PatienceShare were figures beside the caller's time. Now - plain services: ResponseTime learns mean and mean deviation of the answers of the service; an attempt is late after the mean and four deviations, as TCP's retransmission timer (RFC 6298). Before the first answer, and at most, each attempt that the route allows has the same part of the deadline; - streams: each attempt that the route allows has the same part of the caller's patience; - drain: a plain request takes the mean response time (twice, where slack is asked), or all of its time if no answer was seen yet.

--- a/policy/policy.h
+++ b/policy/policy.h
@@ -47,6 +47,7 @@
 #include "policy/probe_turn.h"
 #include "policy/recent_answers.h"
 #include "policy/reconcile.h"
+#include "policy/response_time.h"
 #include "policy/retry.h"
 #include "policy/retry_pool.h"
 #include "policy/retry_window.h"
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -26,14 +26,9 @@
 /// Of the body of a refusal, which is read only to reuse the connection.
 constexpr size_t MaxRefusalBytes = 64 * 1024;
 
-/// A repeat that starts after this part of the client's patience still succeeds in time.
-constexpr double PatienceShare = 0.45;
 constexpr Millis MinFirstEventTimeout{ 300 };
 /// A first event is late after this multiple of its predicted time.
 constexpr double LateFactor = 2;
-/// An attempt at a plain service is abandoned after this multiple of the route's target time, if a
-/// repeat is allowed.
-constexpr int ServiceAims = 2;
 
 /// Weights of an endpoint that is not reached against this VM's own path: a refusal costs little
 /// time, so another endpoint is tried first.
@@ -83,7 +78,8 @@
 
 Duration RelayRun::streamSilenceTimeout() const
 {
-    return std::chrono::duration_cast<Duration>(m_route->m_clientPatience * PatienceShare);
+    // Each attempt that the route allows gets the same part of the time for which the client waits.
+    return Duration(m_route->m_clientPatience) / attemptLimit();
 }
 
 Duration RelayRun::justUsedTime() const
@@ -106,8 +102,13 @@
 
 Duration RelayRun::firstEventTimeout(const GangPlan &plan) const
 {
-    if (m_route->m_kind != RouteKind::Stream)
-        return std::max<Duration>(m_route->m_latencyTarget * ServiceAims, MinFirstEventTimeout);
+    if (m_route->m_kind != RouteKind::Stream) {
+        const Duration part = (m_deadline - m_arrival) / attemptLimit();
+        const auto late = m_node.m_responseTimes[m_serviceId].lateAfter();
+        return late ? std::clamp<Duration>(std::chrono::duration_cast<Duration>(*late),
+                                           std::min<Duration>(MinFirstEventTimeout, part), part)
+                    : part;
+    }
     // With a long backlog, a late first event says little about the endpoint.
     return std::max(streamSilenceTimeout(),
                     std::chrono::duration_cast<Duration>(plan.m_firstEvent * LateFactor));
@@ -388,6 +389,8 @@
     recordOf(m_attempt).m_facts.m_reply = EndpointReply::Whole;
     if (!isSuccess(status))
         return;
+    if (m_route->m_kind != RouteKind::Stream)
+        m_node.m_responseTimes[m_serviceId].record(Clock::now() - m_attempt.m_sentAt);
     if (maybeSuspect() || m_exchange.request().m_body.size() <= MaxRememberedBytes)
         m_node.m_suspects.noteCompleted(fingerprint());
     if (!m_head.m_promptParts.empty())
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -56,6 +56,7 @@
     DispatchQueue m_longQueue; ///< Long prompts that wait for their prefill.
     TurnMonitor m_turnMonitor{ *this };
     CustomerUsage m_usage; ///< Of engines, at all VMs of the cell.
+    std::unordered_map<ServiceId, ResponseTime> m_responseTimes; ///< Of plain services.
     std::unordered_map<ServiceId, PoolSplit> m_splits;
     LoadExchange m_loads;
     SuspectTracker m_suspects;
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -165,8 +165,11 @@
 
 Duration RelayRun::timeToComplete(double slack) const
 {
-    if (!isModelRequest())
-        return std::chrono::duration_cast<Duration>(m_route->m_latencyTarget * slack);
+    if (!isModelRequest()) {
+        const auto usual = m_node.m_responseTimes[m_serviceId].mean();
+        return usual ? std::chrono::duration_cast<Duration>(*usual * slack)
+                     : m_deadline - m_arrival;
+    }
     const EngineCosts &costs = *m_service->m_engine;
     const auto usual = static_cast<double>(costs.m_usualAnswerTokens);
     const auto limit = static_cast<double>(m_head.m_answerTokens);
