--- a/policy/admission_order.cpp
+++ b/policy/admission_order.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <numeric>
 
+#include "policy/route_table.h"
+
 namespace stackquay {
 
 namespace {
@@ -61,24 +63,23 @@
     });
 }
 
-Duration orderDelay(const AdmissionPolicy &policy, const OrderQuery &query)
+double precedence(const OrderQuery &query)
 {
-    Duration delay{};
-    const uint32_t rank = std::min(query.m_rank, LowestRank);
-    if (policy.m_ranked && rank > query.m_mostUrgentRank)
-        delay += std::chrono::duration_cast<Duration>(FloatMillis(query.m_longestLatencyTarget)
-                                                      * RankDelayShare
-                                                      * (rank - query.m_mostUrgentRank));
-    if (policy.m_sharesByCustomer && query.m_usageRatio > 1) {
-        const double targets = std::min(query.m_usageRatio - 1, MaxCustomerDelay);
-        delay += std::chrono::duration_cast<Duration>(FloatMillis(query.m_latencyTarget) * targets);
-    }
-    return delay;
+    const auto moreUrgent =
+        std::count_if(query.m_ranks.begin(), query.m_ranks.end(), [&query](uint32_t rank) {
+            return rank < std::min(query.m_rank, LowestRank);
+        });
+    // A request of an earlier configuration may have a rank that is not among them.
+    const auto ranks = std::max(static_cast<double>(query.m_ranks.size()), 1.0);
+    const double byRank = std::max(ranks - static_cast<double>(moreUrgent), 1.0) / ranks;
+    // The comparison is false for a ratio that is not a number.
+    return query.m_usageRatio > 1 ? byRank / query.m_usageRatio : byRank;
 }
 
-void applyOrderDelay(QueuedRequest &queued, Duration delay)
+void delayInOrder(QueuedRequest &queued, Duration longestWait, const OrderQuery &query)
 {
-    queued.m_orderLead -= delay;
+    const FloatMillis delay = FloatMillis(longestWait) * (1 - precedence(query));
+    queued.m_order += std::chrono::duration_cast<Duration>(std::max(delay, FloatMillis(0)));
 }
 
 } // namespace stackquay
--- a/policy/admission_order.h
+++ b/policy/admission_order.h
@@ -9,10 +9,10 @@
 #include <array>
 #include <cstdint>
 #include <unordered_map>
+#include <vector>
 
 #include "core/core.h"
 #include "policy/dispatch_queue.h"
-#include "policy/route_table.h"
 
 namespace stackquay {
 
@@ -20,13 +20,6 @@
 constexpr Seconds UsageWindow{ 10 };
 /// Bounds the memory of a VM to about half a megabyte.
 constexpr size_t MaxUsageCustomers = 4'096;
-/// The delay of a customer that uses more than its share is at most this many latency targets.
-constexpr double MaxCustomerDelay = 2;
-
-/// Delay of one rank, as a fraction of the longest latency target of the service. A refused request
-/// that returned is too late after about two targets, so that the delay of two ranks has to stay
-/// below for the least urgent of three ranks to have its turn.
-constexpr double RankDelayShare = 0.75;
 
 /// Engine time that each customer used within UsageWindow, as far as one VM knows.
 ///
@@ -59,20 +52,21 @@
     int64_t m_bucket = 0; ///< The latest bucket, counted from the epoch of the clock.
 };
 
-/// What the delay of a request depends on.
+/// What the place of a request in the order depends on, besides its time.
 struct OrderQuery {
     uint32_t m_rank = 0; ///< Of the request: the customer's, or else the route's.
-    uint32_t m_mostUrgentRank = 0; ///< See DeclaredService.
-    Duration m_longestLatencyTarget{}; ///< See DeclaredService.
-    Duration m_latencyTarget{}; ///< Of the request.
+    std::vector<uint32_t> m_ranks; ///< See DeclaredService.
     double m_usageRatio = 0; ///< See CustomerUsage::ratio().
 };
 
-/// By how much a request comes later in the order. Zero if @p policy has neither ranks nor shares
-/// of customers.
-Duration orderDelay(const AdmissionPolicy &policy, const OrderQuery &query);
+/// Part of the time that a request can wait in which it precedes requests that arrive later and
+/// have the most urgent rank and no more than their share: 1 for those themselves. With n ranks,
+/// each rank takes 1/n of the whole time; a customer that uses r times its share has 1/r of it. It
+/// is never zero, so that every request has its turn before its caller leaves.
+double precedence(const OrderQuery &query);
 
-/// Moves @p queued back in the order by @p delay. Its latest start stays as it is.
-void applyOrderDelay(QueuedRequest &queued, Duration delay);
+/// Moves @p queued, which can wait for @p longestWait, back in the order. Its latest start stays as
+/// it is.
+void delayInOrder(QueuedRequest &queued, Duration longestWait, const OrderQuery &query);
 
 } // namespace stackquay
--- a/policy/dispatch_plan.cpp
+++ b/policy/dispatch_plan.cpp
@@ -6,19 +6,14 @@
 
 namespace {
 
-bool meetsTarget(const DispatchSettings &settings, const ModelRequest &request,
-                 const QueuedRequest &queued, const GangPlan &plan, TimePoint now)
+/// Whether an attempt as planned serves the caller before it leaves.
+bool isInTime(const ModelRequest &request, const GangPlan &plan, TimePoint now)
 {
-    // With a forecast, a prompt is refused if it is not started in its turn, and waiting gains it
-    // nothing: large ones would block the queue until their latest start.
-    const double margin = request.m_forecastsTurn ? 1 : settings.m_predictionMargin;
-    // A strict stream waits only for a slot, and a retry is sent even if it will be late.
-    return request.strict() || request.m_isRetry
-           || isInTime(queued, plan.m_firstEvent * margin, now);
+    return now + plan.m_firstEvent <= request.m_leavesAt
+           && now + plan.m_completion <= request.m_deadline;
 }
 
-DispatchDecision planIfNext(const DispatchSettings &settings, const ModelRequest &request,
-                            const QueuedRequest &queued, bool next, const GangPlanner &plan,
+DispatchDecision planIfNext(const ModelRequest &request, bool next, const GangPlanner &plan,
                             TimePoint now)
 {
     if (!next)
@@ -26,101 +21,59 @@
     auto planned = plan(DisruptionPolicy::Avoid);
     if (!planned)
         return { std::nullopt, DispatchObstacle::NoEligibleEngines };
-    if (!meetsTarget(settings, request, queued, *planned, now))
+    if (!isInTime(request, *planned, now))
         return { std::nullopt, DispatchObstacle::EnginesBusy };
     return { std::move(planned) };
 }
 
-/// A plan for a request that would otherwise be late, if it disrupts few streams.
+/// A plan for a request that would otherwise be refused, if it disrupts few streams.
 std::optional<GangPlan> disruptivePlan(const DispatchSettings &settings, const EngineCosts &costs,
-                                       const ModelRequest &request, const QueuedRequest &queued,
-                                       const GangPlanner &plan, TimePoint now)
+                                       const ModelRequest &request, const GangPlanner &plan,
+                                       TimePoint now)
 {
     if (request.strict())
         return std::nullopt;
     auto planned = plan(DisruptionPolicy::Permit);
     const bool costly =
         planned && planned->m_disruptedStreams > settings.m_maxDisruptedShare * costs.m_slots;
-    if (!planned || costly || !isInTime(queued, planned->m_firstEvent, now))
+    if (!planned || costly || !isInTime(request, *planned, now))
         return std::nullopt;
     return planned;
 }
 
-/// Whether the request has to be started by disruption or refused, because waiting longer would
-/// miss its latency target.
-bool cannotWaitLonger(const ModelRequest &request, const QueuedRequest &queued, TimePoint now)
-{
-    // A retry usually misses its latency target, so only the caller's patience limits it.
-    return request.m_isRetry ? now >= queued.m_expiresAt : isTooLate(queued, now);
-}
+} // namespace
 
-/// The time until the turn of a waiting request that decides whether it is refused.
-Duration turnToRefuseBy(const ModelRequest &request, bool justArrived, const TurnOutlook &outlook)
+FloatMillis expectedFirstEvent(const DispatchSettings &settings, const EngineCosts &costs,
+                               const ModelRequest &request, const PoolSize &pool)
 {
-    if (!request.m_returnOf)
-        return justArrived ? outlook.m_turn + outlook.m_margin : outlook.m_turn;
-    // One that came back when told to is refused at once, if its turn will come too late even if it
-    // comes as much earlier as others came later; otherwise it waits as long as it can.
-    if (!justArrived)
-        return Duration::zero();
-    return outlook.m_turn - std::max(outlook.m_margin, Duration::zero());
+    if (request.strict())
+        return prefillDuration(costs, request.m_promptTokens) + startDelay(costs);
+    // One that has waited starts when the backlog of the engines is just below the limit.
+    return longPromptFirstEvent(settings, costs, request.m_promptTokens, pool.m_engines,
+                                maxBacklogPerEngine(settings, pool.m_passPrefill));
 }
 
-} // namespace
-
-FloatMillis minTimeToFirstEvent(const DispatchSettings &settings, const EngineCosts &costs,
-                                const ModelRequest &request, size_t engines)
+FloatMillis expectedCompletion(const DispatchSettings &settings, const EngineCosts &costs,
+                               const ModelRequest &request, const PoolSize &pool)
 {
-    if (request.strict())
-        return prefillDuration(costs, request.m_promptTokens) + settings.m_strictFirstEventTime;
-    return longPromptFirstEvent(settings, costs, request.m_promptTokens, engines);
+    return expectedFirstEvent(settings, costs, request, pool)
+           + decodeDuration(costs, request.m_answerTokens);
 }
 
 QueuedRequest queuedRequestOf(const DispatchSettings &settings, const EngineCosts &costs,
-                              const ModelRequest &request, size_t engines)
+                              const ModelRequest &request, const PoolSize &pool)
 {
-    const auto part = [](FloatMillis of, double share) {
-        return std::chrono::duration_cast<Duration>(of * share);
-    };
-    const FloatMillis toBegin = minTimeToFirstEvent(settings, costs, request, engines);
-    const Duration needed = part(toBegin, 1);
+    const auto whole = [](FloatMillis time) { return std::chrono::duration_cast<Duration>(time); };
     QueuedRequest queued;
-    queued.m_targetAt = request.m_arrival + request.m_latencyTarget;
-    queued.m_minTimeToFirstEvent = needed;
-    queued.m_expiresAt =
-        request.m_arrival
-        + std::min(part(request.m_patience, settings.m_patienceShare),
-                   part(request.m_deadline - request.m_arrival, settings.m_deadlineShare));
-    if (!request.strict())
-        queued.m_workMs = prefillDuration(costs, request.m_promptTokens).count();
-    const Duration reading =
-        part(toBegin - settings.m_prefillOverhead, settings.m_predictionMargin);
+    queued.m_latestStart =
+        std::min(request.m_leavesAt - whole(expectedFirstEvent(settings, costs, request, pool)),
+                 request.m_deadline - whole(expectedCompletion(settings, costs, request, pool)));
+    queued.m_order = queued.m_latestStart;
+    // It was told when its turn comes, so it does not lose it to requests that came after it.
     if (request.m_returnOf)
-        queued.m_orderLead = request.m_arrival - *request.m_returnOf;
-    if (request.strict())
-        return queued;
-    if (request.m_forecastsTurn) {
-        queued.m_orderLead += std::max(reading, Duration::zero());
-        if (!request.m_returnOf)
-            return queued;
-        // A prompt that needs more than one engine's memory, and came back, may wait as long as one
-        // that just fits, though it will be late. Otherwise the largest would be refused again.
-        const double fitting =
-            std::min(request.m_promptTokens, static_cast<double>(costs.m_memoryTokens));
-        const Duration late =
-            needed - part(longPromptFirstEvent(settings, costs, fitting, engines), 1);
-        queued.m_targetAt += late;
-        queued.m_orderLead += late;
-        return queued;
-    }
-    // Prompts of all sizes are refused after the same wait: small ones while they could still be
-    // in time, large ones when they no longer can.
-    const Duration wait = part(request.m_latencyTarget, settings.m_maxWaitShare);
-    const Duration past = std::max(wait + needed - request.m_latencyTarget, Duration::zero());
-    queued.m_targetAt += past;
-    queued.m_minTimeToFirstEvent = std::max(needed, request.m_latencyTarget - wait);
-    // The order in the queue depends on the latency target of the route and the prefill time.
-    queued.m_orderLead = past + std::max(reading, Duration::zero());
+        queued.m_order -= request.m_arrival - *request.m_returnOf;
+    queued.m_workMs = request.strict() ? streamTime(costs).count()
+                                       : prefillDuration(costs, request.m_promptTokens).count();
     return queued;
 }
 
@@ -130,7 +83,7 @@
     StrictDemand demand;
     demand.m_waiting = static_cast<uint32_t>(queue.size());
     demand.m_arrivals = ledger.recentStrictPlacements(now);
-    demand.m_streamTime = costs.m_step * static_cast<double>(costs.m_usualAnswerTokens);
+    demand.m_streamTime = streamTime(costs);
     demand.m_slots = costs.m_slots;
     return demand;
 }
@@ -143,6 +96,7 @@
     load.m_activePrefills = prefills;
     load.m_engines = strict ? strictSide.size() : pool.size() - strictSide.size();
     load.m_engines = std::max<size_t>(load.m_engines, 1);
+    load.m_poolEngines = std::max<size_t>(pool.size(), 1);
     load.m_slots = static_cast<uint32_t>(load.m_engines) * costs.m_slots;
     for (const EndpointRecord &endpoint : pool) {
         const auto use = uses.find(endpoint.m_id);
@@ -153,19 +107,18 @@
     return load;
 }
 
-uint32_t allowedStarts(const DispatchSettings &settings, const SideLoad &load, bool strict)
-{
-    return strict ? strictStreamsAllowed(settings, load) : prefillsAllowed(settings, load);
-}
-
 bool mayStartNext(const DispatchSettings &settings, const EngineCosts &costs,
                   const ModelRequest &request, DispatchQueue &queue, const LoadKey &key,
                   const SideLoad &load, TimePoint now)
 {
-    const bool strict = request.strict();
-    if (!strict && isCheapPrefill(settings, costs, load, request.m_promptTokens))
+    if (!request.strict() && isCheapPrefill(settings, costs, load, request.m_promptTokens))
+        return true;
+    dropExpired(queue, key, now);
+    if (queue.count(key) == 0)
         return true;
-    return mayStartNow(queue, key, allowedStarts(settings, load, strict), now);
+    const QueuePosition position = positionOf(queue, key, now);
+    return request.strict() ? mayStartStream(settings, load, position)
+                            : mayStartPrefill(settings, load, position);
 }
 
 GangSides splitPool(const std::vector<EndpointRecord> &pool,
@@ -180,27 +133,41 @@
 }
 
 GangQuery gangQueryOf(const DispatchSettings &settings, const EngineCosts &costs,
-                      const ModelRequest &request, DisruptionPolicy disruption, size_t engines)
+                      const ModelRequest &request, DisruptionPolicy disruption,
+                      const PoolSize &pool)
 {
     GangQuery query;
     query.m_promptTokens = request.m_promptTokens;
-    query.m_answerTokens = static_cast<double>(costs.m_usualAnswerTokens);
+    query.m_answerTokens = request.m_answerTokens;
     query.m_gapLimitMs = request.m_gapLimitMs;
-    query.m_expectedFirstEvent = minTimeToFirstEvent(settings, costs, request, engines);
+    // Beside the prefill of a pass, as engines that keep up with their prompts have it.
+    query.m_expectedFirstEvent = request.strict()
+                                     ? expectedFirstEvent(settings, costs, request, pool)
+                                     : longPromptFirstEvent(settings, costs, request.m_promptTokens,
+                                                            pool.m_engines, pool.m_passPrefill);
     query.m_disruption = disruption;
     return query;
 }
 
-TurnLoad turnLoadOf(const DispatchSettings &settings, const SideLoad &load, double aheadMs)
+TurnLoad turnLoadOf(const DispatchSettings &settings, const EngineCosts &costs,
+                    const SideLoad &load, double aheadMs, bool strict)
 {
+    const double perEngine = strict ? costs.m_slots : 1;
     TurnLoad turn;
-    turn.m_inProgressMs = load.m_activePrefills.m_prefillMs;
     turn.m_aheadMs = aheadMs;
-    turn.m_limitMsPerEngine = maxBacklogPerEngine(settings, load).count();
-    turn.m_engines = static_cast<double>(load.m_engines);
-    turn.m_expectedEngines =
-        static_cast<double>(load.m_expectedEngines > 0 ? load.m_expectedEngines : load.m_engines);
+    turn.m_servers = static_cast<double>(load.m_engines) * perEngine;
+    turn.m_expectedServers =
+        static_cast<double>(load.m_expectedEngines > 0 ? load.m_expectedEngines : load.m_engines)
+        * perEngine;
     turn.m_changeTime = PoolSplitSettings{}.m_shrinkDelay;
+    if (strict || load.m_activePrefills.m_prompts < settings.m_minConcurrentPrefills)
+        return turn;
+    // Even if all engines of the pool did nothing but prefill.
+    const FloatMillis excess =
+        FloatMillis(load.m_activePrefills.m_prefillMs)
+        - maxBacklogPerEngine(settings, load.m_passPrefill) * static_cast<double>(load.m_engines);
+    turn.m_blockedFor = std::chrono::duration_cast<Duration>(
+        std::max(excess, FloatMillis(0)) / static_cast<double>(load.m_poolEngines));
     return turn;
 }
 
@@ -221,56 +188,20 @@
     return "";
 }
 
-DispatchDecision decideDispatch(const DispatchSettings &settings, const EngineCosts &costs,
-                                const ModelRequest &request, const QueuedRequest &queued, bool next,
-                                DispatchObstacle before, const GangPlanner &plan, TimePoint now)
-{
-    DispatchDecision look = planIfNext(settings, request, queued, next, plan, now);
-    if (look.m_plan || !cannotWaitLonger(request, queued, now))
-        return look;
-    look.m_plan = disruptivePlan(settings, costs, request, queued, plan, now);
-    look.m_tooLate = !look.m_plan;
-    if (look.m_tooLate && before != DispatchObstacle::None)
-        look.m_obstacle = before;
-    return look;
-}
-
-DispatchDecision decideByForecast(const DispatchSettings &settings, const EngineCosts &costs,
-                                  const ModelRequest &request, const QueuedRequest &queued,
-                                  bool next, bool justArrived, const TurnOutlook &outlook,
-                                  const GangPlanner &plan, TimePoint now)
-{
-    // Its turn has come if all work before it is within the limit, also while those that precede it
-    // find no engines. Otherwise a prompt that needs several engines' memory blocks the queue.
-    const bool mayStart = next || (!request.strict() && outlook.m_turn <= Duration::zero());
-    DispatchDecision look = planIfNext(settings, request, queued, mayStart, plan, now);
-    if (look.m_plan)
-        return look;
-    // An attempt that failed is repeated late rather than refused.
-    if (request.m_isRetry) {
-        look.m_tooLate = now >= queued.m_expiresAt;
-        return look;
-    }
-    const TimePoint latestStart = queued.m_targetAt - queued.m_minTimeToFirstEvent;
-    if (now <= latestStart && now + turnToRefuseBy(request, justArrived, outlook) <= latestStart)
-        return look;
-    if (now > latestStart)
-        look.m_plan = disruptivePlan(settings, costs, request, queued, plan, now);
-    look.m_tooLate = !look.m_plan;
-    if (look.m_tooLate)
-        look.m_obstacle = DispatchObstacle::TurnTooLate;
-    return look;
-}
-
 DispatchDecision decideStart(const DispatchSettings &settings, const EngineCosts &costs,
-                             const ModelRequest &request, const QueuedRequest &queued,
-                             const PollState &state, const GangPlanner &plan, TimePoint now)
-{
-    if (request.m_forecastsTurn)
-        return decideByForecast(settings, costs, request, queued, state.m_next, state.m_justArrived,
-                                state.m_outlook, plan, now);
-    return decideDispatch(settings, costs, request, queued, state.m_next, state.m_before, plan,
-                          now);
+                             const ModelRequest &request, const QueuedRequest &queued, bool next,
+                             Duration turn, const GangPlanner &plan, TimePoint now)
+{
+    DispatchDecision decision = planIfNext(request, next, plan, now);
+    const TimePoint startsAt = next ? now : now + turn;
+    if (decision.m_plan || startsAt <= queued.m_latestStart)
+        return decision;
+    if (next)
+        decision.m_plan = disruptivePlan(settings, costs, request, plan, now);
+    decision.m_tooLate = !decision.m_plan;
+    if (decision.m_tooLate && decision.m_obstacle == DispatchObstacle::BehindOthers)
+        decision.m_obstacle = DispatchObstacle::TurnTooLate;
+    return decision;
 }
 
 } // namespace stackquay
--- a/policy/dispatch_queue.cpp
+++ b/policy/dispatch_queue.cpp
@@ -8,12 +8,9 @@
 
 namespace {
 
-/// Sort key: requests that can still meet their latency target by their latest start, then the
-/// rest.
-auto rankOf(const LoadKey &key, const QueuedRequest &queued, TimePoint now)
+auto rankOf(const LoadKey &key, const QueuedRequest &queued)
 {
-    const TimePoint order = queued.m_targetAt - queued.m_orderLead;
-    return std::make_tuple(isTooLate(queued, now), order, key.m_origin, key.m_sequence);
+    return std::make_tuple(queued.m_order, key.m_origin, key.m_sequence);
 }
 
 FloatMillis backlogPerEngine(const SideLoad &load)
@@ -23,89 +20,67 @@
 
 } // namespace
 
-uint32_t requestsAhead(const DispatchQueue &queue, const LoadKey &key, TimePoint now)
-{
-    const auto mine = queue.find(key);
-    if (mine == queue.end())
-        return 0;
-    const auto rank = rankOf(key, mine->second, now);
-    uint32_t ahead = 0;
-    for (const auto &[other, queued] : queue) {
-        if (!(other == key) && rankOf(other, queued, now) < rank)
-            ++ahead;
-    }
-    return ahead;
-}
-
-double workAhead(const DispatchQueue &queue, const LoadKey &key, TimePoint now)
+QueuePosition positionOf(const DispatchQueue &queue, const LoadKey &key, TimePoint now)
 {
     const auto mine = queue.find(key);
     const bool isWaiting = mine != queue.end();
-    const auto rank = rankOf(key, isWaiting ? mine->second : QueuedRequest{}, now);
-    double ahead = 0;
+    const auto rank = rankOf(key, isWaiting ? mine->second : QueuedRequest{});
+    QueuePosition position;
     for (const auto &[other, queued] : queue) {
-        if (other == key || queued.m_expiresAt <= now)
+        if (other == key || queued.m_latestStart <= now)
             continue;
-        if (!isWaiting || rankOf(other, queued, now) < rank)
-            ahead += queued.m_workMs;
+        if (isWaiting && rankOf(other, queued) > rank)
+            continue;
+        ++position.m_requestsAhead;
+        position.m_workAheadMs += queued.m_workMs;
     }
-    return ahead;
+    return position;
 }
 
-bool mayStartNow(DispatchQueue &queue, const LoadKey &key, uint32_t room, TimePoint now)
+void dropExpired(DispatchQueue &queue, const LoadKey &key, TimePoint now)
 {
     std::erase_if(queue, [&](const auto &entry) {
-        return entry.second.m_expiresAt <= now && !(entry.first == key);
+        return entry.second.m_latestStart <= now && !(entry.first == key);
     });
-    return queue.count(key) == 0 || requestsAhead(queue, key, now) < room;
-}
-
-bool isInTime(const QueuedRequest &queued, FloatMillis firstEvent, TimePoint now)
-{
-    return now + firstEvent <= queued.m_targetAt;
-}
-
-bool isTooLate(const QueuedRequest &queued, TimePoint now)
-{
-    return now + queued.m_minTimeToFirstEvent > queued.m_targetAt;
 }
 
 FloatMillis longPromptFirstEvent(const DispatchSettings &settings, const EngineCosts &costs,
-                                 double tokens, size_t engines)
+                                 double tokens, size_t engines, FloatMillis backlog)
 {
     const size_t readers = std::clamp<size_t>(engines, 1, settings.m_maxPrefillEngines);
-    return prefillDuration(costs, tokens) / static_cast<double>(readers)
-           + settings.m_prefillOverhead;
-}
-
-FloatMillis maxBacklogPerEngine(const DispatchSettings &settings, const SideLoad &load)
-{
-    return load.m_longestLatencyTarget * settings.m_maxBacklogShare;
+    return prefillDuration(costs, tokens) / static_cast<double>(readers) + backlog
+           + startDelay(costs);
 }
 
-FloatMillis cheapPrefillLimit(const DispatchSettings &settings, const SideLoad &load)
+FloatMillis maxBacklogPerEngine(const DispatchSettings &settings, FloatMillis passPrefill)
 {
-    return maxBacklogPerEngine(settings, load) * settings.m_cheapPrefillBacklogs;
+    return passPrefill * settings.m_backlogPasses;
 }
 
 bool isCheapPrefill(const DispatchSettings &settings, const EngineCosts &costs,
                     const SideLoad &load, double tokens)
 {
-    const FloatMillis limit = cheapPrefillLimit(settings, load);
+    const FloatMillis limit =
+        maxBacklogPerEngine(settings, load.m_passPrefill) * settings.m_cheapPrefillBacklogs;
     return prefillDuration(costs, tokens) < limit && backlogPerEngine(load) < limit;
 }
 
-uint32_t prefillsAllowed(const DispatchSettings &settings, const SideLoad &load)
+bool mayStartPrefill(const DispatchSettings &settings, const SideLoad &load,
+                     const QueuePosition &position)
 {
-    if (load.m_activePrefills.m_prompts < settings.m_minConcurrentPrefills)
-        return settings.m_minConcurrentPrefills - load.m_activePrefills.m_prompts;
-    return backlogPerEngine(load) < maxBacklogPerEngine(settings, load) ? 1 : 0;
+    const ActivePrefills &active = load.m_activePrefills;
+    if (active.m_prompts + position.m_requestsAhead < settings.m_minConcurrentPrefills)
+        return true;
+    const FloatMillis backlog(active.m_prefillMs + position.m_workAheadMs);
+    return backlog / static_cast<double>(load.m_engines)
+           < maxBacklogPerEngine(settings, load.m_passPrefill);
 }
 
-uint32_t strictStreamsAllowed(const DispatchSettings &settings, const SideLoad &load)
+bool mayStartStream(const DispatchSettings &settings, const SideLoad &load,
+                    const QueuePosition &position)
 {
     const double limit = std::ceil(settings.m_maxStrictSlotShare * load.m_slots);
-    return static_cast<uint32_t>(std::max(limit - load.m_strictStreams, 0.0));
+    return load.m_strictStreams + position.m_requestsAhead < limit;
 }
 
 } // namespace stackquay
--- a/policy/engine_candidate.cpp
+++ b/policy/engine_candidate.cpp
@@ -46,6 +46,13 @@
     return candidate;
 }
 
+/// Time of a pass of @p engine with one more stream.
+FloatMillis passWith(const EngineCosts &costs, const EngineCandidate &engine)
+{
+    return passTime(costs, engine.m_use.m_decodingStreams + 1,
+                    static_cast<double>(engine.m_use.m_tokens));
+}
+
 } // namespace
 
 double usableTokens(const CandidateSettings &settings, const EngineCosts &costs)
@@ -62,6 +69,13 @@
     return settings.m_maxGapUse * use.m_minGapLimitMs - pass.count() - use.m_prefillBacklogMs;
 }
 
+FloatMillis maxPassPrefill(const CandidateSettings &settings, const EngineCosts &costs,
+                           Millis gapLimit)
+{
+    const FloatMillis pass = fullPassTime(costs);
+    return std::max(FloatMillis(gapLimit) * settings.m_maxGapUse - pass, pass);
+}
+
 std::vector<EngineCandidate> engineCandidates(const CandidateSettings &settings,
                                               const EngineCosts &costs,
                                               const std::vector<EndpointRecord> &endpoints,
@@ -85,10 +99,13 @@
     FloatMillis backlog{ 0 };
     for (size_t i = 0; i < width; ++i)
         backlog = std::max(backlog, FloatMillis(engines[i].m_use.m_prefillBacklogMs));
-    const EndpointUse &use = engines.front().m_use;
-    const FloatMillis pass =
-        passTime(costs, use.m_decodingStreams + 1, static_cast<double>(use.m_tokens));
-    return backlog + pass * PassesToFirstEvent + part;
+    return backlog + passWith(costs, engines.front()) * PassesToFirstEvent + part;
+}
+
+FloatMillis predictDecoding(const EngineCosts &costs, const EngineCandidate &engine,
+                            double answerTokens)
+{
+    return passWith(costs, engine) * (answerTokens / costs.m_stride);
 }
 
 } // namespace stackquay
--- a/policy/engine_candidate.h
+++ b/policy/engine_candidate.h
@@ -47,6 +47,11 @@
 double prefillHeadroomMs(const CandidateSettings &settings, const EngineCosts &costs,
                          const EndpointUse &use);
 
+/// Longest prefill that an engine whose slots and memory are all taken does in one pass within
+/// @p gapLimit, the longest of the gap limits of the streams; at least as long as it decodes.
+FloatMillis maxPassPrefill(const CandidateSettings &settings, const EngineCosts &costs,
+                           Millis gapLimit);
+
 /// One candidate for each of @p endpoints, in the same order. The candidates point into
 /// @p endpoints.
 std::vector<EngineCandidate> engineCandidates(const CandidateSettings &settings,
@@ -63,4 +68,8 @@
 FloatMillis predictFirstEvent(const EngineCosts &costs, const std::vector<EngineCandidate> &engines,
                               size_t width, FloatMillis part);
 
+/// Predicted time to decode @p answerTokens on @p engine beside the streams that it has.
+FloatMillis predictDecoding(const EngineCosts &costs, const EngineCandidate &engine,
+                            double answerTokens);
+
 } // namespace stackquay
--- a/policy/engine_costs.cpp
+++ b/policy/engine_costs.cpp
@@ -24,13 +24,20 @@
     return passTime(costs, costs.m_slots, context) * (answerTokens / costs.m_stride);
 }
 
-bool isMemoryBound(const EngineCosts &costs)
+FloatMillis fullPassTime(const EngineCosts &costs)
 {
-    if (costs.m_usualPromptTokens == 0)
-        return false;
-    const uint64_t usual = costs.m_usualPromptTokens + costs.m_usualAnswerTokens;
-    return static_cast<double>((costs.m_slots + 1) * usual)
-           > static_cast<double>(costs.m_memoryTokens) * MemoryBoundExcess;
+    return passTime(costs, costs.m_slots, static_cast<double>(costs.m_memoryTokens));
+}
+
+FloatMillis streamTime(const EngineCosts &costs)
+{
+    return costs.m_step * static_cast<double>(costs.m_usualAnswerTokens);
+}
+
+FloatMillis startDelay(const EngineCosts &costs)
+{
+    constexpr double Passes = 1.5; // Half of the pass in progress, on average.
+    return fullPassTime(costs) * Passes;
 }
 
 } // namespace stackquay
--- a/policy/engine_costs.h
+++ b/policy/engine_costs.h
@@ -24,7 +24,6 @@
     double m_prefillTokensPerSecond = 1; ///< Prefill rate, without attention.
     FloatMillis m_perMillionPairs{ 0 }; ///< Attention: pairs of a token and an earlier one.
     FloatMillis m_hop{ 0 }; ///< Added to a step for each request that several engines prefilled.
-    uint64_t m_usualPromptTokens = 0; ///< Mean length of a prompt; 0: not declared.
     uint64_t m_usualAnswerTokens = 0; ///< Mean length of an answer; 0: not declared.
 };
 
@@ -39,11 +38,14 @@
 /// full.
 FloatMillis decodeDuration(const EngineCosts &costs, double answerTokens);
 
-/// Requests must exceed the memory by this factor to count as too large for it, so that a slightly
-/// different declared size does not change how a pool at the limit is served.
-constexpr double MemoryBoundExcess = 1.02;
-/// Whether an engine whose slots are all taken by requests of the usual size has clearly no memory
-/// for one more. Memory, not slots, then limits how many requests run.
-bool isMemoryBound(const EngineCosts &costs);
+/// Time of one pass without prefills on an engine whose slots and memory are all taken.
+FloatMillis fullPassTime(const EngineCosts &costs);
+
+/// Time to decode a usual answer if no other request slows it down.
+FloatMillis streamTime(const EngineCosts &costs);
+
+/// Expected time from the end of a prefill on a full engine to the first event: the prefill ends
+/// within a pass, and the event comes at the end of the next one.
+FloatMillis startDelay(const EngineCosts &costs);
 
 } // namespace stackquay
--- a/policy/gang_plan.cpp
+++ b/policy/gang_plan.cpp
@@ -60,13 +60,16 @@
     return rest <= 0;
 }
 
-GangPlan planOf(const PrefillGroup &group, const LongPrompt &prompt)
+GangPlan planOf(const EngineCosts &costs, const PrefillGroup &group, const LongPrompt &prompt,
+                const GangQuery &query)
 {
     GangPlan plan;
     for (const EngineCandidate &engine : group.m_engines)
         plan.m_members.push_back({ *engine.m_endpoint, group.m_partTime.count(), 0, false });
     plan.m_members[0].m_tokens = static_cast<uint64_t>(prompt.m_tokens);
     plan.m_firstEvent = group.m_firstEvent;
+    plan.m_completion =
+        group.m_firstEvent + predictDecoding(costs, group.m_engines.front(), query.m_answerTokens);
     plan.m_disruptedStreams = group.m_disruptedStreams;
     return plan;
 }
@@ -78,18 +81,20 @@
              tokens > usableTokens(settings.m_candidates, costs) };
 }
 
-std::optional<GangPlan> planStrict(const GangSettings &settings, const EngineCosts &costs,
-                                   const GangSides &sides, const EndpointUses &uses,
-                                   const GangQuery &query)
+/// The engines of @p endpoints that prefill the prompt of a strict stream; no value if there is
+/// none.
+std::optional<PrefillGroup> strictPrefillGroup(const GangSettings &settings,
+                                               const EngineCosts &costs,
+                                               const std::vector<EndpointRecord> &endpoints,
+                                               const EndpointUses &uses, const GangQuery &query,
+                                               const LongPrompt &prompt)
 {
     PrefillGroup group;
     std::vector<EngineCandidate> &engines = group.m_engines;
-    engines = engineCandidates(settings.m_candidates, costs,
-                               sides.m_own.empty() ? sides.m_other : sides.m_own, uses,
-                               query.m_candidateQuery);
+    engines =
+        engineCandidates(settings.m_candidates, costs, endpoints, uses, query.m_candidateQuery);
     if (engines.empty())
         return std::nullopt;
-    const LongPrompt prompt = promptOf(settings, costs, query);
     std::swap(engines[0], engines[chooseAnswerer(engines, prompt.m_tokens)]);
     std::stable_sort(engines.begin() + 1, engines.end(), hasLowerPrefillCost);
     const size_t width = maxPrefillEngines(settings.m_prefillGroup, engines.size(),
@@ -97,7 +102,28 @@
     engines.resize(width);
     group.m_partTime = prompt.m_prefill / static_cast<double>(width);
     group.m_firstEvent = predictFirstEvent(costs, engines, width, group.m_partTime);
-    return planOf(group, prompt);
+    return group;
+}
+
+/// Tries the strict streams' own side first; then the other engines, if that takes too long and
+/// they are faster. Their streams' gap limits keep further long parts away from there.
+std::optional<GangPlan> planStrict(const GangSettings &settings, const EngineCosts &costs,
+                                   const GangSides &sides, const EndpointUses &uses,
+                                   const GangQuery &query)
+{
+    const LongPrompt prompt = promptOf(settings, costs, query);
+    const auto groupOf = [&](const std::vector<EndpointRecord> &endpoints) {
+        return strictPrefillGroup(settings, costs, endpoints, uses, query, prompt);
+    };
+    auto group = groupOf(sides.m_own);
+    if (!group || group->m_firstEvent > query.m_expectedFirstEvent) {
+        auto other = groupOf(sides.m_other);
+        if (other && (!group || other->m_firstEvent < group->m_firstEvent))
+            group = std::move(other);
+    }
+    if (!group)
+        return std::nullopt;
+    return planOf(costs, *group, prompt, query);
 }
 
 /// Tries the long prompts' own side first, with one engine of the other side to answer if the
@@ -148,7 +174,7 @@
     const auto group = longPrefillGroup(settings, costs, sides, uses, query, prompt);
     if (!group)
         return std::nullopt;
-    GangPlan plan = planOf(*group, prompt);
+    GangPlan plan = planOf(costs, *group, prompt, query);
     if (!prompt.m_needsSeveralEngines)
         return plan;
     const double answer = query.m_answerTokens;
--- a/policy/gang_plan.h
+++ b/policy/gang_plan.h
@@ -30,9 +30,9 @@
     double m_promptTokens = 0;
     double m_answerTokens = 0; ///< Expected.
     uint32_t m_gapLimitMs = 0; ///< Longest tolerated gap between events; 0: no limit.
-    /// Time from sending to the first event that a prompt of its length is expected to take.
-    /// Engines of strict streams help with a long prompt, as far as their streams tolerate it, if
-    /// its own side would take longer.
+    /// Time from sending to the first event that a prompt of its length is expected to take. If its
+    /// own side would take longer, the other engines are used, too; for a long prompt as far as
+    /// their streams tolerate it.
     FloatMillis m_expectedFirstEvent{ 0 };
     DisruptionPolicy m_disruption = DisruptionPolicy::Avoid; ///< For long prompts only.
     CandidateQuery m_candidateQuery;
@@ -54,6 +54,7 @@
 struct GangPlan {
     std::vector<GangMember> m_members; ///< At least one; the first one decodes the answer.
     FloatMillis m_firstEvent{ 0 }; ///< Predicted time from sending to the first event.
+    FloatMillis m_completion{ 0 }; ///< Predicted time from sending to the end of the answer.
     /// Streams that the prefill is predicted to disrupt, so that they exceed their gap limits.
     uint32_t m_disruptedStreams = 0;
 };
--- a/policy/route_table.cpp
+++ b/policy/route_table.cpp
@@ -8,14 +8,14 @@
 
 namespace {
 
-void setLongestAims(RouteTable &table)
+void setLongestGapLimits(RouteTable &table)
 {
     for (const Route &route : table.m_routes) {
         for (const WeightedService &weighted : route.m_services) {
             const auto service = table.m_services.find(weighted.m_service);
             if (service != table.m_services.end())
-                service->second.m_longestLatencyTarget =
-                    std::max(service->second.m_longestLatencyTarget, route.m_latencyTarget);
+                service->second.m_longestGapLimit =
+                    std::max(service->second.m_longestGapLimit, route.m_gapLimit);
         }
     }
 }
@@ -60,33 +60,12 @@
     return ranks;
 }
 
-/// Whether the routes to @p service have different ranks.
-bool hasRankedRoutes(const RouteTable &table, const ServiceId &service)
-{
-    std::set<uint32_t> ranks;
-    for (const Route &route : table.m_routes) {
-        for (const WeightedService &weighted : route.m_services) {
-            if (weighted.m_service == service)
-                ranks.insert(std::min(route.m_priority, LowestRank));
-        }
-    }
-    return ranks.size() > 1;
-}
-
-void setAdmission(RouteTable &table)
+void setRanks(RouteTable &table)
 {
     const CustomerRanks customers = customerRanks(table);
     for (auto &[id, service] : table.m_services) {
-        service.m_admission = {};
         const std::set<uint32_t> ranks = effectiveRanks(table, customers, id);
-        service.m_mostUrgentRank = ranks.empty() ? 0 : *ranks.begin();
-        if (!service.m_engine)
-            continue;
-        AdmissionPolicy &admission = service.m_admission;
-        // Ranks of customers alone change nothing: they are common, and engines honour them.
-        admission.m_forecastsTurns = hasRankedRoutes(table, id) || isMemoryBound(*service.m_engine);
-        admission.m_ranked = admission.m_forecastsTurns && ranks.size() > 1;
-        admission.m_sharesByCustomer = admission.m_forecastsTurns && table.m_hasCustomers;
+        service.m_ranks.assign(ranks.begin(), ranks.end());
     }
 }
 
@@ -94,8 +73,8 @@
 
 void indexRoutes(RouteTable &table)
 {
-    setLongestAims(table);
-    setAdmission(table);
+    setLongestGapLimits(table);
+    setRanks(table);
     table.m_byHost.clear();
     for (uint32_t i = 0; i < table.m_routes.size(); ++i)
         table.m_byHost[table.m_routes[i].m_host].push_back(i);
--- a/policy/route_table.h
+++ b/policy/route_table.h
@@ -38,7 +38,8 @@
     RouteKind m_kind = RouteKind::Safe;
     std::vector<WeightedService> m_services; ///< At least one.
     Millis m_timeout{ 10'000 }; ///< Max time until the final answer.
-    /// Latency target: a first answer or event within this time earns full credit.
+    /// The operator's target for the first answer or event. For metrics and logs only: no decision
+    /// depends on it.
     Millis m_latencyTarget{ 1'000 };
     Millis m_gapLimit{ 0 }; ///< Longest tolerated gap between events; zero: none declared.
     Millis m_clientPatience{ 2'000 }; ///< Clients leave a stream after this long without an event.
@@ -54,15 +55,6 @@
     }
 };
 
-/// How waiting requests of a service are admitted, as the configuration calls for it. With none of
-/// these, they wait for a fraction of their latency target, ordered by their latest start.
-struct AdmissionPolicy {
-    /// Waits are bounded by the forecast of the turn, and refused callers are told when to return.
-    bool m_forecastsTurns = false;
-    bool m_ranked = false; ///< More urgent requests start first.
-    bool m_sharesByCustomer = false; ///< Customers share the engines' time.
-};
-
 struct DeclaredService {
     ServiceId m_id;
     /// Max connections to one endpoint from all VMs together; zero: not declared.
@@ -70,11 +62,10 @@
     /// Requests per second that a cold endpoint tolerates; zero: any number.
     double m_coldRequestsPerSecond = 0;
     std::optional<EngineCosts> m_engine; ///< No value: a plain service.
-    /// The longest latency target of the routes to this service; set by indexRoutes().
-    Millis m_longestLatencyTarget{ 0 };
-    AdmissionPolicy m_admission; ///< Set by indexRoutes().
-    /// The lowest number among the ranks of its requests, at most LowestRank; set by indexRoutes().
-    uint32_t m_mostUrgentRank = 0;
+    /// The longest gap limit of the routes to this service; set by indexRoutes().
+    Millis m_longestGapLimit{ 0 };
+    /// The different ranks of its requests, most urgent first; set by indexRoutes().
+    std::vector<uint32_t> m_ranks;
 };
 
 /// Limits on the requests and connections of clients.
@@ -104,8 +95,8 @@
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
 
-/// Sets m_byHost, and the latency targets, ranks and admission of the
-/// services. To be called once after m_routes and m_services are filled.
+/// Sets m_byHost, and the gap limits and ranks of the services. To be called once after m_routes
+/// and m_services are filled.
 void indexRoutes(RouteTable &table);
 
 /// The route of @p host with the longest prefix that matches @p path; null if there is none. A port
--- a/policy/turn_forecast.cpp
+++ b/policy/turn_forecast.cpp
@@ -9,15 +9,15 @@
 
 /// Weight of the initial share, as time in which requests waited.
 constexpr Millis InitialWeight{ 500 };
-/// Change of the margin by one observation. It follows a change of load within tens of requests.
-constexpr Millis MarginStep{ 40 };
-constexpr Millis MaxMargin{ 2'000 };
+/// Change of the factor's logarithm by one observation. It follows a change of load within tens of
+/// requests.
+constexpr double FactorStep = 0.1;
 constexpr Millis ForecastStep{ 50 };
 constexpr std::chrono::hours LongestForecast{ 1 };
 
 } // namespace
 
-void CompletionRate::advance(TimePoint now)
+void StartRate::advance(TimePoint now)
 {
     if (m_advancedTo == TimePoint{})
         m_advancedTo = now;
@@ -25,59 +25,50 @@
         return;
     const FloatMillis passed = now - m_advancedTo;
     m_advancedTo = now;
-    if (!m_saturated)
+    if (!m_waiting)
         return;
     const double kept = std::exp(-(passed / FloatMillis(RateMemory)));
-    m_completed *= kept;
-    m_possible = m_possible * kept + m_engines * passed.count();
+    m_started *= kept;
+    m_possible = m_possible * kept + m_servers * passed.count();
 }
 
-void CompletionRate::recordCompleted(double work, TimePoint now)
+void StartRate::recordStart(double workMs, TimePoint now)
 {
     advance(now);
-    if (m_saturated)
-        m_completed += work;
+    m_started += workMs;
 }
 
-void CompletionRate::recordLoad(const TurnLoad &load, TimePoint now)
+void StartRate::recordLoad(double servers, bool waiting, TimePoint now)
 {
     advance(now);
-    m_saturated =
-        load.m_aheadMs > 0 || load.m_inProgressMs >= load.m_limitMsPerEngine * load.m_engines;
-    m_engines = load.m_engines;
+    m_waiting = waiting;
+    m_servers = servers;
 }
 
-double CompletionRate::share() const
+double StartRate::share() const
 {
-    const double prior = m_engines * FloatMillis(InitialWeight).count();
+    const double prior = m_servers * FloatMillis(InitialWeight).count();
     if (m_possible + prior <= 0)
         return InitialRateShare;
-    return std::clamp((m_completed + InitialRateShare * prior) / (m_possible + prior), MinRateShare,
-                      1.0);
+    return std::max((m_started + InitialRateShare * prior) / (m_possible + prior), MinRateShare);
 }
 
 Duration predictTurn(const TurnLoad &load, double rateShare)
 {
     const FloatMillis changeTime = load.m_changeTime;
-    const auto enginesAt = [&](FloatMillis at) {
+    const auto serversAt = [&](FloatMillis at) {
         const double part = changeTime.count() > 0 ? std::min(at / changeTime, 1.0) : 1.0;
-        return load.m_engines + (load.m_expectedEngines - load.m_engines) * part;
-    };
-    const auto isTurn = [&](FloatMillis at, double completed) {
-        return load.m_inProgressMs + load.m_aheadMs - completed
-               <= load.m_limitMsPerEngine * enginesAt(at);
+        return load.m_servers + (load.m_expectedServers - load.m_servers) * part;
     };
     FloatMillis at{ 0 };
-    double completed = 0;
-    for (; at < changeTime && !isTurn(at, completed); at += ForecastStep)
-        completed += enginesAt(at) * rateShare * FloatMillis(ForecastStep).count();
-    if (isTurn(at, completed))
-        return std::chrono::duration_cast<Duration>(at);
-    const double engines = std::max(load.m_expectedEngines, 1.0);
-    const double left = load.m_inProgressMs + load.m_aheadMs - completed
-                        - load.m_limitMsPerEngine * load.m_expectedEngines;
-    const FloatMillis rest(left / (engines * rateShare));
-    return std::chrono::duration_cast<Duration>(std::min<FloatMillis>(at + rest, LongestForecast));
+    double left = load.m_aheadMs;
+    for (; at < changeTime && left > 0; at += ForecastStep)
+        left -= serversAt(at) * rateShare * FloatMillis(ForecastStep).count();
+    if (left <= 0)
+        return std::max(std::chrono::duration_cast<Duration>(at), load.m_blockedFor);
+    const FloatMillis rest(left / (std::max(load.m_expectedServers, 1.0) * rateShare));
+    const FloatMillis turn = std::max<FloatMillis>(at + rest, load.m_blockedFor);
+    return std::chrono::duration_cast<Duration>(std::min<FloatMillis>(turn, LongestForecast));
 }
 
 Duration forecastTurn(const TurnLoad &load, const ReturnSchedule &places, double rateShare,
@@ -96,10 +87,14 @@
 
 void TurnError::record(Duration predicted, Duration actual)
 {
-    const bool late = actual > predicted + m_margin;
-    const double step = late ? MarginQuantile : MarginQuantile - 1;
-    m_margin += std::chrono::duration_cast<Duration>(FloatMillis(MarginStep) * step);
-    m_margin = std::clamp<Duration>(m_margin, -MaxMargin, MaxMargin);
+    const bool late = actual > latest(predicted);
+    m_factor *= std::exp(FactorStep * (late ? LatestQuantile : LatestQuantile - 1));
+}
+
+Duration TurnError::latest(Duration turn) const
+{
+    const FloatMillis scaled = FloatMillis(turn + ForecastStep) * m_factor - ForecastStep;
+    return std::chrono::duration_cast<Duration>(std::max(scaled, FloatMillis(0)));
 }
 
 } // namespace stackquay
--- a/relay/load_exchange.h
+++ b/relay/load_exchange.h
@@ -44,22 +44,21 @@
     /// endpoint.
     std::vector<LoadPart> m_parts{};
     DataCentreId m_dataCentre{}; ///< Ejected: data centre of the sender.
-    uint32_t m_gapLimitMs = 0; ///< Placed and Waiting.
-    /// Placed, Waiting and ReturnPlace: time until expiry; ReturnPlace: zero if the place is taken.
+    uint32_t m_gapLimitMs = 0; ///< Placed, Waiting and ReturnPlace.
+    /// Placed, Waiting and ReturnPlace: time until expiry; Waiting: until the latest start.
+    /// ReturnPlace: zero if the place is taken.
     uint32_t m_expiresMs = 0;
     /// Placed, if sent again later: time since the placement. ReturnPlace: since the first arrival.
     uint32_t m_ageMs = 0;
     bool m_writing = false; ///< Placed, if sent again later: the first event has arrived.
-    /// Waiting: time until the target for the first event. ReturnPlace: until it is due.
-    uint32_t m_aimMs = 0;
-    uint32_t m_neededMs = 0; ///< Waiting: see QueuedRequest.
+    uint32_t m_dueMs = 0; ///< ReturnPlace: time until it is due.
     /// Placed, if the request is a suspect, Cleared and ReturnPlace: fingerprint of the request.
     std::vector<Fingerprint> m_fingerprints{};
     /// Suspected: the reports. Cleared: the process exits that are cleared.
     std::vector<SuspectReport> m_suspects{};
     /// Suspected, Cleared, PartsSuspected and PartsCleared: cell of the sender.
     uint32_t m_cell = 0;
-    int32_t m_leadMs = 0; ///< Waiting: see QueuedRequest.
+    int32_t m_orderMs = 0; ///< Waiting: time until QueuedRequest::m_order, may be negative.
     Address m_replyTo{}; ///< RetryRequest: load message address of the sender.
     /// RetryDeposit: requests by service. RetryRequest: the service. RetryPoolState: the retries
     /// that remain, for the services of the deposit.
@@ -74,7 +73,6 @@
     std::vector<PartReport> m_partReports{}; ///< PartsSuspected and PartsCleared.
     uint32_t m_workMs = 0; ///< Waiting and ReturnPlace: see QueuedRequest.
     uint32_t m_turnMs = 0; ///< Waiting: time after which the request is expected to start.
-    bool m_returned = false; ///< Waiting: the request came back to its place.
     /// Placed: see partCustomerHash(); zero: not counted, or sent again.
     uint64_t m_customer = 0;
     /// Batch: the receiver forwards it to these VMs, 6 bytes each, address and port. The key is the
@@ -83,9 +81,9 @@
     uint32_t m_repeats = 0; ///< Batch: the first events that follow were in the batch before it.
 
     MSGPACK_DEFINE(m_change, m_key, m_parts, m_dataCentre, m_gapLimitMs, m_expiresMs, m_ageMs,
-                   m_writing, m_aimMs, m_neededMs, m_fingerprints, m_suspects, m_cell, m_leadMs,
-                   m_replyTo, m_services, m_slackMillis, m_processMs, m_limitMillis, m_partReports,
-                   m_workMs, m_turnMs, m_returned, m_customer, m_receivers, m_repeats)
+                   m_writing, m_dueMs, m_fingerprints, m_suspects, m_cell, m_orderMs, m_replyTo,
+                   m_services, m_slackMillis, m_processMs, m_limitMillis, m_partReports, m_workMs,
+                   m_turnMs, m_customer, m_receivers, m_repeats)
 };
 
 /// A duration as it is sent in messages; zero if it is negative.
--- a/relay/relay_node.cpp
+++ b/relay/relay_node.cpp
@@ -27,11 +27,9 @@
 {
     LoadMessage message{ LoadEvent::Waiting, key };
     message.m_gapLimitMs = gapLimitMs;
-    message.m_expiresMs = messageMillis(queued.m_expiresAt - now);
-    message.m_aimMs = messageMillis(queued.m_targetAt - now);
-    message.m_neededMs = messageMillis(queued.m_minTimeToFirstEvent);
-    message.m_leadMs =
-        static_cast<int32_t>(std::chrono::duration_cast<Millis>(queued.m_orderLead).count());
+    message.m_expiresMs = messageMillis(queued.m_latestStart - now);
+    message.m_orderMs =
+        static_cast<int32_t>(std::chrono::duration_cast<Millis>(queued.m_order - now).count());
     message.m_workMs = static_cast<uint32_t>(queued.m_workMs);
     return message;
 }
@@ -173,12 +171,11 @@
 }
 
 void RelayNode::announceWaiting(const LoadKey &key, uint32_t gapLimitMs,
-                                const QueuedRequest &queued, Duration turn, bool returned)
+                                const QueuedRequest &queued, Duration turn)
 {
     const TimePoint now = Clock::now();
     LoadMessage message = waitingMessage(key, gapLimitMs, queued, now);
     message.m_turnMs = messageMillis(turn);
-    message.m_returned = returned;
     m_loads.announce(message);
     m_turnMonitor.noteWaiting(message, now);
     queueOf(gapLimitMs)[key] = queued;
@@ -196,14 +193,13 @@
     message.m_customer = customer;
     m_loads.announce(message);
     recordUsage(message, now);
-    m_turnMonitor.notePlaced(key, load, now);
     removeFromQueues(key);
+    m_turnMonitor.notePlaced(key, now);
     m_ledger.place(key, std::move(load));
 }
 
 void RelayNode::recordFirstEvent(const LoadKey &key)
 {
-    m_turnMonitor.noteFirstEvent(key, Clock::now());
     m_ledger.recordFirstEvent(key);
     m_loads.announce(LoadMessage{ LoadEvent::FirstEvent, key });
 }
@@ -231,26 +227,25 @@
     return strictEngines(m_splits[service], pool, uses, demand, now);
 }
 
-size_t RelayNode::expectedLongEngines(const DeclaredService &service,
-                                      const std::vector<EndpointRecord> &pool)
+SideLoad RelayNode::sideLoad(const DeclaredService &service,
+                             const std::vector<EndpointRecord> &pool,
+                             const std::unordered_set<EndpointId> &strictSide,
+                             const EndpointUses &uses, bool strict)
 {
-    const StrictDemand demand =
-        strictDemandOf(*service.m_engine, m_strictQueue, m_ledger, Clock::now());
-    return pool.size()
-           - expectedStrictEngines(m_splits[service.m_id].m_settings, demand, pool.size());
+    const EngineCosts &costs = *service.m_engine;
+    SideLoad load =
+        sideLoadOf(costs, pool, strictSide, uses, m_ledger.activeLongPrefills(), strict);
+    const StrictDemand demand = strictDemandOf(costs, m_strictQueue, m_ledger, Clock::now());
+    const size_t expectedStrict =
+        expectedStrictEngines(m_splits[service.m_id].m_settings, demand, pool.size());
+    load.m_expectedEngines = strict ? expectedStrict : pool.size() - expectedStrict;
+    load.m_passPrefill = passPrefill(service);
+    return load;
 }
 
-SideLoad RelayNode::longSideLoad(const DeclaredService &service,
-                                 const std::vector<EndpointRecord> &pool)
+FloatMillis RelayNode::passPrefill(const DeclaredService &service) const
 {
-    const EndpointUses uses = m_ledger.uses(Clock::now());
-    constexpr bool Strict = false;
-    SideLoad load =
-        sideLoadOf(*service.m_engine, pool, strictSide(service.m_id, *service.m_engine, pool, uses),
-                   uses, m_ledger.activeLongPrefills(), Strict);
-    load.m_longestLatencyTarget = service.m_longestLatencyTarget;
-    load.m_expectedEngines = expectedLongEngines(service, pool);
-    return load;
+    return maxPassPrefill(m_gang.m_candidates, *service.m_engine, service.m_longestGapLimit);
 }
 
 void RelayNode::forgetProcess(uint64_t origin)
@@ -320,7 +315,7 @@
     std::vector<LoadMessage> messages;
     const auto add = [&](const DispatchQueue &queue, uint32_t gapLimitMs) {
         for (const auto &[key, queued] : queue) {
-            if (key.m_origin == m_origin && queued.m_expiresAt > now)
+            if (key.m_origin == m_origin && queued.m_latestStart > now)
                 messages.push_back(waitingMessage(key, gapLimitMs, queued, now));
         }
     };
@@ -493,7 +488,7 @@
     AttemptLoad load{ message.m_parts, message.m_gapLimitMs, message.m_writing,
                       now - Millis(message.m_ageMs), now + Millis(message.m_expiresMs) };
     recordUsage(message, now);
-    m_turnMonitor.notePlaced(message.m_key, load, now);
+    m_turnMonitor.notePlaced(message.m_key, now);
     m_ledger.place(message.m_key, std::move(load));
 }
 
@@ -502,10 +497,8 @@
     const TimePoint now = Clock::now();
     switch (message.m_change) {
     case LoadEvent::Waiting:
-        queueOf(message.m_gapLimitMs)[message.m_key] = { now + Millis(message.m_aimMs),
-                                                         Millis(message.m_neededMs),
-                                                         now + Millis(message.m_expiresMs),
-                                                         Millis(message.m_leadMs),
+        queueOf(message.m_gapLimitMs)[message.m_key] = { now + Millis(message.m_expiresMs),
+                                                         now + Millis(message.m_orderMs),
                                                          static_cast<double>(message.m_workMs) };
         m_turnMonitor.noteWaiting(message, now);
         return;
@@ -528,7 +521,6 @@
         return;
     case LoadEvent::FirstEvent:
         recordResponse(message.m_key);
-        m_turnMonitor.noteFirstEvent(message.m_key, now);
         m_ledger.recordFirstEvent(message.m_key);
         return;
     case LoadEvent::Ended:
--- a/relay/relay_node.h
+++ b/relay/relay_node.h
@@ -82,9 +82,9 @@
     LoadKey nextKey() { return { m_origin, ++m_sequence }; }
     DispatchQueue &queueOf(uint32_t gapLimitMs);
     /// Announces to all VMs that a request waits in a queue, until place() or end(). @p turn is the
-    /// time after which it is expected to start; @p returned whether it came back to its place.
+    /// time after which it is expected to start.
     void announceWaiting(const LoadKey &key, uint32_t gapLimitMs, const QueuedRequest &queued,
-                         Duration turn = {}, bool returned = false);
+                         Duration turn);
     /// Enters an attempt into the ledgers of all VMs; @p suspect is the request's fingerprint if it
     /// is a suspect. @p lifetime bounds the ledger entry. @p customer: its use of engines counts;
     /// zero: it does not.
@@ -111,11 +111,13 @@
     std::unordered_set<EndpointId> strictSide(const ServiceId &service, const EngineCosts &costs,
                                               const std::vector<EndpointRecord> &pool,
                                               const EndpointUses &uses);
-    /// Load of the engines of @p pool that serve long prompts.
-    SideLoad longSideLoad(const DeclaredService &service, const std::vector<EndpointRecord> &pool);
-    /// Number of engines for long prompts once the strict streams in flight have ended.
-    size_t expectedLongEngines(const DeclaredService &service,
-                               const std::vector<EndpointRecord> &pool);
+    /// Load of the engines of @p pool that serve strict streams if @p strict, else of the others.
+    /// @p strictSide is the result of strictSide().
+    SideLoad sideLoad(const DeclaredService &service, const std::vector<EndpointRecord> &pool,
+                      const std::unordered_set<EndpointId> &strictSide, const EndpointUses &uses,
+                      bool strict);
+    /// See maxPassPrefill().
+    FloatMillis passPrefill(const DeclaredService &service) const;
     /// Asks an engine for a response that does not depend on its load, on a connection of its own
     /// if a kept one fails; of a plain service, only whether it accepts a connection, in which case
     /// the response is empty. Blocks the fiber.
--- a/relay/relay_placement.cpp
+++ b/relay/relay_placement.cpp
@@ -101,7 +101,7 @@
     }
     const EngineCosts &costs = *m_service->m_engine;
     const ModelRequest request = modelRequest();
-    GangQuery question = gangQueryOf(m_node.m_turns, costs, request, care, poolSize());
+    GangQuery question = gangQueryOf(m_node.m_turns, costs, request, care, poolShape());
     question.m_candidateQuery.m_dataCentre = here;
     question.m_candidateQuery.m_drawJitter = [this] {
         return std::uniform_real_distribution<double>(0, 1)(m_node.m_random);
@@ -119,33 +119,33 @@
 {
     ModelRequest request;
     request.m_promptTokens = static_cast<double>(m_head.m_promptTokens);
+    request.m_answerTokens =
+        answerTokensLeft(static_cast<double>(m_service->m_engine->m_usualAnswerTokens));
     request.m_gapLimitMs = gapLimitMs();
-    request.m_latencyTarget = m_route->m_latencyTarget;
-    request.m_patience = m_route->m_clientPatience;
     request.m_arrival = m_arrival;
+    request.m_leavesAt = silentSince() + m_route->m_clientPatience;
     request.m_deadline = m_deadline;
-    request.m_isRetry = !m_sent.empty();
-    request.m_forecastsTurn = forecastsTurn();
     request.m_returnOf = m_returnOf;
     return request;
 }
 
-bool RelayRun::forecastsTurn() const
+double RelayRun::answerTokensLeft(double expected) const
 {
-    return m_service->m_admission.m_forecastsTurns && !isStrictGap(gapLimitMs());
+    const EngineCosts &costs = *m_service->m_engine;
+    const auto limit = static_cast<double>(m_head.m_answerTokens);
+    const double answer = limit > 0 ? std::min(expected, limit) : expected;
+    // Each event holds the tokens of one pass. The last one may be still to come.
+    const double stride = costs.m_stride;
+    const double received = static_cast<double>(m_lastEvent.value_or(0)) * stride;
+    return std::max(answer - received, std::min(answer, stride));
 }
 
 SideLoad RelayRun::sideLoad(const PoolState &seen) const
 {
     if (!seen.m_all)
         return {};
-    SideLoad load =
-        sideLoadOf(*m_service->m_engine, seen.schedulable(), seen.m_strictSide, seen.m_uses,
-                   m_node.m_ledger.activeLongPrefills(), isStrictGap(gapLimitMs()));
-    load.m_longestLatencyTarget = m_service->m_longestLatencyTarget;
-    if (forecastsTurn())
-        load.m_expectedEngines = m_node.expectedLongEngines(*m_service, seen.schedulable());
-    return load;
+    return m_node.sideLoad(*m_service, seen.schedulable(), seen.m_strictSide, seen.m_uses,
+                           isStrict());
 }
 
 size_t RelayRun::poolSize() const
@@ -163,6 +163,11 @@
     return limited < pool->size() ? pool->size() - limited : pool->size();
 }
 
+PoolSize RelayRun::poolShape() const
+{
+    return { poolSize(), m_node.passPrefill(*m_service) };
+}
+
 Duration RelayRun::timeToComplete(double slack) const
 {
     if (!isModelRequest()) {
@@ -174,11 +179,9 @@
     const auto usual = static_cast<double>(costs.m_usualAnswerTokens);
     const auto limit = static_cast<double>(m_head.m_answerTokens);
     const FloatMillis needed =
-        minTimeToFirstEvent(m_node.m_turns, costs, modelRequest(), poolSize());
+        expectedFirstEvent(m_node.m_turns, costs, modelRequest(), poolShape());
     // With slack, the request's token limit; without, the usual length.
-    double answer = usual * slack;
-    if (limit > 0)
-        answer = slack > 1 ? limit : std::min(usual, limit);
+    const double answer = answerTokensLeft(slack > 1 && limit > 0 ? limit : usual * slack);
     return std::chrono::duration_cast<Duration>(needed * slack + decodeDuration(costs, answer));
 }
 
@@ -203,25 +206,21 @@
 
 uint64_t RelayRun::usageCustomer() const
 {
-    // Strict streams compete for slots, not for engine time, and a wait that long prompts tolerate
-    // makes them late.
-    const bool counts = m_service && m_service->m_admission.m_sharesByCustomer
-                        && !m_customer.empty() && !isStrictGap(gapLimitMs());
+    // Use is counted in prefill time, and strict streams compete for slots.
+    const bool counts = isModelRequest() && !m_customer.empty() && !isStrict();
     return counts ? partCustomerHash(m_customer) : 0;
 }
 
 QueuedRequest RelayRun::queuedRequest() const
 {
     QueuedRequest queued =
-        queuedRequestOf(m_node.m_turns, *m_service->m_engine, modelRequest(), poolSize());
+        queuedRequestOf(m_node.m_turns, *m_service->m_engine, modelRequest(), poolShape());
     OrderQuery query;
     query.m_rank = m_urgency;
-    query.m_mostUrgentRank = m_service->m_mostUrgentRank;
-    query.m_longestLatencyTarget = m_service->m_longestLatencyTarget;
-    query.m_latencyTarget = m_route->m_latencyTarget;
+    query.m_ranks = m_service->m_ranks;
     if (const uint64_t customer = usageCustomer())
         query.m_usageRatio = m_node.m_usage.ratio(customer, Clock::now());
-    applyOrderDelay(queued, orderDelay(m_service->m_admission, query));
+    delayInOrder(queued, queued.m_latestStart - silentSince(), query);
     return queued;
 }
 
@@ -236,48 +235,45 @@
                       || mayStartNext(m_node.m_turns, costs, request, m_node.queueOf(gapLimitMs()),
                                       m_attempt.m_loadKey, side, now);
     const auto plan = [this, &seen](DisruptionPolicy care) { return choosePlan(care, seen); };
-    PollState state;
-    state.m_next = next;
-    state.m_justArrived = std::exchange(wait.m_justArrived, false);
-    state.m_before = wait.m_obstacle;
-    if (request.m_forecastsTurn) {
-        state.m_outlook =
-            m_node.m_turnMonitor.outlook(m_attempt.m_loadKey, costs, request, side, now);
-        wait.m_outlook = state.m_outlook;
-        if (state.m_justArrived)
-            wait.m_predicted = state.m_outlook.m_turn;
-    }
-    return decideStart(m_node.m_turns, costs, request, wait.m_queued, state, plan, now);
+    TurnMonitor &turns = m_node.m_turnMonitor;
+    const Duration turn = turns.predictTurn(m_attempt.m_loadKey, costs, request, side, now);
+    const bool first = !std::exchange(wait.m_turn, turn);
+    if (first)
+        wait.m_turnOnArrival = turn;
+    // What would only be refused later is refused at once.
+    return decideStart(m_node.m_turns, costs, request, wait.m_queued, next,
+                       first ? turns.latestTurn(turn, isStrict()) : turn, plan, now);
 }
 
 void RelayRun::claimPlace()
 {
-    if (!m_sent.empty() || m_returnOf || !m_node.m_turnMonitor.hasPlaces())
+    TurnMonitor &turns = m_node.m_turnMonitor;
+    if (m_returnOf || !turns.hasPlaces(isStrict()))
         return;
-    const ReturnPlace *place = m_node.m_turnMonitor.findPlace(fingerprint(), m_arrival);
+    const ReturnPlace *place = turns.findPlace(fingerprint(), isStrict(), m_arrival);
     if (!place || !TurnMonitor::isDue(*place, m_arrival))
         return;
     m_returnOf = place->m_firstArrival;
-    m_node.m_turnMonitor.takePlace(fingerprint());
+    turns.takePlace(fingerprint(), isStrict());
     m_node.m_metrics.m_returns.add();
 }
 
 void RelayRun::adviseReturn(const TurnWait &wait)
 {
     const TimePoint now = Clock::now();
-    const ReturnPlace *place = m_node.m_turnMonitor.findPlace(fingerprint(), now);
+    const ReturnPlace *place = m_node.m_turnMonitor.findPlace(fingerprint(), isStrict(), now);
     if (place && !TurnMonitor::isDue(*place, now)) {
         m_node.m_metrics.m_earlyReturns.add();
         m_returnAdvice = { place->m_dueAt - now, true };
         return;
     }
     constexpr double NoSlack = 1;
-    const ReturnQuery query{ now, m_deadline, wait.m_outlook.m_turn, timeToComplete(NoSlack) };
+    const ReturnQuery query{ now, m_deadline, *wait.m_turn, timeToComplete(NoSlack) };
     ReturnPlace request;
     request.m_request = fingerprint();
     request.m_firstArrival = m_returnOf.value_or(m_arrival);
     request.m_workMs = wait.m_queued.m_workMs;
-    m_returnAdvice = m_node.m_turnMonitor.refuse(query, request);
+    m_returnAdvice = m_node.m_turnMonitor.refuse(query, request, isStrict());
     if (m_returnAdvice->m_keepsPlace)
         m_node.m_metrics.m_placesKept.add();
 }
@@ -286,8 +282,7 @@
 {
     if (!isModelRequest())
         return choosePlan(DisruptionPolicy::Avoid, poolState());
-    if (forecastsTurn())
-        claimPlace();
+    claimPlace();
     TurnWait wait;
     wait.m_queued = queuedRequest();
     const QueuedRequest &queued = wait.m_queued;
@@ -300,15 +295,13 @@
             DispatchDecision now = checkTurn(wait);
             if (now.m_plan)
                 return std::move(now.m_plan);
-            wait.m_obstacle = now.m_obstacle;
             if (now.m_tooLate) {
-                m_failureReason = dispatchObstacleMessage(wait.m_obstacle);
-                if (forecastsTurn() && m_sent.empty()) {
+                m_failureReason = dispatchObstacleMessage(now.m_obstacle);
+                // One that may have run is not answered with a refusal.
+                if (possibleRuns() == 0)
                     adviseReturn(wait);
-                    (announced ? m_node.m_metrics.m_refusedLater
-                               : m_node.m_metrics.m_refusedOnArrival)
-                        .add();
-                }
+                (announced ? m_node.m_metrics.m_refusedLater : m_node.m_metrics.m_refusedOnArrival)
+                    .add();
                 logTooLate(wait);
                 return std::nullopt;
             }
@@ -317,10 +310,10 @@
             m_failureReason = EvacuatedReason;
             return std::nullopt;
         }
-        if (isBlockedBeyond(queued.m_targetAt - queued.m_minTimeToFirstEvent) && noteLimited())
+        if (isBlockedBeyond(queued.m_latestStart) && noteLimited())
             return std::nullopt;
         if (!announced)
-            announceWait(wait);
+            m_node.announceWaiting(m_attempt.m_loadKey, gapLimitMs(), queued, wait.m_turnOnArrival);
         announced = true;
         if (cannotFinish || !sleepFor(m_node.m_thread.context(), TurnPoll) || isCancelled()
             || remainingTime() <= TurnPoll) {
@@ -330,17 +323,6 @@
     }
 }
 
-void RelayRun::announceWait(const TurnWait &wait)
-{
-    // One that came back is expected to start by its latest start.
-    const QueuedRequest &queued = wait.m_queued;
-    const Duration expected = m_returnOf
-                                  ? queued.m_targetAt - queued.m_minTimeToFirstEvent - m_arrival
-                                  : wait.m_predicted;
-    m_node.announceWaiting(m_attempt.m_loadKey, gapLimitMs(), queued, expected,
-                           m_returnOf.has_value());
-}
-
 void RelayRun::logTooLate(const TurnWait &wait) const
 {
     const auto millis = [](Duration duration) {
@@ -354,18 +336,21 @@
         .text("why", m_failureReason)
         .number("tokens", static_cast<int64_t>(m_head.m_promptTokens))
         .number("wait_ms", millis(now - m_arrival))
-        .number("needed_ms", millis(wait.m_queued.m_minTimeToFirstEvent))
-        .number("ahead", requestsAhead(queue, m_attempt.m_loadKey, now))
+        .number("latest_start_ms", millis(wait.m_queued.m_latestStart - m_arrival))
+        .number("leaves_ms", millis(silentSince() + m_route->m_clientPatience - m_arrival))
+        .number("deadline_ms", millis(m_deadline - m_arrival))
+        .number("ahead", positionOf(queue, m_attempt.m_loadKey, now).m_requestsAhead)
         .number("waiting", static_cast<int64_t>(queue.size()))
-        .number("room", allowedStarts(m_node.m_turns, load, isStrictGap(gapLimitMs())))
         .number("engines", static_cast<int64_t>(load.m_engines))
         .number("reading", load.m_activePrefills.m_prompts)
         .number("read_ms", static_cast<int64_t>(load.m_activePrefills.m_prefillMs));
     if (m_returnAdvice) {
         line.number("expected_engines", static_cast<int64_t>(load.m_expectedEngines))
-            .number("turn_ms", millis(wait.m_outlook.m_turn))
-            .number("margin_ms", millis(wait.m_outlook.m_margin))
-            .number("share", static_cast<int64_t>(m_node.m_turnMonitor.rateShare() * 1'000))
+            .number("turn_ms", millis(*wait.m_turn))
+            .number("latest_turn_ms",
+                    millis(m_node.m_turnMonitor.latestTurn(*wait.m_turn, isStrict())))
+            .number("share",
+                    static_cast<int64_t>(m_node.m_turnMonitor.rateShare(isStrict()) * 1'000))
             .number("retry_ms", m_returnAdvice->m_delay ? millis(*m_returnAdvice->m_delay) : -1)
             .flag("place", m_returnAdvice->m_keepsPlace)
             .flag("returned", m_returnOf.has_value());
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -173,28 +173,30 @@
     /// Whether all endpoints of the service are in evacuated data centres.
     bool isEvacuated() const;
     uint32_t gapLimitMs() const { return static_cast<uint32_t>(m_route->m_gapLimit.count()); }
+    /// Whether its stream is strict, see isStrictGap().
+    bool isStrict() const { return isStrictGap(gapLimitMs()); }
+    /// Since when the client has received nothing.
+    TimePoint silentSince() const { return std::max(m_arrival, m_lastForwardedAt); }
+    /// Tokens of an answer of @p expected tokens that the client has not received, within the
+    /// request's limit.
+    double answerTokensLeft(double expected) const;
     /// Blocks until this request may start, and returns its placement. Nothing if the request ends
     /// before, or, for a request that is never queued, if no endpoint can take it.
     std::optional<GangPlan> awaitTurn();
     /// The state of a request that waits for its turn.
     struct TurnWait {
         QueuedRequest m_queued;
-        DispatchObstacle m_obstacle = DispatchObstacle::None; ///< At the last decision.
-        bool m_justArrived = true; ///< No decision has been made.
-        TurnOutlook m_outlook; ///< At the last decision, if the turn is forecast.
-        Duration m_predicted{}; ///< Time until the turn, as predicted on arrival.
+        std::optional<Duration> m_turn; ///< Predicted time until its turn, at the last decision.
+        Duration m_turnOnArrival{}; ///< The same at the first decision.
     };
     /// Checks whether the request may start now.
     DispatchDecision checkTurn(TurnWait &wait);
-    /// Whether the turn of the request is forecast.
-    bool forecastsTurn() const;
     /// Hash of the customer whose use of engines counts; zero: it does not.
     uint64_t usageCustomer() const;
     /// The request's entry in the queue.
     QueuedRequest queuedRequest() const;
     /// Takes the place that is kept for the request, if it came back when it was told to.
     void claimPlace();
-    void announceWait(const TurnWait &wait);
     /// Decides when the caller of a request that cannot start in time comes back.
     void adviseReturn(const TurnWait &wait);
     ModelRequest modelRequest() const;
@@ -202,8 +204,11 @@
     SideLoad sideLoad(const PoolState &seen) const;
     /// Number of schedulable endpoints of the service.
     size_t poolSize() const;
-    /// Expected time from the start of an attempt to its end on fully loaded engines; @p slack is
-    /// the factor by which its parts may exceed the declared costs.
+    /// The same endpoints, as expected times depend on them. For services with engines.
+    PoolSize poolShape() const;
+    /// Expected time from the start of an attempt to its end: on fully loaded engines, or as seen
+    /// of a plain service. @p slack is the factor by which its parts may exceed that. If nothing is
+    /// known yet, all the time that the request has.
     Duration timeToComplete(double slack) const;
     RequestDuration timeNeeded() const;
     /// Whether the request has not run, and an attempt that begins now cannot end before the
