--- a/policy/return_schedule.cpp
+++ b/policy/return_schedule.cpp
@@ -38,14 +38,18 @@
     std::erase_if(m_places, [now](const auto &entry) { return entry.second.m_expiresAt <= now; });
 }
 
+Duration longestHonoured(const ReturnSettings &settings, Duration timeLeft)
+{
+    return std::max(std::chrono::duration_cast<Duration>(timeLeft * settings.m_maxShareOfTimeLeft),
+                    Duration(settings.m_shortest));
+}
+
 ReturnAdvice adviseReturn(const ReturnSettings &settings, const ReturnQuery &query)
 {
     const Duration left = query.m_deadline - query.m_now;
     if (query.m_turn + query.m_timeToComplete > left)
         return {};
-    const Duration longest =
-        std::max(std::chrono::duration_cast<Duration>(left * settings.m_maxShareOfTimeLeft),
-                 Duration(settings.m_shortest));
+    const Duration longest = longestHonoured(settings, left);
     return { std::clamp<Duration>(query.m_turn, settings.m_shortest, longest),
              query.m_turn <= longest };
 }
--- a/policy/return_schedule.h
+++ b/policy/return_schedule.h
@@ -65,6 +65,9 @@
     double m_maxShareOfTimeLeft = 1.0 / 3;
 };
 
+/// Longest time that a caller with @p timeLeft waits when told to.
+Duration longestHonoured(const ReturnSettings &settings, Duration timeLeft);
+
 /// A request that is refused at m_now.
 struct ReturnQuery {
     TimePoint m_now{};
@@ -75,8 +78,8 @@
 
 /// What the caller of a refused request is told.
 struct ReturnAdvice {
-    /// How long to wait before it comes back; nothing if its turn would be too late for its
-    /// deadline.
+    /// How long to wait before it comes back; nothing if its turn is predicted too late for its
+    /// deadline, so that it can only be served if the prediction is wrong.
     std::optional<Duration> m_delay;
     /// Whether its turn is foreseen for then, so that a place is kept.
     bool m_keepsPlace = false;
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -370,7 +370,8 @@
     const bool mayHaveRun = possibleRuns() > 0;
     if (!mayHaveRun && m_returnAdvice) {
         refuse(StatusUnavailable, m_failureReason,
-               std::chrono::ceil<Millis>(m_returnAdvice->m_delay.value_or(Duration::zero())));
+               std::chrono::ceil<Millis>(
+                   m_returnAdvice->m_delay.value_or(longestHonoured({}, remainingTime()))));
         return;
     }
     if (!mayHaveRun) {
