--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -109,12 +109,11 @@
         + route("stream", "stream", "model", R"(,"resumable":true,"gapAimMs":100)") + ","
         + route("once", "stream", "model", R"(,"gapAimMs":100)") + ","
         + route("long", "stream", "model", R"(,"resumable":true,"gapAimMs":1000)") + extraRoutes;
-    m_store->put(
-        "config", "main",
-        fmt::format(R"({{"version":{},"routes":[{}],{},"limits":{{"maxHeaderBytes":16384,)"
-                    R"("maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":5000}},)"
-                    R"("tenants":[{{"name":"one","apiKeys":{},"priority":2}}]}})",
-                    version, routes, Services, keys));
+    m_store->put("config", "main",
+                 fmt::format(R"({{"version":{},"routes":[{}],{},"limits":{{"maxHeaderBytes":16384,)"
+                             R"("maxBodyBytes":{},"headerTimeoutMs":3000,"idleTimeoutMs":5000}},)"
+                             R"("tenants":[{{"name":"one","apiKeys":{},"priority":2}}]}})",
+                             version, routes, Services, m_maxBodyBytes, keys));
 }
 
 HostedWorker &Deployment::addWorker(const std::string &service)
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -95,6 +95,7 @@
     uint32_t m_millicores = 1'000; ///< Of the daemons that are added.
     uint32_t m_connections = 1'000; ///< Clients' connections that a daemon takes.
     std::string m_dataCentre = "here"; ///< Of the daemons that are added.
+    size_t m_maxBodyBytes = 100'000; ///< Of clients' requests, as declare() sets it.
     const RelaySource *m_source =
         nullptr; ///< Of the same; null: the platform's. Must outlive them.
 
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 #include <unistd.h>
 
+#include "tests/support/loopback_ports.h"
+
 namespace stackquay::soak {
 
 namespace {
@@ -39,27 +41,6 @@
     return 2 * vms + slot;
 }
 
-/// Below the ports that the kernel gives to connections, so that a part that is down keeps its
-/// own. Runs side by side begin at different ones.
-uint16_t firstPort()
-{
-    constexpr int Low = 10'000;
-    constexpr int Range = 20'000;
-    constexpr int Step = 64;
-    return static_cast<uint16_t>(Low + getpid() * Step % Range);
-}
-
-bool isFree(uint16_t port)
-{
-    boost::asio::io_context context;
-    boost::system::error_code error;
-    using tcp = boost::asio::ip::tcp;
-    tcp::acceptor acceptor(context);
-    acceptor.open(tcp::v4(), error);
-    acceptor.bind({ boost::asio::ip::address_v4::loopback(), port }, error);
-    return !error;
-}
-
 std::string serviceOf(size_t slot)
 {
     if (slot == SoleWorker)
@@ -214,7 +195,7 @@
     : m_schedule(schedule)
     , m_directory(std::move(directory))
     , m_daemon(std::move(daemon))
-    , m_nextPort(firstPort())
+    , m_nextPort(firstTestPort())
 { }
 
 Fleet::~Fleet()
@@ -254,17 +235,8 @@
 Status Fleet::startRelays()
 {
     const auto reserve = [this](uint16_t count) {
-        const auto allFree = [&] {
-            for (uint16_t i = 0; i < count; ++i) {
-                if (!isFree(static_cast<uint16_t>(m_nextPort + i)))
-                    return false;
-            }
-            return true;
-        };
-        while (!allFree())
-            ++m_nextPort;
-        const uint16_t first = m_nextPort;
-        m_nextPort = static_cast<uint16_t>(m_nextPort + count);
+        const uint16_t first = findFreePorts(m_nextPort, count);
+        m_nextPort = static_cast<uint16_t>(first + count);
         return first;
     };
     for (size_t i = 0; i < m_schedule.m_vms; ++i) {
