The server's read buffer has a maximum: trailers and chunk headers without end get 431

Callers saw: a daemon that ran out of memory. A client of a chunked request sent trailers, one trailer line, or a chunk extension, and never ended it. 20 such clients took a daemon from 14 to over 256 MiB in a second, at the clients' address, the address for other VMs and the native daemon (five cases of test_misuse, red before).

Cause: the parser leaves in the buffer what it cannot parse yet, and looks for the end of all trailers, or of a chunk's header. Its header limit counts the head only, and the buffer had no maximum.

Fix: the buffer takes a head of the greatest length and one read more. What does not fit is answered 431: the request has not run. A body passes through the buffer in pieces, so its length is not bounded by this.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -36,6 +36,8 @@
 constexpr size_t MaxAcceptsInARow = 64;
 /// Readiness is asked for once a second: a refusal must still be known then.
 constexpr Millis RefusalKnown{ 1'000 };
+/// Read at once, beyond a head of the greatest length.
+constexpr size_t ReadBytes = 8192;
 
 std::string_view toStd(beast::string_view text)
 {
@@ -69,7 +71,8 @@
 {
     if (error == http::error::body_limit)
         return 413;
-    if (error == http::error::header_limit)
+    // The parser keeps the trailers, or the header of a chunk, until it has them whole.
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
         return 431;
     if (error == beast::error::timeout)
         return 408;
@@ -309,7 +312,6 @@
     boost::system::error_code error;
     if (buffer.size() > 0)
         return error;
-    constexpr size_t ReadBytes = 8192;
     stream.expiresAfter(timeout);
     const size_t size = stream.read_some(buffer.prepare(ReadBytes), error);
     buffer.commit(size);
@@ -334,6 +336,7 @@
                                       const HttpServerLimits &limits)
 {
     boost::system::error_code error;
+    buffer.max_size(limits.m_headerBytes + ReadBytes);
     parser.header_limit(static_cast<uint32_t>(limits.m_headerBytes));
     parser.body_limit(limits.m_bodyBytes);
     stream.expiresAfter(limits.m_headerTimeout);
