Trailer fields are dropped, not taken for header fields

Callers saw: a request whose API key stood only in its trailer was served, and trailer fields reached the endpoint among the headers, past whatever looks at a request's head.

Cause: the parser adds trailer fields to the fields of the header, and the server copied the fields once the body was read.

Fix: the head is copied before the body is read. RelayMisuseTest.TrailerFieldsAreNoHeaderFields got 200 in place of 401 before, and passes now.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -55,7 +55,11 @@
         fields.insert(header.m_name, header.m_value);
 }
 
-HttpRequest toRequest(http::request<http::string_body> &&message)
+using Parser = http::request_parser<http::string_body>;
+
+/// The request without its body. Only before the body is read: the parser adds trailer fields to
+/// the header, where anyone could send those that only a header may have.
+HttpRequest headOf(const http::request<http::string_body> &message)
 {
     HttpRequest request;
     request.m_method = std::string(toStd(message.method_string()));
@@ -63,7 +67,6 @@
     for (const auto &field : message)
         request.m_headers.push_back(
             { std::string(toStd(field.name_string())), std::string(toStd(field.value())) });
-    request.m_body = std::move(message.body());
     return request;
 }
 
@@ -318,7 +321,7 @@
     return error;
 }
 
-bool expectsContinue(const http::request_parser<http::string_body> &parser)
+bool expectsContinue(const Parser &parser)
 {
     return beast::iequals(parser.get()[http::field::expect], "100-continue");
 }
@@ -330,10 +333,10 @@
     http::write(stream, serializer, error);
 }
 
-/// Reads one request within the limits.
+/// Reads one request within the limits into @p request.
 boost::system::error_code readRequest(FiberSocket &stream, beast::flat_buffer &buffer,
-                                      http::request_parser<http::string_body> &parser,
-                                      const HttpServerLimits &limits)
+                                      Parser &parser, const HttpServerLimits &limits,
+                                      HttpRequest &request)
 {
     boost::system::error_code error;
     buffer.max_size(limits.m_headerBytes + ReadBytes);
@@ -343,12 +346,14 @@
     http::read_header(stream, buffer, parser, error);
     if (error)
         return error;
+    request = headOf(parser.get());
     if (expectsContinue(parser))
         sendContinue(stream, error);
     if (error)
         return error;
     stream.expiresAfter(limits.m_bodyTimeout);
     http::read(stream, buffer, parser, error);
+    request.m_body = std::move(parser.get().body());
     return error;
 }
 
@@ -478,9 +483,10 @@
     beast::flat_buffer buffer;
     while (awaitNext(stream, buffer)) {
         ++m_activeRequests;
-        http::request_parser<http::string_body> parser;
+        Parser parser;
+        HttpRequest request;
         m_reading.insert(&stream);
-        error = readRequest(stream, buffer, parser, m_limits);
+        error = readRequest(stream, buffer, parser, m_limits, request);
         m_reading.erase(&stream);
         if (error) {
             refuseMalformed(stream, error, m_limits);
@@ -489,8 +495,7 @@
         }
         ++m_requestsRead;
         const bool keepAlive = parser.get().keep_alive();
-        Exchange exchange(stream, buffer, toRequest(parser.release()), keepAlive, m_limits,
-                          m_closing);
+        Exchange exchange(stream, buffer, std::move(request), keepAlive, m_limits, m_closing);
         handle(exchange);
         if (!exchange.started())
             exchange.respond({ 500,
