Connections whose clients stand still in the middle of a request give way to new ones

Callers saw: no answer within 10 s, while 240 clients each held a connection with ten of a hundred body bytes, or waited for 100-continue and sent nothing after it (two cases of test_misuse, red before: 200 connections were all that the daemon takes).

Cause: room for new connections was made from idle ones only. A connection in the middle of a request kept its place for the body timeout of 60 s.

Fix: each connection knows what it waits for and when its client last made progress (4 KiB read or written). Once no idle connection is left, the one that stands still longest is closed: after 500 ms while a request is read, which gets 503 as it has not run, after 1 s while an answer is written. A connection that waits for an endpoint is never chosen. Single bytes are no progress, so a slow sender of them does not stay either. A refused client's rest is read for up to 500 ms: closing with unread bytes reset the connection, and the client lost its refusal.

The reader of requests, the exchange and the connections of a thread are files of their own now, and what a connection holds is counted by a memory budget, which has no limit yet.

--- a/net/fiber_socket.cpp
+++ b/net/fiber_socket.cpp
@@ -59,7 +59,9 @@
 void FiberSocket::expiresAfter(Duration duration)
 {
     m_timedOut = false;
-    m_deadline = Clock::now() + duration;
+    m_progressAt = Clock::now();
+    m_progressBytes = 0;
+    m_deadline = m_progressAt + duration;
 }
 
 boost::system::error_code FiberSocket::connect(const asio::ip::tcp::endpoint &endpoint)
--- a/net/fiber_socket.h
+++ b/net/fiber_socket.h
@@ -42,6 +42,7 @@
         const size_t size = m_socket.async_read_some(buffers, Yield{ error });
         nameTimeout(error);
         threadTraffic().m_received += size;
+        noteProgress(size);
         return size;
     }
 
@@ -52,6 +53,7 @@
         for (;;) {
             const size_t size = m_socket.write_some(buffers, error);
             threadTraffic().m_sent += size;
+            noteProgress(size);
             if (error != boost::asio::error::would_block)
                 return size;
             if (!waitWritable(error))
@@ -67,6 +69,8 @@
     // NOLINTNEXTLINE(readability-identifier-naming): the name that Asio asks for.
     size_t write_some(const Buffers &buffers);
 
+    /// When expiresAfter() was called last, or later by when ProgressBytes were read or written.
+    TimePoint progressAt() const { return m_progressAt; }
     /// Waits until something can be read, or the connection has ended; returns whether it is so.
     bool waitReadable();
     /// Ends waiting calls with operation_aborted.
@@ -77,6 +81,9 @@
 private:
     struct Timer;
 
+    /// A peer that sends or takes single bytes makes no progress.
+    static constexpr size_t ProgressBytes = 4 * 1024;
+
     /// The timer runs only while a call waits.
     class Waiting
     {
@@ -95,6 +102,14 @@
     };
 
     void beginWait();
+    void noteProgress(size_t bytes)
+    {
+        m_progressBytes += bytes;
+        if (m_progressBytes < ProgressBytes)
+            return;
+        m_progressBytes = 0;
+        m_progressAt = Clock::now();
+    }
     bool waitWritable(ErrorValue &error);
     void nameTimeout(ErrorValue &error) const;
     void onTimer();
@@ -102,6 +117,8 @@
     Socket m_socket;
     std::shared_ptr<Timer> m_timer;
     TimePoint m_deadline = TimePoint::max();
+    TimePoint m_progressAt{};
+    size_t m_progressBytes = 0; ///< Since m_progressAt.
     size_t m_waiting = 0;
     bool m_timedOut = false;
 };
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "net/fiber_socket.h"
+#include "net/piece_body.h"
 
 namespace stackquay {
 
@@ -34,43 +35,6 @@
 /// Of a stated timeout, this part is used: the rest covers both ways and a slow peer.
 constexpr double IdleLimitShare = 0.6;
 
-/// A body that collects what has come, without trusting the announced length.
-struct PieceBody {
-    using value_type = std::string;
-
-    // NOLINTNEXTLINE(readability-identifier-naming): the name that Beast asks for.
-    class reader
-    {
-    public:
-        template<bool IsRequest, typename Fields>
-        reader(http::header<IsRequest, Fields> &, value_type &body)
-            : m_body(body)
-        { }
-
-        void init(const boost::optional<uint64_t> &, boost::system::error_code &error)
-        {
-            error = {};
-        }
-
-        template<typename Buffers>
-        size_t put(const Buffers &buffers, boost::system::error_code &error)
-        {
-            error = {};
-            size_t size = 0;
-            for (const asio::const_buffer buffer : beast::buffers_range_ref(buffers)) {
-                m_body.append(static_cast<const char *>(buffer.data()), buffer.size());
-                size += buffer.size();
-            }
-            return size;
-        }
-
-        void finish(boost::system::error_code &error) { error = {}; }
-
-    private:
-        value_type &m_body;
-    };
-};
-
 using Parser = http::response_parser<PieceBody>;
 
 Error toError(const boost::system::error_code &error, std::string_view step)
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -3,8 +3,10 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "net/address.h"
+#include "net/client_connections.h"
 #include "net/fiber_thread.h"
 #include "net/http_message.h"
 #include "net/silence.h"
@@ -16,7 +18,10 @@
     size_t m_headerBytes = 16 * 1024;
     size_t m_bodyBytes = 16 * 1024 * 1024;
     Millis m_headerTimeout{ 10'000 }; ///< For the whole header, once its first byte came.
-    Millis m_bodyTimeout{ 60'000 };
+    Millis m_bodyTimeout{ 60'000 }; ///< For the whole body, once the header was read.
+    /// The time, from the head of a request on, within which its client needs the answer; nothing
+    /// if the client does not say. A body that takes longer is of no use. Empty: not known.
+    std::function<std::optional<Duration>(const HttpRequest &head)> m_usefulTime;
     Millis m_idleTimeout{ 75'000 }; ///< Between requests of a kept-alive connection.
     Millis m_writeTimeout{ 30'000 }; ///< A reader that takes nothing for this long is cut.
     size_t m_connections = 20'000;
@@ -52,6 +57,13 @@
     /// Whether the caller has hung up by now, also before a watch could tell. One system call.
     virtual bool callerLeft() const = 0;
     virtual bool started() const = 0;
+    /// From then on the answer is of no use to the client. One that is ready is sent, also late,
+    /// but does not wait long for a client that reads slowly.
+    virtual void setAnswerDeadline(TimePoint deadline) = 0;
+    /// Sets @p bytes aside for what the handler holds of the answer, in place of what was set aside
+    /// before, until the handler returns. Blocks the fiber while memory is short, @p wanted holds
+    /// and the connection stays open. False if there is not enough memory.
+    virtual bool holdAnswer(size_t bytes, const std::function<bool()> &wanted) = 0;
 };
 
 using HttpHandler = std::function<void(HttpExchange &)>;
@@ -59,8 +71,11 @@
 class HttpServer
 {
 public:
-    /// @p thread must outlive the server, and be stopped before it is destroyed.
-    HttpServer(FiberThread &thread, HttpHandler handler, HttpServerLimits limits = {});
+    /// @p thread must outlive the server, and be stopped before it is destroyed. @p clients takes
+    /// the connections of all servers of the thread that share a budget, and must outlive them;
+    /// null: without a bound on memory.
+    HttpServer(FiberThread &thread, HttpHandler handler, HttpServerLimits limits = {},
+               ClientConnections *clients = nullptr);
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
--- a/net/net.h
+++ b/net/net.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "net/address.h"
+#include "net/client_connections.h"
 #include "net/clock_timer.h"
 #include "net/datagrams.h"
 #include "net/fiber_socket.h"
@@ -9,6 +10,7 @@
 #include "net/http_client.h"
 #include "net/http_message.h"
 #include "net/http_server.h"
+#include "net/memory_budget.h"
 #include "net/process_stats.h"
 #include "net/run_on.h"
 #include "net/signals.h"
