Bodies draw on one memory budget of the process, derived from its machine's limit

Callers saw: a process over the memory of its machine. 60 clients that sent 2 MiB less a byte of a body, by length or in one chunk, at the clients' address or the one for other VMs, took a daemon to 135 MiB of 64; 60 that sent chunked bodies over the limit and came back after each refusal, to 173 MiB (four cases, red before).

Cause: each request had a limit, their sum had none, and the settings' memory limit was not read.

Fix: limits.memoryMb, less what the process and its connections need at least, is the budget that read buffers and bodies beyond 16 KiB of a connection draw on, shared by the servers of the traffic thread. A request that finds no memory closes the connections whose clients have made no progress for longest (503, not run), and is refused with 503 and a time to return if that is not enough. Small requests are in what is set aside for each connection, so they never compete. A body is not waited for past its request's own deadline (408). The readiness address takes 64 connections and bodies of 4 KiB.

--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -39,6 +39,9 @@
 constexpr unsigned NoOutageMode = 1'000'000;
 constexpr Millis StoreLogPeriod{ 5'000 };
 constexpr const char *MetricsPath = "/metrics";
+constexpr size_t MaxReadyConnections = 64;
+constexpr size_t MaxReadyBodyBytes = 4 * 1024;
+constexpr Millis ReadyBodyTimeout{ 1'000 };
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusUnavailable = 503;
 
@@ -57,17 +60,13 @@
     return store;
 }
 
-HttpServerLimits serverLimits(const ClientLimits &limits, const RelaySettings &settings)
+/// Of the address for readiness checks and metrics, whose requests have no body.
+HttpServerLimits readyLimits()
 {
     HttpServerLimits server;
-    server.m_headerBytes = limits.m_headerBytes;
-    server.m_bodyBytes = limits.m_bodyBytes;
-    server.m_headerTimeout = limits.m_headerTimeout;
-    server.m_idleTimeout = limits.m_idleTimeout;
-    server.m_connections = settings.m_connections;
-    // Clients are far away, and no request waits for a new connection of theirs, so two probes may
-    // be lost.
-    server.m_silence = { settings.m_bounds.m_recoveryTime, true };
+    server.m_bodyBytes = MaxReadyBodyBytes;
+    server.m_bodyTimeout = ReadyBodyTimeout;
+    server.m_connections = MaxReadyConnections;
     return server;
 }
 
@@ -90,6 +89,8 @@
 RelayDaemon::RelayDaemon(const RelaySettings &settings, const RelayAdapter &adapter)
     : m_settings(settings)
     , m_adapter(adapter)
+    , m_clientMemory(clientMemory(settings))
+    , m_connections(m_traffic, m_clientMemory)
 {
     m_node = std::make_unique<RelayNode>(m_traffic, settings, adapter.m_requests);
     const auto seed = RandomEngine(std::random_device{}());
@@ -161,18 +162,37 @@
     return daemon;
 }
 
+HttpServerLimits RelayDaemon::serverLimits(const ClientLimits &limits) const
+{
+    HttpServerLimits server;
+    server.m_headerBytes = limits.m_headerBytes;
+    server.m_bodyBytes = limits.m_bodyBytes;
+    server.m_headerTimeout = limits.m_headerTimeout;
+    server.m_idleTimeout = limits.m_idleTimeout;
+    server.m_connections = m_settings.m_connections;
+    // Clients are far away, and no request waits for a new connection of theirs, so two probes may
+    // be lost.
+    server.m_silence = { m_settings.m_bounds.m_recoveryTime, true };
+    server.m_usefulTime = [readHead = m_adapter.m_requests.m_readRequestHead](
+                              const HttpRequest &head) -> std::optional<Duration> {
+        return readHead(head).m_deadline;
+    };
+    return server;
+}
+
 Status RelayDaemon::listen()
 {
     const auto serverFor = [this](RequestSource source) {
         return std::make_unique<HttpServer>(
             m_traffic,
             [this, source](HttpExchange &exchange) { RelayRun(*m_node, exchange, source).run(); },
-            serverLimits({}, m_settings));
+            serverLimits({}), &m_connections);
     };
     m_clients = serverFor(RequestSource::Client);
     m_forward = serverFor(RequestSource::Vm);
     m_ready = std::make_unique<HttpServer>(
-        m_traffic, [this](HttpExchange &exchange) { handleReadyRequest(exchange); });
+        m_traffic, [this](HttpExchange &exchange) { handleReadyRequest(exchange); }, readyLimits(),
+        &m_connections);
     const auto clients = m_clients->listen(m_settings.m_clients);
     if (!clients)
         return tl::unexpected(clients.error());
@@ -257,8 +277,8 @@
             rebuildPools(view);
             rebuildColdShares(view, m_settings.m_vm);
         });
-        m_clients->setLimits(serverLimits(routes->m_limits, m_settings));
-        m_forward->setLimits(serverLimits(routes->m_limits, m_settings));
+        m_clients->setLimits(serverLimits(routes->m_limits));
+        m_forward->setLimits(serverLimits(routes->m_limits));
         announceChange();
     };
     hooks.m_onProof = [this](const FreshnessProof &proof) {
--- a/relay/relay_daemon.h
+++ b/relay/relay_daemon.h
@@ -45,6 +45,7 @@
     RelayDaemon(const RelaySettings &settings, const RelayAdapter &adapter);
 
     Status listen();
+    HttpServerLimits serverLimits(const ClientLimits &limits) const;
     FollowerHooks followerHooks();
     FleetHooks fleetHooks();
     StateSummary ownSummary() const;
@@ -77,6 +78,8 @@
     const RelayAdapter m_adapter;
     FiberThread m_control{ "control" };
     FiberThread m_traffic{ "traffic" };
+    MemoryBudget m_clientMemory;
+    ClientConnections m_connections; ///< Of clients and of VMs that forward requests.
     std::unique_ptr<RelayNode> m_node;
     std::unique_ptr<HttpServer> m_clients;
     std::unique_ptr<HttpServer> m_forward; ///< Requests that other VMs forward.
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -6,8 +6,7 @@
 
 namespace stackquay {
 
-/// Of an answer that is passed on whole. A VM has 160 MB, and may collect some tens of answers at
-/// once; a longer answer has to be a stream.
+/// Of an answer that is passed on whole; a longer one has to be a stream.
 constexpr size_t MaxResponseBytes = 4 * 1024 * 1024;
 
 /// Guarantees and limits that the operator sets; may change while the daemon runs.
@@ -53,7 +52,12 @@
     Address m_store;
     uint32_t m_millicores = 1'000; ///< Thousandths of a core that the platform grants this VM.
     uint32_t m_connections = 1'000; ///< Maximum number of client connections.
+    size_t m_memoryBytes = size_t(1) << 30; ///< The process is killed if it has more.
     RelayBounds m_bounds;
 };
 
+/// Memory for what is held for clients beyond what each connection needs at least: bodies, answers
+/// and events.
+size_t clientMemory(const RelaySettings &settings);
+
 } // namespace stackquay
