Answers draw on the memory budget, and their readers have until the request's deadline

Cause: an answer was collected whole and copied once more to be written, a body was copied for each attempt, their sum had no bound, and a reader had 30 s, for each chunk anew.

Fix: an answer is read from its endpoint only as far as the budget has room; the rest waits there, as the request has run and a refusal would not be true. Room is made by the connections whose clients take nothing for longest, so that other answers go on within about a second. Request bodies and answers are sent from where they are.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -227,6 +227,11 @@
 }
 
 Status HttpConnection::send(const HttpRequest &request, Duration timeout)
+{
+    return send(request, request.m_body, timeout);
+}
+
+Status HttpConnection::send(const HttpRequest &request, std::string_view body, Duration timeout)
 {
     const auto state = m_state;
     http::request<http::span_body<const char>> message;
@@ -241,12 +246,12 @@
         else
             message.insert(header.m_name, header.m_value);
     }
-    message.body() = beast::span<const char>(request.m_body.data(), request.m_body.size());
+    message.body() = beast::span<const char>(body.data(), body.size());
     // prepare_payload() throws if a method may have no body, such as TRACE.
-    if (request.m_body.empty())
+    if (body.empty())
         message.prepare_payload();
     else
-        message.content_length(request.m_body.size());
+        message.content_length(body.size());
     state->m_reusable = false;
     state->m_inExchange = true;
     state->beginResponse();
@@ -297,14 +302,31 @@
     return {};
 }
 
-Result<std::string> HttpConnection::readWhole(Duration timeout, size_t limit)
+Result<std::string> HttpConnection::readWhole(Duration timeout, size_t limit,
+                                              const ReserveMemory &reserve)
 {
     const auto state = m_state;
     const TimePoint deadline = Clock::now() + timeout;
     std::string whole;
     std::string piece;
-    if (state->m_parser->content_length_remaining().value_or(0) > limit)
+    const auto announced = state->m_parser->content_length_remaining();
+    if (announced.value_or(0) > limit)
         return state->fail(http::error::body_limit, "read body");
+    const auto makeRoom = [&](size_t bytes) {
+        if (bytes <= whole.capacity())
+            return true;
+        const size_t capacity = std::min(std::max(bytes, 2 * whole.capacity()), limit);
+        if (reserve && !reserve(capacity))
+            return false;
+        whole.reserve(capacity);
+        return true;
+    };
+    const auto noMemory = [&] {
+        cancel();
+        return makeError(ErrorCode::ResourceExhausted, "no memory for the body");
+    };
+    if (reserve && !makeRoom(announced.value_or(0)))
+        return noMemory();
     for (;;) {
         const Status status =
             readBody(piece, std::max<Duration>(deadline - Clock::now(), Millis(1)));
@@ -314,6 +336,8 @@
             return whole;
         if (piece.size() > limit - whole.size())
             return state->fail(http::error::body_limit, "read body");
+        if (!makeRoom(whole.size() + piece.size()))
+            return noMemory();
         whole += piece;
         // A peer whose bytes are always there already lets no read time out.
         if (Clock::now() >= deadline && !state->m_parser->is_done())
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 
 #include "net/address.h"
@@ -17,6 +18,9 @@
 /// store are lists of some thousand entries at most.
 constexpr size_t DefaultBodyLimit = 16 * 1024 * 1024;
 
+/// Reserves memory for a body, in place of what was reserved before; false if there is none.
+using ReserveMemory = std::function<bool(size_t bytes)>;
+
 /// One connection, used by one fiber at a time; cancel() may come from another fiber of its thread.
 class HttpConnection
 {
@@ -29,13 +33,18 @@
     Status connect(const Address &address, Duration timeout, const SilenceBounds &silence = {});
     /// Sends a request. An error says whether any byte may have left in bytesSent().
     Status send(const HttpRequest &request, Duration timeout);
+    /// The same, with a body that the caller keeps in place of the request's own.
+    Status send(const HttpRequest &request, std::string_view body, Duration timeout);
     /// Reads status and headers; the body is left for readBody() or readWhole().
     Result<HttpResponse> readHeader(Duration timeout);
     /// Reads the next piece of the body into @p piece; an empty one means a clean end.
     Status readBody(std::string &piece, Duration timeout);
     /// Reads the rest of the body. ProtocolError if it is longer than @p limit; the connection is
-    /// closed then, and nothing is read of a body whose stated length is beyond it.
-    Result<std::string> readWhole(Duration timeout, size_t limit = DefaultBodyLimit);
+    /// closed then, and nothing is read of a body whose stated length is beyond it. With
+    /// @p reserve, the body is read only as far as there is memory: ResourceExhausted if it says
+    /// that there is none; it may block the fiber.
+    Result<std::string> readWhole(Duration timeout, size_t limit = DefaultBodyLimit,
+                                  const ReserveMemory &reserve = {});
     /// Closes the connection; a waiting call returns Cancelled.
     void cancel();
 
--- a/net/http_exchange.cpp
+++ b/net/http_exchange.cpp
@@ -1,5 +1,7 @@
 #include "net/http_exchange.h"
 
+#include <cassert>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -143,9 +145,27 @@
     m_stream.socket().close(ignored);
 }
 
-bool ServerExchange::holdAnswer(size_t bytes, const std::function<bool()> &wanted)
+bool ServerExchange::changeAnswerMemory(ptrdiff_t bytes, const std::function<bool()> &wanted)
+{
+    MemoryHold &held = m_connection.m_answer;
+    return m_connections.awaitMemory(m_connection, held, held.bytes() + static_cast<size_t>(bytes),
+                                     wanted);
+}
+
+bool AnswerMemory::resize(size_t bytes, const std::function<bool()> &wanted)
+{
+    const auto change = static_cast<ptrdiff_t>(bytes) - static_cast<ptrdiff_t>(m_bytes);
+    if (change != 0 && !m_exchange->changeAnswerMemory(change, wanted))
+        return false;
+    m_bytes = bytes;
+    return true;
+}
+
+void AnswerMemory::release()
 {
-    return m_connections.awaitMemory(m_connection, m_connection.m_answer, bytes, wanted);
+    const bool released = resize(0, {});
+    assert(released);
+    (void)released;
 }
 
 void ServerExchange::onHangup(std::function<void()> callback)
--- a/net/http_exchange.h
+++ b/net/http_exchange.h
@@ -29,7 +29,7 @@
     Status finish(std::string_view last) override;
     void abort() override;
     void setAnswerDeadline(TimePoint deadline) override { m_answerDeadline = deadline; }
-    bool holdAnswer(size_t bytes, const std::function<bool()> &wanted) override;
+    bool changeAnswerMemory(ptrdiff_t bytes, const std::function<bool()> &wanted) override;
     void onHangup(std::function<void()> callback) override;
     bool callerLeft() const override;
     bool started() const override { return m_started; }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "net/address.h"
 #include "net/client_connections.h"
@@ -60,10 +61,42 @@
     /// From then on the answer is of no use to the client. One that is ready is sent, also late,
     /// but does not wait long for a client that reads slowly.
     virtual void setAnswerDeadline(TimePoint deadline) = 0;
-    /// Sets @p bytes aside for what the handler holds of the answer, in place of what was set aside
-    /// before, until the handler returns. Blocks the fiber while memory is short, @p wanted holds
-    /// and the connection stays open. False if there is not enough memory.
-    virtual bool holdAnswer(size_t bytes, const std::function<bool()> &wanted) = 0;
+    /// Counts @p bytes more, or less, as held for the answer; see AnswerMemory. Blocks the fiber
+    /// while memory is short and @p wanted holds. False if there is not enough.
+    virtual bool changeAnswerMemory(ptrdiff_t bytes, const std::function<bool()> &wanted) = 0;
+};
+
+/// What a handler holds of an answer, such as a body that it collects. Those of one exchange add
+/// up, and end before it.
+class AnswerMemory
+{
+public:
+    explicit AnswerMemory(HttpExchange &exchange)
+        : m_exchange(&exchange)
+    { }
+    ~AnswerMemory() { release(); }
+    AnswerMemory(AnswerMemory &&other) noexcept
+        : m_exchange(other.m_exchange)
+        , m_bytes(std::exchange(other.m_bytes, 0))
+    { }
+    AnswerMemory &operator=(AnswerMemory &&other) noexcept
+    {
+        release();
+        m_exchange = other.m_exchange;
+        m_bytes = std::exchange(other.m_bytes, 0);
+        return *this;
+    }
+
+    /// Holds @p bytes from now on. Blocks the fiber while memory is short and @p wanted holds;
+    /// connections whose clients make no progress are closed meanwhile. False, and nothing changes,
+    /// if there is not enough.
+    [[nodiscard]] bool resize(size_t bytes, const std::function<bool()> &wanted);
+
+private:
+    void release();
+
+    HttpExchange *m_exchange;
+    size_t m_bytes = 0;
 };
 
 using HttpHandler = std::function<void(HttpExchange &)>;
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -129,8 +129,9 @@
         const EndpointRecord &helper = plan.m_members[i].m_endpoint;
         head.m_helpers.push_back({ helper.m_address, reservations.ticketFor(helper.m_id) });
     }
-    return { request.m_method, request.m_target,
-             m_node.m_dialect.m_writeAttemptHeaders(m_head, head), request.m_body };
+    return {
+        request.m_method, request.m_target, m_node.m_dialect.m_writeAttemptHeaders(m_head, head), {}
+    };
 }
 
 bool RelayRun::mayStillSend()
@@ -255,8 +256,9 @@
     if (decideParts().m_isProbe)
         m_node.m_parts.noteProbe(promptParts());
     m_node.m_metrics.m_attempts.add();
-    const Status sent =
-        (*connection)->send(request, std::min<Duration>(remainingTime(), BodyTimeout));
+    const Status sent = (*connection)
+                            ->send(request, m_exchange.request().m_body,
+                                   std::min<Duration>(remainingTime(), BodyTimeout));
     AttemptResult end = AttemptResult::Failed;
     if (sent) {
         (*connection)->expectBytesBy(Clock::now() + m_attempt.m_firstEventTimeout);
@@ -348,6 +350,8 @@
             noteSilentConnection(connection, endpoint);
         return AttemptResult::Failed;
     }
+    if (error.m_code == ErrorCode::ResourceExhausted)
+        return failAttempt(endpoint, FailureWeight::None, NoMemoryReason);
     const bool late = error.m_code == ErrorCode::DeadlineExceeded;
     // Expiry of the request's deadline is not a failure of the endpoint.
     if (late && Clock::now() >= m_deadline) {
@@ -463,8 +467,10 @@
                                                      const ResponseHead &head,
                                                      HttpResponse response)
 {
+    AnswerMemory memory(m_exchange);
     auto body =
-        connection.readWhole(std::max<Duration>(remainingTime(), Millis(1)), MaxResponseBytes);
+        connection.readWhole(std::max<Duration>(remainingTime(), Millis(1)), MaxResponseBytes,
+                             [&](size_t bytes) { return holdAnswer(memory, bytes, connection); });
     if (!body)
         return failRead(connection, endpoint, body.error());
     if (isCancelled())
@@ -488,6 +494,7 @@
         return AttemptResult::Answered;
     }
     m_endpointFailure = std::move(response);
+    m_endpointFailureMemory = std::move(memory);
     return failAttempt(endpoint, FailureWeight::None,
                        fmt::format("status {}", m_endpointFailure->m_status));
 }
@@ -505,6 +512,20 @@
     return true;
 }
 
+/// Reads the endpoint's answer only as far as there is memory for it: the rest waits there.
+bool RelayRun::holdAnswer(AnswerMemory &memory, size_t bytes, HttpConnection &connection)
+{
+    bool waited = false;
+    const bool held = memory.resize(bytes, [&] {
+        waited = true;
+        return !isCancelled() && remainingTime() > Duration::zero();
+    });
+    // The endpoint was not silent meanwhile.
+    if (waited && !m_forwarding)
+        connection.expectBytesBy(Clock::now() + m_attempt.m_firstEventTimeout);
+    return held;
+}
+
 void RelayRun::recordFirstEvent(const EndpointRecord &endpoint)
 {
     m_attempt.m_answeredAt = Clock::now();
--- a/relay/relay_forward.cpp
+++ b/relay/relay_forward.cpp
@@ -101,7 +101,7 @@
     const HttpHeaders headers = m_node.m_dialect.m_writeForwardHeaders(request, forward);
     const EndpointRecord vm{ EndpointId(peer.m_vm.str()), {}, peer.m_address, peer.m_dataCentre };
     const Status sent =
-        connection.send({ request.m_method, request.m_target, headers, request.m_body },
+        connection.send({ request.m_method, request.m_target, headers, {} }, request.m_body,
                         std::min<Duration>(remainingTime(), BodyTimeout));
     if (!sent)
         return failRead(connection, vm, sent.error());
--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -99,6 +99,7 @@
     m_service = service == routes.m_services.end() ? nullptr : &service->second;
     m_deadline =
         m_arrival + std::min(m_head.m_deadline.value_or(m_route->m_timeout), m_route->m_timeout);
+    m_exchange.setAnswerDeadline(m_deadline);
     if (!admitWhileDraining())
         return false;
     if (!maySend()) {
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -105,6 +105,7 @@
         Failed, ///< It may have run.
     };
 
+    static constexpr const char *NoMemoryReason = "no memory for the answer";
     static constexpr const char *QuarantinedPart = "engines crash on a part of its prompt";
     static constexpr const char *EvacuatedReason = "its data centres are evacuated";
     static constexpr const char *LimitedReason = "the endpoints take no more requests now";
@@ -272,6 +273,8 @@
     void noteSilentConnection(const HttpConnection &connection, const EndpointRecord &endpoint);
     void recordFirstEvent(const EndpointRecord &endpoint);
     bool collectEvents(EventSplitter &events, std::string &batch);
+    /// Holds @p bytes of the answer that @p connection brings; waits while memory is short.
+    bool holdAnswer(AnswerMemory &memory, size_t bytes, HttpConnection &connection);
     void forwardEvents(const ResponseHead &head, unsigned status, const std::string &batch);
     HttpRequest upstreamRequest(const GangPlan &plan, const MemoryReservations &reservations) const;
     /// The endpoints to which the request may be sent and run.
@@ -373,6 +376,7 @@
     std::optional<uint64_t> m_lastEvent; ///< Last event id that the client received.
     /// An endpoint's error response, used if no attempt succeeds.
     std::optional<HttpResponse> m_endpointFailure;
+    std::optional<AnswerMemory> m_endpointFailureMemory;
     std::string m_failureReason; ///< Reason of the last failed attempt.
     /// Restrictions on the placement of a suspect, as last decided.
     SuspectHandling m_suspectHandling = SuspectHandling::None;
