Events of a stream draw on the memory budget and are passed on without copies

Callers saw: 90 clients that read streams with events of 512 KiB at 4 kB/s took a daemon to 129 MiB of 64 (RelayMisuseTest.StreamsReadSlowly, red before).

Cause: an event was copied from the buffer, and again into the batch that waits for its reader, and neither the buffers nor their sum had a bound beyond 1 MiB for one event.

Fix: a batch is a view of the buffer that the events came in, which draws on the budget; while memory is short the stream is not read on. A buffer that one long event has grown is given back after it.

--- a/relay/event_splitter.cpp
+++ b/relay/event_splitter.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::string_view IdField = "id:";
 constexpr size_t LongestBlankLine = 3;
+constexpr size_t KeptCapacity = 32 * 1024;
 
 /// The length of the blank line that starts at @p position; zero if there is none.
 size_t blankLineAt(std::string_view text, size_t position)
@@ -48,6 +49,9 @@
     m_buffer.erase(0, m_consumed);
     m_searched -= m_consumed;
     m_consumed = 0;
+    // One long event does not keep its memory for the rest of the stream.
+    if (m_buffer.empty() && m_buffer.capacity() > KeptCapacity)
+        m_buffer = std::string();
     m_buffer.append(bytes);
 }
 
@@ -61,7 +65,7 @@
             continue;
         const size_t end = position + blank;
         RawEvent event;
-        event.m_bytes = std::string(text.substr(m_consumed, end - m_consumed));
+        event.m_bytes = text.substr(m_consumed, end - m_consumed);
         event.m_id = parseId(event.m_bytes);
         m_consumed = end;
         m_searched = end;
--- a/relay/event_splitter.h
+++ b/relay/event_splitter.h
@@ -11,7 +11,9 @@
 namespace stackquay {
 
 struct RawEvent {
-    std::string m_bytes; ///< Includes the terminating blank line.
+    /// Includes the terminating blank line. Valid until more is fed; that of the next event follows
+    /// in memory.
+    std::string_view m_bytes;
     std::optional<uint64_t> m_id;
 };
 
@@ -24,6 +26,8 @@
     /// Whether no incomplete event is buffered, so that the stream may end here.
     bool empty() const { return m_consumed == m_buffer.size(); }
     size_t pending() const { return m_buffer.size() - m_consumed; }
+    /// Memory that it holds.
+    size_t capacity() const { return m_buffer.capacity(); }
 
 private:
     std::string m_buffer;
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -499,7 +499,7 @@
                        fmt::format("status {}", m_endpointFailure->m_status));
 }
 
-bool RelayRun::collectEvents(EventSplitter &events, std::string &batch)
+bool RelayRun::collectEvents(EventSplitter &events, std::string_view &batch)
 {
     while (auto event = events.next()) {
         if (event->m_id) {
@@ -507,7 +507,8 @@
                 return false;
             m_lastEvent = event->m_id;
         }
-        batch += event->m_bytes;
+        const char *start = batch.empty() ? event->m_bytes.data() : batch.data();
+        batch = { start, batch.size() + event->m_bytes.size() };
     }
     return true;
 }
@@ -552,6 +553,7 @@
 {
     if (!head.m_signed || head.m_encoded)
         return failAttempt(endpoint, FailureWeight::Weak, "the answer is not the endpoint's own");
+    AnswerMemory memory(m_exchange);
     EventSplitter events;
     std::string piece;
     bool first = true;
@@ -572,8 +574,11 @@
         }
         if (!m_forwarding)
             noteActive(endpoint);
+        if (!holdAnswer(memory, std::max(events.capacity(), events.pending() + piece.size()),
+                        connection))
+            return failAttempt(endpoint, FailureWeight::None, NoMemoryReason);
         events.feed(piece);
-        std::string batch;
+        std::string_view batch;
         const bool ordered = collectEvents(events, batch);
         if (!batch.empty()) {
             if (first) {
@@ -605,7 +610,7 @@
     return AttemptResult::Answered;
 }
 
-void RelayRun::forwardEvents(const ResponseHead &head, unsigned status, const std::string &batch)
+void RelayRun::forwardEvents(const ResponseHead &head, unsigned status, std::string_view batch)
 {
     cancelStandbys();
     const TimePoint now = Clock::now();
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -272,10 +272,11 @@
     /// Records that a connection has lost its way, which is no failure of the endpoint.
     void noteSilentConnection(const HttpConnection &connection, const EndpointRecord &endpoint);
     void recordFirstEvent(const EndpointRecord &endpoint);
-    bool collectEvents(EventSplitter &events, std::string &batch);
+    /// Sets @p batch to the complete events, up to one that is out of order.
+    bool collectEvents(EventSplitter &events, std::string_view &batch);
     /// Holds @p bytes of the answer that @p connection brings; waits while memory is short.
     bool holdAnswer(AnswerMemory &memory, size_t bytes, HttpConnection &connection);
-    void forwardEvents(const ResponseHead &head, unsigned status, const std::string &batch);
+    void forwardEvents(const ResponseHead &head, unsigned status, std::string_view batch);
     HttpRequest upstreamRequest(const GangPlan &plan, const MemoryReservations &reservations) const;
     /// The endpoints to which the request may be sent and run.
     uint32_t attemptLimit() const;
