The native daemon has the same budget, and a bound on its connections

A completion reserves the copies of its prompt before it is parsed, and is refused with 503 (not run) if there is no memory; a service's response is read as far as there is memory, and the rest waits at the service until the deadline. A call's body is sent from where it is, not copied for each attempt, and the request of an attempt is freed once it is sent.

--- a/control/daemon.cpp
+++ b/control/daemon.cpp
@@ -1,6 +1,7 @@
 #include "control/daemon.h"
 
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include "control/command_http.h"
 
@@ -38,10 +39,20 @@
     return node;
 }
 
+size_t clientMemory(const DaemonSettings &settings)
+{
+    if (settings.m_clientMemoryBytes > 0)
+        return settings.m_clientMemoryBytes;
+    const long pages = sysconf(_SC_PHYS_PAGES);
+    const long pageBytes = sysconf(_SC_PAGESIZE);
+    return static_cast<size_t>(pages) * static_cast<size_t>(pageBytes) / 2;
+}
+
 } // namespace
 
 Daemon::Daemon(const DaemonSettings &settings)
     : m_settings(settings)
+    , m_clientMemory(clientMemory(settings))
 { }
 
 Result<std::unique_ptr<Daemon>> Daemon::start(const DaemonSettings &settings)
@@ -85,10 +96,15 @@
 {
     HttpServerLimits limits;
     limits.m_bodyBytes = m_settings.m_maxBodyBytes;
+    limits.m_connections = std::max<size_t>(m_settings.m_maxConnections / m_workers.size(), 1);
+    limits.m_usefulTime = readDeadlineHeader;
     m_http = m_settings.m_http;
     for (const auto &worker : m_workers) {
-        m_servers.push_back(std::make_unique<HttpServer>(
-            worker->thread(), makeRoutes(*worker, operatorRoutes()), limits));
+        m_connections.push_back(
+            std::make_unique<ClientConnections>(worker->thread(), m_clientMemory));
+        m_servers.push_back(std::make_unique<HttpServer>(worker->thread(),
+                                                         makeRoutes(*worker, operatorRoutes()),
+                                                         limits, m_connections.back().get()));
         const auto bound = m_servers.back()->listen(m_http);
         if (!bound)
             return tl::unexpected(bound.error());
--- a/control/daemon.h
+++ b/control/daemon.h
@@ -41,8 +41,10 @@
     void endRequests();
 
     DaemonSettings m_settings;
+    MemoryBudget m_clientMemory;
     std::unique_ptr<Node> m_node;
     std::vector<std::unique_ptr<TrafficWorker>> m_workers;
+    std::vector<std::unique_ptr<ClientConnections>> m_connections; ///< One for each worker.
     std::vector<std::unique_ptr<HttpServer>> m_servers;
     FiberThread m_control{ "control" };
     std::unique_ptr<ControlState> m_state;
--- a/control/daemon_settings.cpp
+++ b/control/daemon_settings.cpp
@@ -9,6 +9,9 @@
 constexpr uint32_t MostThreads = 64;
 constexpr uint64_t LeastBodyBytes = 1024;
 constexpr uint64_t MostBodyBytes = 1024ull * 1024 * 1024;
+constexpr uint32_t MinConnections = 16;
+constexpr uint32_t MaxConnections = 1'000'000;
+constexpr uint64_t MaxMemoryBytes = 1ull << 50;
 
 void addAddress(SettingsTable<DaemonSettings> &table, std::string name,
                 Address DaemonSettings::*member, std::string help)
@@ -54,6 +57,12 @@
                    "How long an engine may send nothing after its first token.");
     table.integer("max-body-bytes", &S::m_maxBodyBytes, { LeastBodyBytes, MostBodyBytes }, "bytes",
                   "Largest body of a request.");
+    table.integer("max-connections", &S::m_maxConnections, { MinConnections, MaxConnections },
+                  "connections",
+                  "Most connections of callers and operators, on all threads together.");
+    table.integer("client-memory-bytes", &S::m_clientMemoryBytes, { 0, MaxMemoryBytes }, "bytes",
+                  "Most memory for request bodies and answers; 0 takes half of the machine's. A "
+                  "request that finds none is refused with 503.");
     table.text("log-level", &S::m_logLevel, "A level, or levels by part: warn,entry=debug.");
     table.choice<LogFormat>("log-format", &S::m_logFormat,
                             { { "text", LogFormat::Text }, { "json", LogFormat::Json } },
--- a/control/daemon_settings.h
+++ b/control/daemon_settings.h
@@ -23,6 +23,8 @@
     Millis m_loadPollInterval{ 1'000 };
     Millis m_streamIdleTimeout{ 10'000 };
     uint64_t m_maxBodyBytes = 16 * 1024 * 1024;
+    uint32_t m_maxConnections = 20'000; ///< Of callers and operators, on all threads together.
+    uint64_t m_clientMemoryBytes = 0; ///< Zero: half of the machine's memory.
     std::string m_logLevel = "info";
     LogFormat m_logFormat = LogFormat::Text;
 };
--- a/endpoint/engine_stream.cpp
+++ b/endpoint/engine_stream.cpp
@@ -65,7 +65,7 @@
     m_position = attempt.m_skip;
     const TimePoint deadline = Clock::now() + timeout;
     const auto remaining = [&] { return std::max<Duration>(deadline - Clock::now(), Millis(1)); };
-    const HttpRequest request{ "POST", "/v1/completions", jsonHeaders(), attemptBody(attempt) };
+    HttpRequest request{ "POST", "/v1/completions", jsonHeaders(), attemptBody(attempt) };
     auto connection = m_pool.acquire(m_address, remaining());
     if (!connection)
         return tl::unexpected(StartFailure{ true, "", connection.error() });
@@ -75,6 +75,8 @@
     const Status sent = m_connection->send(request, remaining());
     if (!sent)
         return tl::unexpected(StartFailure{ m_connection->bytesSent() == 0, "", sent.error() });
+    // The answer may take long to begin.
+    request.m_body = std::string();
     const auto header = m_connection->readHeader(remaining());
     if (!header)
         return tl::unexpected(StartFailure{ false, "", header.error() });
--- a/endpoint/service_call.cpp
+++ b/endpoint/service_call.cpp
@@ -14,16 +14,16 @@
 
 /// Sends the call and reads the whole response.
 tl::expected<HttpResponse, ServiceFailure> exchange(HttpConnection &connection,
-                                                    const HttpRequest &request, TimePoint deadline)
+                                                    const ServiceCall &call, TimePoint deadline)
 {
     const auto remaining = [&] { return std::max<Duration>(deadline - Clock::now(), Millis(1)); };
-    const Status sent = connection.send(request, remaining());
+    const Status sent = connection.send(call.m_request, call.m_body, remaining());
     if (!sent)
         return fail(connection.bytesSent() == 0, sent.error());
     auto response = connection.readHeader(remaining());
     if (!response)
         return fail(false, response.error());
-    auto body = connection.readWhole(remaining());
+    auto body = connection.readWhole(remaining(), DefaultBodyLimit, call.m_reserve);
     if (!body)
         return fail(false, body.error());
     response->m_body = std::move(*body);
@@ -51,7 +51,7 @@
     if (cancellation.cancelled())
         return fail(true, { ErrorCode::Cancelled, "cancelled" });
     cancellation.setConnection(connection->get());
-    auto response = exchange(**connection, call.m_request, deadline);
+    auto response = exchange(**connection, call, deadline);
     cancellation.setConnection(nullptr);
     if (!response)
         return response;
--- a/endpoint/service_call.h
+++ b/endpoint/service_call.h
@@ -7,9 +7,11 @@
 
 struct ServiceCall {
     HttpRequest m_request; ///< Target and headers as sent to the service.
+    std::string_view m_body; ///< In place of the request's own. Must outlive the call.
     AttemptId m_attempt;
     bool m_repeatable = true; ///< False: sent on a new connection.
     Duration m_timeout = Seconds(30);
+    ReserveMemory m_reserve; ///< For the body of the response; empty: no bound but its length.
 };
 
 struct ServiceFailure {
--- a/entry/completion_answer.cpp
+++ b/entry/completion_answer.cpp
@@ -9,6 +9,9 @@
 
 using Json = nlohmann::json;
 
+/// Of a response's text: as collected, and in the body that is sent.
+constexpr size_t TextCopies = 2;
+
 std::string toJsonString(std::string_view text)
 {
     return Json(text).dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -45,6 +48,7 @@
     , m_id(std::move(id))
     , m_promptTokens(promptTokens)
     , m_created(unixSeconds())
+    , m_memory(exchange)
 { }
 
 void CompletionAnswer::append(const TokenFrame &frame)
@@ -58,13 +62,22 @@
 
 Status CompletionAnswer::flush()
 {
-    if (!m_stream || m_buffer.empty())
+    if (!m_stream)
+        return holdText();
+    if (m_buffer.empty())
         return {};
     const Status written = m_started ? m_exchange.write(m_buffer) : startStream(m_buffer);
     m_buffer.clear();
     return written;
 }
 
+Status CompletionAnswer::holdText()
+{
+    if (!m_memory.resize(TextCopies * m_buffer.capacity(), {}))
+        return makeError(ErrorCode::ResourceExhausted, "not enough memory for the response");
+    return {};
+}
+
 Status CompletionAnswer::finish(const FinalFrame &frame)
 {
     const std::string finish = toJsonString(frame.m_finish);
--- a/entry/completion_answer.h
+++ b/entry/completion_answer.h
@@ -20,7 +20,8 @@
     /// Adds tokens. A streamed response sends them with the next flush().
     void append(const TokenFrame &frame);
     /// Sends the tokens added since the last flush(). An error means that the client has
-    /// disconnected. No-op unless the response is streamed.
+    /// disconnected. A response that is not streamed is held until finish(); an error means that
+    /// there is no memory for it.
     Status flush();
     /// Completes the response. An error means that the client has disconnected.
     Status finish(const FinalFrame &frame);
@@ -32,6 +33,7 @@
 private:
     void appendChunk(std::string_view textJson, std::string_view finish, const TokenFrame *frame,
                      const FinalFrame *final);
+    Status holdText();
     Status startStream(std::string_view first);
     std::string completeBody(const FinalFrame &frame) const;
 
@@ -42,6 +44,7 @@
     RequestId m_id;
     uint64_t m_promptTokens;
     int64_t m_created;
+    AnswerMemory m_memory; ///< Of a response that is not streamed.
     std::string m_buffer; ///< Streamed: events not sent yet. Otherwise: the text so far.
     bool m_started = false;
 };
--- a/entry/completion_handler.cpp
+++ b/entry/completion_handler.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// Of a prompt, beside the body that it came in: parsed, in the attempt, and in its request.
+constexpr size_t PromptCopies = 3;
+
 Status checkModel(const RoutingView &view, const CompletionRequest &request)
 {
     const ModelRoute *route = view.findModel(request.m_model);
@@ -29,14 +32,17 @@
 
 /// Parses and validates the request, and refuses it if the model, the prompt length or a shutdown
 /// rules it out.
+/// @p memory holds the copies of the prompt.
 tl::expected<AdmittedCompletion, Refusal> prepare(TrafficWorker &worker, const HttpRequest &http,
                                                   const RequestId &id, ApiShape shape,
-                                                  TimePoint arrived)
+                                                  TimePoint arrived, AnswerMemory &memory)
 {
     const NodeSettings &settings = worker.node().m_settings;
     auto context = makeRequestContext(http, id, worker.node().m_view.get(), arrived);
     if (!context)
         return tl::unexpected(context.error());
+    if (!memory.resize(PromptCopies * http.m_body.size(), {}))
+        return tl::unexpected(refuseNotRun(RequestError::NoCapacity, "not enough memory"));
     auto request = parseCompletionRequest(shape, http.m_body);
     if (!request)
         return tl::unexpected(
@@ -89,12 +95,14 @@
 void handleCompletion(TrafficWorker &worker, HttpExchange &exchange, ApiShape shape)
 {
     const RequestId id(randomToken());
-    auto admitted = prepare(worker, exchange.request(), id, shape, Clock::now());
+    AnswerMemory memory(exchange);
+    auto admitted = prepare(worker, exchange.request(), id, shape, Clock::now(), memory);
     if (!admitted) {
         worker.node().m_entryMetrics.countOutcome(admitted.error().m_outcome);
         respondRefusal(exchange, id, admitted.error());
         return;
     }
+    exchange.setAnswerDeadline(admitted->m_deadline);
     // The body may be megabytes, and the parsed prompt has replaced it.
     exchange.request().m_body = std::string();
     runAdmitted(worker, exchange, std::move(*admitted));
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -4,6 +4,7 @@
 
 #include "entry/http_routes.h"
 #include "entry/node.h"
+#include "entry/request_context.h"
 #include "entry/routing_view.h"
 #include "entry/shards.h"
 #include "entry/steward_service.h"
--- a/entry/request_context.cpp
+++ b/entry/request_context.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr std::string_view DeadlineHeader = "Stackquay-Deadline";
 constexpr size_t MaxIdempotencyKeyBytes = 255;
 
 tl::unexpected<Refusal> refuse(RequestError error, std::string message)
@@ -48,6 +49,14 @@
     return refusal;
 }
 
+std::optional<Duration> readDeadlineHeader(const HttpRequest &head)
+{
+    const auto parsed = parseDeadline(findHeader(head.m_headers, DeadlineHeader));
+    if (!parsed)
+        return std::nullopt;
+    return *parsed;
+}
+
 tl::expected<RequestContext, Refusal> makeRequestContext(const HttpRequest &request, RequestId id,
                                                          RoutingViewPtr view, TimePoint arrived)
 {
@@ -67,7 +76,7 @@
             return refuse(RequestError::InvalidRequest, parsed.error().m_message);
         context.m_priority = std::min(*parsed, context.m_customer->m_priority);
     }
-    const std::string_view deadline = findHeader(request.m_headers, "Stackquay-Deadline");
+    const std::string_view deadline = findHeader(request.m_headers, DeadlineHeader);
     if (!deadline.empty()) {
         const auto parsed = parseDeadline(deadline);
         if (!parsed)
--- a/entry/request_context.h
+++ b/entry/request_context.h
@@ -23,6 +23,10 @@
 tl::expected<RequestContext, Refusal> makeRequestContext(const HttpRequest &request, RequestId id,
                                                          RoutingViewPtr view, TimePoint arrived);
 
+/// The deadline that the head of a request asks for, from its arrival on; nothing if none, or one
+/// that makeRequestContext() refuses.
+std::optional<Duration> readDeadlineHeader(const HttpRequest &head);
+
 /// Returns a refusal with the outcome RefusedNotRun.
 Refusal refuseNotRun(RequestError error, std::string message);
 
--- a/entry/service_handler.cpp
+++ b/entry/service_handler.cpp
@@ -62,10 +62,13 @@
 
 /// One call and its attempts.
 struct ServiceRun : ActiveRequest {
-    ServiceRun(TrafficWorker &worker, const RequestContext &context, const ServiceRoute &route)
+    ServiceRun(TrafficWorker &worker, HttpExchange &exchange, const RequestContext &context,
+               const ServiceRoute &route, AnswerMemory &memory)
         : m_worker(worker)
+        , m_exchange(exchange)
         , m_context(context)
         , m_route(route)
+        , m_memory(memory)
     {
         m_worker.activeRequests().insert(this);
     }
@@ -76,10 +79,21 @@
 
     void shutDown() override { m_cancellation.cancel(); }
 
+    /// The body of the call, which the exchange holds.
+    const std::string &body() const { return m_exchange.request().m_body; }
+    /// Waits for memory, while the response waits at its endpoint, until the deadline.
+    bool holdResponse(size_t bytes)
+    {
+        return m_memory.resize(
+            bytes, [this] { return !m_cancellation.cancelled() && Clock::now() < m_deadline; });
+    }
+
     TrafficWorker &m_worker;
+    HttpExchange &m_exchange;
     const RequestContext &m_context;
     const ServiceRoute &m_route;
-    HttpRequest m_request;
+    AnswerMemory &m_memory; ///< Of the response.
+    HttpRequest m_request; ///< Without its body.
     bool m_repeatable = true;
     TimePoint m_deadline;
     std::vector<AttemptFacts> m_attempts;
@@ -99,11 +113,19 @@
     return error.m_code == ErrorCode::Cancelled;
 }
 
+/// Whether the call ended for a reason that is not its endpoint's.
+bool isOwnFailure(const Error &error)
+{
+    return wasCancelled(error) || error.m_code == ErrorCode::ResourceExhausted;
+}
+
 tl::expected<HttpResponse, ServiceFailure> attempt(ServiceRun &run, const EndpointRoute &endpoint)
 {
     EndpointTable &endpoints = run.m_worker.node().m_endpoints;
     ServiceCall call;
     call.m_request = run.m_request;
+    call.m_body = run.body();
+    call.m_reserve = [&run](size_t bytes) { return run.holdResponse(bytes); };
     call.m_attempt = AttemptId(randomToken());
     call.m_repeatable = run.m_repeatable;
     call.m_timeout = timeLeft(run.m_deadline, Clock::now());
@@ -114,7 +136,7 @@
     endpoints.noteEnded(endpoint.m_id);
     if (response)
         endpoints.noteSuccess(endpoint.m_id);
-    else if (!wasCancelled(response.error().m_error))
+    else if (!isOwnFailure(response.error().m_error))
         endpoints.noteFailure(endpoint.m_id, Clock::now());
     return response;
 }
@@ -217,8 +239,8 @@
     ClaimRequest request;
     request.m_customer = run.m_context.m_customer->m_id;
     request.m_key = run.m_context.m_idempotencyKey;
-    request.m_bodyHash = hashKey(run.m_request.m_method + " " + run.m_request.m_target + "\n"
-                                 + run.m_request.m_body);
+    request.m_bodyHash =
+        hashKey(run.m_request.m_method + " " + run.m_request.m_target + "\n" + run.body());
     request.m_attempt = AttemptId(randomToken());
     request.m_retention = run.m_route.m_service.m_retention;
     request.m_deadline = run.m_deadline;
@@ -231,9 +253,11 @@
     return outcome;
 }
 
-tl::expected<HttpResponse, Refusal> serve(TrafficWorker &worker, HttpRequest &http,
-                                          const RequestId &id)
+/// @p memory holds the response.
+tl::expected<HttpResponse, Refusal> serve(TrafficWorker &worker, HttpExchange &exchange,
+                                          const RequestId &id, AnswerMemory &memory)
 {
+    const HttpRequest &http = exchange.request();
     const TimePoint arrived = Clock::now();
     const auto context = makeRequestContext(http, id, worker.node().m_view.get(), arrived);
     if (!context)
@@ -249,13 +273,13 @@
                         LengthClass::Short, arrived);
     if (auto shutdown = refuseIfShuttingDown(worker.node(), deadline))
         return tl::unexpected(std::move(*shutdown));
-    ServiceRun run(worker, *context, *route);
+    exchange.setAnswerDeadline(deadline);
+    ServiceRun run(worker, exchange, *context, *route, memory);
     run.m_repeatable = repeatable;
     run.m_deadline = deadline;
     run.m_request.m_method = http.m_method;
     run.m_request.m_target = target->m_pathAndQuery;
     run.m_request.m_headers = endToEndHeaders(http.m_headers);
-    run.m_request.m_body = std::move(http.m_body);
     if (!repeatable && !context->m_idempotencyKey.empty())
         return executeClaimed(run);
     return execute(run);
@@ -266,7 +290,8 @@
 void handleService(TrafficWorker &worker, HttpExchange &exchange)
 {
     const RequestId id(randomToken());
-    auto response = serve(worker, exchange.request(), id);
+    AnswerMemory memory(exchange);
+    auto response = serve(worker, exchange, id, memory);
     if (!response) {
         worker.node().m_entryMetrics.countOutcome(response.error().m_outcome);
         respondRefusal(exchange, id, response.error());
