--- a/control/daemon.cpp
+++ b/control/daemon.cpp
@@ -110,6 +110,10 @@
             return tl::unexpected(bound.error());
         m_http = *bound;
     }
+    std::vector<const ClientConnections *> connections;
+    for (const auto &thread : m_connections)
+        connections.push_back(thread.get());
+    exportClientMemory(m_node->m_metrics, m_clientMemory, std::move(connections));
     const Status peers = m_state->listen(m_http);
     if (!peers)
         return peers;
--- a/net/client_connections.cpp
+++ b/net/client_connections.cpp
@@ -104,4 +104,35 @@
     return true;
 }
 
+void exportClientMemory(MetricsRegistry &registry, const MemoryBudget &budget,
+                        std::vector<const ClientConnections *> threads)
+{
+    Gauge &used =
+        registry.gauge("stackquay_client_memory_bytes",
+                       "Memory held for clients beyond what is set aside for each connection.");
+    Gauge &limit =
+        registry.gauge("stackquay_client_memory_limit_bytes", "The most that it may be.");
+    Counter &refused = registry.counter("stackquay_client_memory_refused_total",
+                                        "Times that a request or answer found no memory.");
+    Counter &closedForMemory = registry.counter(
+        "stackquay_connections_closed_for_memory_total",
+        "Connections without progress closed because memory for clients was short.");
+    Counter &closedForRoom =
+        registry.counter("stackquay_connections_closed_for_room_total",
+                         "Connections without progress closed because all connections were taken.");
+    registry.onCollect([&, threads = std::move(threads)] {
+        const auto sum = [&threads](std::atomic<uint64_t> ClientConnectionCounters::*counter) {
+            uint64_t total = 0;
+            for (const ClientConnections *connections : threads)
+                total += connections->counters().*counter;
+            return total;
+        };
+        used.set(static_cast<double>(budget.used()));
+        limit.set(static_cast<double>(budget.limit()));
+        refused.set(sum(&ClientConnectionCounters::m_refusedForMemory));
+        closedForMemory.set(sum(&ClientConnectionCounters::m_closedForMemory));
+        closedForRoom.set(sum(&ClientConnectionCounters::m_closedForRoom));
+    });
+}
+
 } // namespace stackquay
--- a/net/client_connections.h
+++ b/net/client_connections.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <unordered_set>
+#include <vector>
 
 #include "net/fiber_socket.h"
 #include "net/fiber_thread.h"
@@ -108,4 +109,8 @@
     ClientConnectionCounters m_counters;
 };
 
+/// Shows what @p budget and the threads' connections count in @p registry. All must outlive it.
+void exportClientMemory(MetricsRegistry &registry, const MemoryBudget &budget,
+                        std::vector<const ClientConnections *> threads);
+
 } // namespace stackquay
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -216,7 +216,9 @@
         m_fleet->start();
         spawnFiber([this] { logStoreCalls(); });
     });
-    m_loadMonitor = std::make_unique<VmLoadMonitor>(m_traffic, *m_clients, m_node->m_metrics);
+    exportClientMemory(m_node->m_registry, m_clientMemory, { &m_connections });
+    m_loadMonitor =
+        std::make_unique<VmLoadMonitor>(m_traffic, *m_clients, m_connections, m_node->m_metrics);
     m_traffic.post([this] { m_loadMonitor->start(); });
     m_traffic.start();
     DecisionLine("main", "started")
--- a/relay/vm_load_monitor.cpp
+++ b/relay/vm_load_monitor.cpp
@@ -16,9 +16,11 @@
 
 } // namespace
 
-VmLoadMonitor::VmLoadMonitor(FiberThread &thread, const HttpServer &clients, RelayMetrics &metrics)
+VmLoadMonitor::VmLoadMonitor(FiberThread &thread, const HttpServer &clients,
+                             ClientConnections &connections, RelayMetrics &metrics)
     : m_thread(thread)
     , m_clients(clients)
+    , m_connections(connections)
     , m_metrics(metrics)
 { }
 
@@ -56,12 +58,19 @@
     m_metrics.m_datagramBytes.set(traffic.m_datagramBytes);
     m_metrics.m_datagramsLost.set(traffic.m_datagramsLost);
     const uint64_t requests = m_clients.requestsRead();
-    if (requests != m_requestsReported) {
+    const ClientConnectionCounters &counters = m_connections.counters();
+    const uint64_t refused = counters.m_refusedForMemory;
+    const uint64_t closed = counters.m_closedForMemory + counters.m_closedForRoom;
+    if (requests != m_requestsReported || refused != m_refusedReported
+        || closed != m_closedReported) {
         DecisionLine("relay", "load of this VM")
             .number("read", static_cast<int64_t>(requests - m_requestsReported))
             .number("partly_read", static_cast<int64_t>(m_clients.partlyReadRequests()))
             .number("in_progress", static_cast<int64_t>(m_clients.activeRequests()))
             .number("connections", static_cast<int64_t>(m_clients.connections()))
+            .number("held_kb", static_cast<int64_t>(m_connections.budget().used() / 1'000))
+            .number("refused_for_memory", static_cast<int64_t>(refused - m_refusedReported))
+            .number("closed_without_progress", static_cast<int64_t>(closed - m_closedReported))
             .number("lag_ms", millis(m_maxLag))
             .number("received_kb", since(&ThreadTraffic::m_received) / 1'000)
             .number("sent_kb", since(&ThreadTraffic::m_sent) / 1'000)
@@ -72,6 +81,8 @@
             .write();
     }
     m_requestsReported = requests;
+    m_refusedReported = refused;
+    m_closedReported = closed;
     m_reported = traffic;
     m_reportedAt = now;
     m_maxLag = {};
--- a/relay/vm_load_monitor.h
+++ b/relay/vm_load_monitor.h
@@ -11,9 +11,10 @@
 class VmLoadMonitor
 {
 public:
-    /// @p clients takes the clients' requests. @p thread is the traffic thread, and must be stopped
-    /// before the monitor is destroyed.
-    VmLoadMonitor(FiberThread &thread, const HttpServer &clients, RelayMetrics &metrics);
+    /// @p clients takes the clients' requests, on @p connections. @p thread is the traffic thread,
+    /// and must be stopped before the monitor is destroyed.
+    VmLoadMonitor(FiberThread &thread, const HttpServer &clients, ClientConnections &connections,
+                  RelayMetrics &metrics);
 
     /// Starts to report.
     void start();
@@ -24,9 +25,13 @@
 
     FiberThread &m_thread;
     const HttpServer &m_clients;
+    ClientConnections &m_connections;
     RelayMetrics &m_metrics;
     ThreadTraffic m_reported; ///< At the last report.
     uint64_t m_requestsReported = 0;
+    /// What the ClientConnectionCounters were at the last report.
+    uint64_t m_refusedReported = 0;
+    uint64_t m_closedReported = 0;
     Duration m_maxLag{}; ///< Since the last report.
     TimePoint m_reportedAt{};
 };
--- a/tests/misuse/relay_misuse_test.cpp
+++ b/tests/misuse/relay_misuse_test.cpp
@@ -41,9 +41,13 @@
     {
         ASSERT_TRUE(m_relay.daemon().isAlive())
             << when << ", peak " << m_relay.daemon().peakBytes() / Mebibyte;
+        // Bytes that wait to be read count as memory of the process.
+        const size_t unread = WatchedProcess::unreadBytes(m_relay.clients().m_port);
         const std::string response = m_relay.ordinaryResponse(m_relay.clients());
         EXPECT_TRUE(response.starts_with("HTTP/1.1 200")) << when << ": '" << response << "'";
-        EXPECT_LT(m_relay.daemon().peakBytes(), m_relay.limits().m_memoryMebibytes * Mebibyte);
+        EXPECT_LT(m_relay.daemon().peakBytes() + unread,
+                  m_relay.limits().m_memoryMebibytes * Mebibyte)
+            << "unread " << unread;
         EXPECT_LT(m_relay.daemon().mostDescriptors(), m_relay.limits().m_descriptors);
     }
 
@@ -54,7 +58,8 @@
             expectBorne(crowd);
             std::cout << "[ MEASURED ] " << clients << " clients sent "
                       << crowd.sentBytes() / Mebibyte << " MiB, open " << crowd.openConnections()
-                      << ", peak " << m_relay.daemon().peakBytes() / Mebibyte
+                      << ", peak " << m_relay.daemon().peakBytes() / Mebibyte << " MiB, unread "
+                      << WatchedProcess::unreadBytes(address.m_port) / Mebibyte
                       << " MiB, descriptors " << m_relay.daemon().mostDescriptors();
             for (const auto &[status, count] : crowd.statuses())
                 std::cout << ", " << status << ": " << count;
@@ -233,6 +238,15 @@
     expectBorne(m_relay.clients(), 40, script);
 }
 
+TEST_F(RelayMisuseTest, PipelinedRequestsWhoseAnswersAreNotRead)
+{
+    ClientScript script;
+    script.m_repeated = get("/safe/x");
+    script.m_mostRepeated = 8 * Mebibyte;
+    script.m_reading = Reading::Nothing;
+    expectBorne(m_relay.clients(), 190, script);
+}
+
 // Connections.
 
 TEST_F(RelayMisuseTest, StalledBodiesOnAllConnections)
--- a/tests/misuse/watched_process.cpp
+++ b/tests/misuse/watched_process.cpp
@@ -55,6 +55,28 @@
     return !m_process->awaitExit(Duration::zero());
 }
 
+size_t WatchedProcess::unreadBytes(uint16_t port)
+{
+    // Lines such as "0: 0100007F:1F90 0100007F:C350 01 00000000:0000A000 ...".
+    std::ifstream connections("/proc/net/tcp");
+    const std::string local = fmt::format(":{:04X}", port);
+    size_t unread = 0;
+    for (std::string line; std::getline(connections, line);) {
+        std::istringstream words(line);
+        std::string number;
+        std::string from;
+        std::string to;
+        std::string state;
+        std::string queues;
+        words >> number >> from >> to >> state >> queues;
+        constexpr const char *Listening = "0A";
+        const size_t colon = queues.find(':');
+        if (from.ends_with(local) && state != Listening && colon != std::string::npos)
+            unread += std::stoul(queues.substr(colon + 1), nullptr, 16);
+    }
+    return unread;
+}
+
 void WatchedProcess::watch()
 {
     while (!m_over) {
--- a/tests/misuse/watched_process.h
+++ b/tests/misuse/watched_process.h
@@ -24,6 +24,9 @@
     size_t descriptors() const { return m_descriptors; }
     size_t mostDescriptors() const { return m_mostDescriptors; }
 
+    /// Bytes that have arrived on its connections and were not read, of those accepted at @p port.
+    static size_t unreadBytes(uint16_t port);
+
 private:
     void watch();
     void sample();
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -18,7 +18,7 @@
 constexpr const char *Settings = R"({
   "nodeName": "front-a-1", "ip": "10.1.0.40", "zone": "a", "new": {"field": 1},
   "listen": {"front": "10.1.0.40:8227", "ready": "10.1.0.40:8220"},
-  "portRange": [7340, 7355], "limits": {"maxFds": 4200, "cpuShare": 0.12},
+  "portRange": [7340, 7355], "limits": {"memoryMb": 260, "maxFds": 4200, "cpuShare": 0.12},
   "bounds": {"strictRevoke": true, "revokeMs": 5000, "retryRatio": 0.2, "retrySlack": 100,
              "retryWindowS": 10, "graceS": 8, "contactMs": 2400, "holdMaxMs": 20000, "freeMs": 4000},
   "platform": {"address": "10.200.1.7:8223"}})";
@@ -35,6 +35,7 @@
     EXPECT_EQ(toString(settings->m_forward), "10.1.0.40:7342");
     EXPECT_EQ(toString(settings->m_store), "10.200.1.7:8223");
     EXPECT_EQ(settings->m_connections, 2'000u);
+    EXPECT_EQ(settings->m_memoryBytes, 260'000'000u);
     EXPECT_EQ(settings->m_millicores, 120u);
     EXPECT_EQ(settings->m_bounds.m_revocationTime, Millis(5'000));
     EXPECT_EQ(settings->m_bounds.m_recoveryTime, Millis(2'400));
