--- a/tests/misuse/relay_misuse_test.cpp
+++ b/tests/misuse/relay_misuse_test.cpp
@@ -28,6 +28,10 @@
 class RelayMisuseTest : public testing::Test
 {
 protected:
+    explicit RelayMisuseTest(const MachineLimits &limits = {})
+        : m_relay(limits)
+    { }
+
     void SetUp() override { ASSERT_TRUE(m_relay.start()); }
 
     /// Lets @p crowd do its work, and checks the daemon before and after its connections close.
@@ -258,6 +262,32 @@
     expectBorne(m_relay.clients(), 190, script);
 }
 
+/// As much memory for each connection as on the operators' machines.
+class ManyConnectionsTest : public RelayMisuseTest
+{
+protected:
+    ManyConnectionsTest()
+        : RelayMisuseTest({ .m_memoryMebibytes = 64, .m_descriptors = 1'400 })
+    { }
+};
+
+TEST_F(ManyConnectionsTest, PipelinedRequestsWhoseAnswersAreNotRead)
+{
+    ClientScript script;
+    script.m_repeated = get("/safe/x");
+    script.m_mostRepeated = 8 * Mebibyte;
+    script.m_reading = Reading::Nothing;
+    expectBorne(m_relay.clients(), m_relay.limits().clientConnections() - 10, script);
+}
+
+TEST_F(ManyConnectionsTest, LongAnswersReadSlowly)
+{
+    ClientScript script;
+    script.m_start = get("/slow/x");
+    script.m_reading = Reading::Slowly;
+    expectBorne(m_relay.clients(), m_relay.limits().clientConnections() - 10, script);
+}
+
 // Connections.
 
 TEST_F(RelayMisuseTest, StalledBodiesOnAllConnections)
--- a/tests/misuse/relay_process.cpp
+++ b/tests/misuse/relay_process.cpp
@@ -41,10 +41,11 @@
                        method, path, more);
 }
 
-RelayProcess::RelayProcess()
-    : m_settingsFile(
-        (std::filesystem::temp_directory_path() / fmt::format("stackquay-misuse-{}.json", getpid()))
-            .string())
+RelayProcess::RelayProcess(const MachineLimits &limits)
+    : m_limits(limits)
+    , m_settingsFile((std::filesystem::temp_directory_path()
+                      / fmt::format("stackquay-misuse-{}.json", getpid()))
+                         .string())
     , m_firstPort(findFreePorts(firstTestPort(), Ports))
 {
     m_client.start();
--- a/tests/misuse/relay_process.h
+++ b/tests/misuse/relay_process.h
@@ -27,7 +27,7 @@
     static constexpr size_t LongEventBytes = Mebibyte / 2;
     static constexpr Millis LongDelay{ 10'000 };
 
-    RelayProcess();
+    explicit RelayProcess(const MachineLimits &limits = {});
     ~RelayProcess();
 
     /// Whether the daemon has become ready.
