Receive buffers of clients' connections are bounded on the platform

Callers saw: 590 clients on 600 connections of a machine of 64 MiB (as much for each as on the operators' machines) pipelined requests and read no answers: 67 MiB waited unread in the sockets beside a peak of 35, and such bytes count as memory of the process (ManyConnectionsTest.PipelinedRequestsWhoseAnswersAreNotRead, red before).

Cause: the system's default buffers take 105 kB of each client. Making them smaller once a client has sent ahead left 80 kB each (trial): the window that it was offered cannot be taken back.

Fix: connections inherit a receive buffer of 16 KiB from their listener. It bounds a body to 16 KiB a round trip: 2.7 MB/s at the 6 ms of the operators' clients, so a body of 4 MiB takes 1.6 s. The 16 KiB of a connection are taken off before the budget is derived.

--- a/net/http_server.cpp
+++ b/net/http_server.cpp
@@ -251,6 +251,10 @@
     if (acceptor.bind(*endpoint, error))
         return failed();
     boundSilence(acceptor.native_handle(), m_state->m_limits.m_silence);
+    // Connections inherit it: the window that a client was once offered cannot be taken back.
+    if (m_state->m_limits.m_receiveBytes > 0)
+        acceptor.set_option(
+            asio::socket_base::receive_buffer_size(m_state->m_limits.m_receiveBytes), error);
     // For acceptArrived().
     if (acceptor.non_blocking(true, error) || acceptor.listen(ListenBacklog, error))
         return failed();
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -27,6 +27,9 @@
     Millis m_writeTimeout{ 30'000 }; ///< A reader that takes nothing for this long is cut.
     size_t m_connections = 20'000;
     SilenceBounds m_silence; ///< Of the connections; set before listen().
+    /// Receive buffer of a connection, which bounds what waits unread in its socket, and a body's
+    /// speed to as much a round trip; zero: the system's. Set before listen().
+    int m_receiveBytes = 0;
 };
 
 /// One request being answered. Valid until the handler returns; used only on its thread.
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -173,6 +173,7 @@
     // Clients are far away, and no request waits for a new connection of theirs, so two probes may
     // be lost.
     server.m_silence = { m_settings.m_bounds.m_recoveryTime, true };
+    server.m_receiveBytes = ClientReceiveBytes;
     server.m_usefulTime = [readHead = m_adapter.m_requests.m_readRequestHead](
                               const HttpRequest &head) -> std::optional<Duration> {
         return readHead(head).m_deadline;
--- a/relay/relay_settings.cpp
+++ b/relay/relay_settings.cpp
@@ -8,9 +8,10 @@
 
 /// Of a process without clients: code, threads, configuration, directory and store calls.
 constexpr size_t ProcessBytes = size_t(32) << 20;
-/// Of a connection: the stack of its fiber, and its allowances.
-constexpr size_t ConnectionBytes =
-    ClientConnection::RequestAllowance + ClientConnection::AnswerAllowance + 16 * 1024;
+/// Of a connection: the stack of its fiber, its allowances and its socket.
+constexpr size_t StackBytes = 16 * 1024;
+constexpr size_t ConnectionBytes = StackBytes + ClientConnection::RequestAllowance
+                                   + ClientConnection::AnswerAllowance + ClientReceiveBytes;
 /// The rest is for memory that the allocator cannot give out again.
 constexpr size_t BudgetQuarters = 3;
 /// Even on the smallest machine, a request and its answer of the greatest length are served.
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -9,6 +9,9 @@
 /// Of an answer that is passed on whole; a longer one has to be a stream.
 constexpr size_t MaxResponseBytes = 4 * 1024 * 1024;
 
+/// Receive buffer of a client's connection. What waits there unread counts as memory of the VM.
+constexpr int ClientReceiveBytes = 16 * 1024;
+
 /// Guarantees and limits that the operator sets; may change while the daemon runs.
 struct RelayBounds {
     bool m_strictKeys = true; ///< Reject keys if their revocation cannot be checked in time.
