--- a/tests/misuse/relay_misuse_test.cpp
+++ b/tests/platform/misuse/relay_misuse_test.cpp
@@ -6,7 +6,7 @@
 
 #include <gtest/gtest.h>
 
-#include "tests/misuse/relay_process.h"
+#include "tests/platform/misuse/relay_process.h"
 
 namespace stackquay::misuse {
 namespace {
--- a/tests/misuse/relay_process.cpp
+++ b/tests/platform/misuse/relay_process.cpp
@@ -1,4 +1,4 @@
-#include "tests/misuse/relay_process.h"
+#include "tests/platform/misuse/relay_process.h"
 
 #include <filesystem>
 #include <fstream>
