Answers whose status HTTP does not have are errors

Cause: the parser takes any three digits, and each reader compared the status with bounds of its own (below 500: the endpoint's answer), so that 000 counted as a success of the endpoint.

Evidence: MalformedAnswerTest of net, 6 of 6 new cases were taken as answers; of platform, Status000, 101 and 600 were passed on with the worker's signature, whole and on a stream's route, and 000 and 101 also where another endpoint could have answered: 8 of 9 cases failed, all pass now.

Fix: HttpConnection, through which every answer is read (endpoints', other VMs', the store's), fails with a protocol error unless the status is 100 to 599. 101 is one too, as no request asks for another protocol. The relay then treats it as any broken answer: another endpoint if the request may run again, else 502.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -22,6 +22,8 @@
 constexpr size_t ReadBytes = 16 * 1024;
 /// Of a head, of one chunk's header and of the trailers.
 constexpr uint32_t HeaderLimit = 64 * 1024;
+constexpr unsigned MinStatus = 100;
+constexpr unsigned MaxStatus = 599;
 /// Responses with status 1xx before an answer. Servers send one or two of them.
 constexpr size_t MaxInterimResponses = 16;
 // Answers are read in pieces; the reader bounds what it keeps.
@@ -66,13 +68,18 @@
     return std::chrono::duration_cast<Duration>(Seconds(seconds) * IdleLimitShare);
 }
 
-/// 101 is the last response of its connection.
-bool isInterim(unsigned status)
+/// Whether HTTP has this status. No request asks for another protocol, as 101 would answer.
+bool isValidStatus(unsigned status)
 {
-    return status >= 100 && status < 200
+    return status >= MinStatus && status <= MaxStatus
            && status != static_cast<unsigned>(http::status::switching_protocols);
 }
 
+bool isInterim(unsigned status)
+{
+    return http::to_status_class(status) == http::status_class::informational;
+}
+
 } // namespace
 
 struct HttpConnection::State {
@@ -150,7 +157,10 @@
                 if (error)
                     return error;
             }
-            if (!isInterim(m_parser->get().result_int()))
+            const unsigned status = m_parser->get().result_int();
+            if (!isValidStatus(status))
+                return http::error::bad_status;
+            if (!isInterim(status))
                 return {};
             beginResponse();
         }
--- a/tests/net/malformed_answer_test.cpp
+++ b/tests/net/malformed_answer_test.cpp
@@ -74,6 +74,12 @@
 }
 
 const AnswerCase StatusLines[] = {
+    { "Status000", withStatus("000 OK") },
+    { "Status001", withStatus("001 OK") },
+    { "Status099", withStatus("099 OK") },
+    { "Status101", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" },
+    { "Status600", withStatus("600 OK") },
+    { "Status999", withStatus("999 OK") },
     { "StatusOfTwoDigits", withStatus("20 OK") },
     { "StatusOfFourDigits", withStatus("2000 OK") },
     { "StatusWithLetter", withStatus("2x0 OK") },
--- a/tests/platform/malformed_answer_test.cpp
+++ b/tests/platform/malformed_answer_test.cpp
@@ -95,7 +95,10 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Heads, MalformedHeadTest,
-    testing::Values(MalformedHead{ "BlankBeforeColon", "200 OK", "Content-Length : 5" },
+    testing::Values(MalformedHead{ "Status000", "000 OK", "Content-Length: 9" },
+                    MalformedHead{ "Status101", "101 Switching Protocols", "Upgrade: x" },
+                    MalformedHead{ "Status600", "600 OK", "Content-Length: 9" },
+                    MalformedHead{ "BlankBeforeColon", "200 OK", "Content-Length : 5" },
                     MalformedHead{ "BlankInName", "200 OK", "X Filler: a\r\nContent-Length: 9" },
                     MalformedHead{ "ControlByteInName", "200 OK",
                                    "X-Fil\x01ler: a\r\nContent-Length: 9" }),
