Answers in another transfer coding are errors

Callers saw: an answer with Transfer-Encoding gzip, or any other coding but chunked, as a 200 whose body was the coded bytes, without the field that says so; with chunked beside it, the same inside the chunks (MIXED: a body that is not the worker's).

Cause: the parser takes a coding that it doesn't know for none, and reads to the connection's end; the relay drops the field, as it concerns one connection only.

Evidence: MalformedAnswerTest of net, 7 of 7 new cases were taken as answers; of platform, UnknownTransferEncoding was passed on as 200 with the worker's signature. All fail as they should now.

Fix: the one reader of answers accepts chunked alone. No request asks for another coding, and none could be decoded here. The relay then treats it as any broken answer.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 
@@ -80,6 +81,25 @@
     return http::to_status_class(status) == http::status_class::informational;
 }
 
+/// Whether the body is framed by nothing but its length, chunks or the connection's end: bodies in
+/// another transfer coding are not decoded, and none is asked for.
+bool isPlainlyFramed(const http::response_header<> &head)
+{
+    const auto [first, last] = head.equal_range(http::field::transfer_encoding);
+    return std::all_of(first, last,
+                       [](const auto &field) { return beast::iequals(field.value(), "chunked"); });
+}
+
+/// The error of a head that the parser accepts.
+boost::system::error_code checkHead(const http::response_header<> &head)
+{
+    if (!isValidStatus(head.result_int()))
+        return http::error::bad_status;
+    if (!isPlainlyFramed(head))
+        return http::error::bad_transfer_encoding;
+    return {};
+}
+
 } // namespace
 
 struct HttpConnection::State {
@@ -157,11 +177,10 @@
                 if (error)
                     return error;
             }
-            const unsigned status = m_parser->get().result_int();
-            if (!isValidStatus(status))
-                return http::error::bad_status;
-            if (!isInterim(status))
-                return {};
+            const auto &head = m_parser->get();
+            const boost::system::error_code error = checkHead(head);
+            if (error || !isInterim(head.result_int()))
+                return error;
             beginResponse();
         }
         return http::error::header_limit;
--- a/tests/net/malformed_answer_test.cpp
+++ b/tests/net/malformed_answer_test.cpp
@@ -125,7 +125,17 @@
     { "LengthThenChunked", withField("Content-Length: 9\r\nTransfer-Encoding: chunked") },
     { "ChunkedThenLength", withField("Transfer-Encoding: chunked\r\nContent-Length: 9") },
     { "LengthThenGzip", withField("Content-Length: 9\r\nTransfer-Encoding: gzip") },
+    { "GzipThenLength", withField("Transfer-Encoding: gzip\r\nContent-Length: 9") },
+    { "Gzip", withField("Transfer-Encoding: gzip") },
+    { "UnknownEncoding", withField("Transfer-Encoding: xchunked") },
+    { "EmptyEncoding", withField("Transfer-Encoding:") },
     { "ChunkedTwice", withField("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked") },
+    { "ChunkedBeforeGzip", withField("Transfer-Encoding: chunked, gzip") },
+    { "GzipBeforeChunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+                           "9\r\nan answer\r\n0\r\n\r\n" },
+    { "EncodingInParts",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "9\r\nan answer\r\n0\r\n\r\n" },
     { "ChunkSizeNotHex", withChunks("x\r\nan answer\r\n0\r\n\r\n") },
     { "NegativeChunkSize", withChunks("-9\r\nan answer\r\n0\r\n\r\n") },
     { "SignedChunkSize", withChunks("+9\r\nan answer\r\n0\r\n\r\n") },
--- a/tests/platform/malformed_answer_test.cpp
+++ b/tests/platform/malformed_answer_test.cpp
@@ -95,13 +95,14 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Heads, MalformedHeadTest,
-    testing::Values(MalformedHead{ "Status000", "000 OK", "Content-Length: 9" },
-                    MalformedHead{ "Status101", "101 Switching Protocols", "Upgrade: x" },
-                    MalformedHead{ "Status600", "600 OK", "Content-Length: 9" },
-                    MalformedHead{ "BlankBeforeColon", "200 OK", "Content-Length : 5" },
-                    MalformedHead{ "BlankInName", "200 OK", "X Filler: a\r\nContent-Length: 9" },
-                    MalformedHead{ "ControlByteInName", "200 OK",
-                                   "X-Fil\x01ler: a\r\nContent-Length: 9" }),
+    testing::Values(
+        MalformedHead{ "Status000", "000 OK", "Content-Length: 9" },
+        MalformedHead{ "Status101", "101 Switching Protocols", "Upgrade: x" },
+        MalformedHead{ "Status600", "600 OK", "Content-Length: 9" },
+        MalformedHead{ "BlankBeforeColon", "200 OK", "Content-Length : 5" },
+        MalformedHead{ "BlankInName", "200 OK", "X Filler: a\r\nContent-Length: 9" },
+        MalformedHead{ "ControlByteInName", "200 OK", "X-Fil\x01ler: a\r\nContent-Length: 9" },
+        MalformedHead{ "UnknownTransferEncoding", "200 OK", "Transfer-Encoding: gzip" }),
     [](const testing::TestParamInfo<MalformedHead> &info) { return info.param.m_name; });
 
 class EarlyAnswerTest : public MalformedAnswerTest, public testing::WithParamInterface<size_t>
