Messages of engines whose fields have another type no longer end the native daemon

Here an engine that answered GET /load, /state or /cache/events with JSON of another shape (a text for a number, a number for an event) ended each daemon that asked it, with the requests of all clients; so did an engine whose refusal gave a reason that is no text, and a recorded outcome of another shape failed its request by an exception.

Cause: these readers used nlohmann's value(), which throws if a field has another type, on fibers that nothing wraps. All other readers use core/json_fields.h, which does not throw.

Fix: the same field functions. A load report counts only if it is whole and within range, as an engine that looks idle by mistake attracts requests; a state without its memory says nothing; an outcome without status, size and body is unknown. isHttpStatus() is now shared with the reader of answers.

--- a/control/control_state.cpp
+++ b/control/control_state.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Millis LoadTimeout{ 1'000 };
+constexpr uint64_t MaxReportedRequests = 1'000'000;
+constexpr Millis MaxReportAge{ 3'600'000 };
 constexpr Millis VmListPeriod{ 5'000 };
 constexpr Millis VmListFirstPeriod{ 500 };
 
@@ -37,19 +39,28 @@
     return static_cast<uint64_t>(std::chrono::duration_cast<Millis>(now).count());
 }
 
+/// Nothing if a field is missing, of another type or out of range: an engine that is taken for idle
+/// by mistake attracts requests.
 std::optional<ReportedLoad> parseLoad(const std::string &body)
 {
-    const auto parsed = parseJsonObject(body);
-    if (!parsed)
+    const Json json = parseJsonObject(body).value_or(Json());
+    const auto running = uintField(json, "running");
+    const auto waiting = uintField(json, "waiting");
+    const auto backlog = uintField(json, "prefill_backlog_tokens");
+    const auto memoryUsed = uintField(json, "memory_used");
+    const auto memoryTotal = uintField(json, "memory_total");
+    const auto age = uintField(json, "age_ms");
+    if (!running || !waiting || !backlog || !memoryUsed || !memoryTotal || !age
+        || *running > MaxReportedRequests || *waiting > MaxReportedRequests
+        || *age > static_cast<uint64_t>(MaxReportAge.count()))
         return std::nullopt;
-    const Json &json = *parsed;
     ReportedLoad load;
-    load.m_running = json.value("running", 0u);
-    load.m_waiting = json.value("waiting", 0u);
-    load.m_prefillBacklogTokens = json.value("prefill_backlog_tokens", uint64_t(0));
-    load.m_memoryUsed = json.value("memory_used", uint64_t(0));
-    load.m_memoryTotal = json.value("memory_total", uint64_t(0));
-    load.m_at = Clock::now() - Millis(json.value("age_ms", int64_t(0)));
+    load.m_running = static_cast<uint32_t>(*running);
+    load.m_waiting = static_cast<uint32_t>(*waiting);
+    load.m_prefillBacklogTokens = *backlog;
+    load.m_memoryUsed = *memoryUsed;
+    load.m_memoryTotal = *memoryTotal;
+    load.m_at = Clock::now() - Millis(*age);
     return load;
 }
 
--- a/endpoint/engine_stream.cpp
+++ b/endpoint/engine_stream.cpp
@@ -40,9 +40,9 @@
 std::string refusalReason(std::string_view body)
 {
     const auto object = parseJsonObject(body);
-    if (!object || !object->contains("error") || !object->at("error").is_object())
+    if (!object || !object->contains("error"))
         return {};
-    return object->at("error").value("reason", std::string());
+    return stringField(object->at("error"), "reason").value_or("");
 }
 
 StartFailure failure(bool notRun, std::string reason, ErrorCode code, std::string message)
--- a/entry/recorded_outcome.cpp
+++ b/entry/recorded_outcome.cpp
@@ -69,13 +69,15 @@
     if (json.contains("failed"))
         return tl::unexpected(unknownOutcome("the call with this key failed and may have run"));
     HttpResponse response;
-    response.m_status = json.value("status", 200u);
-    const auto body =
-        decodeBase64(json.value("body", std::string()), json.value("size", size_t(0)));
-    if (!body)
+    const auto status = uintField(json, "status");
+    const auto size = uintField(json, "size");
+    const auto coded = stringField(json, "body");
+    const auto body = size && coded ? decodeBase64(*coded, *size) : std::nullopt;
+    if (!body || !status || !isHttpStatus(*status))
         return tl::unexpected(unknownOutcome("the recorded outcome is not valid"));
+    response.m_status = static_cast<unsigned>(*status);
     response.m_body = *body;
-    for (const Json &header : json.value("headers", Json::array())) {
+    for (const Json &header : arrayField(json, "headers")) {
         if (!header.is_array() || header.size() != 3 || !header[0].is_string()
             || !header[1].is_string() || !header[2].is_number_unsigned())
             continue;
--- a/entry/steward_service.cpp
+++ b/entry/steward_service.cpp
@@ -247,12 +247,12 @@
     const auto managed = m_managedEndpoints.find(id);
     if (!response || managed == m_managedEndpoints.end())
         return;
-    const auto parsed = parseJsonObject(response->m_body);
-    if (!parsed)
+    const Json state = parseJsonObject(response->m_body).value_or(Json());
+    const auto memoryTokens = uintField(state, "memory_total");
+    if (!memoryTokens)
         return;
-    const Json &state = *parsed;
-    managed->second.m_facts.m_memoryTokens = state.value("memory_total", uint64_t(0));
-    const bool draining = state.value("draining", false);
+    managed->second.m_facts.m_memoryTokens = *memoryTokens;
+    const bool draining = boolField(state, "draining");
     if (draining != managed->second.m_reportedDraining && m_onDrainingChanged)
         m_onDrainingChanged(id, draining);
     managed->second.m_reportedDraining = draining;
@@ -271,15 +271,15 @@
     const auto managed = m_managedEndpoints.find(id);
     if (!response || managed == m_managedEndpoints.end())
         return;
-    const auto parsed = parseJsonObject(response->m_body);
-    if (!parsed || !parsed->contains("events"))
+    const Json answer = parseJsonObject(response->m_body).value_or(Json());
+    const auto next = uintField(answer, "next");
+    if (!next)
         return;
-    const Json &answer = *parsed;
-    managed->second.m_nextEvent = answer.value("next", from);
-    for (const Json &event : answer["events"]) {
-        const auto block = parseBlockName(event.value("block", std::string()));
+    managed->second.m_nextEvent = *next;
+    for (const Json &event : arrayField(answer, "events")) {
+        const auto block = parseBlockName(stringField(event, "block").value_or(""));
         if (block)
-            noteCacheEvent(m_steward, id, *block, event.value("kind", std::string()) == "stored");
+            noteCacheEvent(m_steward, id, *block, stringField(event, "kind") == "stored");
     }
 }
 
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -23,8 +23,6 @@
 constexpr size_t ReadBytes = 16 * 1024;
 /// Of a head, of one chunk's header and of the trailers.
 constexpr uint32_t HeaderLimit = 64 * 1024;
-constexpr unsigned MinStatus = 100;
-constexpr unsigned MaxStatus = 599;
 /// Responses with status 1xx before an answer. Servers send one or two of them.
 constexpr size_t MaxInterimResponses = 16;
 // Answers are read in pieces; the reader bounds what it keeps.
@@ -69,13 +67,6 @@
     return std::chrono::duration_cast<Duration>(Seconds(seconds) * IdleLimitShare);
 }
 
-/// Whether HTTP has this status. No request asks for another protocol, as 101 would answer.
-bool isValidStatus(unsigned status)
-{
-    return status >= MinStatus && status <= MaxStatus
-           && status != static_cast<unsigned>(http::status::switching_protocols);
-}
-
 bool isInterim(unsigned status)
 {
     return http::to_status_class(status) == http::status_class::informational;
@@ -93,7 +84,8 @@
 /// The error of a head that the parser accepts.
 boost::system::error_code checkHead(const http::response_header<> &head)
 {
-    if (!isValidStatus(head.result_int()))
+    // No request asks for another protocol.
+    if (!isHttpStatus(head.result_int()) || head.result() == http::status::switching_protocols)
         return http::error::bad_status;
     if (!isPlainlyFramed(head))
         return http::error::bad_transfer_encoding;
--- a/net/http_message.cpp
+++ b/net/http_message.cpp
@@ -15,6 +15,13 @@
     return {};
 }
 
+bool isHttpStatus(uint64_t status)
+{
+    constexpr uint64_t Min = 100;
+    constexpr uint64_t Max = 599;
+    return status >= Min && status <= Max;
+}
+
 std::string_view HttpRequest::path() const
 {
     const std::string_view target = m_target;
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -19,6 +19,9 @@
 /// The value of the first header called @p name (any case), or an empty view.
 std::string_view findHeader(const HttpHeaders &headers, std::string_view name);
 
+/// Whether HTTP has this status: 100 to 599.
+bool isHttpStatus(uint64_t status);
+
 struct HttpRequest {
     std::string m_method = "GET";
     std::string m_target = "/"; ///< Path and query, as sent.
--- a/tests/control/daemon_fixture.h
+++ b/tests/control/daemon_fixture.h
@@ -104,6 +104,7 @@
         settings.m_platform = { toString(m_platform.address()) };
         settings.m_charts = std::string(STACKQUAY_SOURCE_DIR) + "/charts";
         settings.m_threads = 1;
+        settings.m_policy = m_policy;
         settings.m_drainLag = m_drainLag;
         settings.m_drainTimeout = m_drainTimeout;
         settings.m_seeds = m_seeds;
@@ -147,6 +148,7 @@
         return call(daemon, "/v1/completions", body, std::move(headers));
     }
 
+    RoutingPolicy m_policy = DaemonSettings().m_policy;
     Millis m_drainLag{ 0 };
     Millis m_drainTimeout{ 900'000 };
     std::vector<std::string> m_seeds;
