Refusals of engines and answers to cancellations are kept up to 64 KiB

An engine that sent a refusal without end had 16 MiB of it kept for each request that it refused, and as much for each cancellation, outside the memory budget: 20 such requests take 320 MiB.

Fix: MaxMessageBytes for both. A refusal that is longer promises nothing, as before one that was cut.

--- a/endpoint/engine_stream.cpp
+++ b/endpoint/engine_stream.cpp
@@ -13,6 +13,8 @@
 constexpr unsigned StatusTooLarge = 413;
 constexpr unsigned StatusUnavailable = 503;
 constexpr size_t MaxEventBytes = 1024 * 1024;
+/// Of the body of a refusal or of the answer to an order, which are short messages.
+constexpr size_t MaxMessageBytes = 64 * 1024;
 
 std::string attemptBody(const EngineAttempt &attempt)
 {
@@ -87,7 +89,7 @@
 
 StartFailure EngineStream::refusal(const HttpResponse &header, Duration timeout)
 {
-    const auto body = m_connection->readWhole(timeout);
+    const auto body = m_connection->readWhole(timeout, MaxMessageBytes);
     const std::string reason = body ? refusalReason(*body) : std::string();
     if (body)
         m_pool.release(m_address, std::move(m_connection));
@@ -210,7 +212,7 @@
 {
     const Json body{ { "attempt", attempt.str() } };
     const HttpRequest request{ "POST", "/v1/cancel", jsonHeaders(), body.dump() };
-    const auto response = pool.call(address, request, { timeout });
+    const auto response = pool.call(address, request, { timeout, MaxMessageBytes });
     if (!response)
         return tl::unexpected(response.error());
     const auto answer = parseJsonObject(response->m_body);
--- a/tests/endpoint/engine_message_test.cpp
+++ b/tests/endpoint/engine_message_test.cpp
@@ -47,6 +47,30 @@
     FiberThread m_thread{ "engine" };
 };
 
+TEST_F(EngineMessageTest, RefusalWithoutEndIsNotKept)
+{
+    sendEndless("503 Service Unavailable");
+    const StartFailure failure = refusal();
+    EXPECT_FALSE(failure.m_notRun);
+    EXPECT_EQ(failure.m_error.m_code, ErrorCode::ProtocolError);
+    EXPECT_LT(m_engine.longestSent(), BufferedBytes);
+}
+
+TEST_F(EngineMessageTest, AnswerWithoutEndToACancellationIsNotKept)
+{
+    sendEndless("200 OK");
+    std::promise<Result<bool>> cancelled;
+    m_thread.post([&] {
+        HttpPool pool(m_thread.context());
+        cancelled.set_value(
+            cancelAttempt(pool, m_engine.address(), AttemptId("attempt"), Seconds(5)));
+    });
+    const auto result = cancelled.get_future().get();
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().m_code, ErrorCode::ProtocolError);
+    EXPECT_LT(m_engine.longestSent(), BufferedBytes);
+}
+
 TEST_F(EngineMessageTest, ReasonOfAnotherTypeIsNone)
 {
     for (const std::string body : { R"({"error":{"reason":7}})", R"({"error":{"reason":null}})",
