A reset stays visible when a connection was asked whether it is readable

Cause: HttpConnection::readable() and hasBytes() looked by recv() with MSG_PEEK. A call that returns the error of a reset clears it, so that the next read finds an orderly end, which is the end of an answer without length. A silent attempt's connection is asked so as its reset comes, while the request is tried at another endpoint; so is one whose endpoint has left.

Fix: poll() and the count of bytes that wait, which leave the error to the read. An ordinary end, or bytes, are told as before.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
+#include <poll.h>
 
 #include "net/fiber_socket.h"
 #include "net/piece_body.h"
@@ -416,18 +417,16 @@
 
 bool HttpConnection::readable() const
 {
-    if (!m_state->m_open)
-        return false;
-    char byte = 0;
-    const int socket = m_state->m_stream.socket().native_handle();
-    return ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || errno != EAGAIN;
+    // A system call that returned the error of a reset would clear it, and the next read would find
+    // an orderly end. poll() leaves it.
+    pollfd wanted{ m_state->m_stream.socket().native_handle(), POLLIN, 0 };
+    return m_state->m_open && ::poll(&wanted, 1, 0) > 0;
 }
 
 bool HttpConnection::hasBytes() const
 {
-    char byte = 0;
-    const int socket = m_state->m_stream.socket().native_handle();
-    return m_state->m_open && ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    boost::system::error_code error;
+    return m_state->m_open && m_state->m_stream.socket().available(error) > 0 && !error;
 }
 
 bool HttpConnection::unacknowledged() const
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include "net/net.h"
+#include "tests/support/raw_endpoint.h"
 
 namespace stackquay {
 namespace {
@@ -143,6 +144,27 @@
     busy = false;
 }
 
+// The failure: the answer was taken for whole, as its end is that of the connection.
+TEST_F(HttpTest, AskingWhetherAConnectionIsReadableHidesNoReset)
+{
+    RawEndpoint endpoint;
+    endpoint.setAnswer("HTTP/1.1 200 OK\r\n\r\nan answer", RawEnd::Reset);
+    m_clientThread.start();
+    onClient([&] {
+        HttpConnection connection(m_clientThread.context());
+        ASSERT_TRUE(connection.connect(endpoint.address(), Seconds(5)));
+        ASSERT_TRUE(connection.send({ "GET", "/", {}, "" }, Seconds(5)));
+        ASSERT_TRUE(connection.readHeader(Seconds(5)));
+        std::string piece;
+        ASSERT_TRUE(connection.readBody(piece, Seconds(5)));
+        ASSERT_EQ(piece, "an answer");
+        ASSERT_TRUE(connection.awaitReadable(Seconds(5)));
+        EXPECT_TRUE(connection.readable());
+        EXPECT_FALSE(connection.hasBytes());
+        EXPECT_FALSE(connection.readBody(piece, Seconds(5)));
+    });
+}
+
 TEST_F(HttpTest, HangupReachesTheHandler)
 {
     std::promise<void> hungUp;
--- a/tests/platform/malformed_answer_test.cpp
+++ b/tests/platform/malformed_answer_test.cpp
@@ -121,5 +121,20 @@
 INSTANTIATE_TEST_SUITE_P(Uploads, EarlyAnswerTest,
                          testing::Values(100'000, 3 * Mebibyte, 32 * Mebibyte));
 
+// The endpoint is silent after a part of its answer. The reset comes while the request is tried at
+// another endpoint, and must not be taken for an orderly end.
+TEST_F(MalformedAnswerTest, ResetDuringAnAttemptElsewhereIsNoEnd)
+{
+    start("plain", answerText("200 OK", "Connection: close"), RawEnd::Reset, Millis(1'700));
+    RawEndpoint other;
+    other.setAnswer("", RawEnd::Close, Millis(900));
+    auto answer = m_deployment.begin({});
+    ASSERT_TRUE(eventually([this] { return m_endpoint.requests() == 1; }));
+    m_deployment.describe(m_deployment.addWorker("plain"), "plain", "ready", other.address());
+    const ClientAnswer failed = answer.get();
+    EXPECT_EQ(other.requests(), 1u);
+    EXPECT_EQ(failed.m_status, 502u) << failed.m_body;
+}
+
 } // namespace
 } // namespace stackquay::platform
