A 204 on a stream's route is passed on as one answer, not as a stream

Cause: each success on such a route is passed on as a stream, in chunks; a 204 has no body to frame.

Evidence: MalformedAnswerTest.StreamWithoutContentIsOneAnswer got '0' and two line ends after the head, and Transfer-Encoding in it; now neither.

Fix: RelayRun::isStream(), for endpoints' answers and those of other VMs; others are passed on whole.

--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusNoContent = 204;
 constexpr unsigned StatusRedirect = 300;
 constexpr unsigned StatusServerError = 500;
 
@@ -401,6 +402,11 @@
         m_node.m_parts.noteAnswered(promptParts());
 }
 
+bool RelayRun::isStream(unsigned status) const
+{
+    return m_route->m_kind == RouteKind::Stream && isSuccess(status) && status != StatusNoContent;
+}
+
 RelayRun::AttemptResult RelayRun::processResponse(HttpConnection &connection,
                                                   const EndpointRecord &endpoint, bool reused)
 {
@@ -421,7 +427,7 @@
         m_node.m_limiter.noteAnswer(*m_node.m_view.load(), endpoint, head.m_requestLimit);
     if (head.m_notRun)
         return handleRefusal(connection, endpoint, head, *response, reused);
-    if (m_route->m_kind == RouteKind::Stream && isSuccess(response->m_status))
+    if (isStream(response->m_status))
         return relayStream(connection, endpoint, head, *response);
     return relayWholeResponse(connection, endpoint, head, std::move(*response));
 }
--- a/relay/relay_forward.cpp
+++ b/relay/relay_forward.cpp
@@ -19,8 +19,6 @@
 constexpr uint32_t MaxUnreached = 2;
 constexpr size_t MaxForwards = 2;
 
-constexpr unsigned StatusRedirect = 300;
-
 } // namespace
 
 std::optional<ForwardPeer> RelayRun::forwardPeer()
@@ -116,7 +114,7 @@
         return failAttempt(vm, FailureWeight::None, "the answer belongs to another request");
     if (!head.m_signed)
         return forwardPeerResponse(connection, vm, head, std::move(*response));
-    if (m_route->m_kind == RouteKind::Stream && response->m_status < StatusRedirect)
+    if (isStream(response->m_status))
         return relayStream(connection, vm, head, *response);
     return relayWholeResponse(connection, vm, head, std::move(*response));
 }
--- a/tests/platform/malformed_answer_test.cpp
+++ b/tests/platform/malformed_answer_test.cpp
@@ -136,5 +136,22 @@
     EXPECT_EQ(failed.m_status, 502u) << failed.m_body;
 }
 
+// A status that has no body is no stream: the end of one would come after the answer.
+TEST_F(MalformedAnswerTest, StreamWithoutContentIsOneAnswer)
+{
+    start("model",
+          "HTTP/1.1 204 No Content\r\nX-Request-Id: request-1\r\nX-Response-Seal: seal\r\n\r\n");
+    auto exchange = m_deployment.beginRaw(
+        "POST /once/x HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: request-1\r\n"
+        "X-Deadline-Ms: 3000\r\nApi-Key: key-of-one\r\nX-Model: m\r\nX-Token-Counts: 10,10\r\n"
+        "Connection: close\r\nContent-Length: 1\r\n\r\na");
+    const std::string text = exchange.get();
+    EXPECT_EQ(text.substr(0, 12), "HTTP/1.1 204");
+    const size_t end = text.find("\r\n\r\n");
+    ASSERT_NE(end, std::string::npos);
+    EXPECT_EQ(text.substr(end + 4), "");
+    EXPECT_EQ(text.find("Transfer-Encoding"), std::string::npos);
+}
+
 } // namespace
 } // namespace stackquay::platform
