--- a/tests/net/malformed_answer_test.cpp
+++ b/tests/net/malformed_answer_test.cpp
@@ -17,7 +17,7 @@
     std::string m_bytes;
 };
 
-/// The name under which GoogleTest prints the case.
+// NOLINTNEXTLINE(readability-identifier-naming): the name that GoogleTest asks for.
 void PrintTo(const AnswerCase &answer, std::ostream *out)
 {
     *out << answer.m_name;
--- a/tests/platform/malformed_answer_test.cpp
+++ b/tests/platform/malformed_answer_test.cpp
@@ -60,7 +60,7 @@
     std::string m_fields;
 };
 
-/// The name under which GoogleTest prints the case.
+// NOLINTNEXTLINE(readability-identifier-naming): the name that GoogleTest asks for.
 void PrintTo(const MalformedHead &head, std::ostream *out)
 {
     *out << head.m_name;
