--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -82,7 +82,7 @@
                        [](const auto &field) { return beast::iequals(field.value(), "chunked"); });
 }
 
-/// The error of a head that the parser accepts.
+/// What is wrong with a head that the parser accepts.
 boost::system::error_code checkHead(const http::response_header<> &head)
 {
     // No request asks for another protocol.
@@ -417,8 +417,8 @@
 
 bool HttpConnection::readable() const
 {
-    // A system call that returned the error of a reset would clear it, and the next read would find
-    // an orderly end. poll() leaves it.
+    // recv() would return the error of a reset and clear it: the next read would find an orderly
+    // end, which completes an answer without length.
     pollfd wanted{ m_state->m_stream.socket().native_handle(), POLLIN, 0 };
     return m_state->m_open && ::poll(&wanted, 1, 0) > 0;
 }
--- a/relay/relay_run.h
+++ b/relay/relay_run.h
@@ -247,8 +247,8 @@
     std::string describeAttempts() const;
     /// Counts the request at all endpoints of @p plan; false if one of them takes no more now.
     bool takeSendBudget(const GangPlan &plan);
-    /// Whether a response with this status has events. One without a body, as of 204, has none: the
-    /// end of a stream would come after its end.
+    /// Whether a response with this status is passed on as a stream of events. A 204 has no body:
+    /// the last chunk of a stream would follow its end.
     bool isStream(unsigned status) const;
     AttemptResult processResponse(HttpConnection &connection, const EndpointRecord &endpoint,
                                   bool reused);
