One way to ask whether a socket has bytes or has ended

Cause of the change: the mend of HttpConnection::readable() and hasBytes() stood on top of a shared mechanism, and its twin in ServerExchange (callerLeft(), callerSentMore()) still looked by recv() with MSG_PEEK, which clears the error of a reset.

FiberSocket::readable() and hasBytes() now serve both. Answers are the same as before: bytes that wait, an orderly end, a reset and a closed socket are told apart as they were. The server reads requests only, whose end is never that of the connection, so that no wrong answer came of its twin.

--- a/net/fiber_socket.cpp
+++ b/net/fiber_socket.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/beast/core/error.hpp>
+#include <poll.h>
 
 namespace stackquay {
 
@@ -102,6 +103,18 @@
     return !error;
 }
 
+bool FiberSocket::readable()
+{
+    pollfd wanted{ m_socket.native_handle(), POLLIN, 0 };
+    return !m_socket.is_open() || ::poll(&wanted, 1, 0) > 0;
+}
+
+bool FiberSocket::hasBytes()
+{
+    ErrorValue error;
+    return m_socket.available(error) > 0;
+}
+
 bool FiberSocket::waitWritable(ErrorValue &error)
 {
     const Waiting waiting(*this);
--- a/net/fiber_socket.h
+++ b/net/fiber_socket.h
@@ -73,6 +73,12 @@
     TimePoint progressAt() const { return m_progressAt; }
     /// Waits until something can be read, or the connection has ended; returns whether it is so.
     bool waitReadable();
+    /// Whether a read would not wait: bytes have come, or the connection has ended or is closed.
+    /// Leaves the error of a reset to the next read. A recv() with MSG_PEEK would clear it, and the
+    /// read find an orderly end.
+    bool readable();
+    /// Whether a read would return bytes.
+    bool hasBytes();
     /// Ends waiting calls with operation_aborted.
     void cancel();
     void close();
--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -7,7 +7,6 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
-#include <poll.h>
 
 #include "net/fiber_socket.h"
 #include "net/piece_body.h"
@@ -417,16 +416,12 @@
 
 bool HttpConnection::readable() const
 {
-    // recv() would return the error of a reset and clear it: the next read would find an orderly
-    // end, which completes an answer without length.
-    pollfd wanted{ m_state->m_stream.socket().native_handle(), POLLIN, 0 };
-    return m_state->m_open && ::poll(&wanted, 1, 0) > 0;
+    return m_state->m_open && m_state->m_stream.readable();
 }
 
 bool HttpConnection::hasBytes() const
 {
-    boost::system::error_code error;
-    return m_state->m_open && m_state->m_stream.socket().available(error) > 0 && !error;
+    return m_state->m_open && m_state->m_stream.hasBytes();
 }
 
 bool HttpConnection::unacknowledged() const
--- a/net/http_exchange.cpp
+++ b/net/http_exchange.cpp
@@ -184,10 +184,7 @@
 
 bool ServerExchange::callerLeft() const
 {
-    char byte = 0;
-    const int socket = m_stream.socket().native_handle();
-    const ssize_t size = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return size == 0 || (size < 0 && errno != EAGAIN);
+    return m_stream.readable() && !m_stream.hasBytes();
 }
 
 void ServerExchange::watch()
@@ -196,7 +193,7 @@
         Socket::wait_read, [this, hangup = m_hangup](const boost::system::error_code &error) {
             if (!hangup->m_active || error == asio::error::operation_aborted)
                 return;
-            if (!error && callerSentMore())
+            if (!error && m_stream.hasBytes())
                 return;
             hangup->m_active = false;
             // The handler may return before the fiber runs: then nobody is to be told.
@@ -208,14 +205,6 @@
         });
 }
 
-bool ServerExchange::callerSentMore() const
-{
-    char byte = 0;
-    const ssize_t size =
-        ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return size > 0;
-}
-
 void ServerExchange::endWatch()
 {
     if (!m_hangup)
--- a/net/http_exchange.h
+++ b/net/http_exchange.h
@@ -43,7 +43,6 @@
     template<typename Message>
     void fillHead(Message &message, unsigned status, const HttpHeaders &headers);
     void watch();
-    bool callerSentMore() const;
     void endWatch();
 
     ClientConnection &m_connection;
