Stand-ins of the stores read targets as HTTP servers do

No test could show what becomes of a name with characters that mean something in a target: the stand-ins took the raw bytes of a query for the name, and any bytes for a target. They now refuse what RFC 3986 does not permit with 400 and decode the rest.

HttpRequest::query() returns decoded values.

--- a/control/burn_http.cpp
+++ b/control/burn_http.cpp
@@ -74,7 +74,7 @@
 {
     return [&control, &environment](HttpExchange &exchange) {
         const std::string key = operatorKey(exchange.request());
-        const std::string format(exchange.request().query("format"));
+        const std::string format = exchange.request().query("format");
         const Result<HttpResponse> response = runOn<HttpResponse>(
             control, [&environment, key, format] { return answer(environment, key, format); });
         const Status sent = exchange.respond(
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -30,8 +30,9 @@
 
     /// The target without its query.
     std::string_view path() const;
-    /// The raw value of a query parameter, or an empty view.
-    std::string_view query(std::string_view name) const;
+    /// The decoded value of a query parameter; empty if there is none. One that is not
+    /// percent-encoded is returned as sent.
+    std::string query(std::string_view name) const;
 };
 
 struct HttpResponse {
--- a/net/net.h
+++ b/net/net.h
@@ -10,6 +10,7 @@
 #include "net/http_client.h"
 #include "net/http_message.h"
 #include "net/http_server.h"
+#include "net/http_target.h"
 #include "net/memory_budget.h"
 #include "net/process_stats.h"
 #include "net/run_on.h"
--- a/standin/engine_calls.cpp
+++ b/standin/engine_calls.cpp
@@ -375,7 +375,7 @@
 
 void EngineStandin::handleImport(HttpExchange &exchange)
 {
-    KvHandle *handle = m_batch.memory().findHandle(std::string(exchange.request().query("handle")));
+    KvHandle *handle = m_batch.memory().findHandle(exchange.request().query("handle"));
     if (!handle) {
         respondError(exchange, 404, "not_found");
         return;
--- a/standin/platform_standin.cpp
+++ b/standin/platform_standin.cpp
@@ -149,7 +149,11 @@
 
 void PlatformStandin::handle(HttpExchange &exchange)
 {
-    const std::string path(exchange.request().path());
+    if (!isRequestTarget(exchange.request().m_target)) {
+        respondError(exchange, 400, "invalid_target");
+        return;
+    }
+    const std::string path = percentDecode(exchange.request().path()).value_or("");
     if (path.starts_with(AdminPath))
         return handleAdmin(exchange, path);
     const PlatformFault now = fault();
@@ -250,7 +254,7 @@
 
 void PlatformStandin::handleWatch(HttpExchange &exchange)
 {
-    const std::string prefix(exchange.request().query("prefix"));
+    const std::string prefix = exchange.request().query("prefix");
     const int64_t from = toInt(exchange.request().query("from"), -1);
     const Millis timeout(
         toInt(exchange.request().query("timeout_ms"), DefaultWatchTimeout.count()));
