A list that does not advance ends with an error

Callers: beside a store that returns the same page again, a list took a call every few milliseconds for as long as it stood, kept its objects, and held its readers up.

Cause: nothing checked that a page goes further than the one before, and nothing bounded a list.

KindStore::list() keeps the names after which its pages started: a name that comes again is an error, whatever the order of the store.

--- a/store/kind_store.cpp
+++ b/store/kind_store.cpp
@@ -16,6 +16,11 @@
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusConflict = 409;
 constexpr unsigned StatusGone = 410;
+/// Of one list; a fleet of thousands takes some 20 pages and a few megabytes.
+constexpr size_t MaxListPages = 1'000;
+constexpr size_t MaxListBytes = 64 * 1024 * 1024;
+/// Of a name in a log line or error.
+constexpr size_t MaxShownBytes = 100;
 
 /// Returns the response if its status is 2xx, otherwise the corresponding error.
 Result<HttpResponse> requireSuccess(Result<HttpResponse> response, std::string_view what)
@@ -33,6 +38,28 @@
     return makeError(ErrorCode::ProtocolError, fmt::format("{}: status {}", what, status));
 }
 
+/// @p name for people: of printable characters, and cut if it is long.
+std::string shown(const std::string &name)
+{
+    return percentEncode(name.substr(0, MaxShownBytes))
+           + (name.size() > MaxShownBytes ? "..." : "");
+}
+
+/// Ends a list that would not end by itself. @p starts: names after which its pages began.
+Status checkProgress(const KindPage &page, const std::set<std::string> &starts, size_t bytes)
+{
+    if (page.m_lastName.empty())
+        return makeError(ErrorCode::ProtocolError, "no name after which the next page starts");
+    if (starts.count(page.m_lastName) > 0)
+        return makeError(ErrorCode::ProtocolError,
+                         "the next page would start where an earlier one did: after "
+                             + shown(page.m_lastName));
+    if (starts.size() >= MaxListPages || bytes > MaxListBytes)
+        return makeError(ErrorCode::ProtocolError,
+                         fmt::format("no end after {} pages of {} bytes", starts.size(), bytes));
+    return {};
+}
+
 Status discard(const Result<HttpResponse> &response)
 {
     if (!response)
@@ -96,14 +123,16 @@
 Result<KindPage> KindStore::list(const std::string &kind, bool stale)
 {
     KindPage list;
+    std::set<std::string> starts;
     std::string after;
+    size_t bytes = 0;
     for (;;) {
-        auto page = readPage(kind, after, stale);
+        auto page = readPage(kind, after, stale, bytes);
         if (!page)
             return page;
         // The revision of the first page, so that a watch from there reports what changes while
         // later pages are read.
-        if (after.empty())
+        if (starts.empty())
             list.m_position = page->m_position;
         else if (list.m_position.m_era != m_era)
             return makeError(ErrorCode::Unavailable,
@@ -112,18 +141,23 @@
                   std::back_inserter(list.m_objects));
         if (!page->m_hasMore)
             return list;
-        if (page->m_lastName.empty())
-            return makeError(ErrorCode::ProtocolError, "no name after which the next page starts");
+        starts.insert(after);
+        const Status progress = checkProgress(*page, starts, bytes);
+        if (!progress)
+            return tl::unexpected(progress.error());
         after = page->m_lastName;
     }
 }
 
-Result<KindPage> KindStore::readPage(const std::string &kind, const std::string &after, bool stale)
+/// Adds the size of the response to @p bytes.
+Result<KindPage> KindStore::readPage(const std::string &kind, const std::string &after, bool stale,
+                                     size_t &bytes)
 {
     const auto response = requireSuccess(
         send(StoreCount::Lists, m_codec.m_list(kind, after, stale), {}), "list " + kind);
     if (!response)
         return tl::unexpected(response.error());
+    bytes += response->m_body.size();
     auto page = m_codec.m_readPage(response->m_body);
     if (!page)
         return page;
--- a/store/kind_store.h
+++ b/store/kind_store.h
@@ -78,7 +78,8 @@
     KindStore(const KindStore &) = delete;
     KindStore &operator=(const KindStore &) = delete;
 
-    /// Reads all pages. @p stale: the store may return an outdated list.
+    /// Reads all pages. @p stale: the store may return an outdated list. ProtocolError if the pages
+    /// do not come to an end.
     Result<KindPage> list(const std::string &kind, bool stale = false);
     /// NotFound if there is no such object.
     Result<KindObject> get(const std::string &kind, const std::string &name);
@@ -102,7 +103,8 @@
 private:
     Result<HttpResponse> send(StoreCount counter, HttpRequest request, Duration wait);
     Status checkEra(const HttpResponse &response);
-    Result<KindPage> readPage(const std::string &kind, const std::string &after, bool stale);
+    Result<KindPage> readPage(const std::string &kind, const std::string &after, bool stale,
+                              size_t &bytes);
     Status change(StoreCount counter, HttpRequest request, const KindObject &object,
                   const std::string &what);
     StorePosition positionAt(uint64_t revision) const { return { m_era, revision }; }
--- a/tests/platform/kind_list_test.cpp
+++ b/tests/platform/kind_list_test.cpp
@@ -96,6 +96,50 @@
     std::unique_ptr<standin::Hosted<ScriptedStore>> m_server;
 };
 
+TEST_F(KindListTest, PageThatComesAgainIsAnError)
+{
+    answer([](const HttpRequest &) { return pageOf("[" + entry(R"("a")") + "]", true); });
+    expectError();
+    EXPECT_LE(calls(), 2u);
+}
+
+TEST_F(KindListTest, PagesInACircleAreAnError)
+{
+    answer([](const HttpRequest &request) {
+        const bool first = request.query("sinceRev") != "a";
+        return pageOf("[" + entry(first ? R"("a")" : R"("b")") + "]", true);
+    });
+    expectError();
+    EXPECT_LE(calls(), 3u);
+}
+
+TEST_F(KindListTest, ListWithoutEndIsAnError)
+{
+    constexpr size_t MostCalls = 1'000;
+    std::atomic<size_t> next{ 0 };
+    answer([&next](const HttpRequest &) {
+        return pageOf("[" + entry(fmt::format(R"("{:08}")", next++)) + "]", true);
+    });
+    expectError();
+    EXPECT_LE(calls(), MostCalls);
+}
+
+// All pages together stay far below the memory of a VM.
+TEST_F(KindListTest, ListOfTooManyBytesIsAnError)
+{
+    constexpr size_t PageBytes = size_t(1) << 20;
+    constexpr size_t MostBytes = size_t(64) << 20;
+    std::atomic<size_t> next{ 0 };
+    const std::string filler(PageBytes, 'x');
+    answer([&](const HttpRequest &) {
+        const std::string item =
+            fmt::format(R"({{"metadata":{{"name":"{:08}"}},"spec":"{}"}})", next++, filler);
+        return pageOf("[" + item + "]", true);
+    });
+    expectError();
+    EXPECT_LE(calls(), MostBytes / PageBytes + 1);
+}
+
 struct BrokenPage {
     std::string m_label;
     std::string m_body;
