Failed lists and objects that are left out are logged

Operators: no line said that a list failed, or which entry was the odd one; listEndpoints() and its like only return false. A line that named an entry had no bound: a name of 70,000 letters was written in full.

KindStore, through which all lists are read, writes one line for each kind of error until a list succeeds, one then, and one for the first object without a readable name. Names in them are percent-encoded and cut. Texts of all decision lines are cut at 4,096 bytes.

Evidence: ListLogTest and EntryNameTest.OddEntryIsNamedInTheLog; the lines did not exist before.

--- a/core/decision_log.cpp
+++ b/core/decision_log.cpp
@@ -1,5 +1,6 @@
 #include "core/decision_log.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdio>
@@ -21,6 +22,8 @@
 constexpr std::chrono::milliseconds FlushTime{ 200 };
 constexpr std::chrono::milliseconds FlushPoll{ 5 };
 constexpr unsigned char FirstPrintable = 0x20;
+/// Of one text; names and errors may come from outside.
+constexpr size_t MaxTextBytes = 4'096;
 
 struct Output {
     std::shared_ptr<spdlog::details::thread_pool> m_pool;
@@ -47,6 +50,18 @@
     }
 }
 
+/// The start of @p text that a line has room for; ends with a whole character of UTF-8.
+std::string_view cutToLine(std::string_view text)
+{
+    constexpr unsigned char ContinuationMask = 0xc0;
+    constexpr unsigned char Continuation = 0x80;
+    size_t size = std::min(text.size(), MaxTextBytes);
+    while (size > 0 && size < text.size()
+           && (static_cast<unsigned char>(text[size]) & ContinuationMask) == Continuation)
+        --size;
+    return text.substr(0, size);
+}
+
 } // namespace
 
 DecisionLine::DecisionLine(std::string_view part, std::string_view event)
@@ -72,8 +87,9 @@
         return *this;
     name(field);
     m_line += '"';
-    appendEscaped(m_line, value);
-    m_line += '"';
+    const std::string_view start = cutToLine(value);
+    appendEscaped(m_line, start);
+    m_line += start.size() < value.size() ? "...\"" : "\"";
     return *this;
 }
 
--- a/core/decision_log.h
+++ b/core/decision_log.h
@@ -18,6 +18,7 @@
     /// @p part is the fixed prefix; @p event says what was decided, in a few words.
     DecisionLine(std::string_view part, std::string_view event);
 
+    /// A long @p value is cut, and ends in "...".
     DecisionLine &text(std::string_view name, std::string_view value);
     DecisionLine &number(std::string_view name, int64_t value);
     DecisionLine &flag(std::string_view name, bool value);
--- a/store/kind_store.cpp
+++ b/store/kind_store.cpp
@@ -129,22 +129,27 @@
     for (;;) {
         auto page = readPage(kind, after, stale, bytes);
         if (!page)
-            return page;
+            return failList(kind, after, page.error());
         // The revision of the first page, so that a watch from there reports what changes while
         // later pages are read.
         if (starts.empty())
             list.m_position = page->m_position;
         else if (list.m_position.m_era != m_era)
-            return makeError(ErrorCode::Unavailable,
-                             "the store was restored from a backup during the list");
+            return failList(
+                kind, after,
+                { ErrorCode::Unavailable, "the store was restored from a backup during the list" });
         std::move(page->m_objects.begin(), page->m_objects.end(),
                   std::back_inserter(list.m_objects));
-        if (!page->m_hasMore)
+        if (!list.m_unreadable)
+            list.m_unreadable = page->m_unreadable;
+        if (!page->m_hasMore) {
+            noteListed(kind, list);
             return list;
+        }
         starts.insert(after);
         const Status progress = checkProgress(*page, starts, bytes);
         if (!progress)
-            return tl::unexpected(progress.error());
+            return failList(kind, after, progress.error());
         after = page->m_lastName;
     }
 }
@@ -167,6 +172,32 @@
     return page;
 }
 
+/// Logs each kind of error once until a list succeeds, as failed lists are retried.
+tl::unexpected<Error> KindStore::failList(const std::string &kind, const std::string &after,
+                                          Error error)
+{
+    if (error.m_code != ErrorCode::Cancelled && m_listErrors[kind].insert(error.m_code).second)
+        DecisionLine("store", "list failed")
+            .text("kind", kind)
+            .text("after", shown(after))
+            .text("error", error.m_message)
+            .write();
+    return tl::unexpected(std::move(error));
+}
+
+/// Logs the end of a failure, and the first object that was left out if it is another than before.
+void KindStore::noteListed(const std::string &kind, const KindPage &list)
+{
+    if (m_listErrors.erase(kind) > 0)
+        DecisionLine("store", "list succeeded again").text("kind", kind).write();
+    if (std::exchange(m_unreadable[kind], list.m_unreadable) != list.m_unreadable
+        && list.m_unreadable)
+        DecisionLine("store", "object without readable name left out")
+            .text("kind", kind)
+            .text("object", shown(*list.m_unreadable))
+            .write();
+}
+
 Result<KindObject> KindStore::get(const std::string &kind, const std::string &name)
 {
     const auto response = requireSuccess(send(StoreCount::Gets, m_codec.m_get(kind, name), {}),
--- a/store/kind_store.h
+++ b/store/kind_store.h
@@ -7,8 +7,10 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -105,6 +107,8 @@
     Status checkEra(const HttpResponse &response);
     Result<KindPage> readPage(const std::string &kind, const std::string &after, bool stale,
                               size_t &bytes);
+    tl::unexpected<Error> failList(const std::string &kind, const std::string &after, Error error);
+    void noteListed(const std::string &kind, const KindPage &list);
     Status change(StoreCount counter, HttpRequest request, const KindObject &object,
                   const std::string &what);
     StorePosition positionAt(uint64_t revision) const { return { m_era, revision }; }
@@ -113,6 +117,10 @@
     const KindCodec &m_codec;
     uint64_t m_era = 0;
     std::function<void()> m_onEraIncrease;
+    /// By kind: how its lists have failed since one succeeded.
+    std::map<std::string, std::set<ErrorCode>> m_listErrors;
+    /// By kind: KindPage::m_unreadable of the last list.
+    std::map<std::string, std::optional<std::string>> m_unreadable;
 };
 
 } // namespace stackquay
--- a/tests/platform/entry_name_test.cpp
+++ b/tests/platform/entry_name_test.cpp
@@ -2,6 +2,8 @@
 // lists that contain them are read to their end, and no request carries more than one value of its
 // own.
 
+#include <sstream>
+
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
@@ -167,6 +169,37 @@
                              return name;
                          });
 
+// Its lines are bounded, and name it once for each of its changes.
+TEST_F(EntryNameTest, OddEntryIsNamedInTheLog)
+{
+    constexpr size_t MostLineBytes = 10'000;
+    testing::internal::CaptureStdout();
+    openDecisionLog();
+    m_deployment.m_store->setPageSize(1);
+    putOddEntries("servers", "&x");
+    m_deployment.m_store->put("servers", std::string(70'000, 'x'), OddSpec);
+    m_deployment.addDaemon();
+    const bool ready = m_deployment.awaitReady();
+    m_deployment.m_store->compact(); // All is listed again.
+    std::this_thread::sleep_for(Seconds(1));
+    m_deployment.m_daemons.clear();
+    closeDecisionLog();
+    std::istringstream log(testing::internal::GetCapturedStdout());
+    EXPECT_TRUE(ready);
+    size_t named = 0;
+    size_t listed = 0;
+    for (std::string line; std::getline(log, line);) {
+        EXPECT_LT(line.size(), MostLineBytes);
+        named += line.find(R"("endpoint not understood","kind":"servers","endpoint":"worker-1&x")")
+                         != std::string::npos
+                     ? 1
+                     : 0;
+        listed += line.find("list failed") != std::string::npos ? 1 : 0;
+    }
+    EXPECT_EQ(named, 1u);
+    EXPECT_EQ(listed, 0u);
+}
+
 // An entry that evacuates a data centre is found behind one with an odd name.
 TEST_F(EntryNameTest, EvacuationBehindAnOddEntryHolds)
 {
--- a/tests/platform/kind_list_test.cpp
+++ b/tests/platform/kind_list_test.cpp
@@ -2,6 +2,7 @@
 // taken for complete before its end, and never goes on without one.
 
 #include <future>
+#include <sstream>
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -243,6 +244,60 @@
     EXPECT_EQ(names, (std::vector<std::string>{ "a", longName, "c" }));
 }
 
+class ListLogTest : public KindListTest
+{
+protected:
+    /// The lines that @p calls of list() write.
+    std::vector<std::string> linesOf(size_t calls)
+    {
+        testing::internal::CaptureStdout();
+        openDecisionLog();
+        onClient([calls](KindStore &store) {
+            for (size_t i = 0; i < calls; ++i)
+                (void)store.list("servers");
+            return true;
+        });
+        closeDecisionLog();
+        std::istringstream text(testing::internal::GetCapturedStdout());
+        std::vector<std::string> lines;
+        for (std::string line; std::getline(text, line);)
+            lines.push_back(line);
+        return lines;
+    }
+
+    static constexpr size_t MostLineBytes = 1'000;
+};
+
+// Failed lists are retried several times a second.
+TEST_F(ListLogTest, FailureAndItsEndAreLoggedOnce)
+{
+    const std::string last = R"("m&x\n)" + std::string(70'000, 'x') + '"';
+    answer([&, calls = 0](const HttpRequest &) mutable {
+        constexpr int Failures = 8;
+        return pageOf("[" + entry(last) + "]", ++calls <= Failures);
+    });
+    const auto lines = linesOf(6);
+    ASSERT_EQ(lines.size(), 2u);
+    EXPECT_NE(lines[0].find(R"("event":"list failed","kind":"servers","after":"m%26x%0Axxx)"),
+              std::string::npos)
+        << lines[0];
+    EXPECT_LT(lines[0].size(), MostLineBytes);
+    EXPECT_NE(lines[1].find(R"("event":"list succeeded again","kind":"servers")"),
+              std::string::npos)
+        << lines[1];
+}
+
+TEST_F(ListLogTest, ObjectThatIsLeftOutIsLoggedOnce)
+{
+    answer([](const HttpRequest &) {
+        return pageOf("[" + entry(R"("a")") + "," + entry(R"("odd\ud83d")") + "]", false);
+    });
+    const auto lines = linesOf(3);
+    ASSERT_EQ(lines.size(), 1u);
+    EXPECT_NE(lines[0].find(R"("kind":"servers","object":"odd%ED%A0%BD")"), std::string::npos)
+        << lines[0];
+}
+
 // Events that cannot be read are not the same as none: the watch would go on behind them.
 TEST_F(KindListTest, EventsThatAreNoArrayAreAnError)
 {
