Requests whose heads are not HTTP are not sent

Callers noticed nothing: a text with a line break in a target or in a field's value added fields, or whole requests, of its writer's choice to what an endpoint or the store read. A field of more than 65,533 bytes ended the process where nothing caught Boost.Beast's exception.

Cause: HttpConnection::send() took any target and any fields.

Evidence: RefusedHeadTest on the code before: the cases up to the tenth were sent, the one with a field of 70,000 bytes ended the test program (std::length_error). Heads that are unusual and not wrong are still sent (UnusualHeadIsSent), as clients' heads are passed on.

checkRequestHead() is asked by the one sender: InvalidArgument, and no byte leaves. The store's client does not count it as a failure of the store, nor a lost write. The relay counts the attempt as not sent and looks for another endpoint.

--- a/net/http_client.cpp
+++ b/net/http_client.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "net/fiber_socket.h"
+#include "net/http_target.h"
 #include "net/piece_body.h"
 
 namespace stackquay {
@@ -255,6 +256,10 @@
 Status HttpConnection::send(const HttpRequest &request, std::string_view body, Duration timeout)
 {
     const auto state = m_state;
+    state->m_bytesSent = 0;
+    const Status valid = checkRequestHead(request);
+    if (!valid)
+        return valid;
     http::request<http::span_body<const char>> message;
     message.method_string(request.m_method);
     message.target(request.m_target);
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -32,6 +32,8 @@
 
     Status connect(const Address &address, Duration timeout, const SilenceBounds &silence = {});
     /// Sends a request. An error says whether any byte may have left in bytesSent().
+    /// InvalidArgument if the request's head is not HTTP, see checkRequestHead(): nothing is sent
+    /// then.
     Status send(const HttpRequest &request, Duration timeout);
     /// The same, with a body that the caller keeps in place of the request's own.
     Status send(const HttpRequest &request, std::string_view body, Duration timeout);
--- a/net/http_target.h
+++ b/net/http_target.h
@@ -1,4 +1,5 @@
-/// Request targets (RFC 3986): how they are written from their parts, and what they may contain.
+/// Request targets (RFC 3986) and header fields (RFC 9110): how they are written, and what they may
+/// contain.
 #pragma once
 
 #include <optional>
@@ -6,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "net/http_message.h"
+
 namespace stackquay {
 
 struct QueryParameter {
@@ -26,4 +29,13 @@
 /// Whether @p target is a path with an optional query, of permitted characters only.
 bool isRequestTarget(std::string_view target);
 
+/// Whether a field can have this value: no control characters but tabs, no blanks around it, and
+/// not too long to be sent.
+bool isFieldValue(std::string_view value);
+/// InvalidArgument if a field of @p headers would not be one field.
+Status checkFields(const HttpHeaders &headers);
+/// InvalidArgument if the head of @p request would not be one HTTP request head, or not the same
+/// one. Characters that a target should not contain are accepted, as clients send them.
+Status checkRequestHead(const HttpRequest &request);
+
 } // namespace stackquay
--- a/relay/relay_attempt.cpp
+++ b/relay/relay_attempt.cpp
@@ -344,6 +344,11 @@
         return AttemptResult::Failed;
     if (m_attempt.m_abandoned)
         return failAttempt(endpoint, *m_attempt.m_abandoned, m_attempt.m_abandonedReason);
+    // The attempt was not sent: something that the endpoint's entry declares is not HTTP.
+    if (error.m_code == ErrorCode::InvalidArgument) {
+        recordOf(m_attempt).m_facts.m_bytesSent = 0;
+        return failAttempt(endpoint, FailureWeight::Strong, error.m_message);
+    }
     // Not a failure of the endpoint: if it is unreachable, the next connection shows it.
     if (connection.silent()) {
         m_failureReason = "the connection fell silent";
--- a/store/store_channel.cpp
+++ b/store/store_channel.cpp
@@ -45,6 +45,8 @@
 /// Converts an error that occurred after a part of the call may have been sent.
 Error lostResponse(const Error &error, StoreCount kind)
 {
+    if (error.m_code == ErrorCode::InvalidArgument)
+        return error; // The call is not HTTP: nothing was sent.
     if (isWrite(kind))
         return { ErrorCode::OutcomeUnknown, "response lost: " + error.m_message };
     if (error.m_code == ErrorCode::Cancelled)
@@ -122,7 +124,8 @@
     if (error->m_code == ErrorCode::ResourceExhausted) {
         count(StoreCount::Throttled);
         handleSuccess();
-    } else if (error->m_code != ErrorCode::Cancelled) {
+    } else if (error->m_code != ErrorCode::Cancelled
+               && error->m_code != ErrorCode::InvalidArgument) {
         handleFailure(*error);
     }
     return tl::unexpected(*error);
--- a/tests/net/http_target_test.cpp
+++ b/tests/net/http_target_test.cpp
@@ -1,6 +1,9 @@
+#include <future>
+
 #include <gtest/gtest.h>
 
 #include "net/net.h"
+#include "tests/support/raw_endpoint.h"
 
 namespace stackquay {
 namespace {
@@ -59,5 +62,75 @@
         EXPECT_FALSE(isRequestTarget(target)) << target;
 }
 
+TEST(FieldTest, TellsWhatIsNoValue)
+{
+    for (const std::string &value : { ""s, "a"s, "a b\tc"s, "\xc3\xbc"s, std::string(65'533, 'a') })
+        EXPECT_TRUE(isFieldValue(value)) << value.size();
+    for (const std::string &value : { " a"s, "a "s, "a\t"s, "a\rb"s, "a\nb"s, "a\0b"s, "a\x01"s,
+                                      "a\x7f"s, std::string(65'534, 'a') })
+        EXPECT_FALSE(isFieldValue(value)) << value.size();
+}
+
+class SendTest : public testing::Test
+{
+protected:
+    SendTest() { m_thread.start(); }
+    ~SendTest() override
+    {
+        m_thread.stop();
+        m_thread.join();
+    }
+
+    Result<HttpResponse> send(const HttpRequest &request)
+    {
+        std::promise<Result<HttpResponse>> answer;
+        m_thread.post([&] {
+            HttpPool pool(m_thread.context());
+            answer.set_value(pool.call(m_endpoint.address(), request, { Seconds(5) }, false));
+        });
+        return answer.get_future().get();
+    }
+
+    RawEndpoint m_endpoint;
+    FiberThread m_thread{ "sender" };
+};
+
+/// Heads that are not HTTP, or are more than one.
+class RefusedHeadTest : public SendTest, public testing::WithParamInterface<HttpRequest>
+{ };
+
+TEST_P(RefusedHeadTest, IsNotSent)
+{
+    m_endpoint.setAnswer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", RawEnd::Close);
+    const auto answer = send(GetParam());
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().m_code, ErrorCode::InvalidArgument) << answer.error().m_message;
+    EXPECT_EQ(m_endpoint.requests(), 0u);
+}
+
+// Names of cases would be those of pointers else.
+INSTANTIATE_TEST_SUITE_P(
+    Heads, RefusedHeadTest,
+    testing::Values(HttpRequest{ "GET", "", {}, "" }, HttpRequest{ "GET", "/a b", {}, "" },
+                    HttpRequest{ "GET", "/a\r\nX-Added: 1", {}, "" },
+                    HttpRequest{ "GET", "/a\0"s, {}, "" }, HttpRequest{ "GET", "/a\x7f", {}, "" },
+                    HttpRequest{ "G T", "/", {}, "" }, HttpRequest{ "", "/", {}, "" },
+                    HttpRequest{ "GET", "/", { { "X-A", "b\r\nX-Added: 1" } }, "" },
+                    HttpRequest{ "GET", "/", { { "X-A", "b\nc" } }, "" },
+                    HttpRequest{ "GET", "/", { { "X-A", "b\0"s } }, "" },
+                    HttpRequest{ "GET", "/", { { "X-A", std::string(70'000, 'b') } }, "" },
+                    HttpRequest{ "GET", "/", { { "X-A: b\r\nX-Added", "1" } }, "" },
+                    HttpRequest{ "GET", "/", { { "X A", "1" } }, "" },
+                    HttpRequest{ "GET", "/", { { "", "1" } }, "" },
+                    HttpRequest{ "GET", "/", { { "Host", "a\r\nX-Added: 1" } }, "" }));
+
+// Clients send such heads, and they are passed on.
+TEST_F(SendTest, UnusualHeadIsSent)
+{
+    m_endpoint.setAnswer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", RawEnd::Close);
+    EXPECT_TRUE(send({ "PURGE", "/a|b\"\xc3\xbc#c", { { "X-A", " \xfc\t" }, { "X-B", "" } }, "" }));
+    EXPECT_EQ(m_endpoint.requests(), 1u);
+}
+
 } // namespace
 } // namespace stackquay
