Requests of a customer that no field can name are refused at once

Endpoints: a customer whose declared name held a line break added a field to each request of its own. With the sender's check alone each of its attempts would count against the endpoint that it was meant for.

Evidence: CustomerThatCannotBeNamedTakesNothingFromOthers on the code before: its requests were answered 200, with the name in X-Tenant as it is.

admitKey() refuses them with 503 and Retry-After, not run, before an endpoint is chosen; a later configuration may name the customer otherwise. Other customers are served.

--- a/relay/relay_run.cpp
+++ b/relay/relay_run.cpp
@@ -227,6 +227,11 @@
         return false;
     }
     m_customer = holder->second.m_customer;
+    if (!isFieldValue(m_customer.str())) {
+        refuse(StatusUnavailable, "endpoints cannot be told the name of the customer",
+               RetryAfterStart);
+        return false;
+    }
     m_urgency = std::min(holder->second.m_priority.value_or(m_urgency), LowestUrgency);
     return true;
 }
--- a/tests/platform/entry_field_test.cpp
+++ b/tests/platform/entry_field_test.cpp
@@ -164,5 +164,38 @@
     m_deployment.m_daemons.clear();
 }
 
+// The name of a customer is sent to endpoints too. Its requests are refused at once, and those of
+// others are served by endpoints that have done nothing wrong.
+TEST_F(EntryFieldTest, CustomerThatCannotBeNamedTakesNothingFromOthers)
+{
+    constexpr Millis Promptly{ 500 };
+    constexpr size_t CustomerRequests = 30;
+    for (const char *name : { R"(a\r\nX-Added: 1)", R"(a\u0000)", R"(a\u007f)" }) {
+        const std::string config = fmt::format(
+            R"({{"version":2,"routes":[{{"name":"unsafe","host":"host.example",)"
+            R"("pathPrefix":"/unsafe/","kind":"unsafe","timeoutMs":2500,"maxAttempts":2,)"
+            R"("service":"plain"}}],"services":[{{"name":"plain","maxConns":100}}],)"
+            R"("tenants":[{{"name":"{}","apiKeys":["key-of-two"]}},)"
+            R"({{"name":"one","apiKeys":["key-of-one"]}}]}})",
+            name);
+        m_deployment.m_store->put("config", "main", config);
+        m_deployment.m_daemons.clear();
+        start();
+        const size_t runs = m_deployment.totalRuns();
+        for (size_t i = 0; i < CustomerRequests; ++i) {
+            ClientRequest request = unsafeRequest();
+            request.m_key = "key-of-two";
+            const ClientAnswer answer = m_deployment.call(request);
+            EXPECT_EQ(answer.m_status, 503u) << name;
+            EXPECT_NE(answer.header("Retry-After"), "");
+            EXPECT_LT(answer.m_took, Promptly);
+        }
+        EXPECT_EQ(m_deployment.totalRuns(), runs);
+        for (size_t i = 0; i < CustomerRequests; ++i)
+            EXPECT_EQ(m_deployment.call(unsafeRequest()).m_status, 200u);
+        EXPECT_EQ(m_deployment.totalRuns(), runs + CustomerRequests);
+    }
+}
+
 } // namespace
 } // namespace stackquay::platform
