Addresses that name an interface are refused

Endpoints: an entry with the address "fe80::1%" and any text, line breaks included, behind the percent sign was taken for an endpoint.

Cause: Asio reads the text behind the percent sign of an IPv6 address as the name of an interface, and takes any for the interface 0.

parseAddress() refuses them.

--- a/net/address.cpp
+++ b/net/address.cpp
@@ -13,7 +13,8 @@
 {
     boost::system::error_code error;
     const auto host = boost::asio::ip::make_address(address.m_host, error);
-    if (error)
+    // The name of an interface behind a percent sign may be any text.
+    if (error || address.m_host.find('%') != std::string::npos)
         return makeError(ErrorCode::InvalidArgument,
                          fmt::format("'{}' is not an IP number", address.m_host));
     return host;
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -340,7 +340,8 @@
 TEST(AddressTest, ParsesAndRefuses)
 {
     EXPECT_EQ(toString(*parseAddress("127.0.0.1:80")), "127.0.0.1:80");
-    for (const char *text : { "", "127.0.0.1", "127.0.0.1:", "host:80", "127.0.0.1:99999", ":1" })
+    for (const char *text : { "", "127.0.0.1", "127.0.0.1:", "host:80", "127.0.0.1:99999", ":1",
+                              "fe80::1%eth0:80", "fe80::1%\r\nX-Added: 1:80" })
         EXPECT_FALSE(parseAddress(text)) << text;
 }
 
--- a/tests/platform/entry_field_test.cpp
+++ b/tests/platform/entry_field_test.cpp
@@ -143,6 +143,16 @@
     }
 }
 
+// IP addresses may name an interface, in any characters.
+TEST_F(EntryFieldTest, AddressWithAnInterfaceNamesNoEndpoint)
+{
+    putEntry("odd-1", "fe80::1%\r\nX-Added: 1\r\nX-More:80");
+    putEntry("odd-2", "fe80::1%eth0:80");
+    start();
+    expectServed(Requests);
+    EXPECT_EQ(m_deployment.poolSize("plain"), Workers);
+}
+
 Result<EndpointRecord> decodeOddly(const KindObject &object)
 {
     auto endpoint = relaySource().m_decodeEndpoint(object);
