Answers whose fields are not HTTP are not sent

No case was seen: fields of endpoints' answers have passed the parser, and those that the product writes are its own. What a claim's object holds, which others may write, goes there unchecked (decodeRecordedOutcome()).

ServerExchange asks checkFields() before it sends a head. The client gets 500, as of a handler that gave no answer. AnswerWithAMalformedFieldIsNotSent; not run on the code before.

--- a/net/http_exchange.cpp
+++ b/net/http_exchange.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "net/http_target.h"
+
 namespace stackquay {
 
 namespace {
@@ -84,6 +86,9 @@
 
 Status ServerExchange::respond(const HttpResponse &response)
 {
+    const Status valid = checkFields(response.m_headers);
+    if (!valid)
+        return valid; // The server answers for the handler.
     endWatch();
     m_started = true;
     m_finished = true;
@@ -97,6 +102,9 @@
 Status ServerExchange::startStream(unsigned status, const HttpHeaders &headers,
                                    std::string_view first)
 {
+    const Status valid = checkFields(headers);
+    if (!valid)
+        return valid; // The server answers for the handler.
     m_started = true;
     http::response<http::empty_body> message;
     fillHead(message, status, headers);
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -229,6 +229,26 @@
     });
 }
 
+// A value with a line break would add a field, or an answer, to what the client reads.
+TEST_F(HttpTest, AnswerWithAMalformedFieldIsNotSent)
+{
+    serve([](HttpExchange &exchange) {
+        const HttpHeaders added{ { "X-A", "b\r\nX-Added: 1" } };
+        EXPECT_FALSE(exchange.request().path() == "/whole"
+                         ? exchange.respond({ 200, added, "ok" })
+                         : exchange.startStream(200, added, "ok"));
+    });
+    onClient([&] {
+        HttpPool pool(m_clientThread.context());
+        for (const char *target : { "/whole", "/stream" }) {
+            const auto response = pool.call(m_address, { "GET", target, {}, "" });
+            ASSERT_TRUE(response) << toString(response.error());
+            EXPECT_EQ(response->m_status, 500u);
+            EXPECT_EQ(findHeader(response->m_headers, "X-Added"), "");
+        }
+    });
+}
+
 TEST_F(HttpTest, OversizedBodyGets413)
 {
     HttpServerLimits limits;
