Keys are percent-encoded in targets of the native store

The name of a data centre is a part of the key of its lease: "a?b" would have taken the lease of "a", as the store read the rest as a query. Keys of claims and intent are numbers, hashes and the product's own words, and stay as they are.

StoreClient writes its targets with writeTarget(), as KindStore does. What the store does not accept as a key is refused. KeyWithOtherCharactersIsNoOtherKey; not run on the code before.

--- a/store/store_client.cpp
+++ b/store/store_client.cpp
@@ -1,5 +1,6 @@
 #include "store/store_client.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <fmt/format.h>
@@ -26,9 +27,17 @@
     return value;
 }
 
+/// Keys are paths: their slashes separate segments.
 std::string objectTarget(const std::string &key)
 {
-    return "/objects/" + key;
+    std::vector<std::string> segments{ "objects" };
+    size_t start = 0;
+    while (start <= key.size()) {
+        const size_t end = std::min(key.find('/', start), key.size());
+        segments.push_back(key.substr(start, end - start));
+        start = end + 1;
+    }
+    return writeTarget(segments);
 }
 
 HttpHeaders conditionHeader(std::optional<ObjectVersion> condition)
@@ -170,7 +179,8 @@
 Result<ObjectList> StoreClient::list(const std::string &prefix)
 {
     const auto response =
-        sendCall(*m_channel, StoreCount::Lists, { "GET", "/list?prefix=" + prefix, {}, "" });
+        sendCall(*m_channel, StoreCount::Lists,
+                 { "GET", writeTarget({ "list" }, { { "prefix", prefix } }), {}, "" });
     return parseResponse(response, "list " + prefix).map(toList);
 }
 
@@ -178,7 +188,9 @@
 {
     const auto millis = std::chrono::ceil<Millis>(timeout).count();
     HttpRequest request;
-    request.m_target = fmt::format("/watch?prefix={}&from={}&timeout_ms={}", prefix, from, millis);
+    request.m_target = writeTarget({ "watch" }, { { "prefix", prefix },
+                                                  { "from", std::to_string(from) },
+                                                  { "timeout_ms", std::to_string(millis) } });
     const StoreSettings &settings = m_channel->settings();
     const auto response =
         m_channel->call({ StoreCount::Watches, std::move(request), settings.m_tryTimeout + timeout,
--- a/tests/store/platform_test.cpp
+++ b/tests/store/platform_test.cpp
@@ -42,6 +42,31 @@
     FiberThread m_thread;
 };
 
+// Names of data centres are parts of keys: an odd one must not stand for another one's object.
+TEST_F(PlatformTest, KeyWithOtherCharactersIsNoOtherKey)
+{
+    withClient([&](StoreClient &client) {
+        ASSERT_TRUE(client.put("lease/a", "one", NoObject));
+        for (const char *key : { "lease/a?b", "lease/a#b", "lease/%61", "lease/a b", "lease/a\r\nb",
+                                 "lease/a\xc3\xbc" }) {
+            EXPECT_FALSE(client.put(key, "two", std::nullopt)) << key;
+            EXPECT_FALSE(client.remove(key, std::nullopt)) << key;
+            EXPECT_FALSE(client.get(key)) << key;
+        }
+        const auto object = client.get("lease/a");
+        ASSERT_TRUE(object);
+        EXPECT_EQ(object->m_value, "one");
+        for (const char *prefix : { "lease/%61", "x&prefix=lease", "lease/a#" }) {
+            const auto list = client.list(prefix);
+            ASSERT_TRUE(list) << prefix;
+            EXPECT_TRUE(list->m_objects.empty()) << prefix;
+            const auto events = client.watch(prefix, 0, Millis(10));
+            ASSERT_TRUE(events) << prefix;
+            EXPECT_TRUE(events->m_events.empty()) << prefix;
+        }
+    });
+}
+
 TEST_F(PlatformTest, ConditionalWritesListsAndWatches)
 {
     withClient([&](StoreClient &client) {
