Test of requests during a drain waits until the server is idle

HttpTest.RequestThatArrivesWhileIdleConnectionsAreClosedIsAnswered failed in 532 of 16,000 runs, eight processes beside a build ("read header: end of stream").

Cause: a client may have its answer before the server's fiber waits for the next request. The drain then began while the server was not idle, so the connection ended before the test sent its second request, which the test means to arrive before the close. Any server may end a kept connection between two requests; the product is as before.

The test now waits until no request is active and the server's thread has run once more, so that the connection is idle when the drain begins. All checks stay.

--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -36,6 +36,16 @@
         done.get_future().wait();
     }
 
+    /// A client may have its answer before the server waits for the connection's next request.
+    void awaitIdle()
+    {
+        while (m_server->activeRequests() > 0)
+            std::this_thread::yield();
+        std::promise<void> waiting;
+        m_serverThread.post([&] { waiting.set_value(); });
+        waiting.get_future().wait();
+    }
+
     /// The head of an answer by @p peer, which never ends it, times out at its deadline.
     void expectHeadEndsAtItsDeadline(const Address &peer)
     {
@@ -648,6 +658,7 @@
         ASSERT_TRUE(connection.readHeader(Seconds(5)));
         ASSERT_EQ(connection.readWhole(Seconds(5)).value_or(""), "ok");
     });
+    awaitIdle();
     // The request comes in just before the server closes the connection, and is not read before.
     std::promise<void> queued;
     std::promise<void> serverWaits;
