--- a/net/http_target.cpp
+++ b/net/http_target.cpp
@@ -1,7 +1,6 @@
 #include "net/http_target.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <limits>
 
