Log lines: the store is not reached, and a VM reads it by itself

A VM that learned of new routes wrote the same line whether it had read them itself or a peer had told it, and a store watcher that had lost its connection wrote nothing until it gave up the role.

--- a/relay/store_follower.cpp
+++ b/relay/store_follower.cpp
@@ -161,6 +161,7 @@
     void publishDirectory(const StorePosition &position);
     void noteAnswer();
     bool backOff(unsigned failures);
+    void noteUnreachable(TimePoint now);
     bool pause(unsigned failures);
     bool awaitAnswer(uint64_t generation);
     bool inRecoveryGrace(TimePoint now) const;
@@ -177,10 +178,21 @@
     if (m_failingSince == TimePoint{})
         m_failingSince = now;
     if (now - m_lastAnswer > UnreachableAfterSilence)
-        m_unreachableAt = now;
+        noteUnreachable(now);
     return pause(failures);
 }
 
+/// Logged once until a call succeeds again.
+void StoreFollower::State::noteUnreachable(TimePoint now)
+{
+    if (m_unreachableAt < m_lastAnswer)
+        DecisionLine("store", "store not reached")
+            .number("silent_ms", std::chrono::duration_cast<Millis>(now - m_lastAnswer).count())
+            .flag("watches_store", m_watching)
+            .write();
+    m_unreachableAt = now;
+}
+
 bool StoreFollower::State::pause(unsigned failures)
 {
     const BackoffSettings &backoff = m_watching ? WatcherBackoff : NonWatcherBackoff;
@@ -378,6 +390,10 @@
             continue;
         }
         due = proofDue();
+        if (!m_watching && best.known())
+            DecisionLine("store", "reads the store itself")
+                .number("age_ms", std::chrono::duration_cast<Millis>(now - best.m_provedAt).count())
+                .write();
         if (readRoutes()) {
             failures = 0;
             continue;
