A VM that started beside others completes its directory

What callers saw: after the store watcher was lost, requests went to a removed endpoint for up to 2 s longer than the news took to arrive.

Cause: a VM that starts beside others mostly receives a directory that is still marked as incomplete. When the watcher completed it, the position was the same, and a directory of the same position only removed unconfirmed endpoints. So the VM stayed incomplete until an endpoint changed, and asked for the whole directory with each heartbeat. When it then read a removal from the store before the watcher's successor, its peers kept the endpoint as unconfirmed, and used it until its grace time ended.

Evidence: log of the new platform test with four VMs, the first two cut off: "endpoint gone" on the third, "endpoints taken from a peer" with "doubtful":1 on the others 120 ms later, which held the endpoint past 2 s.

A confirmed directory of the same position now replaces one that is not confirmed. Both were read at that position, so nothing later is lost, and records of earlier processes are kept out as for later positions.

EndpointDirectoryTest.ConfirmedPeerOfTheSamePositionCompletesTheDirectory failed before. Calls to the store: none; between VMs one fetch with each heartbeat less for such a VM.

--- a/policy/endpoint_directory.cpp
+++ b/policy/endpoint_directory.cpp
@@ -89,7 +89,9 @@
 
 bool mergeDirectory(EndpointDirectory &own, const EndpointDirectory &offered)
 {
-    if (offered.m_position <= own.m_position)
+    const bool settles =
+        offered.m_position == own.m_position && offered.isConfirmed() && !own.isConfirmed();
+    if (offered.m_position <= own.m_position && !settles)
         return dropUnconfirmed(own, offered);
     adoptLater(own, offered);
     return true;
--- a/tests/policy/endpoint_directory_test.cpp
+++ b/tests/policy/endpoint_directory_test.cpp
@@ -59,6 +59,22 @@
     EXPECT_FALSE(own.isConfirmed());
 }
 
+// The failure: a VM that started beside others kept the incomplete directory that it received
+// first. Once it read the store itself, all others kept a removed endpoint as unconfirmed, and used
+// it.
+TEST(EndpointDirectoryTest, ConfirmedPeerOfTheSamePositionCompletesTheDirectory)
+{
+    EndpointDirectory own;
+    EndpointDirectory started = directory(20, { "a" });
+    started.m_complete = false;
+    EXPECT_TRUE(mergeDirectory(own, started));
+    EXPECT_FALSE(own.isConfirmed());
+    EXPECT_TRUE(mergeDirectory(own, directory(20, { "a" })));
+    EXPECT_TRUE(own.isConfirmed());
+    EXPECT_EQ(own.m_confirmedPosition.m_revision, 20u);
+    EXPECT_FALSE(mergeDirectory(own, directory(20, { "a" })));
+}
+
 TEST(EndpointDirectoryTest, MergeTakesOverUnconfirmedEndpoints)
 {
     EndpointDirectory own = directory(5, { "a", "b" });
