VMs read the store when their proofs are old, within the bound

Cause: all VMs learn of changes from one, and the times until another one asks the store added up to more than the bound. The watcher read 0.9 to 1.4 s after its last read and reported the loss only after that call had failed (1.2 s), with a heartbeat. The others read the routes 2.0 to 2.9 s after the last proof, and the endpoints never. A proof was about the routes alone, so a watcher whose watches were silent went on proving.

Ruled out: lost datagrams and a slow list; the successor had both kinds 10 ms after it took over.

Now a VM reads the store when the older of its proofs, of the routes and of endpoints and evacuations, has reached an age. The age is lowest for store watchers; the first other VM reads at 1.34 s, the second 0.16 s later, so all know within 1.59 and 1.75 s whatever happened to the watcher. A list of the routes proves both, as it returns the store's revision.

A VM that reads in the watcher's place makes two calls.

--- a/policy/freshness.cpp
+++ b/policy/freshness.cpp
@@ -4,6 +4,16 @@
 
 namespace stackquay {
 
+bool covers(const EndpointDirectory &endpoints, const Evacuations &evacuations,
+            const DirectoryProof &proof)
+{
+    const auto isNotOlder = [](const StorePosition &own, const StorePosition &proved) {
+        return own.m_era == proved.m_era && own.m_revision >= proved.m_revision;
+    };
+    return isNotOlder(endpoints.m_position, proof.m_endpoints)
+           && isNotOlder(evacuations.m_position, proof.m_evacuations);
+}
+
 FreshnessProof mergeProofs(const FreshnessProof &left, const FreshnessProof &right)
 {
     const bool leftIsHigher = left.m_version > right.m_version;
--- a/policy/freshness.h
+++ b/policy/freshness.h
@@ -8,6 +8,8 @@
 #include <cstdint>
 
 #include "core/core.h"
+#include "policy/endpoint_directory.h"
+#include "policy/evacuations.h"
 
 namespace stackquay {
 
@@ -20,6 +22,19 @@
     bool known() const { return m_version != 0; }
 };
 
+/// A VM's proof of its endpoints and evacuations.
+struct DirectoryProof {
+    StorePosition m_endpoints; ///< Position of its directory.
+    StorePosition m_evacuations; ///< Position of its list; unknown if it has none.
+    TimePoint m_provedAt{}; ///< When nothing had changed in the store after these positions.
+};
+
+/// Whether @p proof also proves @p endpoints and @p evacuations: they are not older than those that
+/// it is about, so they contain all that was written before its time. Positions of different eras
+/// do not show that.
+bool covers(const EndpointDirectory &endpoints, const Evacuations &evacuations,
+            const DirectoryProof &proof);
+
 /// Combines two proofs: the higher version and the later time. Whatever was written before the time
 /// of the lower version's proof is part of the higher version too. This does not hold if the lower
 /// version was proved in a later era, since the restored store may have lost the higher version,
--- a/policy/policy.h
+++ b/policy/policy.h
@@ -45,6 +45,7 @@
 #include "policy/prefill_group.h"
 #include "policy/prefix.h"
 #include "policy/probe_turn.h"
+#include "policy/read_schedule.h"
 #include "policy/recent_answers.h"
 #include "policy/reconcile.h"
 #include "policy/response_time.h"
--- a/policy/watch_duty.cpp
+++ b/policy/watch_duty.cpp
@@ -47,6 +47,15 @@
     return silence > WatcherSilenceTimeout + std::min(wait, MaxTakeoverDelay);
 }
 
+unsigned readTurn(const DutyCandidate &self, const std::vector<DutyCandidate> &peers)
+{
+    return static_cast<unsigned>(
+        std::count_if(peers.begin(), peers.end(), [&](const DutyCandidate &peer) {
+            return peer.m_dataCentre == self.m_dataCentre && peer.m_eligible && !peer.m_isWatcher
+                   && rankOf(peer) < rankOf(self);
+        }));
+}
+
 Duration electionDelay(const DutyCandidate &self, const std::vector<DutyCandidate> &peers,
                        Duration most)
 {
--- a/policy/watch_duty.h
+++ b/policy/watch_duty.h
@@ -36,6 +36,11 @@
 bool takesOverWatch(const DutyCandidate &self, const std::vector<DutyCandidate> &peers,
                     Duration silence);
 
+/// The position of @p self among the eligible VMs of its data centre that do not watch the store,
+/// in the order of preference and counted from zero. In this order they read the store if no store
+/// watcher does. A VM that is not eligible comes last.
+unsigned readTurn(const DutyCandidate &self, const std::vector<DutyCandidate> &peers);
+
 /// How long a VM that starts waits for a watcher before it becomes one, from the time at which it
 /// found @p peers in the store. VMs that start together do not all list the store: each waits for
 /// those that precede it, for longer the slower it is, because a slow VM also hears of the others
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -163,6 +163,8 @@
     void fetchIfBehind();
     const Peer *peerWithNewerState();
     bool fetchState(const Address &peer);
+    std::vector<DutyCandidate> dutyCandidates() const;
+    DutyCandidate ownCandidacy() const;
     void updateWatcherRole();
     Duration silenceSince(TimePoint heardAt) const;
     Duration period() const;
@@ -314,17 +316,16 @@
         sendHeartbeat(from, peer, true);
 }
 
-/// Reports the freshness proof in the peer's last heartbeat, if it has one.
+/// Reports the proofs in the peer's last heartbeat, if it has any.
 void FleetLink::State::applyProof(Peer &peer)
 {
     const TimePoint sent = TimePoint{} + std::chrono::microseconds(peer.m_lastHeartbeat.m_sentUs);
-    const Duration delay = excessDelay(peer.m_clock, sent, peer.m_lastHeardAt);
+    const Duration delay = HeartbeatTransit + excessDelay(peer.m_clock, sent, peer.m_lastHeardAt);
     const StateSummary &summary = peer.m_lastHeartbeat.m_stateSummary;
-    if (summary.m_proved) {
-        m_hooks.m_onProof(proofFromAge(summary.m_routesVersion, summary.m_proofEra,
-                                       Millis(summary.m_proofAgeMs), HeartbeatTransit + delay,
-                                       peer.m_lastHeardAt));
-    }
+    if (summary.m_proved)
+        m_hooks.m_onProof(routesProofOf(summary, delay, peer.m_lastHeardAt));
+    if (summary.m_directoryProved)
+        m_hooks.m_onDirectoryProof(directoryProofOf(summary, delay, peer.m_lastHeardAt));
 }
 
 void FleetLink::State::expire()
@@ -484,11 +485,8 @@
     return !m_needsAllEndpoints;
 }
 
-void FleetLink::State::updateWatcherRole()
+std::vector<DutyCandidate> FleetLink::State::dutyCandidates() const
 {
-    const TimePoint now = Clock::now();
-    if (now - std::exchange(m_roleUpdatedAt, now) > StallThreshold)
-        m_resumedAt = now;
     std::vector<DutyCandidate> candidates;
     for (const auto &[address, peer] : m_peers) {
         if (!peer.isAvailable())
@@ -500,9 +498,22 @@
                                peer.m_lastHeartbeat.m_watchesStore,
                                peer.m_lastHeartbeat.m_millicores });
     }
-    const DutyCandidate self{ m_settings.m_vm, m_settings.m_dataCentre,
-                              m_hooks.m_ownSummary().m_reachesStore, m_watchesStore,
-                              m_settings.m_millicores };
+    return candidates;
+}
+
+DutyCandidate FleetLink::State::ownCandidacy() const
+{
+    return { m_settings.m_vm, m_settings.m_dataCentre, m_hooks.m_ownSummary().m_reachesStore,
+             m_watchesStore, m_settings.m_millicores };
+}
+
+void FleetLink::State::updateWatcherRole()
+{
+    const TimePoint now = Clock::now();
+    if (now - std::exchange(m_roleUpdatedAt, now) > StallThreshold)
+        m_resumedAt = now;
+    const std::vector<DutyCandidate> candidates = dutyCandidates();
+    const DutyCandidate self = ownCandidacy();
     const bool takesOver = m_watcherHeardAt != TimePoint{}
                            && takesOverWatch(self, candidates, silenceSince(m_watcherHeardAt));
     if (!m_draining && now >= m_electableFrom && (takesOver || isStoreWatcher(self, candidates)))
@@ -722,6 +733,11 @@
     m_state->sendHeartbeats(false);
 }
 
+unsigned FleetLink::readTurn() const
+{
+    return stackquay::readTurn(m_state->ownCandidacy(), m_state->dutyCandidates());
+}
+
 bool FleetLink::watchesStore() const
 {
     m_state->updateWatcherRole(); // The election delay may have passed since the last update.
--- a/relay/fleet_link.h
+++ b/relay/fleet_link.h
@@ -59,6 +59,8 @@
     std::function<bool()> m_isIsolated;
     /// Called with the freshness proof in a peer's heartbeat.
     std::function<void(const FreshnessProof &proof)> m_onProof;
+    /// Called with the proof of the endpoints and evacuations in a peer's heartbeat.
+    std::function<void(const DirectoryProof &proof)> m_onDirectoryProof;
     /// Called with the store era that a peer knows.
     std::function<void(uint64_t era)> m_era;
     /// Called when a peer's process has exited or is unreachable: its placements are unknown from
@@ -102,6 +104,8 @@
     void sendHeartbeatsNow();
     /// Whether this VM watches the store for the other VMs of its data centre. On the thread.
     bool watchesStore() const;
+    /// How many VMs precede this one in reading the store if no store watcher does. On the thread.
+    unsigned readTurn() const;
 
 private:
     struct State;
--- a/relay/fleet_messages.h
+++ b/relay/fleet_messages.h
@@ -19,11 +19,19 @@
     StorePosition m_lastConfirmed;
     bool m_reachesStore = true; ///< Whether recent calls to the store succeeded.
     StorePosition m_evacuations; ///< Position of the list of evacuated data centres.
+    bool m_directoryProved = false;
+    /// Age of the proof that m_directory and m_evacuations are current, if proved.
+    uint32_t m_directoryAgeMs = 0;
 
     MSGPACK_DEFINE(m_routesVersion, m_proved, m_proofAgeMs, m_proofEra, m_era, m_directory,
-                   m_directoryConfirmed, m_lastConfirmed, m_reachesStore, m_evacuations)
+                   m_directoryConfirmed, m_lastConfirmed, m_reachesStore, m_evacuations,
+                   m_directoryProved, m_directoryAgeMs)
 };
 
+/// The proofs of a summary that arrived at @p now, @p delay at most after it was written.
+FreshnessProof routesProofOf(const StateSummary &summary, Duration delay, TimePoint now);
+DirectoryProof directoryProofOf(const StateSummary &summary, Duration delay, TimePoint now);
+
 /// Sent to each peer by UDP periodically, and after changes.
 struct Heartbeat {
     VmId m_vm;
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -78,10 +78,9 @@
              fleet.m_cell };
 }
 
-uint32_t ageMs(const FreshnessProof &proof)
+uint32_t ageMs(TimePoint provedAt, TimePoint now)
 {
-    return static_cast<uint32_t>(
-        std::chrono::duration_cast<Millis>(Clock::now() - proof.m_provedAt).count());
+    return static_cast<uint32_t>(std::chrono::duration_cast<Millis>(now - provedAt).count());
 }
 
 } // namespace
@@ -284,10 +283,12 @@
         m_forward->setLimits(serverLimits(routes->m_limits));
         announceChange();
     };
+    // Also of a VM that watches the store for no other: it read because they learned nothing.
     hooks.m_onProof = [this](const FreshnessProof &proof) {
         applyProof(proof);
-        announceChange();
+        m_fleet->sendHeartbeatsNow();
     };
+    hooks.m_onDirectoryProof = [this] { m_fleet->sendHeartbeatsNow(); };
     hooks.m_onDirectory = [this](const EndpointDirectoryPtr &directory) {
         const EndpointDirectoryPtr before = m_node->m_view.load()->m_directory;
         updateView([&](RelayView &view) {
@@ -308,6 +309,8 @@
         announceChange();
     };
     hooks.m_bestProof = [this] { return m_proof; };
+    hooks.m_knowledgeBound = [this] { return knowledgeBound(m_node->m_view.load()->m_bounds); };
+    hooks.m_readTurn = [this] { return m_fleet->readTurn(); };
     hooks.m_watchesStore = [this] { return m_fleet->watchesStore(); };
     // The kernel does not count suspended time for a timer that is already set. Setting a new one
     // fires all timers that are due by now, so that expired deadlines take effect.
@@ -364,10 +367,11 @@
 StateSummary RelayDaemon::ownSummary() const
 {
     const RelayViewPtr view = m_node->m_view.load();
+    const TimePoint now = Clock::now();
     StateSummary own;
     own.m_routesVersion = view->m_routes ? view->m_routes->m_version : 0;
     own.m_proved = view->m_proof.known();
-    own.m_proofAgeMs = own.m_proved ? ageMs(view->m_proof) : 0;
+    own.m_proofAgeMs = own.m_proved ? ageMs(view->m_proof.m_provedAt, now) : 0;
     own.m_proofEra = view->m_proof.m_era;
     own.m_era = m_era;
     if (view->m_directory) {
@@ -377,6 +381,9 @@
     }
     own.m_evacuations = view->m_evacuations.m_position;
     own.m_reachesStore = m_follower->reachesStore();
+    const auto directoryProvedAt = m_follower->directoryProvedAt();
+    own.m_directoryProved = directoryProvedAt.has_value();
+    own.m_directoryAgeMs = directoryProvedAt ? ageMs(*directoryProvedAt, now) : 0;
     return own;
 }
 
@@ -472,6 +479,9 @@
     };
     hooks.m_isIsolated = [this] { return m_node->m_isolated.load(); };
     hooks.m_onProof = [this](const FreshnessProof &proof) { applyProof(proof); };
+    hooks.m_onDirectoryProof = [this](const DirectoryProof &proof) {
+        m_follower->mergePeerDirectoryProof(proof);
+    };
     hooks.m_era = [this](uint64_t era) { noteEra(era); };
     hooks.m_onProcessGone = [this](uint64_t origin) {
         m_traffic.post([this, origin] { m_node->forgetProcess(origin); });
@@ -537,8 +547,7 @@
     addQuarantinedParts(state.m_quarantinedParts);
     const StateSummary &summary = state.m_summary;
     if (summary.m_proved)
-        applyProof(proofFromAge(summary.m_routesVersion, summary.m_proofEra,
-                                Millis(summary.m_proofAgeMs), callTime, Clock::now()));
+        applyProof(routesProofOf(summary, callTime, Clock::now()));
     if (!state.m_routesSpec.empty()) {
         const auto spec = unpackText(state.m_routesSpec);
         if (spec)
@@ -551,14 +560,21 @@
     Evacuations evacuations{ summary.m_evacuations, {} };
     evacuations.m_dataCentres.insert(state.m_evacuated.begin(), state.m_evacuated.end());
     m_follower->mergePeerEvacuations(evacuations);
-    if (!state.m_hasEndpoints)
-        return true;
+    if (state.m_hasEndpoints && !applyPeerEndpoints(state))
+        return false;
+    if (summary.m_directoryProved)
+        m_follower->mergePeerDirectoryProof(directoryProofOf(summary, callTime, Clock::now()));
+    return true;
+}
+
+bool RelayDaemon::applyPeerEndpoints(const StateSnapshot &state)
+{
     auto endpoints = peerEndpoints(state);
     if (!endpoints)
         return false;
     EndpointDirectory directory;
     directory.m_endpoints = std::move(*endpoints);
-    directory.m_position = summary.m_directory;
+    directory.m_position = state.m_summary.m_directory;
     directory.m_complete = state.m_complete;
     directory.m_unconfirmed.insert(state.m_unconfirmed.begin(), state.m_unconfirmed.end());
     directory.m_unreadable.insert(state.m_unreadable.begin(), state.m_unreadable.end());
--- a/relay/relay_daemon.h
+++ b/relay/relay_daemon.h
@@ -56,6 +56,7 @@
     void packRoutes(const std::string &spec);
     /// Returns false if the changes of the endpoints in @p state do not apply.
     bool applyPeerState(const StateSnapshot &state, Duration callTime);
+    bool applyPeerEndpoints(const StateSnapshot &state);
     /// The endpoints in @p state; nothing if they are changes that do not apply.
     std::optional<EndpointMap> peerEndpoints(const StateSnapshot &state) const;
     void applyProof(const FreshnessProof &proof);
--- a/relay/relay_settings.cpp
+++ b/relay/relay_settings.cpp
@@ -19,6 +19,16 @@
 
 } // namespace
 
+Duration knowledgeBound(const RelayBounds &bounds)
+{
+    Millis bound = std::min(bounds.m_configurationTime, bounds.m_drainTime);
+    if (bounds.m_strictKeys)
+        bound = std::min(bound, bounds.m_revocationTime);
+    if (bounds.m_evacuationTime > Millis(0))
+        bound = std::min(bound, bounds.m_evacuationTime);
+    return bound;
+}
+
 size_t clientMemory(const RelaySettings &settings)
 {
     const size_t needed = ProcessBytes + settings.m_connections * ConnectionBytes;
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -26,6 +26,11 @@
     /// Time from the store's acknowledgement of an evacuation until no more requests are sent to
     /// the data centre; zero: operators do not evacuate any.
     Millis m_evacuationTime{ 0 };
+    /// Time from the store's acknowledgement of a configuration until all VMs apply it.
+    Millis m_configurationTime{ 2'000 };
+    /// Time from the store's acknowledgement that an endpoint drains or is gone until no more
+    /// requests are sent to it.
+    Millis m_drainTime{ 2'000 };
     ColdLimits m_coldLimits;
     Millis m_maxHold{ 20'000 }; ///< Maximum hold time of a memory reservation.
     /// Time within which memory must be free after its last use.
@@ -43,6 +48,9 @@
     return bounds.m_recoveryTime / Share;
 }
 
+/// Time within which all VMs have to know each change in the store.
+Duration knowledgeBound(const RelayBounds &bounds);
+
 struct RelaySettings {
     VmId m_vm;
     DataCentreId m_dataCentre;
--- a/relay/store_follower.cpp
+++ b/relay/store_follower.cpp
@@ -1,24 +1,21 @@
 #include "relay/store_follower.h"
 
+#include <algorithm>
+#include <tuple>
+
 #include <fmt/format.h>
 
 namespace stackquay {
 
 namespace {
 
-/// A waiting watch is one call: a longer timeout needs fewer calls, but detects a dead connection
-/// later. Routes are also read for their proofs.
-constexpr Millis EndpointsWatchTimeout{ 2'500 };
-constexpr Millis RoutesWatchTimeout{ 8'000 };
-constexpr Millis EvacuationsWatchTimeout{ 8'000 };
-/// Older proofs are renewed. Because of the jitter, mostly one of the store watchers reads and the
-/// others receive its proof.
-constexpr Millis WatcherProofAge{ 900 };
-constexpr Millis WatcherProofJitter{ 400 };
-/// Other VMs read only if the store watchers send no proof for longer than it takes to replace a
-/// failed one.
-constexpr Millis NonWatcherProofAge{ 2'000 };
-constexpr Millis NonWatcherProofJitter{ 900 };
+/// A waiting watch is one call: a longer timeout needs fewer calls. The reads of ReadSchedule find
+/// what a dead connection does not deliver.
+constexpr Millis EndpointsWatchTimeout{ 3'500 };
+constexpr Millis RoutesWatchTimeout{ 20'000 };
+constexpr Millis EvacuationsWatchTimeout{ 20'000 };
+/// Of a watch that returns what has changed so far, and does not wait.
+constexpr Millis NoWatchTimeout{ 1 };
 constexpr Millis Poll{ 100 };
 /// A poll that is late by this much means that the VM was suspended; under load it is late by about
 /// 100 ms.
@@ -91,11 +88,16 @@
 
     /// A watched kind of objects, with its list and update functions.
     struct WatchedKind {
-        std::string m_kind;
-        Millis m_watchTimeout;
-        Millis m_batchDelay; ///< Pause after a change before the next watch call.
-        bool (State::*m_list)(StorePosition &position);
-        void (State::*m_apply)(const KindEvents &events);
+        const std::string m_kind;
+        const Millis m_watchTimeout;
+        const Millis m_batchDelay; ///< Pause after a change before the next watch call.
+        bool (State::*const m_list)(StorePosition &position);
+        void (State::*const m_apply)(const KindEvents &events);
+        /// All changes up to here are applied. Unknown: the objects have to be listed.
+        StorePosition m_through{};
+        TimePoint m_provedAt{}; ///< No other change of this kind had been made by then.
+        TimePoint m_pausedUntil{}; ///< End of the last m_batchDelay.
+        uint64_t m_generation = 0; ///< Watches of earlier generations stop.
     };
 
     /// The latest known process of an endpoint id; kept after its entry is removed.
@@ -128,18 +130,43 @@
     TimePoint m_restoreGraceUntil{};
     /// Removed endpoints, and when they were removed.
     std::unordered_map<EndpointId, TimePoint> m_departed;
-    uint64_t m_generation = 0; ///< Watches of earlier generations stop.
+    WatchedKind m_routesKind{ m_source.m_routesKind, RoutesWatchTimeout, Millis(0),
+                              &State::listRoutes, &State::applyRouteEvents };
+    WatchedKind m_endpointsKind{ m_source.m_endpointsKind, EndpointsWatchTimeout, ChangeBatchDelay,
+                                 &State::listEndpoints, &State::applyEndpointEvents };
+    WatchedKind m_evacuationsKind{ m_source.m_evacuationsKind, EvacuationsWatchTimeout, Millis(0),
+                                   &State::listEvacuations, &State::applyEvacuationEvents };
+    /// Fraction of the schedule's jitter by which the next read is late.
+    double m_readJitter = 0;
+    TimePoint m_readAt{}; ///< The last read by schedule.
+    TimePoint m_routesProvedAt{}; ///< As m_directoryProvedAt, of the routes known to this VM.
+    /// The endpoints and evacuations known to this VM were the newest in the store at this time, as
+    /// shown by its own reads or by a peer.
+    TimePoint m_directoryProvedAt{};
     bool m_watching = false;
 
     bool applyRoutes(const std::string &spec);
     void followWatcherRole();
     void noteSuspension(Duration sincePoll);
     void startWatches();
-    void watch(const WatchedKind &followed, uint64_t generation);
-    void proveRoutes();
-    Millis proofDue();
+    void startWatch(WatchedKind &kind);
+    void watch(WatchedKind &kind, uint64_t generation);
+    void applyWatched(WatchedKind &kind, const KindEvents &events, TimePoint begun, Millis wait);
+    std::vector<WatchedKind *> directoryKinds();
+    StorePosition appliedThrough(const WatchedKind &kind) const;
+    void keepCurrent();
+    Duration untilRead(TimePoint now);
+    Duration jittered(Duration age, Duration jitter) const;
+    void updateRoutesProof();
+    void logOwnRead(TimePoint now);
+    bool canProveDirectory();
+    bool readStore();
     bool readRoutes();
+    bool applyListedRoutes(const KindPage &page, TimePoint begun);
     bool listRoutes(StorePosition &position);
+    std::vector<WatchedKind *> kindsBehind(const StorePosition &position, TimePoint at);
+    bool catchUp(WatchedKind &kind, const StorePosition &position);
+    void proveDirectory();
     void applyRouteEvents(const KindEvents &events);
     bool listEndpoints(StorePosition &position);
     void applyEndpointEvents(const KindEvents &events);
@@ -163,7 +190,7 @@
     bool backOff(unsigned failures);
     void noteUnreachable(TimePoint now);
     bool pause(unsigned failures);
-    bool awaitAnswer(uint64_t generation);
+    bool awaitAnswer(const WatchedKind &kind, uint64_t generation);
     bool inRecoveryGrace(TimePoint now) const;
 };
 
@@ -199,12 +226,13 @@
     return sleepFor(m_thread.context(), backoffDelay(backoff, failures, m_random) + Millis(20));
 }
 
-/// While the store does not answer, only proveRoutes() calls it and the watches wait for its
+/// While the store does not answer, only keepCurrent() calls it and the watches wait for its
 /// success, so that an outage causes a third of the calls. Returns false if the thread stops.
-bool StoreFollower::State::awaitAnswer(uint64_t generation)
+bool StoreFollower::State::awaitAnswer(const WatchedKind &kind, uint64_t generation)
 {
     const TimePoint until = Clock::now() + MaxAnswerWait;
-    while (generation == m_generation && m_failingSince != TimePoint{} && Clock::now() < until) {
+    while (generation == kind.m_generation && m_failingSince != TimePoint{}
+           && Clock::now() < until) {
         if (!sleepFor(m_thread.context(), Poll))
             return false;
     }
@@ -253,7 +281,8 @@
             if (watchesStore) {
                 startWatches();
             } else {
-                ++m_generation;
+                for (WatchedKind *kind : { &m_routesKind, &m_endpointsKind, &m_evacuationsKind })
+                    ++kind->m_generation;
                 m_failingSince = {};
             }
         }
@@ -262,65 +291,99 @@
     } while (sleepFor(m_thread.context(), Poll));
 }
 
+/// The kinds of objects besides the routes.
+std::vector<StoreFollower::State::WatchedKind *> StoreFollower::State::directoryKinds()
+{
+    if (m_followEvacuations)
+        return { &m_endpointsKind, &m_evacuationsKind };
+    return { &m_endpointsKind };
+}
+
 void StoreFollower::State::startWatches()
 {
-    const uint64_t generation = ++m_generation;
-    const WatchedKind routes{ m_source.m_routesKind, RoutesWatchTimeout, Millis(0),
-                              &State::listRoutes, &State::applyRouteEvents };
-    const WatchedKind endpoints{ m_source.m_endpointsKind, EndpointsWatchTimeout, ChangeBatchDelay,
-                                 &State::listEndpoints, &State::applyEndpointEvents };
-    const WatchedKind evacuations{ m_source.m_evacuationsKind, EvacuationsWatchTimeout, Millis(0),
-                                   &State::listEvacuations, &State::applyEvacuationEvents };
-    for (const WatchedKind &followed : { routes, endpoints, evacuations }) {
-        if (followed.m_kind == m_source.m_evacuationsKind && !m_followEvacuations)
-            continue;
-        spawnFiber([self = shared_from_this(), followed, generation] {
-            self->watch(followed, generation);
-        });
+    std::vector<WatchedKind *> kinds = directoryKinds();
+    kinds.push_back(&m_routesKind);
+    for (WatchedKind *kind : kinds) {
+        kind->m_through = {};
+        startWatch(*kind);
     }
 }
 
-/// Lists, then watches from that position, until a later generation starts.
-void StoreFollower::State::watch(const WatchedKind &followed, uint64_t generation)
+void StoreFollower::State::startWatch(WatchedKind &kind)
+{
+    const uint64_t generation = ++kind.m_generation;
+    spawnFiber([self = shared_from_this(), &kind, generation] { self->watch(kind, generation); });
+}
+
+/// Lists if necessary, then watches from that position, until a later generation starts.
+void StoreFollower::State::watch(WatchedKind &kind, uint64_t generation)
 {
     unsigned failures = 0;
-    StorePosition position;
-    while (generation == m_generation) {
-        if (!position.known() && !(this->*followed.m_list)(position)) {
-            if (!backOff(failures++) || !awaitAnswer(generation))
+    while (generation == kind.m_generation) {
+        const TimePoint begun = Clock::now();
+        if (!kind.m_through.known()) {
+            StorePosition position;
+            if (!(this->*kind.m_list)(position)) {
+                if (!backOff(failures++) || !awaitAnswer(kind, generation))
+                    return;
+                continue;
+            }
+            if (generation != kind.m_generation)
                 return;
-            continue;
+            kind.m_through = position;
+            kind.m_provedAt = begun;
+            proveDirectory();
         }
-        const auto events = m_store.watch(followed.m_kind, position, followed.m_watchTimeout);
-        if (generation != m_generation)
+        const TimePoint watchBegun = Clock::now();
+        const auto events = m_store.watch(kind.m_kind, kind.m_through, kind.m_watchTimeout);
+        if (generation != kind.m_generation)
             return;
         if (!events) {
             const bool historyGone = events.error().m_code == ErrorCode::NotFound;
             const bool unreadable = events.error().m_code == ErrorCode::ProtocolError;
             if (unreadable && failures == 0)
                 DecisionLine("store", "watch not understood")
-                    .text("kind", followed.m_kind)
-                    .number("revision", static_cast<int64_t>(position.m_revision))
+                    .text("kind", kind.m_kind)
+                    .number("revision", static_cast<int64_t>(kind.m_through.m_revision))
                     .text("error", events.error().m_message)
                     .write();
             // The same events would come again from the same position.
             if (historyGone || unreadable)
-                position = {};
-            if (historyGone ? !pause(failures++) : !backOff(failures++) || !awaitAnswer(generation))
+                kind.m_through = {};
+            if (historyGone ? !pause(failures++)
+                            : !backOff(failures++) || !awaitAnswer(kind, generation))
                 return;
             continue;
         }
         failures = 0;
         noteAnswer();
-        if (generation != m_generation)
+        if (generation != kind.m_generation)
             return;
-        position = events->m_position;
-        (this->*followed.m_apply)(*events);
-        if (!events->m_events.empty() && !sleepFor(m_thread.context(), followed.m_batchDelay))
+        applyWatched(kind, *events, watchBegun, kind.m_watchTimeout);
+        if (events->m_events.empty())
+            continue;
+        kind.m_pausedUntil = Clock::now() + kind.m_batchDelay;
+        if (!sleepFor(m_thread.context(), kind.m_batchDelay))
             return;
     }
 }
 
+/// Applies the response to a watch from @p kind's position that began at @p begun and could wait
+/// for @p wait. A response that another one has overtaken is ignored: its events may be older than
+/// what is known.
+void StoreFollower::State::applyWatched(WatchedKind &kind, const KindEvents &events,
+                                        TimePoint begun, Millis wait)
+{
+    if (events.m_position < kind.m_through)
+        return;
+    kind.m_through = events.m_position;
+    // A watch returns as soon as there is a change, so there was none while it waited.
+    const bool waited = events.m_events.empty() && Clock::now() - begun >= wait;
+    kind.m_provedAt = std::max(kind.m_provedAt, waited ? begun + wait : begun);
+    (this->*kind.m_apply)(events);
+    proveDirectory();
+}
+
 bool StoreFollower::State::applyRoutes(const std::string &spec)
 {
     if (m_routes && spec == m_routesSpec)
@@ -358,51 +421,204 @@
     return true;
 }
 
-Millis StoreFollower::State::proofDue()
+/// Routes whose successor is known to exist keep the proof that they had.
+void StoreFollower::State::updateRoutesProof()
 {
-    const Millis age = m_watching ? WatcherProofAge : NonWatcherProofAge;
-    const Millis most = m_watching ? WatcherProofJitter : NonWatcherProofJitter;
-    std::uniform_int_distribution<Millis::rep> jitter(0, most.count());
-    return age + Millis(jitter(m_random));
+    if (!m_routes)
+        return;
+    const FreshnessProof proof = proofFor(m_routes->m_version, m_hooks.m_bestProof());
+    if (proof.known())
+        m_routesProvedAt = proof.m_provedAt;
+}
+
+Duration StoreFollower::State::jittered(Duration age, Duration jitter) const
+{
+    return age + std::chrono::duration_cast<Duration>(jitter * m_readJitter);
+}
+
+/// False while a store watcher still lists the objects, and for a VM that starts beside others: it
+/// receives the directory from them.
+bool StoreFollower::State::canProveDirectory()
+{
+    if (!m_watching)
+        return m_directoryProvedAt != TimePoint{};
+    const std::vector<WatchedKind *> kinds = directoryKinds();
+    return std::all_of(kinds.begin(), kinds.end(),
+                       [](const WatchedKind *kind) { return kind->m_through.known(); });
+}
+
+/// How long until this VM has to read the store, if it learns nothing before; not positive: now.
+Duration StoreFollower::State::untilRead(TimePoint now)
+{
+    // A store watcher whose calls fail reads in any case, because its watches wait for a success.
+    if (m_watching && m_failingSince != TimePoint{})
+        return Duration::zero();
+    if (!m_routes && !m_watching && now - m_startedAt < FirstReadAfter)
+        return Poll;
+    updateRoutesProof();
+    const ReadSchedule schedule = readSchedule(m_hooks.m_knowledgeBound());
+    const TimePoint oldest =
+        canProveDirectory() ? std::min(m_routesProvedAt, m_directoryProvedAt) : m_routesProvedAt;
+    if (m_watching) {
+        const Duration age = jittered(schedule.m_watcherAge, schedule.m_watcherJitter);
+        return std::max(oldest + age, m_readAt + ChangeBatchDelay) - now;
+    }
+    if (now - oldest < schedule.m_firstTurnAge)
+        return oldest + schedule.m_firstTurnAge - now;
+    const unsigned turn = m_hooks.m_readTurn();
+    if (turn < ReadTurns)
+        return oldest + turnAge(schedule, turn) - now;
+    return m_routesProvedAt + jittered(schedule.m_othersAge, schedule.m_othersJitter) - now;
 }
 
-void StoreFollower::State::proveRoutes()
+void StoreFollower::State::logOwnRead(TimePoint now)
+{
+    const auto ageOf = [now](TimePoint provedAt) {
+        return std::chrono::duration_cast<Millis>(now - provedAt).count();
+    };
+    DecisionLine("store", "reads the store itself")
+        .number("routes_age_ms", ageOf(m_routesProvedAt))
+        .number("directory_age_ms", ageOf(m_directoryProvedAt))
+        .number("turn", m_hooks.m_readTurn())
+        .write();
+}
+
+/// Reads the store each time that the latest proof has reached the age set by the schedule.
+void StoreFollower::State::keepCurrent()
 {
     unsigned failures = 0;
-    Millis due = proofDue();
-    bool wasWatching = m_watching;
     for (;;) {
-        if (wasWatching != m_watching) {
-            wasWatching = m_watching;
-            due = proofDue();
-        }
-        const FreshnessProof best = m_hooks.m_bestProof();
         const TimePoint now = Clock::now();
-        // A store watcher whose calls fail reads in any case, because its watches wait for a
-        // success.
-        const bool fails = m_watching && m_failingSince != TimePoint{};
-        const bool recent = !fails && m_routes && best.m_version == m_routes->m_version
-                            && now - best.m_provedAt < due;
-        const bool starts = !m_routes && !m_watching && now - m_startedAt < FirstReadAfter;
-        if (recent || starts) {
-            if (!sleepFor(m_thread.context(), Poll))
+        const Duration left = untilRead(now);
+        if (left > Duration::zero()) {
+            // The proof, the role and the turn may change meanwhile.
+            if (!sleepFor(m_thread.context(), std::min<Duration>(left, Poll)))
                 return;
             continue;
         }
-        due = proofDue();
-        if (!m_watching && best.known())
-            DecisionLine("store", "reads the store itself")
-                .number("age_ms", std::chrono::duration_cast<Millis>(now - best.m_provedAt).count())
-                .write();
-        if (readRoutes()) {
+        m_readJitter = std::uniform_real_distribution<>(0, 1)(m_random);
+        if (!m_watching && m_routes)
+            logOwnRead(now);
+        if (readStore())
             failures = 0;
-            continue;
-        }
-        if (!backOff(failures++))
+        else if (!backOff(failures++))
             return;
     }
 }
 
+/// Renews the older proof of this VM, or both. A list of the routes costs as much as a read of
+/// their object, and returns the store's revision too: if it is the one of the directory, that is
+/// proved as well.
+bool StoreFollower::State::readStore()
+{
+    const TimePoint begun = m_readAt = Clock::now();
+    if (!canProveDirectory() || m_directoryProvedAt > m_routesProvedAt)
+        return readRoutes();
+    const auto page = m_store.list(m_source.m_routesKind);
+    // Another writer's objects may make the list unreadable.
+    if (!page)
+        return page.error().m_code == ErrorCode::ProtocolError && readRoutes();
+    noteAnswer();
+    const std::vector<WatchedKind *> behind = kindsBehind(page->m_position, begun);
+    if (!applyListedRoutes(*page, begun))
+        return false;
+    if (behind.empty())
+        return true;
+    if (m_watching && !sleepFor(m_thread.context(), WatchDelay))
+        return false;
+    bool current = true;
+    for (WatchedKind *kind : behind)
+        current = catchUp(*kind, page->m_position) && current;
+    m_hooks.m_onDirectoryProof();
+    return current;
+}
+
+/// The watched kinds of which changes up to @p position may be unknown. The others are proved at
+/// @p at, the time at which the call that returned @p position began.
+std::vector<StoreFollower::State::WatchedKind *>
+StoreFollower::State::kindsBehind(const StorePosition &position, TimePoint at)
+{
+    std::vector<WatchedKind *> behind;
+    for (WatchedKind *kind : directoryKinds()) {
+        if (appliedThrough(*kind) < position)
+            behind.push_back(kind);
+        else
+            kind->m_provedAt = std::max(kind->m_provedAt, at);
+    }
+    proveDirectory();
+    return behind;
+}
+
+/// A peer's directory may contain later changes than this VM has read itself.
+StorePosition StoreFollower::State::appliedThrough(const WatchedKind &kind) const
+{
+    if (&kind == &m_endpointsKind)
+        return m_directory.isConfirmed() ? std::max(kind.m_through, m_directory.m_position)
+                                         : kind.m_through;
+    return std::max(kind.m_through, m_evacuations.m_position);
+}
+
+/// Reads the changes of @p kind up to @p position that its watch has not delivered.
+bool StoreFollower::State::catchUp(WatchedKind &kind, const StorePosition &position)
+{
+    const bool isListed = !m_watching || kind.m_through.known();
+    const bool isPaused = m_watching && Clock::now() < kind.m_pausedUntil;
+    if (appliedThrough(kind) >= position || !isListed || isPaused)
+        return true;
+    kind.m_through = appliedThrough(kind);
+    const uint64_t generation = kind.m_generation;
+    const TimePoint begun = Clock::now();
+    const auto events = kind.m_through.known()
+                            ? m_store.watch(kind.m_kind, kind.m_through, NoWatchTimeout)
+                            : Result<KindEvents>(makeError(ErrorCode::NotFound, "not listed yet"));
+    if (generation != kind.m_generation)
+        return true;
+    if (events) {
+        noteAnswer();
+        const bool missed = !events->m_events.empty() && kind.m_through < events->m_position;
+        applyWatched(kind, *events, begun, NoWatchTimeout);
+        if (missed && m_watching) {
+            DecisionLine("store", "watch delivered no change").text("kind", kind.m_kind).write();
+            startWatch(kind);
+        }
+        return true;
+    }
+    // Events that cannot be read, or are gone, are replaced by a list.
+    if (events.error().m_code != ErrorCode::NotFound
+        && events.error().m_code != ErrorCode::ProtocolError)
+        return false;
+    const TimePoint listBegun = Clock::now();
+    StorePosition listed;
+    if (!(this->*kind.m_list)(listed))
+        return false;
+    kind.m_through = std::max(kind.m_through, listed);
+    kind.m_provedAt = std::max(kind.m_provedAt, listBegun);
+    proveDirectory();
+    return true;
+}
+
+/// Derives the proof of the directory from those of its kinds.
+void StoreFollower::State::proveDirectory()
+{
+    TimePoint oldest = TimePoint::max();
+    for (const WatchedKind *kind : directoryKinds())
+        oldest = std::min(oldest, kind->m_provedAt);
+    m_directoryProvedAt = std::max(m_directoryProvedAt, oldest);
+}
+
+/// Applies the routes in a list that was called at @p begun. False if it lacks them, or they cannot
+/// be decoded.
+bool StoreFollower::State::applyListedRoutes(const KindPage &page, TimePoint begun)
+{
+    const auto listed = std::find_if(
+        page.m_objects.begin(), page.m_objects.end(),
+        [this](const KindObject &object) { return object.m_name == m_source.m_routesName; });
+    if (listed == page.m_objects.end() || !applyRoutes(listed->m_spec))
+        return false;
+    m_hooks.m_onProof({ m_routes->m_version, begun, page.m_position.m_era });
+    return true;
+}
+
 bool StoreFollower::State::listRoutes(StorePosition &position)
 {
     const TimePoint begun = Clock::now();
@@ -410,10 +626,7 @@
     if (!page)
         return false;
     noteAnswer();
-    for (const KindObject &object : page->m_objects) {
-        if (object.m_name == m_source.m_routesName && applyRoutes(object.m_spec))
-            m_hooks.m_onProof({ m_routes->m_version, begun, page->m_position.m_era });
-    }
+    std::ignore = applyListedRoutes(*page, begun);
     position = page->m_position;
     return true;
 }
@@ -729,7 +942,7 @@
 {
     m_state->m_startedAt = m_state->m_lastAnswer = Clock::now();
     spawnFiber([state = m_state] { state->followWatcherRole(); });
-    spawnFiber([state = m_state] { state->proveRoutes(); });
+    spawnFiber([state = m_state] { state->keepCurrent(); });
 }
 
 void StoreFollower::mergePeerRoutes(const std::string &spec)
@@ -752,6 +965,19 @@
     m_state->applyEvacuations(evacuations);
 }
 
+std::optional<TimePoint> StoreFollower::directoryProvedAt() const
+{
+    if (m_state->m_directoryProvedAt == TimePoint{})
+        return std::nullopt;
+    return m_state->m_directoryProvedAt;
+}
+
+void StoreFollower::mergePeerDirectoryProof(const DirectoryProof &proof)
+{
+    if (covers(m_state->m_directory, m_state->m_evacuations, proof))
+        m_state->m_directoryProvedAt = std::max(m_state->m_directoryProvedAt, proof.m_provedAt);
+}
+
 void StoreFollower::noteProofGap(Duration gap)
 {
     if (gap > OutageGap)
--- a/relay/store_follower.h
+++ b/relay/store_follower.h
@@ -1,13 +1,15 @@
 /// Keeps the declared routes and the endpoints up to date with the platform's store, for the
 /// control thread.
 ///
-/// Store watchers watch the store; the other VMs receive changes from them, and read the store only
-/// if they receive nothing. A read of the routes object proves that the routes are current, which a
-/// silent watch does not. A VM does not read if its peers have a recent proof.
+/// Store watchers watch the store; the other VMs receive changes from them. A read of the store
+/// proves that the routes, endpoints and evacuations are current, which a silent watch does not.
+/// Each VM reads when the latest proof, its own or a peer's, has reached the age set by
+/// policy/read_schedule.h.
 #pragma once
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "relay/relay_view.h"
 #include "relay/source.h"
@@ -17,13 +19,20 @@
 struct FollowerHooks {
     /// Called with each new version of the routes; @p spec is its encoded form.
     std::function<void(const RouteTablePtr &routes, const std::string &spec)> m_onRoutes;
+    /// Called after each read of the routes that proves them.
     std::function<void(const FreshnessProof &proof)> m_onProof;
+    /// Called if a read has caught up with changes of the endpoints or evacuations.
+    std::function<void()> m_onDirectoryProof;
     std::function<void(const EndpointDirectoryPtr &directory)> m_onDirectory;
     std::function<void(const Evacuations &evacuations)> m_onEvacuations;
     /// Returns the latest known proof, of this VM or its peers.
     std::function<FreshnessProof()> m_bestProof;
     /// Returns whether this VM watches the store for others, or has no peers.
     std::function<bool()> m_watchesStore;
+    /// Returns the time within which all VMs have to know each change in the store.
+    std::function<Duration()> m_knowledgeBound;
+    /// Returns how many VMs precede this one in reading the store if no store watcher does.
+    std::function<unsigned()> m_readTurn;
     /// Called for each change of an endpoint's entry that cannot be decoded.
     std::function<void()> m_onUnreadable;
     /// Called after this VM was frozen or suspended.
@@ -49,6 +58,12 @@
     void mergePeerDirectory(const EndpointDirectory &directory);
     /// Applies a peer's list of evacuated data centres if it was read later. On the thread.
     void mergePeerEvacuations(const Evacuations &evacuations);
+    /// Applies a peer's proof of its endpoints and evacuations, if this VM's are not older. On the
+    /// thread.
+    void mergePeerDirectoryProof(const DirectoryProof &proof);
+    /// When the endpoints and evacuations known to this VM were the newest in the store, as far as
+    /// is proved. On the thread.
+    std::optional<TimePoint> directoryProvedAt() const;
     /// To be called when the latest proof is newer by @p gap than the one before: a long gap means
     /// an outage of the store, or of this VM's connections to all others. On the thread.
     void noteProofGap(Duration gap);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -20,7 +20,8 @@
   "listen": {"front": "10.1.0.40:8227", "ready": "10.1.0.40:8220"},
   "portRange": [7340, 7355], "limits": {"memoryMb": 260, "maxFds": 4200, "cpuShare": 0.12},
   "bounds": {"strictRevoke": true, "revokeMs": 5000, "retryRatio": 0.2, "retrySlack": 100,
-             "retryWindowS": 10, "graceS": 8, "contactMs": 2400, "holdMaxMs": 20000, "freeMs": 4000},
+             "retryWindowS": 10, "graceS": 8, "contactMs": 2400, "holdMaxMs": 20000, "freeMs": 4000,
+             "applyMs": 3000, "drainMs": 4000},
   "platform": {"address": "10.200.1.7:8223"}})";
 
 TEST(SettingsCodecTest, TakesThePlatformsFile)
@@ -39,6 +40,9 @@
     EXPECT_EQ(settings->m_millicores, 120u);
     EXPECT_EQ(settings->m_bounds.m_revocationTime, Millis(5'000));
     EXPECT_EQ(settings->m_bounds.m_recoveryTime, Millis(2'400));
+    EXPECT_EQ(settings->m_bounds.m_configurationTime, Millis(3'000));
+    EXPECT_EQ(settings->m_bounds.m_drainTime, Millis(4'000));
+    EXPECT_EQ(knowledgeBound(settings->m_bounds), Millis(3'000));
     EXPECT_DOUBLE_EQ(settings->m_bounds.m_retrySlack, 100);
 }
 
--- a/tests/platform/fleet_test.cpp
+++ b/tests/platform/fleet_test.cpp
@@ -444,10 +444,10 @@
     setStoreFault(standin::RelayMode::HalfOpen);
     m_deployment.declare(2, "", R"(["key-of-two"])");
     m_deployment.describe(*m_deployment.m_workers[0], "plain", "draining");
-    EXPECT_TRUE(eventually([&] { return allKnow(2); }, Millis(4'500)));
+    constexpr Millis ChangeBound{ 2'000 };
+    EXPECT_TRUE(eventually([&] { return allKnow(2); }, ChangeBound));
 }
 
-// Each of them has to compute the same order, whatever its fraction of a core.
 // The failure: VMs whose store watcher was killed sent requests to an endpoint up to 2.4 s after it
 // had reported that it was draining.
 TEST_F(FleetTest, DrainingEndpointIsKnownInTimeAfterTheStoreWatcherWasKilled)
@@ -469,6 +469,7 @@
     EXPECT_TRUE(eventually([this] { return allKnow(1); }, DrainBound));
 }
 
+// Each of them has to compute the same order, whatever its fraction of a core.
 TEST_F(FleetTest, VmsWithAFractionOfACoreAgreeOnOneStoreWatcher)
 {
     m_deployment.m_millicores = 120;
--- a/tests/policy/freshness_test.cpp
+++ b/tests/policy/freshness_test.cpp
@@ -51,6 +51,24 @@
     EXPECT_EQ(proof.m_provedAt, Start - Millis(450));
 }
 
+// A VM whose directory is older than the one proved has missed a change.
+TEST(FreshnessTest, DirectoryProofCoversDirectoriesThatAreNotOlder)
+{
+    const DirectoryProof proof{ { 1, 20 }, { 1, 5 }, Start };
+    const auto isCovered = [&proof](const StorePosition &endpoints,
+                                    const StorePosition &evacuations) {
+        EndpointDirectory directory;
+        directory.m_position = endpoints;
+        return covers(directory, { evacuations, {} }, proof);
+    };
+    EXPECT_TRUE(isCovered({ 1, 20 }, { 1, 5 }));
+    EXPECT_TRUE(isCovered({ 1, 21 }, { 1, 6 }));
+    EXPECT_FALSE(isCovered({ 1, 19 }, { 1, 5 }));
+    EXPECT_FALSE(isCovered({ 1, 20 }, { 1, 4 }));
+    EXPECT_FALSE(isCovered({ 2, 20 }, { 2, 5 })); // The store was restored from a backup.
+    EXPECT_FALSE(isCovered({}, {}));
+}
+
 // A heartbeat waited in the receive buffer of a VM that was frozen for four seconds.
 TEST(FreshnessTest, DelayIsRelativeToTheFastestMessage)
 {
--- a/tests/policy/watch_duty_test.cpp
+++ b/tests/policy/watch_duty_test.cpp
@@ -89,6 +89,25 @@
     EXPECT_FALSE(isStoreWatcher(able, { small }));
 }
 
+// Two VMs with the same turn would read the store at the same time.
+TEST(WatchDutyTest, ReadTurnsAreCountedAmongTheEligibleVmsThatDoNotWatch)
+{
+    DutyCandidate watcher = vm("1");
+    watcher.m_isWatcher = true;
+    const std::vector<DutyCandidate> all = { watcher, vm("2"),      vm("3", "a", false),
+                                             vm("4"), vm("5", "b"), vm("6") };
+    const auto turnOf = [&all](size_t index) {
+        std::vector<DutyCandidate> peers = all;
+        peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
+        return readTurn(all[index], peers);
+    };
+    EXPECT_EQ(turnOf(1), 0u);
+    EXPECT_EQ(turnOf(3), 1u);
+    EXPECT_EQ(turnOf(4), 0u); // The first of its data centre.
+    EXPECT_EQ(turnOf(5), 2u);
+    EXPECT_EQ(turnOf(2), 3u); // Not eligible, so the last.
+}
+
 /// How many of the VMs of one data centre and cell watch the store after all have started within
 /// 300 ms. A VM needs @p startWork of a core to start and read the list, a new watcher @p watchWork
 /// until it announces itself, and each other VM @p hearWork to notice it.
