Doubt of a returning VM does not restore endpoints that left

Cause: the returning VM keeps what its first list lacks as unconfirmed, since the store may have lost it, and publishes that at the list's position. A directory of a later position replaced the others', which knew that the endpoints had left, and unconfirmed endpoints are used.

Unconfirmed endpoints that the own directory lacks are now dropped if it is confirmed and not older than the peer's last confirmed position. The endpoint had registered by then, so it has left since.

Calls to the store: none more.

--- a/policy/endpoint_directory.cpp
+++ b/policy/endpoint_directory.cpp
@@ -4,11 +4,24 @@
 
 namespace {
 
+/// Removes unconfirmed endpoints of @p offered that have left, as @p known shows: it is confirmed,
+/// lacks them, and is not older than the last position at which @p offered was confirmed.
+void dropDeparted(EndpointDirectory &offered, const EndpointDirectory &known)
+{
+    if (!known.isConfirmed() || !known.m_position.known()
+        || known.m_position < offered.m_confirmedPosition)
+        return;
+    std::erase_if(offered.m_unconfirmed, [&](const EndpointId &id) {
+        return known.m_endpoints.count(id) == 0 && offered.m_endpoints.erase(id) > 0;
+    });
+}
+
 /// Replaces @p own by a directory of a later position. Endpoints that @p offered may have missed
 /// stay as unconfirmed.
 void adoptLater(EndpointDirectory &own, const EndpointDirectory &offered)
 {
     EndpointDirectory joined = offered;
+    dropDeparted(joined, own);
     joined.m_confirmedPosition = own.m_confirmedPosition;
     // A delayed write of an earlier process may appear at a later revision.
     for (auto &[id, endpoint] : joined.m_endpoints) {
--- a/policy/endpoint_directory.h
+++ b/policy/endpoint_directory.h
@@ -73,11 +73,12 @@
 void updateConfirmedPosition(EndpointDirectory &directory);
 
 /// Merges @p offered, a peer's directory, into @p own. One of a later position replaces @p own,
-/// except for records of earlier processes; if it is incomplete, endpoints that it lacks are kept
-/// as unconfirmed. So does a confirmed one of the same position if @p own is not confirmed: a VM
-/// that starts beside others mostly receives a directory that is not complete yet. Any other of the
-/// same or an earlier position only removes unconfirmed endpoints that it lacks, provided that it
-/// is complete and not older than own.m_confirmedPosition. Returns whether @p own changed.
+/// except for records of earlier processes and for unconfirmed endpoints that have left, as @p own
+/// shows; if it is incomplete, endpoints that it lacks are kept as unconfirmed. So does a confirmed
+/// one of the same position if @p own is not confirmed: a VM that starts beside others mostly
+/// receives a directory that is not complete yet. Any other of the same or an earlier position only
+/// removes unconfirmed endpoints that it lacks, provided that it is complete and not older than
+/// own.m_confirmedPosition. Returns whether @p own changed.
 bool mergeDirectory(EndpointDirectory &own, const EndpointDirectory &offered);
 
 using EndpointDirectoryPtr = std::shared_ptr<const EndpointDirectory>;
--- a/relay/relay_daemon.cpp
+++ b/relay/relay_daemon.cpp
@@ -575,6 +575,7 @@
     EndpointDirectory directory;
     directory.m_endpoints = std::move(*endpoints);
     directory.m_position = state.m_summary.m_directory;
+    directory.m_confirmedPosition = state.m_summary.m_lastConfirmed;
     directory.m_complete = state.m_complete;
     directory.m_unconfirmed.insert(state.m_unconfirmed.begin(), state.m_unconfirmed.end());
     directory.m_unreadable.insert(state.m_unreadable.begin(), state.m_unreadable.end());
--- a/tests/policy/endpoint_directory_test.cpp
+++ b/tests/policy/endpoint_directory_test.cpp
@@ -83,6 +83,36 @@
     EXPECT_EQ(own.m_confirmedPosition.m_revision, 0u); // Not recorded for revision 5.
 }
 
+// The failure: a VM that came back from a cut listed the store, kept an endpoint that had left
+// meanwhile as unconfirmed, and all others, which knew that it had left, used it again.
+TEST(EndpointDirectoryTest, DoubtOfAReturningPeerDoesNotRestoreAnEndpointThatLeft)
+{
+    EndpointDirectory own = directory(20, { "b" });
+    updateConfirmedPosition(own);
+    EndpointDirectory returned = directory(30, { "a", "b", "c" }, { "a" });
+    returned.m_confirmedPosition = { 1, 10 };
+    EXPECT_TRUE(mergeDirectory(own, returned));
+    EXPECT_FALSE(has(own, "a"));
+    EXPECT_TRUE(has(own, "c"));
+    EXPECT_TRUE(own.isConfirmed());
+}
+
+// Only knowledge that is not older than the peer's settles it: the endpoint may have registered
+// after it. The same if this VM may have missed endpoints.
+TEST(EndpointDirectoryTest, DoubtOfAPeerThatKnewMoreIsKept)
+{
+    EndpointDirectory returned = directory(30, { "a", "b" }, { "a" });
+    returned.m_confirmedPosition = { 1, 21 };
+    EndpointDirectory older = directory(20, { "b" });
+    EXPECT_TRUE(mergeDirectory(older, returned));
+    EXPECT_TRUE(has(older, "a"));
+    EXPECT_FALSE(older.isConfirmed());
+    EndpointDirectory incomplete = directory(22, { "b" });
+    incomplete.m_complete = false;
+    EXPECT_TRUE(mergeDirectory(incomplete, returned));
+    EXPECT_TRUE(has(incomplete, "a"));
+}
+
 TEST(EndpointDirectoryTest, IncompleteFirstSnapshotStaysIncomplete)
 {
     EndpointDirectory own;
