Reads of the store follower in a file of their own

relay/store_follower.cpp had grown to 990 lines. Its state is declared in an internal header; the reads by schedule are in relay/store_reads.cpp, the watches and what they change stay. No change of behaviour.

--- a/relay/store_follower.cpp
+++ b/relay/store_follower.cpp
@@ -1,4 +1,4 @@
-#include "relay/store_follower.h"
+#include "relay/store_follower_state.h"
 
 #include <algorithm>
 #include <tuple>
@@ -14,24 +14,15 @@
 constexpr Millis EndpointsWatchTimeout{ 3'500 };
 constexpr Millis RoutesWatchTimeout{ 20'000 };
 constexpr Millis EvacuationsWatchTimeout{ 20'000 };
-/// Of a watch that returns what has changed so far, and does not wait.
-constexpr Millis NoWatchTimeout{ 1 };
-constexpr Millis Poll{ 100 };
 /// A poll that is late by this much means that the VM was suspended; under load it is late by about
 /// 100 ms.
 constexpr Millis SuspensionThreshold{ 1'000 };
-/// Delay of a watch after a change, which batches changes: while endpoints register one after the
-/// other, each change would otherwise be sent to every watching VM alone. It is part of the few
-/// seconds within which a leaving endpoint must be known.
-constexpr Millis ChangeBatchDelay{ 200 };
 /// After failures; a recovered store must be noticed within a second.
 constexpr BackoffSettings WatcherBackoff{ Millis(100), Millis(800) };
 /// Longer for the many other VMs: a store watcher notices the recovery first and informs them.
 constexpr BackoffSettings NonWatcherBackoff{ Millis(500), Millis(4'000) };
 /// A failed watch retries after this time even if no other call has reached the store.
 constexpr Millis MaxAnswerWait{ 2'000 };
-/// A new VM receives the configuration from its peers, if it has any, within this time.
-constexpr Millis FirstReadAfter{ 1'500 };
 /// After an outage, live endpoints that the store lost register again within 2 s.
 constexpr Millis RecoveryGrace{ 2'000 };
 /// Consecutive failures for this long are an outage, and so is a gap of OutageGap between proofs:
@@ -75,124 +66,21 @@
 
 } // namespace
 
-struct StoreFollower::State : std::enable_shared_from_this<StoreFollower::State> {
-    State(FiberThread &thread, KindStore &store, const RelaySource &source, FollowerHooks hooks,
-          bool followEvacuations)
-        : m_followEvacuations(followEvacuations)
-        , m_thread(thread)
-        , m_store(store)
-        , m_source(source)
-        , m_hooks(std::move(hooks))
-        , m_random(std::random_device{}())
-    { }
-
-    /// A watched kind of objects, with its list and update functions.
-    struct WatchedKind {
-        const std::string m_kind;
-        const Millis m_watchTimeout;
-        const Millis m_batchDelay; ///< Pause after a change before the next watch call.
-        bool (State::*const m_list)(StorePosition &position);
-        void (State::*const m_apply)(const KindEvents &events);
-        /// All changes up to here are applied. Unknown: the objects have to be listed.
-        StorePosition m_through{};
-        TimePoint m_provedAt{}; ///< No other change of this kind had been made by then.
-        TimePoint m_pausedUntil{}; ///< End of the last m_batchDelay.
-        uint64_t m_generation = 0; ///< Watches of earlier generations stop.
-    };
-
-    /// The latest known process of an endpoint id; kept after its entry is removed.
-    struct ProcessStart {
-        uint64_t m_startedMs = 0;
-        TimePoint m_seen{};
-    };
-
-    const bool m_followEvacuations;
-    FiberThread &m_thread;
-    KindStore &m_store;
-    const RelaySource &m_source;
-    FollowerHooks m_hooks;
-    RandomEngine m_random;
-    RouteTablePtr m_routes;
-    std::string m_routesSpec; ///< The last decoded spec; an unchanged one is not decoded again.
-    EndpointDirectory m_directory;
-    Evacuations m_evacuations;
-    std::unordered_map<EndpointId, ProcessStart> m_processStarts;
-    /// Entries that could not be decoded, and the revisions of them that were logged.
-    std::unordered_map<EndpointId, uint64_t> m_unreadableRevisions;
-    /// Unconfirmed endpoints, and when they are removed.
-    std::unordered_map<EndpointId, TimePoint> m_pendingRemovals;
-    TimePoint m_startedAt{};
-    TimePoint m_failingSince{}; ///< First of the consecutive failures.
-    TimePoint m_lastAnswer{};
-    TimePoint m_unreachableAt{}; ///< Last failure after UnreachableAfterSilence.
-    TimePoint m_recoveredAt{}; ///< End of the last outage, or time of the first list.
-    /// Until then lists may contain outdated entries, because the store was restored from a backup.
-    TimePoint m_restoreGraceUntil{};
-    /// Removed endpoints, and when they were removed.
-    std::unordered_map<EndpointId, TimePoint> m_departed;
-    WatchedKind m_routesKind{ m_source.m_routesKind, RoutesWatchTimeout, Millis(0),
-                              &State::listRoutes, &State::applyRouteEvents };
-    WatchedKind m_endpointsKind{ m_source.m_endpointsKind, EndpointsWatchTimeout, ChangeBatchDelay,
-                                 &State::listEndpoints, &State::applyEndpointEvents };
-    WatchedKind m_evacuationsKind{ m_source.m_evacuationsKind, EvacuationsWatchTimeout, Millis(0),
-                                   &State::listEvacuations, &State::applyEvacuationEvents };
-    /// Fraction of the schedule's jitter by which the next read is late.
-    double m_readJitter = 0;
-    TimePoint m_readAt{}; ///< The last read by schedule.
-    TimePoint m_routesProvedAt{}; ///< As m_directoryProvedAt, of the routes known to this VM.
-    /// The endpoints and evacuations known to this VM were the newest in the store at this time, as
-    /// shown by its own reads or by a peer.
-    TimePoint m_directoryProvedAt{};
-    bool m_watching = false;
-
-    bool applyRoutes(const std::string &spec);
-    void followWatcherRole();
-    void noteSuspension(Duration sincePoll);
-    void startWatches();
-    void startWatch(WatchedKind &kind);
-    void watch(WatchedKind &kind, uint64_t generation);
-    void applyWatched(WatchedKind &kind, const KindEvents &events, TimePoint begun, Millis wait);
-    std::vector<WatchedKind *> directoryKinds();
-    StorePosition appliedThrough(const WatchedKind &kind) const;
-    void keepCurrent();
-    Duration untilRead(TimePoint now);
-    Duration jittered(Duration age, Duration jitter) const;
-    void updateRoutesProof();
-    void logOwnRead(TimePoint now);
-    bool canProveDirectory();
-    bool readStore();
-    bool readRoutes();
-    bool applyListedRoutes(const KindPage &page, TimePoint begun);
-    bool listRoutes(StorePosition &position);
-    std::vector<WatchedKind *> kindsBehind(const StorePosition &position, TimePoint at);
-    bool catchUp(WatchedKind &kind, const StorePosition &position);
-    void proveDirectory();
-    void applyRouteEvents(const KindEvents &events);
-    bool listEndpoints(StorePosition &position);
-    void applyEndpointEvents(const KindEvents &events);
-    bool listEvacuations(StorePosition &position);
-    void applyEvacuationEvents(const KindEvents &events);
-    void applyEvacuations(const Evacuations &evacuations);
-    void noteColdPeriod(const EndpointRecord &endpoint);
-    void applyEndpoint(const KindObject &object);
-    void dropUnreadable(const KindObject &object, const Error &error);
-    void noteReadable(const EndpointId &endpoint);
-    void forgetOldProcesses();
-    void noteDepartures(const EndpointMap &before);
-    bool isStaleAfterRestore(const KindObject &object);
-    void endRestoreGrace();
-    bool isFromEarlierProcess(const EndpointRecord &endpoint);
-    void removeEndpoint(const EndpointId &endpoint);
-    void expireUnconfirmed();
-    void scheduleRemovals();
-    void publishDirectory(const StorePosition &position);
-    void noteAnswer();
-    bool backOff(unsigned failures);
-    void noteUnreachable(TimePoint now);
-    bool pause(unsigned failures);
-    bool awaitAnswer(const WatchedKind &kind, uint64_t generation);
-    bool inRecoveryGrace(TimePoint now) const;
-};
+StoreFollower::State::State(FiberThread &thread, KindStore &store, const RelaySource &source,
+                            FollowerHooks hooks, bool followEvacuations)
+    : m_followEvacuations(followEvacuations)
+    , m_thread(thread)
+    , m_store(store)
+    , m_source(source)
+    , m_hooks(std::move(hooks))
+    , m_random(std::random_device{}())
+    , m_routesKind{ source.m_routesKind, RoutesWatchTimeout, Millis(0), &State::listRoutes,
+                    &State::applyRouteEvents }
+    , m_endpointsKind{ source.m_endpointsKind, EndpointsWatchTimeout, EndpointsBatchDelay,
+                       &State::listEndpoints, &State::applyEndpointEvents }
+    , m_evacuationsKind{ source.m_evacuationsKind, EvacuationsWatchTimeout, Millis(0),
+                         &State::listEvacuations, &State::applyEvacuationEvents }
+{ }
 
 bool StoreFollower::State::inRecoveryGrace(TimePoint now) const
 {
@@ -408,204 +296,6 @@
     return true;
 }
 
-bool StoreFollower::State::readRoutes()
-{
-    const TimePoint begun = Clock::now();
-    const auto object = m_store.get(m_source.m_routesKind, m_source.m_routesName);
-    if (!object)
-        return false;
-    noteAnswer();
-    if (!applyRoutes(object->m_spec))
-        return false;
-    m_hooks.m_onProof({ m_routes->m_version, begun, object->m_position.m_era });
-    return true;
-}
-
-/// Routes whose successor is known to exist keep the proof that they had.
-void StoreFollower::State::updateRoutesProof()
-{
-    if (!m_routes)
-        return;
-    const FreshnessProof proof = proofFor(m_routes->m_version, m_hooks.m_bestProof());
-    if (proof.known())
-        m_routesProvedAt = proof.m_provedAt;
-}
-
-Duration StoreFollower::State::jittered(Duration age, Duration jitter) const
-{
-    return age + std::chrono::duration_cast<Duration>(jitter * m_readJitter);
-}
-
-/// False while a store watcher still lists the objects, and for a VM that starts beside others: it
-/// receives the directory from them.
-bool StoreFollower::State::canProveDirectory()
-{
-    if (!m_watching)
-        return m_directoryProvedAt != TimePoint{};
-    const std::vector<WatchedKind *> kinds = directoryKinds();
-    return std::all_of(kinds.begin(), kinds.end(),
-                       [](const WatchedKind *kind) { return kind->m_through.known(); });
-}
-
-/// How long until this VM has to read the store, if it learns nothing before; not positive: now.
-Duration StoreFollower::State::untilRead(TimePoint now)
-{
-    // A store watcher whose calls fail reads in any case, because its watches wait for a success.
-    if (m_watching && m_failingSince != TimePoint{})
-        return Duration::zero();
-    if (!m_routes && !m_watching && now - m_startedAt < FirstReadAfter)
-        return Poll;
-    updateRoutesProof();
-    const ReadSchedule schedule = readSchedule(m_hooks.m_knowledgeBound());
-    const TimePoint oldest =
-        canProveDirectory() ? std::min(m_routesProvedAt, m_directoryProvedAt) : m_routesProvedAt;
-    if (m_watching) {
-        const Duration age = jittered(schedule.m_watcherAge, schedule.m_watcherJitter);
-        return std::max(oldest + age, m_readAt + ChangeBatchDelay) - now;
-    }
-    if (now - oldest < schedule.m_firstTurnAge)
-        return oldest + schedule.m_firstTurnAge - now;
-    const unsigned turn = m_hooks.m_readTurn();
-    if (turn < ReadTurns)
-        return oldest + turnAge(schedule, turn) - now;
-    return m_routesProvedAt + jittered(schedule.m_othersAge, schedule.m_othersJitter) - now;
-}
-
-void StoreFollower::State::logOwnRead(TimePoint now)
-{
-    const auto ageOf = [now](TimePoint provedAt) {
-        return std::chrono::duration_cast<Millis>(now - provedAt).count();
-    };
-    DecisionLine("store", "reads the store itself")
-        .number("routes_age_ms", ageOf(m_routesProvedAt))
-        .number("directory_age_ms", ageOf(m_directoryProvedAt))
-        .number("turn", m_hooks.m_readTurn())
-        .write();
-}
-
-/// Reads the store each time that the latest proof has reached the age set by the schedule.
-void StoreFollower::State::keepCurrent()
-{
-    unsigned failures = 0;
-    for (;;) {
-        const TimePoint now = Clock::now();
-        const Duration left = untilRead(now);
-        if (left > Duration::zero()) {
-            // The proof, the role and the turn may change meanwhile.
-            if (!sleepFor(m_thread.context(), std::min<Duration>(left, Poll)))
-                return;
-            continue;
-        }
-        m_readJitter = std::uniform_real_distribution<>(0, 1)(m_random);
-        if (!m_watching && m_routes)
-            logOwnRead(now);
-        if (readStore())
-            failures = 0;
-        else if (!backOff(failures++))
-            return;
-    }
-}
-
-/// Renews the older proof of this VM, or both. A list of the routes costs as much as a read of
-/// their object, and returns the store's revision too: if it is the one of the directory, that is
-/// proved as well.
-bool StoreFollower::State::readStore()
-{
-    const TimePoint begun = m_readAt = Clock::now();
-    if (!canProveDirectory() || m_directoryProvedAt > m_routesProvedAt)
-        return readRoutes();
-    const auto page = m_store.list(m_source.m_routesKind);
-    // Another writer's objects may make the list unreadable.
-    if (!page)
-        return page.error().m_code == ErrorCode::ProtocolError && readRoutes();
-    noteAnswer();
-    const std::vector<WatchedKind *> behind = kindsBehind(page->m_position, begun);
-    if (!applyListedRoutes(*page, begun))
-        return false;
-    if (behind.empty())
-        return true;
-    if (m_watching && !sleepFor(m_thread.context(), WatchDelay))
-        return false;
-    bool current = true;
-    for (WatchedKind *kind : behind)
-        current = catchUp(*kind, page->m_position) && current;
-    m_hooks.m_onDirectoryProof();
-    return current;
-}
-
-/// The watched kinds of which changes up to @p position may be unknown. The others are proved at
-/// @p at, the time at which the call that returned @p position began.
-std::vector<StoreFollower::State::WatchedKind *>
-StoreFollower::State::kindsBehind(const StorePosition &position, TimePoint at)
-{
-    std::vector<WatchedKind *> behind;
-    for (WatchedKind *kind : directoryKinds()) {
-        if (appliedThrough(*kind) < position)
-            behind.push_back(kind);
-        else
-            kind->m_provedAt = std::max(kind->m_provedAt, at);
-    }
-    proveDirectory();
-    return behind;
-}
-
-/// A peer's directory may contain later changes than this VM has read itself.
-StorePosition StoreFollower::State::appliedThrough(const WatchedKind &kind) const
-{
-    if (&kind == &m_endpointsKind)
-        return m_directory.isConfirmed() ? std::max(kind.m_through, m_directory.m_position)
-                                         : kind.m_through;
-    return std::max(kind.m_through, m_evacuations.m_position);
-}
-
-/// Reads the changes of @p kind up to @p position that its watch has not delivered.
-bool StoreFollower::State::catchUp(WatchedKind &kind, const StorePosition &position)
-{
-    const bool isListed = !m_watching || kind.m_through.known();
-    const bool isPaused = m_watching && Clock::now() < kind.m_pausedUntil;
-    if (appliedThrough(kind) >= position || !isListed || isPaused)
-        return true;
-    kind.m_through = appliedThrough(kind);
-    const uint64_t generation = kind.m_generation;
-    const TimePoint begun = Clock::now();
-    const auto events = kind.m_through.known()
-                            ? m_store.watch(kind.m_kind, kind.m_through, NoWatchTimeout)
-                            : Result<KindEvents>(makeError(ErrorCode::NotFound, "not listed yet"));
-    if (generation != kind.m_generation)
-        return true;
-    if (events) {
-        noteAnswer();
-        const bool missed = !events->m_events.empty() && kind.m_through < events->m_position;
-        applyWatched(kind, *events, begun, NoWatchTimeout);
-        if (missed && m_watching) {
-            DecisionLine("store", "watch delivered no change").text("kind", kind.m_kind).write();
-            startWatch(kind);
-        }
-        return true;
-    }
-    // Events that cannot be read, or are gone, are replaced by a list.
-    if (events.error().m_code != ErrorCode::NotFound
-        && events.error().m_code != ErrorCode::ProtocolError)
-        return false;
-    const TimePoint listBegun = Clock::now();
-    StorePosition listed;
-    if (!(this->*kind.m_list)(listed))
-        return false;
-    kind.m_through = std::max(kind.m_through, listed);
-    kind.m_provedAt = std::max(kind.m_provedAt, listBegun);
-    proveDirectory();
-    return true;
-}
-
-/// Derives the proof of the directory from those of its kinds.
-void StoreFollower::State::proveDirectory()
-{
-    TimePoint oldest = TimePoint::max();
-    for (const WatchedKind *kind : directoryKinds())
-        oldest = std::min(oldest, kind->m_provedAt);
-    m_directoryProvedAt = std::max(m_directoryProvedAt, oldest);
-}
-
 /// Applies the routes in a list that was called at @p begun. False if it lacks them, or they cannot
 /// be decoded.
 bool StoreFollower::State::applyListedRoutes(const KindPage &page, TimePoint begun)
