Reads take one or two calls beside other writers' routes objects

What callers saw: nothing; the store had more calls. Where other writers keep objects of the kind of the routes, the list that proves all took a call for each page: 14 calls in 2 s with pages of one object, bound 8.

Cause: the list was chosen over a read of the object because it costs the same, which holds for a list of one page only.

If the last list had several pages, the object is read alone, and the endpoints by a watch that does not wait, whose position proves the evacuations too if nothing changed: two calls.

--- a/relay/store_follower.cpp
+++ b/relay/store_follower.cpp
@@ -300,6 +300,7 @@
 /// be decoded.
 bool StoreFollower::State::applyListedRoutes(const KindPage &page, TimePoint begun)
 {
+    m_routesPages = page.m_pages;
     const auto listed = std::find_if(
         page.m_objects.begin(), page.m_objects.end(),
         [this](const KindObject &object) { return object.m_name == m_source.m_routesName; });
--- a/relay/store_follower_state.h
+++ b/relay/store_follower_state.h
@@ -43,6 +43,7 @@
     FollowerHooks m_hooks;
     RandomEngine m_random;
     RouteTablePtr m_routes;
+    size_t m_routesPages = 1; ///< Of the last list of the routes' kind.
     std::string m_routesSpec; ///< The last decoded spec; an unchanged one is not decoded again.
     EndpointDirectory m_directory;
     Evacuations m_evacuations;
@@ -88,11 +89,14 @@
     void logOwnRead(TimePoint now);
     bool canProveDirectory();
     bool readStore();
+    bool readByList();
+    bool readEachKind();
     bool readRoutes();
     bool applyListedRoutes(const KindPage &page, TimePoint begun);
     bool listRoutes(StorePosition &position);
     std::vector<WatchedKind *> kindsBehind(const StorePosition &position, TimePoint at);
-    bool catchUp(WatchedKind &kind, const StorePosition &position);
+    bool catchUp(const std::vector<WatchedKind *> &behind, const StorePosition &position);
+    bool catchUp(WatchedKind &kind);
     void proveDirectory();
     void applyRouteEvents(const KindEvents &events);
     bool listEndpoints(StorePosition &position);
--- a/relay/store_reads.cpp
+++ b/relay/store_reads.cpp
@@ -113,14 +113,20 @@
     }
 }
 
-/// Renews the older proof of this VM, or both. A list of the routes costs as much as a read of
-/// their object, and returns the store's revision too: if it is the one of the directory, that is
-/// proved as well.
+/// Renews the older proof of this VM, or both.
 bool StoreFollower::State::readStore()
 {
-    const TimePoint begun = m_readAt = Clock::now();
+    m_readAt = Clock::now();
     if (!canProveDirectory() || m_directoryProvedAt > m_routesProvedAt)
         return readRoutes();
+    return m_routesPages > 1 ? readEachKind() : readByList();
+}
+
+/// A list of the routes costs as much as a read of their object, and returns the store's revision
+/// too: if it is the one of the directory, that is proved as well.
+bool StoreFollower::State::readByList()
+{
+    const TimePoint begun = Clock::now();
     const auto page = m_store.list(m_source.m_routesKind);
     // Another writer's objects may make the list unreadable.
     if (!page)
@@ -133,9 +139,29 @@
         return true;
     if (m_watching && !sleepFor(m_thread.context(), WatchDelay))
         return false;
+    return catchUp(behind, page->m_position);
+}
+
+/// Takes two calls, which is less than a list of several pages: other writers may keep objects of
+/// the same kind as the routes.
+bool StoreFollower::State::readEachKind()
+{
+    const TimePoint begun = Clock::now();
+    if (!readRoutes() || !catchUp(m_endpointsKind))
+        return false;
+    const StorePosition position = m_endpointsKind.m_through;
+    return catchUp(kindsBehind(position, begun), position);
+}
+
+/// Catches up with those of @p behind that have not reached @p position meanwhile.
+bool StoreFollower::State::catchUp(const std::vector<WatchedKind *> &behind,
+                                   const StorePosition &position)
+{
     bool current = true;
-    for (WatchedKind *kind : behind)
-        current = catchUp(*kind, page->m_position) && current;
+    for (WatchedKind *kind : behind) {
+        if (appliedThrough(*kind) < position)
+            current = catchUp(*kind) && current;
+    }
     m_hooks.m_onDirectoryProof();
     return current;
 }
@@ -165,12 +191,12 @@
     return std::max(kind.m_through, m_evacuations.m_position);
 }
 
-/// Reads the changes of @p kind up to @p position that its watch has not delivered.
-bool StoreFollower::State::catchUp(WatchedKind &kind, const StorePosition &position)
+/// Reads the changes of @p kind that its watch has not delivered.
+bool StoreFollower::State::catchUp(WatchedKind &kind)
 {
     const bool isListed = !m_watching || kind.m_through.known();
     const bool isPaused = m_watching && Clock::now() < kind.m_pausedUntil;
-    if (appliedThrough(kind) >= position || !isListed || isPaused)
+    if (!isListed || isPaused)
         return true;
     kind.m_through = appliedThrough(kind);
     const uint64_t generation = kind.m_generation;
--- a/store/kind_store.cpp
+++ b/store/kind_store.cpp
@@ -143,6 +143,7 @@
         if (!list.m_unreadable)
             list.m_unreadable = page->m_unreadable;
         if (!page->m_hasMore) {
+            list.m_pages = starts.size() + 1;
             noteListed(kind, list);
             return list;
         }
--- a/store/kind_store.h
+++ b/store/kind_store.h
@@ -32,6 +32,7 @@
     /// as bytes.
     std::optional<std::string> m_unreadable;
     bool m_hasMore = false; ///< There is another page.
+    size_t m_pages = 1; ///< Of a whole list: the calls that it took.
     std::string m_lastName; ///< The next page starts after it. Empty if no object has a name.
     StorePosition m_position; ///< Of the store; a watch from here misses no change.
 };
