A read beside several pages proves the endpoints only if it asked

Found by reading: if the watch of the endpoints was between two calls, or was started again, the read of each kind made no call for them, and took the position that it had for the store's. Endpoints could then count as proved without evidence. Only where the objects of the routes' kind take several pages.

--- a/relay/store_reads.cpp
+++ b/relay/store_reads.cpp
@@ -149,6 +149,9 @@
     const TimePoint begun = Clock::now();
     if (!readRoutes() || !catchUp(m_endpointsKind))
         return false;
+    // Its watch is between two calls, or was started again, so nothing was asked.
+    if (m_endpointsKind.m_provedAt < begun)
+        return true;
     const StorePosition position = m_endpointsKind.m_through;
     return catchUp(kindsBehind(position, begun), position);
 }
