--- a/tests/platform/store_loss_test.cpp
+++ b/tests/platform/store_loss_test.cpp
@@ -19,9 +19,9 @@
     standin::RelayWay m_way;
 };
 
-void PrintTo(const Loss &loss, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const Loss &loss)
 {
-    *out << loss.m_name;
+    return out << loss.m_name;
 }
 
 constexpr Loss Cut{ "Cut", standin::RelayMode::HalfOpen, standin::RelayWay::Both };
